--- /dev/null
+++ b/eslint.config.mjs
@@ -0,0 +1,90 @@
+import eslint from '@eslint/js';
+import prettier from 'eslint-config-prettier';
+import importX from 'eslint-plugin-import-x';
+import tseslint from 'typescript-eslint';
+
+export default tseslint.config(
+  { ignores: ['dist/', 'node_modules/'] },
+  eslint.configs.recommended,
+  {
+    files: ['**/*.ts'],
+    extends: [
+      ...tseslint.configs.strictTypeChecked,
+      ...tseslint.configs.stylisticTypeChecked,
+    ],
+    languageOptions: {
+      parserOptions: {
+        projectService: true,
+        tsconfigRootDir: import.meta.dirname,
+      },
+    },
+    plugins: { 'import-x': importX },
+    rules: {
+      'import-x/order': [
+        'error',
+        {
+          groups: ['builtin', 'external', ['internal', 'parent', 'sibling']],
+          pathGroups: [{ pattern: '@sesamegrade/**', group: 'internal' }],
+          pathGroupsExcludedImportTypes: ['builtin'],
+          'newlines-between': 'always',
+        },
+      ],
+      '@typescript-eslint/consistent-type-imports': 'error',
+      '@typescript-eslint/restrict-template-expressions': [
+        'error',
+        { allowNumber: true },
+      ],
+      '@typescript-eslint/switch-exhaustiveness-check': 'error',
+    },
+  },
+  {
+    files: ['**/*.test.ts'],
+    rules: {
+      // chai's property assertions are expressions.
+      '@typescript-eslint/no-unused-expressions': 'off',
+      '@typescript-eslint/no-non-null-assertion': 'off',
+    },
+  },
+  {
+    files: ['**/*.mjs'],
+    languageOptions: {
+      globals: { console: 'readonly', process: 'readonly', URL: 'readonly' },
+    },
+  },
+  {
+    files: ['packages/core/src/**/*.ts'],
+    rules: {
+      'no-restricted-globals': [
+        'error',
+        { name: 'Date', message: 'core takes the time as an argument' },
+        { name: 'setTimeout', message: 'core subscribes to the timer service' },
+        {
+          name: 'setInterval',
+          message: 'core subscribes to the timer service',
+        },
+        { name: 'process', message: 'core does no I/O' },
+        { name: 'fetch', message: 'core does no I/O' },
+      ],
+      'no-restricted-properties': [
+        'error',
+        {
+          object: 'Math',
+          property: 'random',
+          message: 'core takes a seeded generator',
+        },
+      ],
+      'no-restricted-imports': [
+        'error',
+        {
+          patterns: [
+            {
+              group: ['node:*'],
+              message: 'core is platform-neutral',
+            },
+          ],
+        },
+      ],
+    },
+  },
+  prettier,
+);
--- /dev/null
+++ b/packages/core/src/timeline/event.ts
@@ -0,0 +1,65 @@
+/** Typed events of the time line; every process keeps a bounded buffer of them. */
+
+/** Ids that link an event to its causes in other processes. */
+export interface EventLinks {
+  readonly request?: string;
+  readonly attempt?: string;
+  readonly endpoint?: string;
+  readonly router?: string;
+  readonly team?: string;
+  readonly lease?: string;
+  readonly configuration?: number;
+  readonly order?: string;
+}
+
+export type EventKind =
+  | 'process-started'
+  | 'process-stopping'
+  | 'process-stopped'
+  | 'request-accepted'
+  | 'request-queued'
+  | 'request-placed'
+  | 'request-sent'
+  | 'request-retried'
+  | 'request-resumed'
+  | 'request-finished'
+  | 'request-refused'
+  | 'endpoint-joined'
+  | 'endpoint-leaving'
+  | 'endpoint-gone'
+  | 'endpoint-ejected'
+  | 'endpoint-restored'
+  | 'router-joined'
+  | 'router-gone'
+  | 'suspect-marked'
+  | 'suspect-cleared'
+  | 'suspect-refused'
+  | 'order-recorded'
+  | 'order-settled'
+  | 'order-withdrawn'
+  | 'lease-taken'
+  | 'lease-lost'
+  | 'lease-released'
+  | 'engine-order-sent'
+  | 'engine-order-done'
+  | 'configuration-accepted'
+  | 'configuration-applied'
+  | 'store-unavailable'
+  | 'store-available'
+  | 'fault-set';
+
+/** Receives events; the recorder stamps them and may drop the oldest. */
+export abstract class EventRecorder {
+  abstract record(
+    kind: EventKind,
+    links: EventLinks,
+    detail?: Readonly<Record<string, string | number | boolean>>,
+  ): void;
+}
+
+/** Drops every event, for decisions that are run without a time line. */
+export class SilentRecorder extends EventRecorder {
+  override record(): void {
+    // Nothing is kept.
+  }
+}
--- /dev/null
+++ b/prettier.config.mjs
@@ -0,0 +1,6 @@
+export default {
+  singleQuote: true,
+  trailingComma: 'all',
+  arrowParens: 'avoid',
+  tabWidth: 2,
+};
--- /dev/null
+++ b/scripts/build-binary.mjs
@@ -0,0 +1,41 @@
+// Bundles the program and its libraries into one executable, dist/sesamegrade.
+import { execFileSync } from 'node:child_process';
+import { chmodSync, copyFileSync, mkdirSync, writeFileSync } from 'node:fs';
+
+import { build } from 'esbuild';
+
+const FUSE = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
+
+mkdirSync('dist', { recursive: true });
+await build({
+  entryPoints: ['packages/cli/src/main.ts'],
+  bundle: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'cjs',
+  outfile: 'dist/sesamegrade.cjs',
+  // Optional native parts of libraries; each library runs without them.
+  external: ['unix-dgram', 'bufferutil', 'utf-8-validate'],
+  logLevel: 'error',
+});
+writeFileSync(
+  'dist/sea.json',
+  JSON.stringify({
+    main: 'dist/sesamegrade.cjs',
+    output: 'dist/sesamegrade.blob',
+    disableExperimentalSEAWarning: true,
+  }),
+);
+execFileSync(process.execPath, ['--experimental-sea-config', 'dist/sea.json']);
+copyFileSync(process.execPath, 'dist/sesamegrade');
+execFileSync('npx', [
+  '--no-install',
+  'postject',
+  'dist/sesamegrade',
+  'NODE_SEA_BLOB',
+  'dist/sesamegrade.blob',
+  '--sentinel-fuse',
+  FUSE,
+]);
+chmodSync('dist/sesamegrade', 0o755);
+console.log('built dist/sesamegrade');
