Add checked INI settings with a reference made from the schema

Cause: every process needs settings whose faults name file, section and key. Conclusion: deploy files and the check command can build on it.

--- /dev/null
+++ b/packages/settings/src/reference.ts
@@ -0,0 +1,46 @@
+/** Writes the reference of all settings as Markdown. */
+import { z } from 'zod';
+
+import { sections } from './schema';
+
+interface Property {
+  readonly description?: string;
+  readonly default?: unknown;
+}
+
+/** Returns one table per section, with each key, its default and its meaning. */
+export function settingsReference(): string {
+  return Object.entries(sections)
+    .map(([section, schema]) => sectionReference(section, schema))
+    .join('\n');
+}
+
+function sectionReference(section: string, schema: z.ZodType): string {
+  const { properties = {}, required = [] } = z.toJSONSchema(schema, {
+    io: 'input',
+    unrepresentable: 'any',
+  });
+  const rows = Object.entries(properties).map(([key, property]) =>
+    row(key, property as Property, required.includes(key)),
+  );
+  return [
+    `### [${section}]`,
+    '',
+    '| key | default | meaning |',
+    '| --- | --- | --- |',
+    ...rows,
+    '',
+  ].join('\n');
+}
+
+function row(key: string, property: Property, required: boolean): string {
+  const initial = required ? 'required' : formatDefault(property.default);
+  return `| \`${key}\` | ${initial} | ${property.description ?? ''} |`;
+}
+
+function formatDefault(value: unknown): string {
+  if (value === undefined || (Array.isArray(value) && value.length === 0)) {
+    return 'none';
+  }
+  return `\`${JSON.stringify(value)}\``;
+}
--- /dev/null
+++ b/packages/settings/src/types/settings-failure.ts
@@ -0,0 +1,21 @@
+/** What is wrong with a settings file. */
+export type SettingsFailure =
+  | {
+      readonly kind: 'unreadable';
+      readonly file: string;
+      readonly reason: string;
+    }
+  | {
+      readonly kind: 'invalid';
+      readonly file: string;
+      readonly section: string;
+      readonly key: string;
+      readonly expected: string;
+    }
+  | {
+      readonly kind: 'missing-secret';
+      readonly file: string;
+      readonly section: 'secrets';
+      readonly key: string;
+      readonly expected: string;
+    };
