Add the request flow, its outcomes and the order of streamed events

Cause: a refusal must be true, so only a request's state may decide its outcome. Conclusion: the shells can be built on it.

--- /dev/null
+++ b/packages/core/src/requests/steps.ts
@@ -0,0 +1,75 @@
+/** What the request flow asks of the policies around it. */
+import type { EndpointId, RequestId } from '../types/ids';
+import type { RefusalReason } from '../types/refusal';
+import type { Instant, Milliseconds } from '../types/units';
+import type { Request } from './types';
+
+/** Whether a request may take capacity now. */
+export type AdmissionAnswer =
+  | { readonly kind: 'admitted' }
+  | { readonly kind: 'queued'; readonly until: Instant }
+  | { readonly kind: 'refused'; readonly reason: RefusalReason };
+
+/** A decision on a request that was queued before. */
+export interface QueuedAnswer {
+  readonly request: RequestId;
+  readonly answer: AdmissionAnswer;
+}
+
+/** Admits requests by team limits and shares. */
+export abstract class AdmissionStep {
+  abstract request(request: Request, now: Instant): AdmissionAnswer;
+  /** Gives a slot back, or takes a queued request out of the queue. */
+  abstract released(request: Request, now: Instant): void;
+  /** Decides on queued requests. */
+  abstract tick(now: Instant): readonly QueuedAnswer[];
+}
+
+/** Where a request is to run. */
+export type PlacingAnswer =
+  | { readonly kind: 'endpoint'; readonly endpoint: EndpointId }
+  /** Every endpoint that could run it is at its bound. */
+  | { readonly kind: 'saturated'; readonly retryAfter: Milliseconds }
+  | { readonly kind: 'refused'; readonly reason: RefusalReason };
+
+/** How one attempt ended, as evidence about its endpoint. */
+export type AttemptEnding =
+  | 'finished'
+  | 'not-sent'
+  | 'declined-full'
+  | 'declined-leaving'
+  | 'declined-unsuited'
+  | 'reset'
+  | 'stall'
+  | 'slow-start'
+  | 'cancelled';
+
+/** Chooses endpoints and learns from how attempts end. */
+export abstract class PlacingStep {
+  abstract choose(
+    request: Request,
+    avoided: readonly EndpointId[],
+    now: Instant,
+  ): PlacingAnswer;
+  abstract started(request: Request, endpoint: EndpointId, now: Instant): void;
+  abstract ended(
+    request: Request,
+    endpoint: EndpointId,
+    ending: AttemptEnding,
+    now: Instant,
+  ): void;
+}
+
+/** Whether another attempt may be made, and after what delay. */
+export type RetryAnswer =
+  | { readonly kind: 'retry'; readonly after: Milliseconds }
+  | { readonly kind: 'give-up' };
+
+/** Limits repeated attempts to a fraction of the traffic. */
+export abstract class RetryStep {
+  abstract requestArrived(now: Instant): void;
+  /** Decides on an attempt after `attempts` earlier ones. */
+  abstract mayRetry(attempts: number, now: Instant): RetryAnswer;
+  /** Decides on going on with a broken stream. */
+  abstract mayResume(resumptions: number, now: Instant): RetryAnswer;
+}
--- /dev/null
+++ b/packages/core/src/streams/streams.test.ts
@@ -0,0 +1,60 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+
+import { attemptId, endpointId } from '../types/ids';
+import { eventIdPrefix, parseEventId } from './event-id';
+import { StreamOrder } from './stream-order';
+
+describe('StreamOrder', () => {
+  it('delivers every event once and in order whatever arrives', () => {
+    fc.assert(
+      fc.property(fc.array(fc.integer({ min: -2, max: 8 })), arrivals => {
+        const order = new StreamOrder();
+        const delivered = arrivals.filter(
+          event => order.accept(event, false) === 'deliver',
+        );
+        expect(delivered).to.deep.equal(delivered.map((_, index) => index + 1));
+        expect(order.last).to.equal(delivered.length);
+      }),
+      { seed: 7 },
+    );
+  });
+
+  it('delivers nothing after the end', () => {
+    const order = new StreamOrder(3);
+    expect(order.accept(4, true)).to.equal('deliver');
+    expect(order.accept(5, false)).to.equal('duplicate');
+    expect(order.ended).to.equal(true);
+  });
+});
+
+describe('event ids', () => {
+  it('come back as they were given', () => {
+    const prefix = eventIdPrefix(
+      endpointId('engine-1'),
+      attemptId('a-1'),
+      'abcd',
+    );
+    expect(parseEventId(`${prefix}17`)).to.deep.equal({
+      endpoint: 'engine-1',
+      attempt: 'a-1',
+      tag: 'abcd',
+      event: 17,
+    });
+  });
+
+  it('refuse any other text', () => {
+    fc.assert(
+      fc.property(fc.string(), text => {
+        const parsed = parseEventId(text);
+        expect(parsed === undefined || text.split('~').length === 4).to.equal(
+          true,
+        );
+      }),
+      { seed: 7 },
+    );
+    for (const text of ['a~b~c', 'a~b~c~-1', 'a~b~c~1~2', '../x~b~c~1']) {
+      expect(parseEventId(text), text).to.equal(undefined);
+    }
+  });
+});
