Add the stand-in engine

Tests and trials need an engine that behaves like a batching one. EngineModel computes without sockets or clock: batching, prefix cache, queue by priority, cancel, crash on a marked request, record of runs. EngineServer gives it the pinned HTTP interface, faults by /control.

--- /dev/null
+++ b/packages/stand-ins/src/engine/engine-server.ts
@@ -0,0 +1,369 @@
+/** The stand-in engine's HTTP interface around `EngineModel`. */
+import { randomUUID } from 'node:crypto';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+
+import { z } from 'zod';
+
+import type { Address } from '@sesamegrade/core/types/endpoint';
+import { attemptId } from '@sesamegrade/core/types/ids';
+import type { AttemptId } from '@sesamegrade/core/types/ids';
+import type { VmEntry } from '@sesamegrade/core/types/platform';
+import { addTime, instant, milliseconds } from '@sesamegrade/core/types/units';
+import type { Instant } from '@sesamegrade/core/types/units';
+import {
+  HttpStandIn,
+  LOOPBACK,
+  header,
+  readJson,
+  sendJson,
+  sendStatus,
+} from '../http/http-stand-in';
+import type { ListenOptions } from '../http/http-stand-in';
+import { Registration } from '../http/registration';
+import { chatRequestSchema } from './chat-request';
+import { CacheInterface } from './cache-interface';
+import { engineControlSchema } from './engine-control';
+import type { EngineControl } from './engine-control';
+import { EngineOrders } from './engine-orders';
+import { EngineModel } from './engine-model';
+import type { SubmitRefusal } from './engine-model';
+import { DEFAULT_ENGINE_BEHAVIOUR } from './engine-options';
+import type { EngineBehaviour } from './engine-options';
+import { metricsText } from './metrics';
+import { wholeAnswer } from './sequence';
+import type { Sequence } from './sequence';
+import { StreamWriter } from './stream-writer';
+
+const STEP_MS = 4;
+
+export interface EngineOptions extends Partial<EngineBehaviour> {
+  readonly listen?: ListenOptions;
+  /** Base URL of the stand-in platform, where the engine registers itself. */
+  readonly platform?: string;
+}
+
+/** Something that waits for a sequence; `pump` returns false when done. */
+interface Reader {
+  pump(): boolean;
+}
+
+export class EngineServer extends HttpStandIn {
+  readonly #behaviour: EngineBehaviour;
+  readonly #model: EngineModel;
+  readonly #cache: CacheInterface;
+  readonly #orders: EngineOrders;
+  readonly #registration: Registration | undefined;
+  readonly #readers = new Set<Reader>();
+  #timer: NodeJS.Timeout | undefined;
+  #downUntil: Instant = instant(0);
+  #down = false;
+  #stopped = false;
+
+  constructor(options: EngineOptions = {}) {
+    super(options.listen ?? LOOPBACK);
+    this.#behaviour = { ...DEFAULT_ENGINE_BEHAVIOUR, ...options };
+    this.#model = new EngineModel(this.#behaviour, this.#now());
+    this.#cache = new CacheInterface(this.#model);
+    this.#orders = new EngineOrders(
+      this.#behaviour.checksFence,
+      this.#behaviour.models[0] ?? '',
+      options.platform,
+      models => {
+        this.#model.serve(models);
+        void this.#register().catch(() => undefined);
+      },
+    );
+    this.#registration =
+      options.platform === undefined
+        ? undefined
+        : new Registration(options.platform);
+  }
+
+  /** The decisions of the engine, for tests that look inside. */
+  get model(): EngineModel {
+    return this.#model;
+  }
+
+  /** Sets or clears faults, as `POST /control` does. */
+  async control(change: EngineControl): Promise<void> {
+    const now = this.#now();
+    if (change.slowFactor !== undefined) {
+      this.#model.slowFactor = change.slowFactor;
+    }
+    if (change.stallMs !== undefined) {
+      this.#model.stall(addTime(now, milliseconds(change.stallMs)));
+    }
+    if (change.crash === true) {
+      this.#crash(now);
+    }
+    if (change.leaving !== undefined) {
+      this.#model.leaving = change.leaving;
+      await this.#register();
+    }
+  }
+
+  protected override async started(): Promise<void> {
+    this.#timer = setInterval(() => {
+      this.#step();
+    }, STEP_MS);
+    await this.#register();
+  }
+
+  protected override async stopping(): Promise<void> {
+    this.#stopped = true;
+    this.#orders.stop();
+    clearInterval(this.#timer);
+    await this.#registration?.remove(this.#behaviour.vm).catch(() => undefined);
+  }
+
+  protected override async handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+    url: URL,
+  ): Promise<void> {
+    const [first, second] = url.pathname.slice(1).split('/', 2);
+    if (first === 'control') {
+      await this.#control(request, response, second);
+      return;
+    }
+    if (this.#down) {
+      response.destroy();
+      return;
+    }
+    const route = `${request.method ?? ''} /${first ?? ''}`;
+    const name = decodeURIComponent(url.pathname.split('/').at(-1) ?? '');
+    switch (route) {
+      case 'POST /v1':
+        await this.#complete(request, response);
+        break;
+      case 'GET /v1':
+        if (second === 'models') {
+          this.#listModels(response);
+        } else {
+          this.#resume(request, response, attemptId(name));
+        }
+        break;
+      case 'DELETE /v1':
+        this.#cancel(response, attemptId(name));
+        break;
+      case 'GET /health':
+        sendStatus(response, 200, this.#loadHeaders());
+        break;
+      case 'GET /metrics':
+        response.writeHead(200, { 'Content-Type': 'text/plain' });
+        response.end(metricsText(this.#model.publishedLoad));
+        break;
+      case 'GET /kv':
+        this.#cache.exportPrefix(response, name);
+        break;
+      case 'PUT /kv':
+        await this.#cache.importPrefix(request, response, name, this.#now());
+        break;
+      case 'GET /cache-events':
+        this.#cache.events(response, url, this.#now());
+        break;
+      case 'GET /desired':
+        this.#orders.show(response);
+        break;
+      case 'PUT /desired':
+        await this.#orders.receive(request, response);
+        break;
+      default:
+        sendJson(response, 404, { error: { message: 'no such path' } });
+    }
+  }
+
+  #now(): Instant {
+    return instant(performance.now());
+  }
+
+  #step(): void {
+    const now = this.#now();
+    if (this.#down && now >= this.#downUntil) {
+      this.#down = false;
+      void this.#register().catch(() => undefined);
+    }
+    if (this.#model.step(now, Date.now()) === 'crashed') {
+      this.#crash(now);
+      return;
+    }
+    this.#pump();
+  }
+
+  #pump(): void {
+    for (const reader of this.#readers) {
+      if (!reader.pump()) {
+        this.#readers.delete(reader);
+      }
+    }
+  }
+
+  #crash(now: Instant): void {
+    this.#model.crash(now);
+    this.#readers.clear();
+    this.#down = true;
+    this.#downUntil = addTime(now, this.#behaviour.crashDowntime);
+    this.destroyConnections();
+  }
+
+  async #register(): Promise<void> {
+    if (!this.#stopped) {
+      await this.#registration?.register(this.#entry(this.address));
+    }
+  }
+
+  #entry(address: Address): VmEntry {
+    return {
+      vm: this.#behaviour.vm,
+      kind: 'engine',
+      models: this.#model.models,
+      host: address.host,
+      port: address.port,
+      zone: this.#behaviour.zone,
+      state: this.#model.leaving ? 'leaving' : 'live',
+      incarnation: this.#model.incarnation,
+      capacity: this.#behaviour.capacity,
+    };
+  }
+
+  #loadHeaders(): Record<string, string> {
+    const { running, waiting } = this.#model.load;
+    return {
+      'X-Engine-Running': String(running),
+      'X-Engine-Waiting': String(waiting),
+      'X-Engine-Capacity': String(this.#behaviour.capacity),
+    };
+  }
+
+  async #complete(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const parsed = chatRequestSchema.safeParse(await readJson(request));
+    if (!parsed.success) {
+      const message = z.prettifyError(parsed.error);
+      sendJson(response, 400, { error: { message } }, this.#loadHeaders());
+      return;
+    }
+    const id = attemptId(header(request, 'x-request-id') ?? randomUUID());
+    const submitted = this.#model.submit({
+      id,
+      chat: header(request, 'x-chat-id'),
+      request: parsed.data,
+    });
+    if (!submitted.ok) {
+      this.#refuse(response, submitted.failure);
+      return;
+    }
+    if (parsed.data.stream === true) {
+      this.#stream(response, submitted.value, 0);
+    } else {
+      this.#answerWhole(response, submitted.value);
+    }
+  }
+
+  #refuse(response: ServerResponse, refusal: SubmitRefusal): void {
+    const statuses = { full: 503, leaving: 503, model: 404, duplicate: 409 };
+    sendJson(
+      response,
+      statuses[refusal.kind],
+      { error: { message: refusal.kind } },
+      { ...this.#loadHeaders(), 'X-Engine-Refused': refusal.kind },
+    );
+  }
+
+  #stream(response: ServerResponse, sequence: Sequence, after: number): void {
+    response.writeHead(200, {
+      'Content-Type': 'text/event-stream',
+      'Cache-Control': 'no-cache',
+      ...this.#loadHeaders(),
+    });
+    response.flushHeaders();
+    const writer = new StreamWriter(sequence, response, after);
+    if (writer.pump()) {
+      this.#readers.add(writer);
+    }
+  }
+
+  #answerWhole(response: ServerResponse, sequence: Sequence): void {
+    const pump = () => {
+      if (sequence.phase === 'finished') {
+        const answer = wholeAnswer(sequence);
+        sendJson(response, 200, answer, this.#loadHeaders());
+        return false;
+      }
+      if (sequence.phase === 'cancelled') {
+        response.destroy();
+        return false;
+      }
+      return !response.destroyed;
+    };
+    this.#readers.add({ pump });
+  }
+
+  #resume(
+    request: IncomingMessage,
+    response: ServerResponse,
+    id: AttemptId,
+  ): void {
+    const sequence = this.#model.stream(id);
+    const after = Number(header(request, 'last-event-id') ?? 0);
+    if (!sequence) {
+      sendJson(response, 404, { error: { message: 'the stream is not kept' } });
+      return;
+    }
+    if (!Number.isInteger(after) || after < 0) {
+      sendJson(response, 400, { error: { message: 'invalid Last-Event-ID' } });
+      return;
+    }
+    this.#stream(response, sequence, after);
+  }
+
+  #cancel(response: ServerResponse, id: AttemptId): void {
+    const known = this.#model.stream(id) !== undefined;
+    this.#model.cancel(id, this.#now());
+    sendStatus(response, known ? 204 : 404, this.#loadHeaders());
+    this.#pump();
+  }
+
+  #listModels(response: ServerResponse): void {
+    const data = this.#model.models.map(id => ({ id, object: 'model' }));
+    sendJson(response, 200, { object: 'list', data }, this.#loadHeaders());
+  }
+
+  async #control(
+    request: IncomingMessage,
+    response: ServerResponse,
+    what: string | undefined,
+  ): Promise<void> {
+    if (request.method === 'POST') {
+      const change = engineControlSchema.safeParse(await readJson(request));
+      if (!change.success) {
+        const message = z.prettifyError(change.error);
+        sendJson(response, 400, { error: { message } });
+        return;
+      }
+      sendJson(response, 200, {});
+      await this.control(change.data);
+      return;
+    }
+    switch (what) {
+      case 'runs':
+        sendJson(response, 200, { runs: this.#model.runs.runs() });
+        break;
+      case 'orders':
+        this.#orders.list(response);
+        break;
+      case undefined:
+      default:
+        sendJson(response, 200, {
+          vm: this.#behaviour.vm,
+          down: this.#down,
+          incarnation: this.#model.incarnation,
+          leaving: this.#model.leaving,
+          capacity: this.#behaviour.capacity,
+          ...this.#model.load,
+        });
+    }
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/engine/metrics.ts
@@ -0,0 +1,14 @@
+/** Load metrics in the Prometheus text format, named as vLLM names them. */
+import type { EngineLoad } from './engine-model';
+
+/** Returns the text of `GET /metrics`. */
+export function metricsText(load: EngineLoad): string {
+  const gauges = [
+    ['vllm:num_requests_running', load.running],
+    ['vllm:num_requests_waiting', load.waiting],
+    ['vllm:kv_cache_usage_perc', load.cacheUsage],
+  ] as const;
+  return gauges
+    .map(([name, value]) => `# TYPE ${name} gauge\n${name} ${value}\n`)
+    .join('');
+}
--- /dev/null
+++ b/packages/stand-ins/src/engine/run-log.ts
@@ -0,0 +1,43 @@
+/** The engine's own record of everything that ran, which outlives its crashes. */
+import type { AttemptId } from '@sesamegrade/core/types/ids';
+
+const MAX_RUNS = 500_000;
+
+export interface Run {
+  readonly attempt: AttemptId;
+  readonly contentHash: string;
+  readonly chat: string;
+  readonly incarnation: number;
+  /** Milliseconds since the Unix epoch. */
+  readonly startedAt: number;
+  readonly endedAt?: number;
+  readonly end?: 'finished' | 'cancelled' | 'crashed';
+}
+
+export class RunLog {
+  readonly #runs: Run[] = [];
+  readonly #open = new Map<AttemptId, number>();
+
+  begin(run: Run): void {
+    if (this.#runs.length >= MAX_RUNS) {
+      return;
+    }
+    this.#open.set(run.attempt, this.#runs.length);
+    this.#runs.push(run);
+  }
+
+  /** Notes how a run ended; one that never started is not recorded. */
+  end(attempt: AttemptId, end: Run['end'], endedAt: number): void {
+    const index = this.#open.get(attempt);
+    const run = index === undefined ? undefined : this.#runs[index];
+    if (index === undefined || !run) {
+      return;
+    }
+    this.#open.delete(attempt);
+    this.#runs[index] = { ...run, end, endedAt };
+  }
+
+  runs(): readonly Run[] {
+    return this.#runs;
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/engine/sequence.ts
@@ -0,0 +1,95 @@
+/** One request in the engine's batch or queue, and the events of its stream. */
+import type { AttemptId } from '@sesamegrade/core/types/ids';
+import type { Instant } from '@sesamegrade/core/types/units';
+import type { ChatRequest } from './chat-request';
+import type { CachedMessage } from './prefix-cache';
+
+export type SequencePhase = 'waiting' | 'running' | 'finished' | 'cancelled';
+
+export interface Sequence {
+  readonly id: AttemptId;
+  readonly request: ChatRequest;
+  readonly contentHash: string;
+  readonly chat: string;
+  /** The messages of the prompt as the cache compares them. */
+  readonly prompt: readonly CachedMessage[];
+  readonly promptTokens: number;
+  /** The whole answer. */
+  readonly tokens: readonly string[];
+  readonly order: number;
+  /** Seconds since the Unix epoch. */
+  readonly created: number;
+  phase: SequencePhase;
+  cachedTokens: number;
+  /** Prompt tokens that are still to be computed. */
+  prefillLeft: number;
+  /** Tokens generated, with the part of the next one. */
+  generated: number;
+  endedAt: Instant | undefined;
+}
+
+const EVENTS_AFTER_TOKENS = 2;
+
+/** Returns the number of events that can be read so far; ids start at 1. */
+export function readyEvents(sequence: Sequence): number {
+  if (sequence.phase === 'finished') {
+    return sequence.tokens.length + EVENTS_AFTER_TOKENS;
+  }
+  return Math.min(Math.floor(sequence.generated), sequence.tokens.length);
+}
+
+/** Returns the OpenAI-compatible usage figures of a finished sequence. */
+export function usage(sequence: Sequence) {
+  return {
+    prompt_tokens: sequence.promptTokens,
+    completion_tokens: sequence.tokens.length,
+    total_tokens: sequence.promptTokens + sequence.tokens.length,
+    prompt_tokens_details: { cached_tokens: sequence.cachedTokens },
+  };
+}
+
+/** Returns the data of the event with an id from 1 to `readyEvents`. */
+export function eventData(sequence: Sequence, id: number): string {
+  const { tokens } = sequence;
+  if (id > tokens.length + 1) {
+    return '[DONE]';
+  }
+  const head = {
+    id: sequence.id,
+    object: 'chat.completion.chunk',
+    created: sequence.created,
+    model: sequence.request.model,
+  };
+  if (id === tokens.length + 1) {
+    const choice = { index: 0, delta: {}, finish_reason: 'stop' };
+    return JSON.stringify({
+      ...head,
+      choices: [choice],
+      usage: usage(sequence),
+    });
+  }
+  const content = tokens[id - 1];
+  const delta = id === 1 ? { role: 'assistant', content } : { content };
+  return JSON.stringify({
+    ...head,
+    choices: [{ index: 0, delta, finish_reason: null }],
+  });
+}
+
+/** Returns one event as it goes on the wire. */
+export function eventText(sequence: Sequence, id: number): string {
+  return `id: ${id}\ndata: ${eventData(sequence, id)}\n\n`;
+}
+
+/** Returns the answer to a request that did not ask for a stream. */
+export function wholeAnswer(sequence: Sequence): unknown {
+  const message = { role: 'assistant', content: sequence.tokens.join('') };
+  return {
+    id: sequence.id,
+    object: 'chat.completion',
+    created: sequence.created,
+    model: sequence.request.model,
+    choices: [{ index: 0, message, finish_reason: 'stop' }],
+    usage: usage(sequence),
+  };
+}
