Add membership of routers and endpoints, and duties

The platform's list of VMs lags and may contradict what routers see, so a stale line could send work to an endpoint that is leaving. Members now carry incarnations: leaving is sticky per incarnation and kept after the row is forgotten, returns are damped with growing holds, and a peer's word alone never brings an endpoint or an incarnation in.

--- /dev/null
+++ b/packages/core/src/duties/duty-roster.test.ts
@@ -0,0 +1,67 @@
+import { expect } from 'chai';
+
+import { RouterTable } from '../membership/router-table';
+import { SilentRecorder } from '../timeline/event';
+import { incarnation, routerId, zoneId } from '../types/ids';
+import { instant } from '../types/units';
+import { DutyRoster } from './duty-roster';
+
+const DUTIES = Array.from({ length: 200 }, (_, index) => `watch:${index}`);
+
+function identity(name: string) {
+  return {
+    id: routerId(name),
+    incarnation: incarnation(1),
+    zone: zoneId('a'),
+    address: { host: '127.0.0.1', port: 7000 },
+  };
+}
+
+function rosterOf(self: string, others: readonly string[]) {
+  const recorder = new SilentRecorder();
+  const routers = new RouterTable({ self: identity(self), recorder });
+  for (const other of others) {
+    routers.connected(identity(other), instant(0));
+  }
+  let now = instant(0);
+  return {
+    routers,
+    roster: new DutyRoster({ routers, now: () => now }),
+    wait: (until: number) => (now = instant(until)),
+  };
+}
+
+describe('DutyRoster', () => {
+  it('gives every duty one owner that all routers agree on', () => {
+    const first = rosterOf('r1', ['r2', 'r3']);
+    const second = rosterOf('r2', ['r1', 'r3']);
+    for (const duty of DUTIES) {
+      expect(first.roster.ownerOf(duty)).to.equal(second.roster.ownerOf(duty));
+    }
+  });
+
+  it('moves only the duties of a router that leaves or is unreachable', () => {
+    const { routers, roster, wait } = rosterOf('r1', ['r2', 'r3', 'r4']);
+    const before = new Map(DUTIES.map(duty => [duty, roster.ownerOf(duty)]));
+    routers.markLeaving(
+      routerId('r2'),
+      incarnation(1),
+      'announced',
+      instant(1),
+    );
+    routers.disconnected(routerId('r3'), instant(1));
+    wait(4000);
+    for (const [duty, owner] of before) {
+      const now = roster.ownerOf(duty);
+      if (owner === 'r1' || owner === 'r4') {
+        expect(now).to.equal(owner);
+      } else {
+        expect(now).to.be.oneOf(['r1', 'r4']);
+      }
+    }
+    routers.leave();
+    expect(new Set(DUTIES.map(duty => roster.ownerOf(duty)))).to.deep.equal(
+      new Set(['r4']),
+    );
+  });
+});
--- /dev/null
+++ b/packages/core/src/membership/endpoint-table.test.ts
@@ -0,0 +1,156 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+
+import { SilentRecorder } from '../timeline/event';
+import { endpointId, incarnation } from '../types/ids';
+import { instant } from '../types/units';
+import { EndpointTable } from './endpoint-table';
+import { vmEntrySchema } from './vm-entry';
+
+const SEED = 20_261_203;
+const id = endpointId('vm-1');
+
+function entry(fields: object = {}): object {
+  return {
+    vm: 'vm-1',
+    kind: 'engine',
+    models: ['m'],
+    host: '127.0.0.1',
+    port: 9000,
+    zone: 'a',
+    state: 'live',
+    incarnation: 1,
+    capacity: 8,
+    ...fields,
+  };
+}
+
+function tableWith(...entries: object[]): EndpointTable {
+  const table = new EndpointTable({ recorder: new SilentRecorder() });
+  table.listArrived(entries, instant(0));
+  return table;
+}
+
+function placeable(table: EndpointTable): string[] {
+  return [...table.endpoints()].map(row => `${row.id}/${row.incarnation}`);
+}
+
+describe('EndpointTable', () => {
+  it('keeps leaving sticky until a higher incarnation is listed', () => {
+    const table = tableWith(entry());
+    table.evidence(id, 'refused-as-leaving', instant(10));
+    table.listArrived([entry()], instant(20));
+    expect(placeable(table)).to.deep.equal([]);
+    table.listArrived([entry({ incarnation: 2 })], instant(30));
+    expect(placeable(table)).to.deep.equal(['vm-1/2']);
+    table.listArrived([entry({ incarnation: 1 })], instant(40));
+    expect(placeable(table)).to.deep.equal(['vm-1/2']);
+  });
+
+  it('does not bring back a forgotten endpoint that had left', () => {
+    const table = tableWith(entry({ state: 'leaving' }));
+    table.listArrived([], instant(1000));
+    table.tick(instant(60_000));
+    table.tick(instant(1_000_000));
+    expect(table.get(id)).to.equal(undefined);
+    table.listArrived([entry()], instant(1_000_001));
+    expect(placeable(table)).to.deep.equal([]);
+  });
+
+  it('ramps a joining endpoint and holds back a flapping one ever longer', () => {
+    const table = tableWith();
+    let now = 1000;
+    const holds: number[] = [];
+    for (let start = 1; start <= 4; start += 1) {
+      table.listArrived([entry({ incarnation: start })], instant(now));
+      holds.push(Number(table.get(id)?.rampStart) - now);
+      expect(table.get(id)?.phase).to.equal('joining');
+      now += 1000;
+    }
+    expect(holds[0]).to.equal(0);
+    expect(holds[1]).to.equal(0);
+    expect(holds[2]).to.be.greaterThan(4000);
+    expect(holds[3]).to.be.greaterThan(Number(holds[2]) * 1.9);
+    expect(placeable(table)).to.deep.equal([]);
+    table.tick(instant(now + 60_000));
+    expect(table.get(id)?.phase).to.equal('live');
+  });
+
+  it('drops an endpoint missing for long, but not one that answers', () => {
+    const table = tableWith(entry(), entry({ vm: 'vm-2' }));
+    table.listArrived([], instant(1000));
+    table.evidence(endpointId('vm-2'), 'answered', instant(30_000));
+    table.tick(instant(31_000));
+    expect(placeable(table)).to.deep.equal(['vm-2/1']);
+    expect(table.get(id)?.cause).to.equal('missing');
+  });
+
+  it('takes no endpoint and no incarnation on a peer’s word alone', () => {
+    const table = tableWith(entry());
+    const told = vmEntrySchema.parse(entry({ vm: 'made-up' }));
+    if (told.kind !== 'router') {
+      table.peerTold(told, instant(5));
+    }
+    const huge = incarnation(2 ** 42);
+    table.markLeaving(id, huge, 'told-by-peer', instant(6));
+    table.markLeaving(id, incarnation(2), 'told-by-peer', instant(6));
+    expect(placeable(table)).to.deep.equal(['vm-1/1']);
+    table.listArrived([entry({ incarnation: 2 })], instant(7));
+    expect(table.get(id)?.phase).to.equal('leaving');
+  });
+
+  it('survives any list, and never works again after leaving', () => {
+    const line = fc.record({
+      vm: fc.constantFrom('vm-1', 'vm-2'),
+      kind: fc.constant('engine'),
+      host: fc.constantFrom('h', 'g'),
+      port: fc.constantFrom(1, 2, -5),
+      zone: fc.constant('a'),
+      state: fc.constantFrom('live', 'leaving'),
+      incarnation: fc.constantFrom(-1, 0, 1, 2, 3, 1e300, 2 ** 50, 0.5),
+      capacity: fc.constantFrom(1, -1),
+    });
+    const list = fc.array(
+      fc.oneof({ weight: 8, arbitrary: line }, fc.anything()),
+    );
+    const step = fc.oneof(
+      list.map(entries => ({ kind: 'list' as const, entries })),
+      fc.record({
+        kind: fc.constant('told' as const),
+        vm: fc.constantFrom('vm-1', 'vm-2'),
+        start: fc.nat(4),
+      }),
+      fc.record({ kind: fc.constant('wait' as const), time: fc.nat(700_000) }),
+    );
+    const history = fc.array(step, { maxLength: 40 });
+    fc.assert(
+      fc.property(history, steps => {
+        const table = tableWith();
+        const left = new Map<string, number>();
+        table.subscribe(change => {
+          if (change.phase === 'leaving') {
+            left.set(change.id, change.incarnation);
+          }
+        });
+        let now = 0;
+        for (const taken of steps) {
+          now += taken.kind === 'wait' ? taken.time : 1;
+          if (taken.kind === 'list') {
+            table.listArrived(taken.entries, instant(now));
+          } else if (taken.kind === 'told') {
+            const start = incarnation(taken.start);
+            const told = endpointId(taken.vm);
+            table.markLeaving(told, start, 'told-by-peer', instant(now));
+          } else {
+            table.tick(instant(now));
+          }
+          for (const row of table.endpoints()) {
+            expect(row.incarnation).to.be.greaterThan(left.get(row.id) ?? -1);
+            expect(row.incarnation).to.be.within(0, 3);
+          }
+        }
+      }),
+      { seed: SEED, numRuns: 500 },
+    );
+  });
+});
--- /dev/null
+++ b/packages/core/src/membership/endpoint-table.ts
@@ -0,0 +1,156 @@
+/** Engines and instances of plain services, as this router knows them. */
+import type { EventRecorder } from '../timeline/event';
+import type { Endpoint, Serving } from '../types/endpoint';
+import {
+  endpointId,
+  incarnation,
+  modelId,
+  serviceId,
+  vmId,
+  zoneId,
+} from '../types/ids';
+import type { EndpointId } from '../types/ids';
+import type { Instant } from '../types/units';
+import type { Member, Sighting } from './member';
+import { DEFAULT_TIMES, MemberTable } from './member-table';
+import type { MembershipTimes } from './member-table';
+import { parseVmList } from './vm-entry';
+import type { ListedVm } from './vm-entry';
+
+/** What a router learned by talking to an endpoint itself. */
+export type Evidence = 'answered' | 'refused-as-leaving' | 'connection-failed';
+
+/** Facts of an endpoint beside those of every member. */
+export interface EndpointFacts {
+  readonly serving: Serving;
+  readonly capacity: number;
+}
+
+export interface EndpointMember extends Member<EndpointId>, EndpointFacts {}
+
+export interface EndpointTableOptions {
+  readonly recorder: EventRecorder;
+  readonly times?: MembershipTimes;
+}
+
+type EndpointVm = Exclude<ListedVm, { kind: 'router' }>;
+
+/** Turns a line of the list into a statement about an endpoint. */
+export function sightEndpoint(
+  vm: EndpointVm,
+): Sighting<EndpointId, EndpointFacts> {
+  const serving: Serving =
+    vm.kind === 'engine'
+      ? { kind: 'engine', models: vm.models.map(modelId) }
+      : { kind: 'service', service: serviceId(vm.service) };
+  return {
+    id: endpointId(vm.vm),
+    vm: vmId(vm.vm),
+    incarnation: incarnation(vm.incarnation),
+    zone: zoneId(vm.zone),
+    address: { host: vm.host, port: vm.port },
+    leaving: vm.state === 'leaving',
+    facts: { serving, capacity: vm.capacity },
+  };
+}
+
+export class EndpointTable extends MemberTable<
+  EndpointId,
+  EndpointFacts,
+  EndpointMember
+> {
+  readonly #recorder: EventRecorder;
+  #now: Instant | undefined;
+
+  constructor(options: EndpointTableOptions) {
+    super(options.times ?? DEFAULT_TIMES);
+    this.#recorder = options.recorder;
+  }
+
+  /** Endpoints that may get new work: joining or live, and not held back. */
+  *endpoints(): Generator<EndpointMember & Endpoint> {
+    const now = this.#now;
+    for (const row of this.table.rows()) {
+      const works = row.phase === 'joining' || row.phase === 'live';
+      if (works && now !== undefined && row.rampStart <= now) {
+        yield row;
+      }
+    }
+  }
+
+  /** Takes the platform's list; lines about routers are left to the router table. */
+  listArrived(entries: readonly unknown[], now: Instant): void {
+    this.#advance(now);
+    const { vms, malformed, contradictory } = parseVmList(entries);
+    this.counters.malformed += malformed;
+    this.counters.contradictory += contradictory;
+    const endpoints = vms.filter(vm => vm.kind !== 'router');
+    this.takeList(endpoints.map(sightEndpoint), now);
+  }
+
+  /** Merges what a peer knows about an endpoint. */
+  peerTold(vm: EndpointVm, now: Instant): void {
+    this.#advance(now);
+    this.observe(sightEndpoint(vm), 'peer', now);
+  }
+
+  /** Merges what this router saw of an endpoint itself. */
+  evidence(id: EndpointId, evidence: Evidence, now: Instant): void {
+    this.#advance(now);
+    const row = this.table.get(id);
+    if (!row) {
+      return;
+    }
+    switch (evidence) {
+      case 'answered':
+        this.patch(id, { answeredAt: now });
+        return;
+      case 'refused-as-leaving':
+        this.markLeaving(id, row.incarnation, 'refused-as-leaving', now);
+        return;
+      case 'connection-failed':
+        this.patch(id, { answeredAt: undefined });
+        return;
+    }
+  }
+
+  override tick(now: Instant): void {
+    this.#advance(now);
+    super.tick(now);
+  }
+
+  protected override build(
+    member: Member<EndpointId>,
+    facts: EndpointFacts,
+  ): EndpointMember {
+    return { ...member, ...facts };
+  }
+
+  protected override refresh(row: EndpointMember, facts: EndpointFacts): void {
+    this.table.patch(row.id, facts);
+  }
+
+  protected override changed(row: EndpointMember): void {
+    const links = { endpoint: row.id };
+    const detail = { incarnation: row.incarnation, cause: row.cause ?? '' };
+    switch (row.phase) {
+      case 'joining':
+      case 'live':
+        this.#recorder.record('endpoint-joined', links, detail);
+        return;
+      case 'leaving':
+        this.#recorder.record('endpoint-leaving', links, detail);
+        return;
+      case 'gone':
+        this.#recorder.record('endpoint-gone', links, detail);
+        return;
+    }
+  }
+
+  /** Keeps the latest time, so that a late caller never moves it back. */
+  #advance(now: Instant): void {
+    if (this.#now === undefined || now > this.#now) {
+      this.#now = now;
+    }
+  }
+}
--- /dev/null
+++ b/packages/core/src/membership/router-table.ts
@@ -0,0 +1,182 @@
+/** Routers of the fleet, this one among them. */
+import type { EventRecorder } from '../timeline/event';
+import type { Address } from '../types/endpoint';
+import { incarnation, routerId, vmId, zoneId } from '../types/ids';
+import type { Incarnation, RouterId, ZoneId } from '../types/ids';
+import { elapsed, seconds } from '../types/units';
+import type { Instant } from '../types/units';
+import type { Member, Sighting } from './member';
+import { DEFAULT_TIMES, MemberTable } from './member-table';
+import type { MembershipTimes } from './member-table';
+import { parseVmList } from './vm-entry';
+import type { ListedVm } from './vm-entry';
+
+/** Time without a connection after which a router's duties move on. */
+const UNREACHABLE_AFTER = seconds(3);
+
+/** Facts of a router beside those of every member. */
+export interface RouterFacts {
+  /** Since when this router has failed to connect to it. */
+  readonly unreachableSince?: Instant | undefined;
+}
+
+export interface RouterMember extends Member<RouterId>, RouterFacts {}
+
+/** What a router says of itself when it connects. */
+export interface RouterIdentity {
+  readonly id: RouterId;
+  readonly incarnation: Incarnation;
+  readonly zone: ZoneId;
+  readonly address: Address;
+}
+
+export interface RouterTableOptions {
+  readonly self: RouterIdentity;
+  readonly recorder: EventRecorder;
+  readonly times?: MembershipTimes;
+}
+
+type RouterVm = Extract<ListedVm, { kind: 'router' }>;
+
+/** Turns a line of the list into a statement about a router. */
+function sightRouter(vm: RouterVm): Sighting<RouterId, RouterFacts> {
+  return {
+    id: routerId(vm.vm),
+    vm: vmId(vm.vm),
+    incarnation: incarnation(vm.incarnation),
+    zone: zoneId(vm.zone),
+    address: { host: vm.host, port: vm.port },
+    leaving: vm.state === 'leaving',
+    facts: {},
+  };
+}
+
+function sightIdentity(
+  identity: RouterIdentity,
+): Sighting<RouterId, RouterFacts> {
+  return { ...identity, vm: vmId(identity.id), leaving: false, facts: {} };
+}
+
+export class RouterTable extends MemberTable<
+  RouterId,
+  RouterFacts,
+  RouterMember
+> {
+  readonly self: RouterIdentity;
+  readonly #recorder: EventRecorder;
+  #leaving = false;
+  #revision = 0;
+
+  constructor(options: RouterTableOptions) {
+    super(options.times ?? DEFAULT_TIMES);
+    this.self = options.self;
+    this.#recorder = options.recorder;
+  }
+
+  /** Whether this router has announced that it stops. */
+  get leaving(): boolean {
+    return this.#leaving;
+  }
+
+  /** Rises with every change of who is live. */
+  get revision(): number {
+    return this.#revision;
+  }
+
+  /** Takes the platform's list; lines about this router itself are left out. */
+  listArrived(entries: readonly unknown[], now: Instant): void {
+    const { vms, malformed, contradictory } = parseVmList(entries);
+    this.counters.malformed += malformed;
+    this.counters.contradictory += contradictory;
+    const routers = vms
+      .filter(vm => vm.kind === 'router')
+      .map(sightRouter)
+      .filter(sighting => sighting.id !== this.self.id);
+    this.takeList(routers, now);
+  }
+
+  /** Merges what a peer knows about another router. */
+  peerTold(vm: RouterVm, now: Instant): void {
+    const sighting = sightRouter(vm);
+    if (sighting.id !== this.self.id) {
+      this.observe(sighting, 'peer', now);
+    }
+  }
+
+  /** An authenticated connection to or from a router stands. */
+  connected(identity: RouterIdentity, now: Instant): void {
+    if (identity.id === this.self.id) {
+      return;
+    }
+    this.observe(sightIdentity(identity), 'direct', now);
+    this.table.patch(identity.id, {
+      answeredAt: now,
+      unreachableSince: undefined,
+    });
+    this.#revision += 1;
+  }
+
+  /** A connection to a router broke or could not be made. */
+  disconnected(id: RouterId, now: Instant): void {
+    const row = this.table.get(id);
+    if (row && row.unreachableSince === undefined) {
+      this.table.patch(id, { unreachableSince: now, answeredAt: undefined });
+    }
+  }
+
+  /** Announces that this router takes no new work and hands over its duties. */
+  leave(): void {
+    this.#leaving = true;
+    this.#revision += 1;
+  }
+
+  /** Other routers that messages can go to. */
+  peers(): RouterMember[] {
+    return [...this.table.rows()].filter(row => row.phase !== 'gone');
+  }
+
+  /** Routers that duties may fall on, this one included unless it leaves. */
+  live(now: Instant): RouterId[] {
+    const live = [...this.table.rows()]
+      .filter(row => this.#mayHoldDuties(row, now))
+      .map(row => row.id);
+    if (!this.#leaving) {
+      live.push(this.self.id);
+    }
+    return live;
+  }
+
+  protected override build(
+    member: Member<RouterId>,
+    facts: RouterFacts,
+  ): RouterMember {
+    return { ...member, ...facts };
+  }
+
+  protected override refresh(): void {
+    // The list says nothing of a router that may change while it runs.
+  }
+
+  protected override changed(row: RouterMember): void {
+    this.#revision += 1;
+    const links = { router: row.id };
+    const detail = { incarnation: row.incarnation, cause: row.cause ?? '' };
+    const joined = row.phase === 'joining' || row.phase === 'live';
+    this.#recorder.record(
+      joined ? 'router-joined' : 'router-gone',
+      links,
+      detail,
+    );
+  }
+
+  #mayHoldDuties(row: RouterMember, now: Instant): boolean {
+    if (row.phase === 'leaving' || row.phase === 'gone') {
+      return false;
+    }
+    const { unreachableSince } = row;
+    return (
+      unreachableSince === undefined ||
+      elapsed(unreachableSince, now) < UNREACHABLE_AFTER
+    );
+  }
+}
--- /dev/null
+++ b/packages/core/src/membership/vm-entry.ts
@@ -0,0 +1,73 @@
+/** Validation of the platform's list of VMs; a bad line is dropped, never the whole list. */
+import { z } from 'zod';
+
+/** Highest incarnation that is believed; as Unix milliseconds it lies in the year 2248. */
+export const MAX_INCARNATION = 2 ** 43;
+
+const MAX_NAME_LENGTH = 200;
+const MAX_MODELS_PER_ENGINE = 256;
+const MAX_CAPACITY = 100_000;
+
+export const nameSchema = z.string().min(1).max(MAX_NAME_LENGTH);
+export const incarnationSchema = z.int().min(0).max(MAX_INCARNATION);
+
+const common = {
+  vm: nameSchema,
+  host: nameSchema,
+  port: z.int().min(1).max(65_535),
+  zone: nameSchema,
+  state: z.enum(['live', 'leaving']),
+  incarnation: incarnationSchema,
+  capacity: z.int().min(0).max(MAX_CAPACITY),
+};
+
+export const vmEntrySchema = z.discriminatedUnion('kind', [
+  z.object({ ...common, kind: z.literal('router') }),
+  z.object({
+    ...common,
+    kind: z.literal('engine'),
+    models: z.array(nameSchema).max(MAX_MODELS_PER_ENGINE).default([]),
+  }),
+  z.object({ ...common, kind: z.literal('service'), service: nameSchema }),
+]);
+
+/** A line of the list that passed the schema. */
+export type ListedVm = z.infer<typeof vmEntrySchema>;
+
+/** The lines that were accepted and how many were not. */
+export interface ListedVms {
+  readonly vms: readonly ListedVm[];
+  readonly malformed: number;
+  /** Lines about the same VM that disagreed with each other. */
+  readonly contradictory: number;
+}
+
+/** Prefers the later process start and, for the same one, the sticky state. */
+function outranks(left: ListedVm, right: ListedVm): boolean {
+  if (left.incarnation !== right.incarnation) {
+    return left.incarnation > right.incarnation;
+  }
+  return left.state === 'leaving' && right.state === 'live';
+}
+
+/** Validates a list and leaves one line for each VM. */
+export function parseVmList(entries: readonly unknown[]): ListedVms {
+  const byVm = new Map<string, ListedVm>();
+  let malformed = 0;
+  let contradictory = 0;
+  for (const entry of entries) {
+    const parsed = vmEntrySchema.safeParse(entry);
+    if (!parsed.success) {
+      malformed += 1;
+      continue;
+    }
+    const known = byVm.get(parsed.data.vm);
+    if (known) {
+      contradictory += 1;
+    }
+    if (!known || outranks(parsed.data, known)) {
+      byVm.set(parsed.data.vm, parsed.data);
+    }
+  }
+  return { vms: [...byVm.values()], malformed, contradictory };
+}
