--- /dev/null
+++ b/packages/core/src/loads/load-report.ts
@@ -0,0 +1,54 @@
+/** Checks what an endpoint or a watcher says about load before it is used. */
+import { elapsed, milliseconds } from '../types/units';
+import type { Instant } from '../types/units';
+
+/** What was said, as read from a header, a metric or a peer; not trusted. */
+export interface LoadReport {
+  readonly running: number;
+  readonly waiting: number;
+  /** When the endpoint had this load, on this router's clock. */
+  readonly observedAt: Instant;
+}
+
+export type ReportVerdict =
+  | { readonly kind: 'taken'; readonly load: number }
+  | { readonly kind: 'not-a-count' }
+  | { readonly kind: 'above-capacity' }
+  | { readonly kind: 'from-the-future' }
+  | { readonly kind: 'too-old' }
+  /** The endpoint is not tracked. */
+  | { readonly kind: 'unknown-endpoint' };
+
+/** Reports older than this say nothing about the present load. */
+export const maxReportAge = milliseconds(10_000);
+
+/** A report may claim this many times the endpoint's capacity, as requests queue there. */
+export const maxCapacityMultiple = 4;
+
+function isCount(value: number): boolean {
+  return Number.isSafeInteger(value) && value >= 0;
+}
+
+/** Judges a report of an endpoint with the given capacity. */
+export function judgeReport(
+  report: LoadReport,
+  capacity: number,
+  now: Instant,
+): ReportVerdict {
+  const { running, waiting, observedAt } = report;
+  if (!isCount(running) || !isCount(waiting)) {
+    return { kind: 'not-a-count' };
+  }
+  const load = running + waiting;
+  if (load > capacity * maxCapacityMultiple) {
+    return { kind: 'above-capacity' };
+  }
+  const age = elapsed(observedAt, now);
+  if (!(age >= 0)) {
+    return { kind: 'from-the-future' };
+  }
+  if (age > maxReportAge) {
+    return { kind: 'too-old' };
+  }
+  return { kind: 'taken', load };
+}
--- /dev/null
+++ b/packages/core/src/loads/load-view.test.ts
@@ -0,0 +1,97 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+
+import { endpointId, routerId } from '../types/ids';
+import { instant, milliseconds } from '../types/units';
+import { maxCapacityMultiple } from './load-report';
+import { LoadView } from './load-view';
+
+const engine = endpointId('engine-1');
+const peer = routerId('router-2');
+const capacity = 10;
+const settings = {
+  peerDelay: milliseconds(0),
+  averaging: milliseconds(1000),
+  peerHorizon: milliseconds(15_000),
+};
+
+function trackedView(): LoadView {
+  const view = new LoadView(settings);
+  view.track(engine, capacity);
+  return view;
+}
+
+describe('LoadView', () => {
+  it('neither loses nor doubles a dispatch within the lag of a report', () => {
+    const view = trackedView();
+    view.started(engine, instant(100));
+    view.started(engine, instant(2500));
+    const late = { running: 4, waiting: 0, observedAt: instant(2000) };
+    view.report(engine, late, instant(3000));
+    expect(view.estimate(engine, instant(3000))).to.equal(5);
+    const next = { running: 5, waiting: 0, observedAt: instant(2600) };
+    view.report(engine, next, instant(3600));
+    expect(view.estimate(engine, instant(3600))).to.equal(5);
+  });
+
+  it('keeps the newest count of a peer, whatever the order of messages', () => {
+    const view = trackedView();
+    expect(view.peerCount(peer, engine, 3, 2, instant(10))).to.equal(true);
+    expect(view.peerCount(peer, engine, 1, 1, instant(20))).to.equal(false);
+    expect(view.estimate(engine, instant(30))).to.equal(3);
+    view.forgetPeer(peer, instant(40));
+    expect(view.estimate(engine, instant(40))).to.equal(0);
+  });
+
+  it('drops the counts of a peer that has gone silent', () => {
+    const view = trackedView();
+    view.peerCount(peer, engine, 3, 1, instant(0));
+    view.expire(instant(15_000));
+    expect(view.estimate(engine, instant(15_000))).to.equal(3);
+    view.expire(instant(15_001));
+    expect(view.estimate(engine, instant(15_001))).to.equal(0);
+  });
+
+  it('is not steered by hostile reports', () => {
+    const number = fc.oneof(
+      fc.integer({ min: -5, max: 60 }),
+      fc.double(),
+      fc.constantFrom(Number.NaN, Infinity, -Infinity, 1e308, -0),
+    );
+    const report = fc.record({
+      running: number,
+      waiting: number,
+      observedAt: number,
+    });
+    fc.assert(
+      fc.property(fc.array(report), fc.nat(5), (reports, own) => {
+        const view = trackedView();
+        const now = instant(20_000);
+        for (let sent = 0; sent < own; sent += 1) {
+          view.started(engine, instant(100));
+        }
+        for (const entry of reports) {
+          const at = instant(entry.observedAt);
+          view.report(engine, { ...entry, observedAt: at }, now);
+        }
+        const estimate = view.estimate(engine, now);
+        expect(estimate).to.be.within(
+          own,
+          own + capacity * maxCapacityMultiple,
+        );
+      }),
+      { seed: 4, numRuns: 500 },
+    );
+  });
+
+  it('refuses reports from the future and peers that claim too much', () => {
+    const view = trackedView();
+    const future = { running: 9, waiting: 0, observedAt: instant(101) };
+    expect(view.report(engine, future, instant(100)).kind).to.equal(
+      'from-the-future',
+    );
+    expect(view.peerCount(peer, engine, 41, 1, instant(0))).to.equal(false);
+    expect(view.peerCount(peer, engine, 0.5, 2, instant(0))).to.equal(false);
+    expect(view.estimate(engine, instant(100))).to.equal(0);
+  });
+});
--- /dev/null
+++ b/packages/core/src/placement/bounded-placement.ts
@@ -0,0 +1,51 @@
+import type { Candidate, PlacementChoice, PlacementRequest } from './candidate';
+import { ChatRank } from './chat-rank';
+import { LoadBound, saturatedRetryAfter } from './load-bound';
+import { Placement } from './placement';
+
+/** Rendezvous hashing with bounded load: the highest ranked candidate below its bound. */
+export class BoundedPlacement extends Placement {
+  readonly #bound: number;
+  readonly #rank = new ChatRank();
+
+  constructor(bound: number) {
+    super();
+    this.#bound = bound;
+  }
+
+  override place(
+    request: PlacementRequest,
+    candidates: readonly Candidate[],
+  ): PlacementChoice {
+    if (candidates.length === 0) {
+      return { kind: 'no-candidate' };
+    }
+    const limits = new LoadBound(this.#bound, candidates);
+    const chatHash = this.#rank.chatHash(request.chat);
+    let best: Candidate | undefined;
+    let bestScore = Number.NEGATIVE_INFINITY;
+    let topScore = Number.NEGATIVE_INFINITY;
+    for (const candidate of candidates) {
+      const score = this.#rank.score(chatHash, candidate);
+      topScore = Math.max(topScore, score);
+      if (score > bestScore && this.admits(chatHash, candidate, limits)) {
+        best = candidate;
+        bestScore = score;
+      }
+    }
+    if (!best) {
+      return { kind: 'saturated', retryAfter: saturatedRetryAfter };
+    }
+    const reason = bestScore === topScore ? 'first-choice' : 'spilled';
+    return { kind: 'endpoint', endpoint: best.id, reason };
+  }
+
+  /** Tells whether the candidate takes the chat at its present load. */
+  protected admits(
+    _chatHash: number,
+    candidate: Candidate,
+    limits: LoadBound,
+  ): boolean {
+    return limits.admits(candidate);
+  }
+}
--- /dev/null
+++ b/packages/core/src/placement/load-bound.ts
@@ -0,0 +1,47 @@
+/** The load above which an endpoint takes nothing more. */
+import { milliseconds } from '../types/units';
+import type { Candidate } from './candidate';
+
+/** Time after which a caller may try again when every endpoint is at its bound. */
+export const saturatedRetryAfter = milliseconds(1000);
+
+/** Load that an endpoint should carry, by its capacity and its ramp. */
+function shareOf(candidate: Candidate): number {
+  return candidate.capacity * candidate.weight;
+}
+
+/**
+ * Bounds of a set of candidates: each may carry at most `bound` times its share
+ * of the total load, counting the request to be placed, rounded up, and never
+ * more than its capacity.
+ */
+export class LoadBound {
+  readonly #limitPerShare: number;
+
+  constructor(bound: number, candidates: readonly Candidate[]) {
+    let total = 1;
+    let shares = 0;
+    for (const candidate of candidates) {
+      total += candidate.load;
+      shares += shareOf(candidate);
+    }
+    this.#limitPerShare = shares > 0 ? (bound * total) / shares : 0;
+  }
+
+  /** Returns the largest number of requests the candidate may carry. */
+  limit(candidate: Candidate): number {
+    const limit = Math.ceil(this.#limitPerShare * shareOf(candidate));
+    return Math.min(limit, candidate.capacity);
+  }
+
+  /** Tells whether the candidate may take one more request. */
+  admits(candidate: Candidate): boolean {
+    return candidate.load + 1 <= this.limit(candidate);
+  }
+
+  /** Returns the candidate's load as a fraction of its limit; infinite without a limit. */
+  fill(candidate: Candidate): number {
+    const limit = this.limit(candidate);
+    return limit > 0 ? candidate.load / limit : Number.POSITIVE_INFINITY;
+  }
+}
--- /dev/null
+++ b/packages/core/src/placement/placement.ts
@@ -0,0 +1,11 @@
+import type { Instant } from '../types/units';
+import type { Candidate, PlacementChoice, PlacementRequest } from './candidate';
+
+/** Chooses the endpoint of one request. Candidates must be fit to run it. */
+export abstract class Placement {
+  abstract place(
+    request: PlacementRequest,
+    candidates: readonly Candidate[],
+    now: Instant,
+  ): PlacementChoice;
+}
--- /dev/null
+++ b/packages/core/src/placement/returning-placement.ts
@@ -0,0 +1,99 @@
+/** Placement of chats at the engine that holds their context, below a load bound. */
+import type { Candidate, PlacementChoice, PlacementRequest } from './candidate';
+import { ChatRank } from './chat-rank';
+import { LoadBound, saturatedRetryAfter } from './load-bound';
+import { Placement } from './placement';
+
+export interface ReturningSettings {
+  /** Largest multiple of the mean load that an endpoint may carry; above 1. */
+  readonly bound: number;
+  /**
+   * How much an even load counts against cache reuse, in 0..1. At 0 a chat goes
+   * back to its last place up to the bound; at 1 it leaves earlier.
+   */
+  readonly skewWeight: number;
+}
+
+/** Part of the limit that a returning chat leaves free at `skewWeight` 1. */
+const maxReserve = 0.15;
+
+/** How many of its highest ranked endpoints a chat without a place chooses from. */
+const choices = 2;
+
+interface Ranked {
+  readonly candidate: Candidate;
+  readonly score: number;
+}
+
+/**
+ * Sends a chat back to its last place while that is below its bound. A chat
+ * without a usable last place takes the less loaded of its two highest ranked
+ * candidates, so that every router chooses from the same two.
+ */
+export class ReturningPlacement extends Placement {
+  readonly #settings: ReturningSettings;
+  readonly #rank = new ChatRank();
+
+  constructor(settings: ReturningSettings) {
+    super();
+    this.#settings = settings;
+  }
+
+  override place(
+    request: PlacementRequest,
+    candidates: readonly Candidate[],
+  ): PlacementChoice {
+    if (candidates.length === 0) {
+      return { kind: 'no-candidate' };
+    }
+    const limits = new LoadBound(this.#settings.bound, candidates);
+    const last = candidates.find(entry => entry.id === request.lastPlace);
+    if (last && this.#takesBack(last, limits)) {
+      return { kind: 'endpoint', endpoint: last.id, reason: 'returned' };
+    }
+    return this.#placeByRank(request, candidates, limits);
+  }
+
+  #takesBack(last: Candidate, limits: LoadBound): boolean {
+    const reserve = maxReserve * this.#settings.skewWeight;
+    const limit = Math.ceil(limits.limit(last) * (1 - reserve));
+    return last.load + 1 <= limit;
+  }
+
+  #placeByRank(
+    request: PlacementRequest,
+    candidates: readonly Candidate[],
+    limits: LoadBound,
+  ): PlacementChoice {
+    const chatHash = this.#rank.chatHash(request.chat);
+    const top: Ranked[] = [];
+    for (const candidate of candidates) {
+      if (!limits.admits(candidate)) {
+        continue;
+      }
+      const score = this.#rank.score(chatHash, candidate);
+      const worst = top[choices - 1];
+      if (worst && worst.score >= score) {
+        continue;
+      }
+      top.push({ candidate, score });
+      top.sort((left, right) => right.score - left.score);
+      top.length = Math.min(top.length, choices);
+    }
+    return this.#leastFilled(top, limits);
+  }
+
+  #leastFilled(top: readonly Ranked[], limits: LoadBound): PlacementChoice {
+    let best: Candidate | undefined;
+    for (const { candidate } of top) {
+      if (!best || limits.fill(candidate) < limits.fill(best)) {
+        best = candidate;
+      }
+    }
+    if (!best) {
+      return { kind: 'saturated', retryAfter: saturatedRetryAfter };
+    }
+    const reason = best === top[0]?.candidate ? 'first-choice' : 'spilled';
+    return { kind: 'endpoint', endpoint: best.id, reason };
+  }
+}
