--- /dev/null
+++ b/packages/router/src/platform/http-exchange.ts
@@ -0,0 +1,104 @@
+/** One HTTP exchange with the platform, and what its failure proves. */
+import type { Dispatcher } from 'undici';
+import { errors } from 'undici';
+
+import type { Milliseconds } from '@sesamegrade/core/types/units';
+
+/** What is known of an exchange after it ended. */
+export type Exchange =
+  | {
+      readonly kind: 'answered';
+      readonly status: number;
+      readonly body: Uint8Array;
+      readonly tag: string;
+    }
+  | { readonly kind: 'rate-limited'; readonly retryAfterMs: number }
+  /** Provably without effect: not connected, or refused by the service. */
+  | { readonly kind: 'unavailable' }
+  /** The request may have been sent and there is no usable answer. */
+  | { readonly kind: 'unknown' };
+
+export interface ExchangeRequest {
+  readonly method: 'GET' | 'PUT' | 'POST';
+  readonly path: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: string | Uint8Array;
+  readonly timeout: Milliseconds;
+}
+
+/** Pause assumed when a refusal names none, in milliseconds. */
+const DEFAULT_RETRY_AFTER_MS = 1000;
+
+const TOO_MANY_REQUESTS = 429;
+const SERVICE_UNAVAILABLE = 503;
+const SERVER_ERROR = 500;
+const REQUEST_TIMEOUT = 408;
+
+/** Runs one request; never rejects. */
+export async function exchange(
+  dispatcher: Dispatcher,
+  request: ExchangeRequest,
+): Promise<Exchange> {
+  try {
+    const response = await dispatcher.request({
+      method: request.method,
+      path: request.path,
+      headers: { ...request.headers },
+      body: request.body ?? null,
+      headersTimeout: request.timeout,
+      bodyTimeout: request.timeout,
+      signal: AbortSignal.timeout(request.timeout),
+    });
+    const body = new Uint8Array(await response.body.arrayBuffer());
+    return judgeAnswer(response.statusCode, response.headers, body);
+  } catch (error) {
+    return provesNothingSent(error)
+      ? { kind: 'unavailable' }
+      : { kind: 'unknown' };
+  }
+}
+
+function judgeAnswer(
+  status: number,
+  headers: Dispatcher.ResponseData['headers'],
+  body: Uint8Array,
+): Exchange {
+  if (status === TOO_MANY_REQUESTS) {
+    return { kind: 'rate-limited', retryAfterMs: retryAfter(headers) };
+  }
+  if (status === SERVICE_UNAVAILABLE) {
+    return { kind: 'unavailable' };
+  }
+  if (status >= SERVER_ERROR || status === REQUEST_TIMEOUT) {
+    return { kind: 'unknown' };
+  }
+  return { kind: 'answered', status, body, tag: headerText(headers.etag) };
+}
+
+function retryAfter(headers: Dispatcher.ResponseData['headers']): number {
+  const text = headerText(headers['retry-after']);
+  const pauseSeconds = text === '' ? Number.NaN : Number(text);
+  return Number.isFinite(pauseSeconds) && pauseSeconds >= 0
+    ? pauseSeconds * 1000
+    : DEFAULT_RETRY_AFTER_MS;
+}
+
+function headerText(value: string | string[] | undefined): string {
+  return typeof value === 'string' ? value : '';
+}
+
+/**
+ * True when no connection was made. The same error codes on a connection that
+ * was open prove nothing, so the failing system call is looked at as well.
+ */
+function provesNothingSent(error: unknown): boolean {
+  if (error instanceof errors.ConnectTimeoutError) {
+    return true;
+  }
+  if (error instanceof AggregateError) {
+    return error.errors.length > 0 && error.errors.every(provesNothingSent);
+  }
+  return (
+    error instanceof Error && 'syscall' in error && error.syscall === 'connect'
+  );
+}
--- /dev/null
+++ b/packages/router/src/platform/http-platform.ts
@@ -0,0 +1,281 @@
+/** The platform's services over HTTP. */
+import { Pool } from 'undici';
+import type { z } from 'zod';
+
+import type {
+  Condition,
+  ReadAnswer,
+  ScanAnswer,
+  TableOperation,
+  WriteAnswer,
+} from '@sesamegrade/core/types/platform';
+import type { Milliseconds } from '@sesamegrade/core/types/units';
+import type { Exchange, ExchangeRequest } from './http-exchange';
+import { exchange } from './http-exchange';
+import {
+  conflictSchema,
+  pageSchema,
+  rowSchema,
+  vmListSchema,
+  writtenRowSchema,
+  writtenSchema,
+} from './platform-answers';
+import type {
+  ObjectReadAnswer,
+  ObjectWriteAnswer,
+  RateLimitedAnswer,
+  ScanRequest,
+  UnavailableAnswer,
+  VmListAnswer,
+  WeightsAnswer,
+} from './platform';
+import { Platform } from './platform';
+
+export interface HttpPlatformOptions {
+  /** Such as `http://10.0.0.1:7000`. */
+  readonly origin: string;
+  /** Longest wait for any answer but that of a weight load. */
+  readonly timeout: Milliseconds;
+  /** Longest wait for a weight load. */
+  readonly weightsTimeout: Milliseconds;
+  /** Most connections at once. */
+  readonly connections: number;
+}
+
+type Answered = Extract<Exchange, { readonly kind: 'answered' }>;
+/** An exchange that gave no usable answer. */
+type Unanswered = Exclude<Exchange, Answered>;
+
+const OK = 200;
+const NO_CONTENT = 204;
+const NOT_FOUND = 404;
+const CONFLICT = 409;
+const PRECONDITION_FAILED = 412;
+
+const JSON_HEADERS = { 'content-type': 'application/json' };
+
+export class HttpPlatform extends Platform {
+  readonly #pool: Pool;
+  readonly #options: HttpPlatformOptions;
+
+  constructor(options: HttpPlatformOptions) {
+    super();
+    this.#options = options;
+    this.#pool = new Pool(options.origin, {
+      connections: options.connections,
+      connect: { timeout: options.timeout },
+      pipelining: 1,
+    });
+  }
+
+  /** Closes idle connections and ends those in use. */
+  async close(): Promise<void> {
+    await this.#pool.destroy();
+  }
+
+  async read(table: string, key: string): Promise<ReadAnswer> {
+    const answer = await this.#get(rowPath(table, key));
+    if (answer.kind !== 'answered') {
+      return readFailure(answer);
+    }
+    if (answer.status === NOT_FOUND) {
+      return { kind: 'absent' };
+    }
+    const row = parseBody(answer, rowSchema);
+    return row ? { kind: 'found', row } : { kind: 'unavailable' };
+  }
+
+  async write(operations: readonly TableOperation[]): Promise<WriteAnswer> {
+    const [only] = operations;
+    const single = operations.length === 1 && only?.change.kind === 'put';
+    return single
+      ? this.#putRow(only, only.change.value)
+      : this.#transact(operations);
+  }
+
+  async scan(request: ScanRequest): Promise<ScanAnswer> {
+    const query = new URLSearchParams();
+    for (const name of ['prefix', 'after', 'limit'] as const) {
+      const value = request[name];
+      if (value !== undefined) {
+        query.set(name, String(value));
+      }
+    }
+    const path = `/tables/${encodeURIComponent(request.table)}?${query.toString()}`;
+    const answer = await this.#get(path);
+    if (answer.kind !== 'answered') {
+      return readFailure(answer);
+    }
+    const page = parseBody(answer, pageSchema);
+    if (!page) {
+      return { kind: 'unavailable' };
+    }
+    return page.next === undefined
+      ? { kind: 'rows', rows: page.rows }
+      : { kind: 'rows', rows: page.rows, next: page.next };
+  }
+
+  async vms(): Promise<VmListAnswer> {
+    const answer = await this.#get('/vms');
+    if (answer.kind !== 'answered') {
+      return readFailure(answer);
+    }
+    const list = parseBody(answer, vmListSchema);
+    return list ? { kind: 'vms', vms: list.vms } : { kind: 'unavailable' };
+  }
+
+  async readObject(key: string): Promise<ObjectReadAnswer> {
+    const answer = await this.#get(objectPath(key));
+    if (answer.kind !== 'answered') {
+      return readFailure(answer);
+    }
+    if (answer.status === NOT_FOUND) {
+      return { kind: 'absent' };
+    }
+    return answer.status === OK
+      ? { kind: 'found', body: answer.body, tag: answer.tag }
+      : { kind: 'unavailable' };
+  }
+
+  async writeObject(key: string, body: Uint8Array): Promise<ObjectWriteAnswer> {
+    const answer = await this.#exchange({
+      method: 'PUT',
+      path: objectPath(key),
+      headers: { 'content-type': 'application/octet-stream' },
+      body,
+      timeout: this.#options.timeout,
+    });
+    if (answer.kind !== 'answered') {
+      return answer;
+    }
+    return isSuccess(answer.status)
+      ? { kind: 'stored', tag: answer.tag }
+      : { kind: 'unavailable' };
+  }
+
+  async loadWeights(name: string): Promise<WeightsAnswer> {
+    const answer = await this.#exchange({
+      method: 'POST',
+      path: `/weights/${encodeURIComponent(name)}`,
+      timeout: this.#options.weightsTimeout,
+    });
+    if (answer.kind !== 'answered') {
+      return answer;
+    }
+    return isSuccess(answer.status)
+      ? { kind: 'loaded' }
+      : { kind: 'unavailable' };
+  }
+
+  async #putRow(
+    operation: TableOperation,
+    value: unknown,
+  ): Promise<WriteAnswer> {
+    const answer = await this.#exchange({
+      method: 'PUT',
+      path: rowPath(operation.table, operation.key),
+      headers: { ...JSON_HEADERS, ...conditionHeaders(operation.condition) },
+      body: JSON.stringify({ value }),
+      timeout: this.#options.timeout,
+    });
+    if (answer.kind !== 'answered') {
+      return answer;
+    }
+    if (answer.status === PRECONDITION_FAILED) {
+      return { kind: 'conflict', operation: 0 };
+    }
+    if (!isSuccess(answer.status)) {
+      return { kind: 'unavailable' };
+    }
+    const written = parseBody(answer, writtenRowSchema);
+    return written
+      ? { kind: 'committed', versions: [written.version] }
+      : { kind: 'unknown' };
+  }
+
+  async #transact(operations: readonly TableOperation[]): Promise<WriteAnswer> {
+    const answer = await this.#exchange({
+      method: 'POST',
+      path: '/tables',
+      headers: JSON_HEADERS,
+      body: JSON.stringify({ operations }),
+      timeout: this.#options.timeout,
+    });
+    if (answer.kind !== 'answered') {
+      return answer;
+    }
+    if (answer.status === CONFLICT) {
+      const conflict = parseText(answer, conflictSchema);
+      return { kind: 'conflict', operation: conflict?.operation ?? 0 };
+    }
+    if (!isSuccess(answer.status)) {
+      return { kind: 'unavailable' };
+    }
+    const written = parseBody(answer, writtenSchema);
+    return written?.versions.length === operations.length
+      ? { kind: 'committed', versions: written.versions }
+      : { kind: 'unknown' };
+  }
+
+  #get(path: string): Promise<Exchange> {
+    return this.#exchange({
+      method: 'GET',
+      path,
+      timeout: this.#options.timeout,
+    });
+  }
+
+  #exchange(request: ExchangeRequest): Promise<Exchange> {
+    return exchange(this.#pool, request);
+  }
+}
+
+function rowPath(table: string, key: string): string {
+  return `/tables/${encodeURIComponent(table)}/${encodeURIComponent(key)}`;
+}
+
+function objectPath(key: string): string {
+  return `/objects/${encodeURIComponent(key)}`;
+}
+
+function conditionHeaders(condition: Condition): Record<string, string> {
+  switch (condition.kind) {
+    case 'absent':
+      return { 'if-none-match': '*' };
+    case 'version':
+      return { 'if-match': `"${condition.version}"` };
+    case 'none':
+      return {};
+  }
+}
+
+function isSuccess(status: number): boolean {
+  return status === OK || status === NO_CONTENT;
+}
+
+/** A read that failed had no effect, sent or not. */
+function readFailure(
+  failure: Unanswered,
+): RateLimitedAnswer | UnavailableAnswer {
+  return failure.kind === 'unknown' ? { kind: 'unavailable' } : failure;
+}
+
+/** Parses the JSON body of a successful answer; undefined when it is malformed. */
+function parseBody<Schema extends z.ZodType>(
+  answer: Answered,
+  schema: Schema,
+): z.output<Schema> | undefined {
+  return answer.status === OK ? parseText(answer, schema) : undefined;
+}
+
+function parseText<Schema extends z.ZodType>(
+  answer: Answered,
+  schema: Schema,
+): z.output<Schema> | undefined {
+  try {
+    const json: unknown = JSON.parse(new TextDecoder().decode(answer.body));
+    return schema.safeParse(json).data;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/router/src/platform/platform.ts
@@ -0,0 +1,80 @@
+/**
+ * The platform's services as the shells call them. Every answer is a tagged
+ * union; no method rejects for a failure of the platform or of the network.
+ */
+import type {
+  ReadAnswer,
+  ScanAnswer,
+  TableOperation,
+  VmEntry,
+  WriteAnswer,
+} from '@sesamegrade/core/types/platform';
+
+/** Which rows of a table to list, in order of key. */
+export interface ScanRequest {
+  readonly table: string;
+  /** Only keys that begin with this. */
+  readonly prefix?: string;
+  /** Only keys after this one, as given by `next` of the page before. */
+  readonly after?: string;
+  /** Most rows in one answer. */
+  readonly limit?: number;
+}
+
+/** The service asked for a pause; the call had no effect. */
+export interface RateLimitedAnswer {
+  readonly kind: 'rate-limited';
+  readonly retryAfterMs: number;
+}
+
+/** The call was refused or never sent; it had no effect. */
+export interface UnavailableAnswer {
+  readonly kind: 'unavailable';
+}
+
+export type VmListAnswer =
+  | { readonly kind: 'vms'; readonly vms: readonly VmEntry[] }
+  | RateLimitedAnswer
+  | UnavailableAnswer;
+
+export type ObjectReadAnswer =
+  | { readonly kind: 'found'; readonly body: Uint8Array; readonly tag: string }
+  | { readonly kind: 'absent' }
+  | RateLimitedAnswer
+  | UnavailableAnswer;
+
+export type ObjectWriteAnswer =
+  | { readonly kind: 'stored'; readonly tag: string }
+  | RateLimitedAnswer
+  | UnavailableAnswer
+  /** Sent, no answer: the object may have been stored. */
+  | { readonly kind: 'unknown' };
+
+export type WeightsAnswer =
+  | { readonly kind: 'loaded' }
+  | RateLimitedAnswer
+  | UnavailableAnswer
+  /** Sent, no answer: a slot may have been taken for a while. */
+  | { readonly kind: 'unknown' };
+
+export abstract class Platform {
+  abstract read(table: string, key: string): Promise<ReadAnswer>;
+
+  /** Runs one transaction; it takes effect whole or not at all. */
+  abstract write(operations: readonly TableOperation[]): Promise<WriteAnswer>;
+
+  abstract scan(request: ScanRequest): Promise<ScanAnswer>;
+
+  /** The list of VMs, which lags behind what is true. */
+  abstract vms(): Promise<VmListAnswer>;
+
+  abstract readObject(key: string): Promise<ObjectReadAnswer>;
+
+  abstract writeObject(
+    key: string,
+    body: Uint8Array,
+  ): Promise<ObjectWriteAnswer>;
+
+  /** Takes a slot of the weight store and resolves when the weights are loaded. */
+  abstract loadWeights(name: string): Promise<WeightsAnswer>;
+}
