--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -34,7 +34,10 @@
         'error',
         { allowNumber: true },
       ],
-      '@typescript-eslint/switch-exhaustiveness-check': 'error',
+      '@typescript-eslint/switch-exhaustiveness-check': [
+        'error',
+        { considerDefaultExhaustiveForUnions: true },
+      ],
     },
   },
   {
--- /dev/null
+++ b/packages/router/src/callers/caller-answer.ts
@@ -0,0 +1,119 @@
+/** The answer to one caller: begun once, written in order, ended explicitly. */
+import type { ServerResponse } from 'node:http';
+
+import type { TimerService } from '@sesamegrade/core/time/timer-service';
+import type { Refusal } from '@sesamegrade/core/requests/types';
+import type { Milliseconds } from '@sesamegrade/core/types/units';
+import { problemOf } from './problem';
+
+/** Whether the caller still takes its answer. */
+export type Writability = 'open' | 'gone';
+
+/** Limits of writing to a caller. */
+export interface CallerAnswerOptions {
+  readonly response: ServerResponse;
+  readonly requestId: string;
+  readonly timers: TimerService;
+  /** Longest time that a caller may leave its answer unread. */
+  readonly stallLimit: Milliseconds;
+}
+
+/** Writes to one caller and waits for it when it reads slowly. */
+export class CallerAnswer {
+  readonly #response: ServerResponse;
+  readonly #requestId: string;
+  readonly #timers: TimerService;
+  readonly #stallLimit: Milliseconds;
+
+  constructor(options: CallerAnswerOptions) {
+    this.#response = options.response;
+    this.#requestId = options.requestId;
+    this.#timers = options.timers;
+    this.#stallLimit = options.stallLimit;
+  }
+
+  get begun(): boolean {
+    return this.#response.headersSent;
+  }
+
+  get gone(): boolean {
+    return this.#response.destroyed;
+  }
+
+  /** Calls the listener once when the caller leaves before its answer ended. */
+  onGone(listener: () => void): void {
+    this.#response.once('close', () => {
+      if (!this.#response.writableFinished) {
+        listener();
+      }
+    });
+  }
+
+  begin(
+    status: number,
+    headers: Readonly<Record<string, string | string[]>>,
+  ): void {
+    this.#response.writeHead(status, {
+      ...headers,
+      'x-request-id': this.#requestId,
+    });
+  }
+
+  /** Writes a part; resolves when more may be written. */
+  async write(part: string | Uint8Array): Promise<Writability> {
+    if (this.gone) {
+      return 'gone';
+    }
+    if (this.#response.write(part)) {
+      return 'open';
+    }
+    return this.#drained();
+  }
+
+  /** Ends the answer and so says that it is whole. */
+  end(part?: string | Uint8Array): void {
+    if (part === undefined) {
+      this.#response.end();
+    } else {
+      this.#response.end(part);
+    }
+  }
+
+  /** Says truthfully that there is no whole answer. */
+  refuse(refusal: Refusal): void {
+    if (this.gone || this.#response.writableEnded) {
+      return;
+    }
+    const { document, headers } = problemOf(refusal, this.#requestId);
+    const body = JSON.stringify(document);
+    if (this.begun) {
+      this.#response.end(`event: error\ndata: ${body}\n\n`);
+      return;
+    }
+    this.begin(document.status, headers);
+    this.#response.end(body);
+  }
+
+  #drained(): Promise<Writability> {
+    return new Promise(resolve => {
+      const settle = (writability: Writability) => {
+        cancel();
+        this.#response.off('drain', drain);
+        this.#response.off('close', close);
+        resolve(writability);
+      };
+      const drain = () => {
+        settle('open');
+      };
+      const close = () => {
+        settle('gone');
+      };
+      const cancel = this.#timers.after(this.#stallLimit, () => {
+        this.#response.destroy();
+        settle('gone');
+      });
+      this.#response.once('drain', drain);
+      this.#response.once('close', close);
+    });
+  }
+}
--- /dev/null
+++ b/packages/router/src/callers/team-keys.ts
@@ -0,0 +1,38 @@
+/** Recognises teams by their keys, of which only hashes are kept. */
+import { createHash, timingSafeEqual } from 'node:crypto';
+
+import { teamId } from '@sesamegrade/core/types/ids';
+import type { TeamId } from '@sesamegrade/core/types/ids';
+
+const BEARER = /^Bearer ([\x21-\x7e]{1,512})$/u;
+
+/** Returns the form in which a key is kept in the settings. */
+export function hashKey(key: string): string {
+  return createHash('sha256').update(key).digest('hex');
+}
+
+export class TeamKeys {
+  readonly #teams = new Map<string, TeamId>();
+
+  constructor(hashes: Readonly<Record<string, { key_sha256: string }>>) {
+    for (const [team, { key_sha256 }] of Object.entries(hashes)) {
+      this.#teams.set(key_sha256, teamId(team));
+    }
+  }
+
+  /** Returns the team of an `Authorization` header; undefined when no key fits. */
+  teamOf(authorization: string | undefined): TeamId | undefined {
+    const key = BEARER.exec(authorization ?? '')?.[1];
+    if (key === undefined) {
+      return undefined;
+    }
+    const shown = Buffer.from(hashKey(key));
+    let found: TeamId | undefined;
+    for (const [hash, team] of this.#teams) {
+      if (timingSafeEqual(Buffer.from(hash), shown)) {
+        found = team;
+      }
+    }
+    return found;
+  }
+}
--- /dev/null
+++ b/packages/router/src/dispatch/exchange.ts
@@ -0,0 +1,26 @@
+/** What the shell keeps for one request while the flow decides on it. */
+import type { Request } from '@sesamegrade/core/requests/types';
+import type { StreamOrder } from '@sesamegrade/core/streams/stream-order';
+import type { CallerAnswer } from '../callers/caller-answer';
+
+/** The request as it is sent to an endpoint. */
+export interface OutgoingCall {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Buffer | undefined;
+}
+
+/** How the answer reaches the caller. */
+export type AnswerShape =
+  /** Event by event, as the endpoint sends them. */
+  | { readonly kind: 'stream'; readonly order: StreamOrder }
+  /** In one piece, once all of it is here. */
+  | { readonly kind: 'whole' };
+
+export interface Exchange {
+  readonly request: Request;
+  readonly call: OutgoingCall;
+  readonly shape: AnswerShape;
+  readonly answer: CallerAnswer;
+}
--- /dev/null
+++ b/packages/router/src/endpoints/engine-headers.ts
@@ -0,0 +1,47 @@
+/** Reads what engines say about themselves in the headers of every answer. */
+import type { Decline } from '@sesamegrade/core/requests/types';
+
+/** Load of an engine as its answer's headers give it; not trusted. */
+export interface HeaderLoad {
+  readonly running: number;
+  readonly waiting: number;
+}
+
+type Headers = Readonly<Record<string, string | string[] | undefined>>;
+
+const COUNT = /^\d{1,9}$/u;
+
+/** Returns the load in an answer's headers, if it has one. */
+export function loadOf(headers: Headers): HeaderLoad | undefined {
+  const running = countOf(headers['x-engine-running']);
+  const waiting = countOf(headers['x-engine-waiting']);
+  if (running === undefined || waiting === undefined) {
+    return undefined;
+  }
+  return { running, waiting };
+}
+
+/** Returns why an engine ran nothing, when its answer says so. */
+export function declineOf(
+  status: number,
+  headers: Headers,
+  notRunStatuses: readonly number[],
+): Decline | undefined {
+  const refused = headers['x-engine-refused'];
+  if (refused === 'full') {
+    return 'full';
+  }
+  if (refused === 'leaving') {
+    return 'leaving';
+  }
+  if (refused === 'model') {
+    return 'unsuited';
+  }
+  return notRunStatuses.includes(status) ? 'full' : undefined;
+}
+
+function countOf(value: string | string[] | undefined): number | undefined {
+  return typeof value === 'string' && COUNT.test(value)
+    ? Number(value)
+    : undefined;
+}
--- /dev/null
+++ b/packages/router/src/endpoints/stream-tags.ts
@@ -0,0 +1,35 @@
+/** Proofs in event ids that a stream belongs to the team that resumes it. */
+import { createHmac, timingSafeEqual } from 'node:crypto';
+
+import type { StreamPosition } from '@sesamegrade/core/streams/event-id';
+import type {
+  AttemptId,
+  EndpointId,
+  TeamId,
+} from '@sesamegrade/core/types/ids';
+
+const TAG_LENGTH = 16;
+
+/** Makes and checks tags with a key that all routers share. */
+export class StreamTags {
+  readonly #secret: string;
+
+  constructor(options: { readonly secret: string }) {
+    this.#secret = options.secret;
+  }
+
+  tagOf(team: TeamId, endpoint: EndpointId, attempt: AttemptId): string {
+    return createHmac('sha256', this.#secret)
+      .update(JSON.stringify(['stream', team, endpoint, attempt]))
+      .digest('hex')
+      .slice(0, TAG_LENGTH);
+  }
+
+  /** Whether a router gave this position to the team. */
+  verify(team: TeamId, position: StreamPosition): boolean {
+    const { endpoint, attempt, tag } = position;
+    const expected = Buffer.from(this.tagOf(team, endpoint, attempt));
+    const shown = Buffer.from(tag);
+    return expected.length === shown.length && timingSafeEqual(expected, shown);
+  }
+}
