Add the stand-in platform

Routers keep rows, objects and the VM list at the platform, so tests need one whose faults can be switched while the routers run.

--- /dev/null
+++ b/packages/stand-ins/src/platform/table-store.ts
@@ -0,0 +1,131 @@
+/** Rows with versions, conditional writes, transactions and prefix scans. */
+import type {
+  Condition,
+  RowVersion,
+  TableOperation,
+  TableRow,
+} from '@sesamegrade/core/types/platform';
+import { fail, succeed } from '@sesamegrade/core/types/result';
+import type { Result } from '@sesamegrade/core/types/result';
+
+interface StoredValue {
+  readonly version: RowVersion;
+  readonly value: unknown;
+}
+
+/** One page of a scan. */
+export interface Page {
+  readonly rows: readonly TableRow[];
+  /** Key to continue after, when there is more. */
+  readonly next?: string;
+}
+
+/** The first operation whose condition did not hold; nothing was changed. */
+export interface ConditionFailure {
+  readonly kind: 'condition-failed';
+  readonly operation: number;
+}
+
+/** One table; its keys are sorted again only after one came or went. */
+class StoredTable {
+  readonly rows = new Map<string, StoredValue>();
+  #sorted: string[] | undefined;
+
+  put(key: string, stored: StoredValue): void {
+    if (!this.rows.has(key)) {
+      this.#sorted = undefined;
+    }
+    this.rows.set(key, stored);
+  }
+
+  delete(key: string): void {
+    if (this.rows.delete(key)) {
+      this.#sorted = undefined;
+    }
+  }
+
+  sortedKeys(): readonly string[] {
+    this.#sorted ??= [...this.rows.keys()].sort();
+    return this.#sorted;
+  }
+}
+
+export class TableStore {
+  readonly #tables = new Map<string, StoredTable>();
+  #version: RowVersion = 0;
+
+  get(table: string, key: string): TableRow | undefined {
+    const stored = this.#tables.get(table)?.rows.get(key);
+    return stored && { table, key, ...stored };
+  }
+
+  /** Applies every operation or, when a condition does not hold, none. */
+  transact(
+    operations: readonly TableOperation[],
+  ): Result<RowVersion[], ConditionFailure> {
+    const failed = operations.findIndex(operation => !this.#holds(operation));
+    if (failed >= 0) {
+      return fail({ kind: 'condition-failed', operation: failed });
+    }
+    return succeed(operations.map(operation => this.#apply(operation)));
+  }
+
+  /** Returns the rows whose key has the prefix, in order of key. */
+  scan(
+    table: string,
+    prefix: string,
+    after: string | undefined,
+    limit: number,
+  ): Page {
+    const stored = this.#tables.get(table);
+    const keys = (stored?.sortedKeys() ?? []).filter(
+      key => key.startsWith(prefix) && (after === undefined || key > after),
+    );
+    const rows = keys.slice(0, limit).flatMap(key => {
+      const row = this.get(table, key);
+      return row ? [row] : [];
+    });
+    const last = rows.at(-1);
+    return keys.length > limit && last ? { rows, next: last.key } : { rows };
+  }
+
+  #holds({ table, key, condition }: TableOperation): boolean {
+    const version = this.#tables.get(table)?.rows.get(key)?.version;
+    return holds(condition, version);
+  }
+
+  #apply({ table, key, change }: TableOperation): RowVersion {
+    const stored = this.#table(table);
+    if (change.kind === 'check') {
+      return stored.rows.get(key)?.version ?? 0;
+    }
+    this.#version += 1;
+    if (change.kind === 'put') {
+      stored.put(key, { version: this.#version, value: change.value });
+    } else {
+      stored.delete(key);
+    }
+    return this.#version;
+  }
+
+  #table(name: string): StoredTable {
+    const known = this.#tables.get(name);
+    if (known) {
+      return known;
+    }
+    const created = new StoredTable();
+    this.#tables.set(name, created);
+    return created;
+  }
+}
+
+function holds(condition: Condition, version: RowVersion | undefined): boolean {
+  switch (condition.kind) {
+    case 'absent':
+      return version === undefined;
+    case 'version':
+      return version === condition.version;
+    case 'none':
+      return true;
+  }
+}
