Admit requests by team limits and fleet-wide fair shares

Cause: nothing decided who is served when every engine is at its bound, and nothing kept retries from multiplying in a brown-out.

--- /dev/null
+++ b/packages/core/src/limits/gossiped-shares.ts
@@ -0,0 +1,73 @@
+/** Max-min shares over the whole fleet from demand that routers tell each other. */
+import type { TeamId } from '../types/ids';
+import { elapsed, milliseconds } from '../types/units';
+import type { Instant } from '../types/units';
+import type { DemandTable } from './demand-table';
+import { FleetShares } from './fleet-shares';
+import type { TeamStanding } from './fleet-shares';
+import { maxMinShares } from './max-min';
+import type { PoolId } from './pool';
+import type { TeamPolicy } from './team-policy';
+
+/** Part of the slots that is divided; the rest absorbs bursts of quiet teams. */
+const dividedFraction = 0.95;
+/** Shares are worked out again at most this often. */
+const refresh = milliseconds(250);
+/** Smallest part of a team's traffic that a router counts itself for. */
+const leastPortion = 0.002;
+
+export class GossipedShares extends FleetShares {
+  readonly #pool: PoolId;
+  readonly #table: DemandTable;
+  readonly #policy: TeamPolicy;
+  #slots = 0;
+  #totals = new Map<TeamId, number>();
+  #shares = new Map<TeamId, number>();
+  #workedOutAt: Instant | undefined;
+
+  constructor(pool: PoolId, table: DemandTable, policy: TeamPolicy) {
+    super();
+    this.#pool = pool;
+    this.#table = table;
+    this.#policy = policy;
+  }
+
+  override capacityChanged(slots: number): void {
+    if (slots !== this.#slots) {
+      this.#slots = slots;
+      this.#workedOutAt = undefined;
+    }
+  }
+
+  override standing(team: TeamId, now: Instant): TeamStanding {
+    this.#workOut(now);
+    const own = this.#table.meter(this.#pool).demand(team, now);
+    const total = this.#totals.get(team) ?? own;
+    const share = this.#shares.get(team) ?? total;
+    return {
+      portion: total > 0 ? bounded(own / total, leastPortion) : 1,
+      admitFraction: total > 0 ? bounded(share / total, 0) : 1,
+    };
+  }
+
+  #workOut(now: Instant): void {
+    const fresh =
+      this.#workedOutAt !== undefined &&
+      elapsed(this.#workedOutAt, now) < refresh;
+    if (fresh) {
+      return;
+    }
+    this.#workedOutAt = now;
+    this.#totals = this.#table.totals(this.#pool, now);
+    const demands = [...this.#totals].map(([team, demand]) => ({
+      team,
+      demand,
+      weight: this.#policy.limits(team).weight,
+    }));
+    this.#shares = maxMinShares(this.#slots * dividedFraction, demands);
+  }
+}
+
+function bounded(fraction: number, least: number): number {
+  return Math.min(1, Math.max(least, fraction));
+}
--- /dev/null
+++ b/packages/core/src/retries/retry-budget.ts
@@ -0,0 +1,78 @@
+/** Limits retries to a fraction of the traffic, so that a brown-out never turns into a retry storm. */
+import { seconds } from '../types/units';
+import type { Instant, Milliseconds } from '../types/units';
+
+export interface RetryBudgetOptions {
+  /** Retries allowed per request of the window. */
+  readonly fraction: number;
+  /** Retries allowed per window whatever the traffic. */
+  readonly floor: number;
+  readonly window: Milliseconds;
+}
+
+export const defaultRetryBudget: RetryBudgetOptions = {
+  fraction: 0.08,
+  floor: 1,
+  window: seconds(60),
+};
+
+const slices = 10;
+
+interface Slice {
+  index: number;
+  requests: number;
+  retries: number;
+}
+
+/** Counts first attempts and retries over a sliding window. */
+export class RetryBudget {
+  readonly #options: RetryBudgetOptions;
+  readonly #slices: Slice[] = [];
+
+  constructor(options: RetryBudgetOptions = defaultRetryBudget) {
+    this.#options = options;
+  }
+
+  /** Notes the first attempt of a request. */
+  requestStarted(now: Instant): void {
+    this.#current(now).requests += 1;
+  }
+
+  /** Returns how many retries the window still allows, rounded down. */
+  available(now: Instant): number {
+    this.#current(now);
+    const { fraction, floor } = this.#options;
+    let requests = 0;
+    let retries = 0;
+    for (const slice of this.#slices) {
+      requests += slice.requests;
+      retries += slice.retries;
+    }
+    const allowed = floor + fraction * requests - retries;
+    return Math.max(0, Math.floor(allowed + Number.EPSILON * requests));
+  }
+
+  /** Takes one retry; returns false and takes nothing when none is left. */
+  take(now: Instant): boolean {
+    if (this.available(now) < 1) {
+      return false;
+    }
+    this.#current(now).retries += 1;
+    return true;
+  }
+
+  #current(now: Instant): Slice {
+    const width = this.#options.window / slices;
+    const last = this.#slices.at(-1);
+    const index = Math.max(Math.floor(now / width), last?.index ?? 0);
+    while (this.#slices[0] && this.#slices[0].index <= index - slices) {
+      this.#slices.shift();
+    }
+    if (last?.index === index) {
+      return last;
+    }
+    const slice: Slice = { index, requests: 0, retries: 0 };
+    this.#slices.push(slice);
+    return slice;
+  }
+}
