--- /dev/null
+++ b/packages/core/src/policies/endpoint-placing.ts
@@ -0,0 +1,126 @@
+/** Placing of the request flow: keeps chats at their engine, below the bound. */
+import type { LoadView } from '../loads/load-view';
+import type { Evidence, EndpointTable } from '../membership/endpoint-table';
+import type { Candidate, PlacementChoice } from '../placement/candidate';
+import type { LastPlaces } from '../placement/last-places';
+import type { Placement } from '../placement/placement';
+import { PlacingStep } from '../requests/steps';
+import type { AttemptEnding, PlacingAnswer } from '../requests/steps';
+import type { Request } from '../requests/types';
+import { chatId } from '../types/ids';
+import type { ChatId, EndpointId } from '../types/ids';
+import { milliseconds } from '../types/units';
+import type { Instant } from '../types/units';
+import type { EndpointPools } from './endpoint-pools';
+
+/** Told how every attempt ended, to judge the endpoint's health. */
+export abstract class EndingObserver {
+  abstract ended(
+    request: Request,
+    endpoint: EndpointId,
+    ending: AttemptEnding,
+    now: Instant,
+  ): void;
+}
+
+export interface EndpointPlacingOptions {
+  readonly pools: EndpointPools;
+  readonly placement: Placement;
+  readonly loads: LoadView;
+  readonly places: LastPlaces;
+  readonly endpoints: EndpointTable;
+  readonly observers: readonly EndingObserver[];
+}
+
+const NO_ENDPOINT_RETRY = milliseconds(1000);
+
+export class EndpointPlacing extends PlacingStep {
+  readonly #options: EndpointPlacingOptions;
+
+  constructor(options: EndpointPlacingOptions) {
+    super();
+    this.#options = options;
+  }
+
+  override choose(
+    request: Request,
+    avoided: readonly EndpointId[],
+    now: Instant,
+  ): PlacingAnswer {
+    const suited = this.#options.pools.candidates(request.target, now);
+    const candidates = suited.filter(({ id }) => !avoided.includes(id));
+    return answerOf(this.#place(request, candidates, now));
+  }
+
+  override started(request: Request, endpoint: EndpointId, now: Instant): void {
+    this.#options.loads.started(endpoint, now);
+    if (request.target.kind === 'chat') {
+      this.#options.places.remember(request.target.chat, endpoint);
+    }
+  }
+
+  override ended(
+    request: Request,
+    endpoint: EndpointId,
+    ending: AttemptEnding,
+    now: Instant,
+  ): void {
+    this.#options.loads.finished(endpoint, now);
+    const evidence = evidenceOf(ending);
+    if (evidence) {
+      this.#options.endpoints.evidence(endpoint, evidence, now);
+    }
+    for (const observer of this.#options.observers) {
+      observer.ended(request, endpoint, ending, now);
+    }
+  }
+
+  #place(
+    request: Request,
+    candidates: readonly Candidate[],
+    now: Instant,
+  ): PlacementChoice {
+    const chat = keyOf(request);
+    const known = (id: EndpointId) => candidates.some(entry => entry.id === id);
+    const lastPlace = this.#options.places.recall(
+      chat,
+      request.lastPlace,
+      known,
+    );
+    return this.#options.placement.place({ chat, lastPlace }, candidates, now);
+  }
+}
+
+/** Calls to plain services have no context to return to; each is spread on its own. */
+function keyOf(request: Request): ChatId {
+  return request.target.kind === 'chat'
+    ? request.target.chat
+    : chatId(request.id);
+}
+
+function answerOf(choice: PlacementChoice): PlacingAnswer {
+  switch (choice.kind) {
+    case 'endpoint':
+      return { kind: 'endpoint', endpoint: choice.endpoint };
+    case 'saturated':
+      return { kind: 'saturated', retryAfter: choice.retryAfter };
+    case 'no-candidate':
+      return {
+        kind: 'refused',
+        reason: { kind: 'no-endpoint', retryAfter: NO_ENDPOINT_RETRY },
+      };
+  }
+}
+
+function evidenceOf(ending: AttemptEnding): Evidence | undefined {
+  switch (ending) {
+    case 'finished':
+      return 'answered';
+    case 'declined-leaving':
+      return 'refused-as-leaving';
+    case 'not-sent':
+      return 'connection-failed';
+    default:
+      return undefined;
+  }
+}
--- a/packages/core/src/requests/request-flow.ts
+++ b/packages/core/src/requests/request-flow.ts
@@ -44,7 +44,10 @@
   readonly recorder?: EventRecorder;
 }
 
-type AttemptMessage = Extract<RequestMessage, { attempt: AttemptId }>;
+type AttemptMessage = Extract<
+  RequestMessage,
+  { request: RequestId; attempt: AttemptId }
+>;
 
 const IMMEDIATELY = milliseconds(0);
 
@@ -73,6 +76,9 @@
     if (message.kind === 'arrived') {
       return this.#arrive(message.request, now);
     }
+    if (message.kind === 'reattached') {
+      return this.#reattach(message, now);
+    }
     const row = this.#rows.get(message.request);
     if (!row) {
       return [];
@@ -129,6 +135,23 @@
     return this.#admissionAnswered(row, answer, now);
   }
 
+  /** Goes on with a stream that was admitted and begun by another router. */
+  #reattach(
+    message: Extract<RequestMessage, { kind: 'reattached' }>,
+    now: Instant,
+  ): RequestCommand[] {
+    const { request, attempt, endpoint } = message;
+    this.#rows.put({
+      ...newRow(request),
+      state: { kind: 'answering', attempt, endpoint, resumptions: 0 },
+      exposed: true,
+      delivered: true,
+    });
+    this.#options.placing.started(request, endpoint, now);
+    const after = milliseconds(0);
+    return [{ kind: 'resume', request: request.id, attempt, endpoint, after }];
+  }
+
   #admissionAnswered(
     row: RequestRow,
     answer: AdmissionAnswer,
@@ -319,7 +342,10 @@
       exposed: true,
       state: retrying(now),
     });
-    const reason: RefusalReason = { kind: 'answer-lost', endpoint };
+    const reattached = row.attempts === 0;
+    const reason: RefusalReason = reattached
+      ? { kind: 'stream-gone' }
+      : { kind: 'answer-lost', endpoint };
     if (!isRepeatable(row.request) || row.delivered) {
       return this.#refuse(known, reason, now);
     }
--- a/packages/core/src/requests/types.ts
+++ b/packages/core/src/requests/types.ts
@@ -96,6 +96,13 @@
 /** What happened to a request, told by the shell. */
 export type RequestMessage =
   | { readonly kind: 'arrived'; readonly request: Request }
+  /** A caller goes on with a stream that an attempt elsewhere began. */
+  | {
+      readonly kind: 'reattached';
+      readonly request: Request;
+      readonly attempt: AttemptId;
+      readonly endpoint: EndpointId;
+    }
   /** No byte of the attempt reached the endpoint. */
   | {
       readonly kind: 'not-sent';
--- /dev/null
+++ b/packages/router/src/callers/caller-server.ts
@@ -0,0 +1,236 @@
+/** HTTP interface for callers. */
+import { createServer } from 'node:http';
+import type { Server } from 'node:http';
+
+import KoaRouter from '@koa/router';
+import Koa from 'koa';
+import type { Context } from 'koa';
+
+import { refuseUnaccepted } from '@sesamegrade/core/requests/outcome';
+import type { TimerService } from '@sesamegrade/core/time/timer-service';
+import type { Address } from '@sesamegrade/core/types/endpoint';
+import { requestId } from '@sesamegrade/core/types/ids';
+import type { Result } from '@sesamegrade/core/types/result';
+import type { RefusalReason } from '@sesamegrade/core/types/refusal';
+import { milliseconds } from '@sesamegrade/core/types/units';
+import type { Settings } from '@sesamegrade/settings/schema';
+import type { RequestDispatcher } from '../dispatch/request-dispatcher';
+import type { Counters } from '../metrics/counters';
+import { CallerAnswer } from './caller-answer';
+import { headerOf, newRequestId } from './intake';
+import type { Intake, IntakeReader, Received } from './intake';
+import { readBody } from './read-body';
+import type { TeamKeys } from './team-keys';
+
+/** Whether this router should get new connections. */
+export abstract class Readiness {
+  abstract get ready(): boolean;
+  /** Why not, for the operator. */
+  abstract get reason(): string;
+}
+
+export interface CallerServerOptions {
+  readonly settings: Settings;
+  readonly timers: TimerService;
+  readonly keys: TeamKeys;
+  readonly intake: IntakeReader;
+  readonly dispatcher: RequestDispatcher;
+  readonly readiness: Readiness;
+  readonly counters: Counters;
+}
+
+const PROMPT_HEADERS_TIMEOUT_MS = 10_000;
+const KEEP_ALIVE_MS = 30_000;
+const REQUEST_ID = /^[A-Za-z0-9._:-]{1,128}$/u;
+const SERVICE_PATH = /^\/services\/([^/]+)(\/.*)?$/u;
+
+export class CallerServer {
+  readonly #options: CallerServerOptions;
+  readonly #server: Server;
+
+  constructor(options: CallerServerOptions) {
+    this.#options = options;
+    this.#server = this.#createServer();
+  }
+
+  start(): Promise<Address> {
+    const { host, caller_port } = this.#options.settings.router;
+    return new Promise((resolve, reject) => {
+      this.#server.once('error', reject);
+      this.#server.listen(caller_port, host, () => {
+        const address = this.#server.address();
+        const port =
+          typeof address === 'object' && address ? address.port : caller_port;
+        resolve({ host, port });
+      });
+    });
+  }
+
+  /** Takes no new connections and closes idle ones; answers under way go on. */
+  stopAccepting(): void {
+    this.#server.close();
+    this.#server.closeIdleConnections();
+  }
+
+  /** Ends every connection that is left. */
+  close(): void {
+    this.#server.closeAllConnections();
+  }
+
+  #createServer(): Server {
+    const { limits } = this.#options.settings;
+    const app = new Koa();
+    app.use(this.#routes().routes());
+    app.use(context => {
+      this.#unmatched(context);
+    });
+    const handler = app.callback();
+    const server = createServer(
+      {
+        maxHeaderSize: limits.header_bytes,
+        requestTimeout: limits.body_timeout_ms,
+        headersTimeout: Math.min(
+          PROMPT_HEADERS_TIMEOUT_MS,
+          limits.body_timeout_ms,
+        ),
+        keepAliveTimeout: KEEP_ALIVE_MS,
+      },
+      (request, response) => {
+        void handler(request, response);
+      },
+    );
+    return server;
+  }
+
+  #routes(): KoaRouter {
+    const { readiness } = this.#options;
+    const router = new KoaRouter();
+    router.get('/healthz', context => {
+      context.body = { status: 'alive' };
+    });
+    router.get('/readyz', context => {
+      context.status = readiness.ready ? 200 : 503;
+      context.body = { ready: readiness.ready, reason: readiness.reason };
+    });
+    router.get('/v1/models', context => {
+      this.#listModels(context);
+    });
+    router.post('/v1/chat/completions', context => this.#chat(context));
+    router.all(SERVICE_PATH, context => this.#service(context));
+    return router;
+  }
+
+  #listModels(context: Context): void {
+    const received = this.#identify(context);
+    if (!received) {
+      return;
+    }
+    const data = this.#options.intake
+      .models()
+      .map(id => ({ id, object: 'model', owned_by: 'sesamegrade' }));
+    context.body = { object: 'list', data };
+  }
+
+  async #chat(context: Context): Promise<void> {
+    const received = await this.#receive(context);
+    if (received) {
+      this.#accept(context, received, this.#options.intake.chat(received));
+    }
+  }
+
+  async #service(context: Context): Promise<void> {
+    const received = await this.#receive(context);
+    if (!received) {
+      return;
+    }
+    const [, name = '', rest = '/'] = SERVICE_PATH.exec(context.path) ?? [];
+    const path = rest + context.search;
+    const intake = this.#options.intake.service(received, name, path);
+    this.#accept(context, received, intake);
+  }
+
+  /** Authenticates before the body is read. */
+  async #receive(context: Context): Promise<Received | undefined> {
+    const identified = this.#identify(context);
+    if (!identified) {
+      return undefined;
+    }
+    const limit = this.#options.settings.limits.body_bytes;
+    const body = await readBody(context.req, limit);
+    if (!body.ok) {
+      // The rest of the body is not read, so the connection cannot go on.
+      context.set('connection', 'close');
+      this.#refuse(context, identified.id, body.failure);
+      return undefined;
+    }
+    return { ...identified, message: context.req, body: body.value };
+  }
+
+  #identify(context: Context): Pick<Received, 'id' | 'team'> | undefined {
+    const id = this.#idOf(context);
+    const team = this.#options.keys.teamOf(context.req.headers.authorization);
+    if (team === undefined) {
+      this.#refuse(context, id, { kind: 'unauthenticated' });
+      return undefined;
+    }
+    return { id, team };
+  }
+
+  /** A caller's id is kept unless a request of that id is under way. */
+  #idOf(context: Context): string {
+    const named = headerOf(context.req, 'x-request-id');
+    const usable =
+      named !== undefined &&
+      REQUEST_ID.test(named) &&
+      !this.#options.dispatcher.has(requestId(named));
+    return usable ? named : newRequestId();
+  }
+
+  #accept(
+    context: Context,
+    received: Received,
+    intake: Result<Intake, RefusalReason>,
+  ): void {
+    if (!intake.ok) {
+      this.#refuse(context, received.id, intake.failure);
+      return;
+    }
+    const { position, ...parts } = intake.value;
+    const answer = this.#answerOf(context, received.id);
+    const exchange = { ...parts, answer };
+    if (position) {
+      this.#options.dispatcher.reattach(exchange, position);
+    } else {
+      this.#options.dispatcher.accept(exchange);
+    }
+  }
+
+  #unmatched(context: Context): void {
+    const detail = `${context.method} ${context.path} is not part of this interface`;
+    const reason: RefusalReason = { kind: 'malformed-request', detail };
+    this.#refuse(context, this.#idOf(context), reason);
+  }
+
+  #refuse(context: Context, id: string, reason: RefusalReason): void {
+    this.#options.counters.refusedUnaccepted(reason.kind);
+    if (!context.req.complete) {
+      context.res.setHeader('connection', 'close');
+    }
+    this.#answerOf(context, id).refuse(refuseUnaccepted(reason));
+  }
+
+  /** Takes the response out of koa's hands, as answers are written bit by bit. */
+  #answerOf(context: Context, id: string): CallerAnswer {
+    context.respond = false;
+    context.res.statusCode = 200;
+    if (!this.#options.readiness.ready) {
+      context.res.setHeader('connection', 'close');
+    }
+    return new CallerAnswer({
+      response: context.res,
+      requestId: id,
+      timers: this.#options.timers,
+      stallLimit: milliseconds(this.#options.settings.limits.caller_stall_ms),
+    });
+  }
+}
--- /dev/null
+++ b/packages/router/src/callers/intake.ts
@@ -0,0 +1,234 @@
+/** Turns HTTP requests of callers into exchanges, or into typed refusals. */
+import { randomUUID } from 'node:crypto';
+import type { IncomingMessage } from 'node:http';
+
+import { parseEventId } from '@sesamegrade/core/streams/event-id';
+import type { StreamPosition } from '@sesamegrade/core/streams/event-id';
+import { StreamOrder } from '@sesamegrade/core/streams/stream-order';
+import type { Request, Target } from '@sesamegrade/core/requests/types';
+import type { TimerService } from '@sesamegrade/core/time/timer-service';
+import {
+  endpointId,
+  idempotencyKey,
+  modelId,
+  requestId,
+  serviceId,
+} from '@sesamegrade/core/types/ids';
+import type { IdempotencyKey, TeamId } from '@sesamegrade/core/types/ids';
+import { fail, succeed } from '@sesamegrade/core/types/result';
+import type { Result } from '@sesamegrade/core/types/result';
+import type { RefusalReason } from '@sesamegrade/core/types/refusal';
+import { addTime, milliseconds } from '@sesamegrade/core/types/units';
+import type { Settings } from '@sesamegrade/settings/schema';
+import type { AnswerShape, OutgoingCall } from '../dispatch/exchange';
+import type { StreamTags } from '../endpoints/stream-tags';
+import { chatOf, fingerprintOf, parseChatBody } from './chat-body';
+import { forwardedHeaders } from './forwarded-headers';
+
+/** A request that was understood, before it has an answer to write to. */
+export interface Intake {
+  readonly request: Request;
+  readonly call: OutgoingCall;
+  readonly shape: AnswerShape;
+  /** Stream that the caller goes on with, instead of a new run. */
+  readonly position: StreamPosition | undefined;
+}
+
+/** What one HTTP request brought. */
+export interface Received {
+  readonly id: string;
+  readonly team: TeamId;
+  readonly message: IncomingMessage;
+  readonly body: Buffer;
+}
+
+export interface IntakeOptions {
+  readonly settings: Settings;
+  readonly timers: TimerService;
+  readonly tags: StreamTags;
+}
+
+const DEFAULT_PRIORITY = 0;
+const NAME = /^[\x21-\x7e]{1,256}$/u;
+const DEADLINE = /^\d{1,9}$/u;
+
+export class IntakeReader {
+  readonly #settings: Settings;
+  readonly #timers: TimerService;
+  readonly #tags: StreamTags;
+
+  constructor(options: IntakeOptions) {
+    this.#settings = options.settings;
+    this.#timers = options.timers;
+    this.#tags = options.tags;
+  }
+
+  /** Models that the settings name, in order of name. */
+  models(): string[] {
+    const named = Object.values(this.#settings.service).flatMap(service =>
+      service.kind === 'engine' ? (service.models ?? []) : [],
+    );
+    return [...new Set(named)].sort();
+  }
+
+  chat(received: Received): Result<Intake, RefusalReason> {
+    const { team, body, message } = received;
+    const parsed = parseChatBody(body);
+    if (!parsed.ok) {
+      return parsed;
+    }
+    const chat = parsed.value;
+    if (!this.models().includes(chat.model)) {
+      return fail({ kind: 'unknown-model', model: chat.model });
+    }
+    const position = this.#positionOf(team, message);
+    if (!position.ok) {
+      return position;
+    }
+    const named = headerOf(message, 'x-chat-id');
+    if (named !== undefined && !NAME.test(named)) {
+      return malformed('X-Chat-Id: printable characters, 256 at most');
+    }
+    const target: Target = {
+      kind: 'chat',
+      model: modelId(chat.model),
+      chat: chatOf(team, named, chat),
+    };
+    const request = this.#request(received, target, {
+      priority: chat.priority ?? DEFAULT_PRIORITY,
+      fingerprint: fingerprintOf(team, chat.model, chat),
+    });
+    const shape: AnswerShape =
+      chat.stream === true
+        ? { kind: 'stream', order: new StreamOrder(position.value?.event ?? 0) }
+        : { kind: 'whole' };
+    const call = {
+      method: 'POST',
+      path: '/v1/chat/completions',
+      headers: {
+        'content-type': 'application/json',
+        'x-chat-id': target.chat,
+      },
+      body,
+    };
+    return succeed({ request, call, shape, position: position.value });
+  }
+
+  service(
+    received: Received,
+    name: string,
+    path: string,
+  ): Result<Intake, RefusalReason> {
+    const { team, body, message } = received;
+    const service = this.#settings.service[name];
+    if (service?.kind !== 'service') {
+      return fail({ kind: 'unknown-service', service: name });
+    }
+    const key = idempotencyKeyOf(message);
+    if (!key.ok) {
+      return key;
+    }
+    if (!service.repeatable && key.value === undefined) {
+      return fail({ kind: 'key-required', service: name });
+    }
+    const target: Target = {
+      kind: 'call',
+      service: serviceId(name),
+      repeatable: service.repeatable,
+      key: key.value,
+    };
+    const method = message.method ?? 'GET';
+    const content = [method, path, body.toString('base64')];
+    const request = this.#request(received, target, {
+      priority: DEFAULT_PRIORITY,
+      fingerprint: fingerprintOf(team, name, content),
+    });
+    const call = {
+      method,
+      path,
+      headers: forwardedHeaders(message, team),
+      body: body.length > 0 ? body : undefined,
+    };
+    return succeed({
+      request,
+      call,
+      shape: { kind: 'whole' },
+      position: undefined,
+    });
+  }
+
+  #request(
+    received: Received,
+    target: Target,
+    fields: Pick<Request, 'priority' | 'fingerprint'>,
+  ): Request {
+    const arrived = this.#timers.now();
+    const place = headerOf(received.message, 'x-chat-place');
+    return {
+      ...fields,
+      id: requestId(received.id),
+      team: received.team,
+      target,
+      lastPlace: place === undefined ? undefined : endpointId(place),
+      arrived,
+      deadline: addTime(arrived, this.#timeAllowed(received.message)),
+    };
+  }
+
+  #timeAllowed(message: IncomingMessage) {
+    const limit = this.#settings.limits.request_timeout_ms;
+    const asked = headerOf(message, 'x-request-timeout-ms') ?? '';
+    const allowed = DEADLINE.test(asked)
+      ? Math.min(limit, Number(asked))
+      : limit;
+    return milliseconds(allowed);
+  }
+
+  #positionOf(
+    team: TeamId,
+    message: IncomingMessage,
+  ): Result<StreamPosition | undefined, RefusalReason> {
+    const shown = headerOf(message, 'last-event-id');
+    if (shown === undefined || shown === '') {
+      return succeed(undefined);
+    }
+    const position = parseEventId(shown);
+    if (!position || !this.#tags.verify(team, position)) {
+      return malformed('Last-Event-ID: an id that this fleet gave the team');
+    }
+    return succeed(position);
+  }
+}
+
+/** Returns a new id, for requests whose callers name none. */
+export function newRequestId(): string {
+  return randomUUID();
+}
+
+/** Returns a header that is given at most once. */
+export function headerOf(
+  message: IncomingMessage,
+  name: string,
+): string | undefined {
+  const value = message.headers[name];
+  return typeof value === 'string' ? value : undefined;
+}
+
+/** The header is a structured string in quotes; plain text is taken as well. */
+function idempotencyKeyOf(
+  message: IncomingMessage,
+): Result<IdempotencyKey | undefined, RefusalReason> {
+  const value = headerOf(message, 'idempotency-key');
+  if (value === undefined) {
+    return succeed(undefined);
+  }
+  const bare = /^"(.*)"$/u.exec(value)?.[1] ?? value;
+  if (!NAME.test(bare)) {
+    return malformed('Idempotency-Key: printable characters, 256 at most');
+  }
+  return succeed(idempotencyKey(bare));
+}
+
+function malformed(detail: string): Result<never, RefusalReason> {
+  return fail({ kind: 'malformed-request', detail });
+}
--- /dev/null
+++ b/packages/router/src/dispatch/request-dispatcher.ts
@@ -0,0 +1,198 @@
+/** Carries messages into the request flow and its commands out to the shells. */
+import type { RequestFlow } from '@sesamegrade/core/requests/request-flow';
+import type {
+  Refusal,
+  Request,
+  RequestCommand,
+  RequestMessage,
+} from '@sesamegrade/core/requests/types';
+import type { StreamPosition } from '@sesamegrade/core/streams/event-id';
+import type { TimerService } from '@sesamegrade/core/time/timer-service';
+import type { RequestId } from '@sesamegrade/core/types/ids';
+import { milliseconds } from '@sesamegrade/core/types/units';
+import type { AttemptRunner, AttemptTask } from '../endpoints/attempt-runner';
+import type { Exchange } from './exchange';
+
+/** Keeps the rows of calls that may not be repeated. */
+export abstract class OrderDesk {
+  abstract record(exchange: Exchange): void;
+  abstract settle(request: Request, ending: 'never-sent' | 'in-doubt'): void;
+  /** Checks again, right before sending, that the call may be sent. */
+  abstract maySend(request: Request): boolean;
+}
+
+/** Told about every refusal and finish, to count them. */
+export abstract class RequestCounter {
+  abstract accepted(request: Request): void;
+  abstract finished(request: Request): void;
+  abstract refused(request: Request, refusal: Refusal): void;
+}
+
+export interface RequestDispatcherOptions {
+  readonly flow: RequestFlow;
+  readonly timers: TimerService;
+  readonly counter: RequestCounter;
+}
+
+/** Time between ticks of the flow while nothing arrives. */
+const TICK_PERIOD = milliseconds(20);
+
+export class RequestDispatcher {
+  readonly #flow: RequestFlow;
+  readonly #timers: TimerService;
+  readonly #counter: RequestCounter;
+  readonly #exchanges = new Map<RequestId, Exchange>();
+  readonly #idle = new Set<() => void>();
+  #runner: AttemptRunner | undefined;
+  #orders: OrderDesk | undefined;
+
+  constructor(options: RequestDispatcherOptions) {
+    this.#flow = options.flow;
+    this.#timers = options.timers;
+    this.#counter = options.counter;
+  }
+
+  /** Requests that have not ended. */
+  get inFlight(): number {
+    return this.#exchanges.size;
+  }
+
+  /** Connects the shells and starts to tick; called once at composition. */
+  start(runner: AttemptRunner, orders: OrderDesk): () => void {
+    this.#runner = runner;
+    this.#orders = orders;
+    return this.#timers.every(TICK_PERIOD, now => {
+      this.#perform(this.#flow.tick(now));
+    });
+  }
+
+  /** Whether a request of this id is under way. */
+  has(id: RequestId): boolean {
+    return this.#exchanges.has(id);
+  }
+
+  accept(exchange: Exchange): void {
+    this.#keep(exchange);
+    this.post({ kind: 'arrived', request: exchange.request });
+  }
+
+  /** Takes over a stream that an attempt of another router began. */
+  reattach(exchange: Exchange, position: StreamPosition): void {
+    this.#keep(exchange);
+    const { endpoint, attempt } = position;
+    const { request } = exchange;
+    this.post({ kind: 'reattached', request, endpoint, attempt });
+  }
+
+  post(message: RequestMessage): void {
+    const commands = this.#flow.handle(message, this.#timers.now());
+    this.#perform(commands);
+    this.#forget(message);
+  }
+
+  /** Resolves when no request is under way. */
+  idle(): Promise<void> {
+    if (this.inFlight === 0) {
+      return Promise.resolve();
+    }
+    return new Promise(resolve => {
+      this.#idle.add(resolve);
+    });
+  }
+
+  exchangeOf(id: RequestId): Exchange | undefined {
+    return this.#exchanges.get(id);
+  }
+
+  #keep(exchange: Exchange): void {
+    const { request, answer } = exchange;
+    this.#exchanges.set(request.id, exchange);
+    this.#counter.accepted(request);
+    answer.onGone(() => {
+      this.post({ kind: 'caller-left', request: request.id });
+    });
+  }
+
+  #perform(commands: readonly RequestCommand[]): void {
+    for (const command of commands) {
+      const exchange = this.#exchanges.get(command.request);
+      if (exchange) {
+        this.#performOne(command, exchange);
+      }
+    }
+    for (const command of commands) {
+      this.#drop(command.request);
+    }
+  }
+
+  #performOne(command: RequestCommand, exchange: Exchange): void {
+    switch (command.kind) {
+      case 'send':
+        this.#send({ ...command, exchange });
+        return;
+      case 'resume':
+        this.#timers.after(command.after, () => {
+          void this.#runner?.resume({ ...command, exchange });
+        });
+        return;
+      case 'cancel':
+        this.#runner?.cancel(
+          command.attempt,
+          command.endpoint,
+          exchange.shape.kind === 'stream',
+        );
+        return;
+      case 'record':
+        this.#orders?.record(exchange);
+        return;
+      case 'settle':
+        this.#orders?.settle(exchange.request, command.ending);
+        return;
+      case 'refuse':
+        this.#counter.refused(exchange.request, command.refusal);
+        exchange.answer.refuse(command.refusal);
+    }
+  }
+
+  #send(task: AttemptTask): void {
+    const { request } = task.exchange;
+    const single = request.target.kind === 'call' && !request.target.repeatable;
+    if (single && this.#orders?.maySend(request) !== true) {
+      this.post({
+        kind: 'not-sent',
+        request: request.id,
+        attempt: task.attempt,
+      });
+      return;
+    }
+    void this.#runner?.send(task);
+  }
+
+  #forget(message: RequestMessage): void {
+    const id =
+      typeof message.request === 'string'
+        ? message.request
+        : message.request.id;
+    if (message.kind === 'finished' || message.kind === 'replayed') {
+      const exchange = this.#exchanges.get(id);
+      if (exchange) {
+        this.#counter.finished(exchange.request);
+      }
+    }
+    this.#drop(id);
+  }
+
+  /** Forgets an exchange whose request has ended. */
+  #drop(id: RequestId): void {
+    if (this.#flow.row(id) || !this.#exchanges.delete(id)) {
+      return;
+    }
+    if (this.inFlight > 0) {
+      return;
+    }
+    for (const resolve of this.#idle) {
+      resolve();
+    }
+    this.#idle.clear();
+  }
+}
--- a/packages/router/src/endpoints/whole-relay.ts
+++ b/packages/router/src/endpoints/whole-relay.ts
@@ -63,16 +63,10 @@
     const headers = keptHeaders(response.headers);
     this.#onAnswer(task, { status: response.statusCode, headers, body });
     task.onDelivered();
-    if (exchange.answer.gone) {
-      return { kind: 'caller-left' };
+    if (!exchange.answer.gone) {
+      const whole = { status: response.statusCode, headers, body };
+      sendWhole(exchange.answer, whole, { 'x-chat-place': task.endpoint });
     }
-    sendWhole(
-      exchange.answer,
-      { status: response.statusCode, headers, body },
-      {
-        'x-chat-place': task.endpoint,
-      },
-    );
     return { kind: 'finished' };
   }
 
