--- /dev/null
+++ b/packages/core/src/configuration/rows.ts
@@ -0,0 +1,115 @@
+/**
+ * The rows of the configuration in the platform's table. The head is small,
+ * because every router polls it; the whole content lies in a row beside it and
+ * is written in the same transaction.
+ */
+import { z } from 'zod';
+
+import { fail, succeed } from '../types/result';
+import type { Result } from '../types/result';
+import { contentHash, contentSchema, recordSchema } from './content';
+import type { ConfigurationContent, ConfigurationRecord } from './content';
+
+export const CONFIGURATION_TABLE = 'configuration';
+export const HEAD_KEY = 'head';
+export const CONTENT_KEY = 'content';
+
+/** Format of the rows that this program writes. */
+export const ROW_FORMAT = 1;
+
+/** Accepted versions that the content row names, to settle lost answers. */
+export const MAX_RECENT = 64;
+
+const formatSchema = z.object({ format: z.int().min(1) });
+
+const headSchema = z.object({
+  format: z.literal(ROW_FORMAT),
+  record: recordSchema,
+});
+
+const recentSchema = z.object({
+  version: z.int().min(1),
+  changeId: z.string(),
+  who: z.string(),
+  when: z.number(),
+});
+
+export const snapshotSchema = z.object({
+  format: z.literal(ROW_FORMAT),
+  version: z.int().min(0),
+  content: contentSchema,
+  /** The latest accepted versions, oldest first. */
+  recent: z.array(recentSchema).max(MAX_RECENT),
+  hash: z.int().min(0),
+});
+
+/** Who won a version. */
+export type AcceptedVersion = z.infer<typeof recentSchema>;
+/** A whole version, as kept in the table and handed to peers. */
+export type ConfigurationSnapshot = z.infer<typeof snapshotSchema>;
+
+/** Why a stored row or a peer's message cannot be used. */
+export type UnreadableRow =
+  | { readonly kind: 'corrupt'; readonly row: string; readonly detail: string }
+  /** Written by a newer program than this one. */
+  | {
+      readonly kind: 'newer-format';
+      readonly row: string;
+      readonly format: number;
+    };
+
+function parseRow<Value>(
+  row: string,
+  schema: z.ZodType<Value>,
+  value: unknown,
+): Result<Value, UnreadableRow> {
+  const marked = formatSchema.safeParse(value);
+  if (marked.success && marked.data.format > ROW_FORMAT) {
+    return fail({ kind: 'newer-format', row, format: marked.data.format });
+  }
+  const parsed = schema.safeParse(value);
+  if (!parsed.success) {
+    const detail = z.prettifyError(parsed.error);
+    return fail({ kind: 'corrupt', row, detail });
+  }
+  return succeed(parsed.data);
+}
+
+export function parseHead(
+  value: unknown,
+): Result<ConfigurationRecord, UnreadableRow> {
+  const parsed = parseRow(HEAD_KEY, headSchema, value);
+  return parsed.ok ? succeed(parsed.value.record) : parsed;
+}
+
+export function parseSnapshot(
+  value: unknown,
+): Result<ConfigurationSnapshot, UnreadableRow> {
+  const parsed = parseRow(CONTENT_KEY, snapshotSchema, value);
+  if (parsed.ok && parsed.value.hash !== contentHash(parsed.value.content)) {
+    return fail({
+      kind: 'corrupt',
+      row: CONTENT_KEY,
+      detail: 'the content does not match its hash',
+    });
+  }
+  return parsed;
+}
+
+export function headValue(record: ConfigurationRecord): object {
+  return { format: ROW_FORMAT, record };
+}
+
+export function snapshotOf(
+  version: number,
+  content: ConfigurationContent,
+  recent: readonly AcceptedVersion[],
+): ConfigurationSnapshot {
+  return {
+    format: ROW_FORMAT,
+    version,
+    content,
+    recent: recent.slice(-MAX_RECENT),
+    hash: contentHash(content),
+  };
+}
