--- a/packages/core/src/loads/count-history.ts
+++ b/packages/core/src/loads/count-history.ts
@@ -1,4 +1,5 @@
 /** A count over the last seconds, to be read back at the time of a late report. */
+import { instant } from '../types/units';
 import type { Instant, Milliseconds } from '../types/units';
 
 interface Change {
@@ -27,6 +28,12 @@
     return this.#value;
   }
 
+  /** Adds to the count at the time of its last change. */
+  correct(by: number): void {
+    const last = this.#changes.at(-1);
+    this.add(by, last?.at ?? instant(0));
+  }
+
   /** Adds to the count at a time that is not before the last change. */
   add(by: number, now: Instant): void {
     if (by === 0) {
--- a/packages/core/src/loads/load-view.test.ts
+++ b/packages/core/src/loads/load-view.test.ts
@@ -39,7 +39,7 @@
     expect(view.peerCount(peer, engine, 3, 2, instant(10))).to.equal(true);
     expect(view.peerCount(peer, engine, 1, 1, instant(20))).to.equal(false);
     expect(view.estimate(engine, instant(30))).to.equal(3);
-    view.forgetPeer(peer, instant(40));
+    view.forgetPeer(peer);
     expect(view.estimate(engine, instant(40))).to.equal(0);
   });
 
--- a/packages/core/src/loads/load-view.ts
+++ b/packages/core/src/loads/load-view.ts
@@ -95,6 +95,15 @@
     }
   }
 
+  /** Endpoints whose load is kept. */
+  endpoints(): IterableIterator<EndpointId> {
+    return this.#endpoints.keys();
+  }
+
+  capacity(endpoint: EndpointId): number {
+    return this.#endpoints.get(endpoint)?.capacity ?? 0;
+  }
+
   ownInFlight(endpoint: EndpointId): number {
     return this.#endpoints.get(endpoint)?.own ?? 0;
   }
@@ -147,9 +156,9 @@
   }
 
   /** Drops the counts of a peer that left. */
-  forgetPeer(peer: RouterId, now: Instant): void {
+  forgetPeer(peer: RouterId): void {
     for (const load of this.#endpoints.values()) {
-      this.#dropPeer(load, peer, now);
+      this.#dropPeer(load, peer);
     }
   }
 
@@ -158,7 +167,7 @@
     for (const load of this.#endpoints.values()) {
       for (const [peer, { heardAt }] of load.peers) {
         if (elapsed(heardAt, now) > this.#settings.peerHorizon) {
-          this.#dropPeer(load, peer, now);
+          this.#dropPeer(load, peer);
         }
       }
     }
@@ -201,11 +210,11 @@
     }
   }
 
-  #dropPeer(load: EndpointLoad, peer: RouterId, now: Instant): void {
+  #dropPeer(load: EndpointLoad, peer: RouterId): void {
     const kept = load.peers.get(peer);
     if (kept) {
       load.peers.delete(peer);
-      load.known.add(-kept.count, now);
+      load.known.correct(-kept.count);
     }
   }
 
--- /dev/null
+++ b/packages/core/src/loads/told-numbers.ts
@@ -0,0 +1,60 @@
+/** What each peer was last told about each endpoint, to tell only changes. */
+import type { EndpointId, RouterId } from '../types/ids';
+import { elapsed, milliseconds } from '../types/units';
+import type { Instant } from '../types/units';
+
+/** Numbers are told again after this time, as a message may be lost with its connection. */
+export const repeatAfter = milliseconds(5000);
+
+/** A zero is repeated this often and then dropped. */
+const zeroRepeats = 2;
+
+interface Told {
+  readonly value: number;
+  readonly at: Instant;
+  readonly repeats: number;
+}
+
+export class ToldNumbers {
+  readonly #told = new Map<RouterId, Map<EndpointId, Told>>();
+
+  /** Tells whether the peer needs the value: it differs by a step or was told long ago. */
+  isDue(
+    peer: RouterId,
+    endpoint: EndpointId,
+    value: number,
+    step: number,
+    now: Instant,
+  ): boolean {
+    const told = this.#told.get(peer)?.get(endpoint);
+    if (!told) {
+      return value > 0;
+    }
+    const changed = Math.abs(value - told.value) >= step;
+    return changed || elapsed(told.at, now) >= repeatAfter;
+  }
+
+  note(
+    peer: RouterId,
+    endpoint: EndpointId,
+    value: number,
+    now: Instant,
+  ): void {
+    let told = this.#told.get(peer);
+    if (!told) {
+      told = new Map();
+      this.#told.set(peer, told);
+    }
+    const before = told.get(endpoint);
+    const repeats = before?.value === value ? before.repeats + 1 : 0;
+    if (value === 0 && repeats >= zeroRepeats) {
+      told.delete(endpoint);
+      return;
+    }
+    told.set(endpoint, { value, at: now, repeats });
+  }
+
+  forget(peer: RouterId): void {
+    this.#told.delete(peer);
+  }
+}
--- a/packages/core/src/placement/bounded-placement.ts
+++ b/packages/core/src/placement/bounded-placement.ts
@@ -1,3 +1,4 @@
+import type { ChatId } from '../types/ids';
 import type { Candidate, PlacementChoice, PlacementRequest } from './candidate';
 import { ChatRank } from './chat-rank';
 import { LoadBound, saturatedRetryAfter } from './load-bound';
@@ -6,7 +7,7 @@
 /** Rendezvous hashing with bounded load: the highest ranked candidate below its bound. */
 export class BoundedPlacement extends Placement {
   readonly #bound: number;
-  readonly #rank = new ChatRank();
+  protected readonly rank = new ChatRank();
 
   constructor(bound: number) {
     super();
@@ -21,12 +22,12 @@
       return { kind: 'no-candidate' };
     }
     const limits = new LoadBound(this.#bound, candidates);
-    const chatHash = this.#rank.chatHash(request.chat);
+    const chatHash = this.rank.chatHash(request.chat);
     let best: Candidate | undefined;
     let bestScore = Number.NEGATIVE_INFINITY;
     let topScore = Number.NEGATIVE_INFINITY;
     for (const candidate of candidates) {
-      const score = this.#rank.score(chatHash, candidate);
+      const score = this.rank.score(chatHash, candidate);
       topScore = Math.max(topScore, score);
       if (score > bestScore && this.admits(chatHash, candidate, limits)) {
         best = candidate;
@@ -40,6 +41,16 @@
     return { kind: 'endpoint', endpoint: best.id, reason };
   }
 
+  /** Tells whether one of the candidates takes a chat. */
+  protected takesChat(
+    chat: ChatId,
+    candidate: Candidate,
+    candidates: readonly Candidate[],
+  ): boolean {
+    const limits = new LoadBound(this.#bound, candidates);
+    return this.admits(this.rank.chatHash(chat), candidate, limits);
+  }
+
   /** Tells whether the candidate takes the chat at its present load. */
   protected admits(
     _chatHash: number,
--- a/packages/core/src/placement/load-bound.ts
+++ b/packages/core/src/placement/load-bound.ts
@@ -5,27 +5,36 @@
 /** Time after which a caller may try again when every endpoint is at its bound. */
 export const saturatedRetryAfter = milliseconds(1000);
 
+/** Sum of the limits, in multiples of the total load, below which joining endpoints raise the others' limits. */
+const minSpare = 1.1;
+
 /** Load that an endpoint should carry, by its capacity and its ramp. */
 function shareOf(candidate: Candidate): number {
   return candidate.capacity * candidate.weight;
 }
 
 /**
- * Bounds of a set of candidates: each may carry at most `bound` times its share
- * of the total load, counting the request to be placed, rounded up, and never
- * more than its capacity.
+ * Bounds of a set of candidates: each may carry at most `bound` times the mean
+ * load for its capacity, counting the request to be placed, rounded up, and
+ * never more than its capacity. A joining endpoint's limit is a part of that.
+ * When joining endpoints leave too little room in all, every limit rises.
  */
 export class LoadBound {
   readonly #limitPerShare: number;
 
   constructor(bound: number, candidates: readonly Candidate[]) {
     let total = 1;
+    let capacity = 0;
     let shares = 0;
     for (const candidate of candidates) {
       total += candidate.load;
+      capacity += candidate.capacity;
       shares += shareOf(candidate);
     }
-    this.#limitPerShare = shares > 0 ? (bound * total) / shares : 0;
+    const byMean = capacity > 0 ? (bound * total) / capacity : 0;
+    const byRoom =
+      shares > 0 ? (Math.min(bound, minSpare) * total) / shares : 0;
+    this.#limitPerShare = Math.max(byMean, byRoom);
   }
 
   /** Returns the largest number of requests the candidate may carry. */
--- /dev/null
+++ b/packages/measure/src/placement/scenario.ts
@@ -0,0 +1,88 @@
+/** Sizes, loads and disturbances of one measurement. */
+
+export interface Scenario {
+  readonly seed: number;
+  readonly engines: number;
+  readonly routers: number;
+  readonly zones: number;
+  /** Measured time, after the warm-up, in seconds. */
+  readonly seconds: number;
+  readonly warmUpSeconds: number;
+  /** Mean requests in flight on one engine. */
+  readonly inFlight: number;
+  /** Requests that an engine runs at once before it refuses. */
+  readonly capacity: number;
+  /** Mean time that a request runs, in seconds. */
+  readonly serviceSeconds: number;
+  /** Age of endpoints' reports when a router sees them, in seconds. */
+  readonly lag: number;
+  readonly bound: number;
+  readonly teams: number;
+  /** Contexts that an engine keeps. */
+  readonly keptContexts: number;
+  /** Part of the callers that echo the last place. */
+  readonly echoing: number;
+  /** Whether engines leave, join, flap, and a zone is lost. */
+  readonly churn: boolean;
+  /** Whether one team sends ten times its share for a while. */
+  readonly surge: boolean;
+}
+
+export const todaysScenario: Scenario = {
+  seed: 1,
+  engines: 6,
+  routers: 17,
+  zones: 3,
+  seconds: 300,
+  warmUpSeconds: 120,
+  inFlight: 10,
+  capacity: 24,
+  serviceSeconds: 2,
+  lag: 1,
+  bound: 1.25,
+  teams: 10,
+  keptContexts: 300,
+  echoing: 1,
+  churn: true,
+  surge: true,
+};
+
+/** Requests a second of the whole fleet, without a surge. */
+export function arrivalRate(scenario: Scenario): number {
+  return (scenario.engines * scenario.inFlight) / scenario.serviceSeconds;
+}
+
+/** A span of the measured time, as fractions of it. */
+interface Span {
+  readonly from: number;
+  readonly to: number;
+}
+
+/** When one team surges. */
+export const surgeSpan: Span = { from: 0.35, to: 0.5 };
+
+/** A surging team sends this many times its usual load. */
+export const surgeFactor = 10;
+
+/** What happens to engines, at fractions of the measured time. */
+export type Disturbance =
+  | { readonly kind: 'leave'; readonly at: number }
+  | { readonly kind: 'join'; readonly at: number }
+  | { readonly kind: 'flap'; readonly at: number }
+  | { readonly kind: 'zone-lost'; readonly at: number }
+  | { readonly kind: 'zone-back'; readonly at: number }
+  | { readonly kind: 'router-replaced'; readonly at: number };
+
+export const disturbances: readonly Disturbance[] = [
+  { kind: 'leave', at: 0.08 },
+  { kind: 'join', at: 0.16 },
+  { kind: 'flap', at: 0.24 },
+  { kind: 'flap', at: 0.3 },
+  { kind: 'router-replaced', at: 0.55 },
+  { kind: 'zone-lost', at: 0.6 },
+  { kind: 'zone-back', at: 0.75 },
+  { kind: 'router-replaced', at: 0.85 },
+];
+
+/** Seconds for which a flapping engine is away. */
+export const flapSeconds = 8;
