--- a/packages/core/src/orders/order-book.test.ts
+++ b/packages/core/src/orders/order-book.test.ts
@@ -74,14 +74,23 @@
     return command && 'ticket' in command ? command.ticket : -1;
   }
 
-  const begin = (order: OrderCall) => run(() => { book.begin(order, now); });
+  const begin = (order: OrderCall) =>
+    run(() => {
+      book.begin(order, now);
+    });
   const wrote = (answer: WriteAnswer) =>
-    run(() => { book.writeAnswered(ticket(), answer, now); });
+    run(() => {
+      book.writeAnswered(ticket(), answer, now);
+    });
   const read = (answer: ReadAnswer) =>
-    run(() => { book.readAnswered(ticket(), answer, now); });
+    run(() => {
+      book.readAnswered(ticket(), answer, now);
+    });
   const later = (ms: number) => {
     now = instant(now + ms);
-    return run(() => { book.tick(now); });
+    return run(() => {
+      book.tick(now);
+    });
   };
 
   beforeEach(() => {
@@ -103,7 +112,9 @@
     expect(book.permitSend(requestId('a'), now)).to.equal(false);
     expect(begin(call('b'))).to.deep.equal([]);
     expect(begin(call('c', 'other'))).to.deep.equal(['key-conflict not_run']);
-    const finish = () => { book.finished(requestId('a'), result, now); };
+    const finish = () => {
+      book.finished(requestId('a'), result, now);
+    };
     expect(run(finish)).to.deep.equal(['replay', 'write']);
     last = last.slice(1);
     expect(wrote(committed)).to.deep.equal([]);
@@ -174,7 +185,9 @@
     wrote(committed);
     book.permitSend(requestId('a'), now);
     begin(call('b'));
-    const lose = () => { book.broken(requestId('a'), now); };
+    const lose = () => {
+      book.broken(requestId('a'), now);
+    };
     expect(run(lose)).to.deep.equal(['order-unsettled unknown', 'write']);
   });
 
