--- /dev/null
+++ b/packages/core/src/policies/bounded-retrying.ts
@@ -0,0 +1,65 @@
+/** Retrying of the request flow: moves are few, repeated runs come from a budget. */
+import type { Backoff } from '../retries/backoff';
+import { Deadline } from '../retries/deadline';
+import type { RetryBudget } from '../retries/retry-budget';
+import { mayRetry } from '../retries/retry-decision';
+import { RetryStep } from '../requests/steps';
+import type { FailedRequest, RetryAnswer } from '../requests/steps';
+import { milliseconds } from '../types/units';
+import type { Instant } from '../types/units';
+
+export interface BoundedRetryingOptions {
+  readonly budget: RetryBudget;
+  readonly backoff: Backoff;
+  readonly maxAttempts: number;
+  /** Times that one stream is taken up again. */
+  readonly maxResumptions: number;
+}
+
+const AT_ONCE: RetryAnswer = { kind: 'retry', after: milliseconds(0) };
+const GIVE_UP: RetryAnswer = { kind: 'give-up' };
+
+export class BoundedRetrying extends RetryStep {
+  readonly #options: BoundedRetryingOptions;
+
+  constructor(options: BoundedRetryingOptions) {
+    super();
+    this.#options = options;
+  }
+
+  override requestArrived(now: Instant): void {
+    this.#options.budget.requestStarted(now);
+  }
+
+  /**
+   * A request that no endpoint has run costs endpoints nothing, so it moves on
+   * at once; one that may have run is repeated only within the budget.
+   */
+  override mayRetry(failed: FailedRequest, now: Instant): RetryAnswer {
+    const { outcome, repeatable, attempts } = failed;
+    if (outcome === 'not_run') {
+      return attempts < this.#options.maxAttempts ? AT_ONCE : GIVE_UP;
+    }
+    const decision = mayRetry(
+      {
+        outcome,
+        idempotent: repeatable,
+        attempts,
+        deadline: new Deadline(failed.deadline),
+      },
+      this.#options,
+      now,
+    );
+    return decision.kind === 'retry'
+      ? { kind: 'retry', after: decision.delay }
+      : GIVE_UP;
+  }
+
+  override mayResume(resumptions: number): RetryAnswer {
+    if (resumptions >= this.#options.maxResumptions) {
+      return GIVE_UP;
+    }
+    const after = milliseconds(this.#options.backoff.delay(resumptions));
+    return { kind: 'retry', after };
+  }
+}
--- a/packages/core/src/policies/endpoint-placing.ts
+++ b/packages/core/src/policies/endpoint-placing.ts
@@ -5,7 +5,12 @@
 import type { LastPlaces } from '../placement/last-places';
 import type { Placement } from '../placement/placement';
 import { PlacingStep } from '../requests/steps';
-import type { AttemptEnding, PlacingAnswer } from '../requests/steps';
+import type {
+  AttemptEnding,
+  AttemptFacts,
+  AttemptObserver,
+  PlacingAnswer,
+} from '../requests/steps';
 import type { Request } from '../requests/types';
 import { chatId } from '../types/ids';
 import type { ChatId, EndpointId } from '../types/ids';
@@ -13,23 +18,13 @@
 import type { Instant } from '../types/units';
 import type { EndpointPools } from './endpoint-pools';
 
-/** Told how every attempt ended, to judge the endpoint's health. */
-export abstract class EndingObserver {
-  abstract ended(
-    request: Request,
-    endpoint: EndpointId,
-    ending: AttemptEnding,
-    now: Instant,
-  ): void;
-}
-
 export interface EndpointPlacingOptions {
   readonly pools: EndpointPools;
   readonly placement: Placement;
   readonly loads: LoadView;
   readonly places: LastPlaces;
   readonly endpoints: EndpointTable;
-  readonly observers: readonly EndingObserver[];
+  readonly observers: readonly AttemptObserver[];
 }
 
 const NO_ENDPOINT_RETRY = milliseconds(1000);
@@ -52,26 +47,36 @@
     return answerOf(this.#place(request, candidates, now));
   }
 
-  override started(request: Request, endpoint: EndpointId, now: Instant): void {
+  override started(facts: AttemptFacts, now: Instant): void {
+    const { request, endpoint } = facts;
     this.#options.loads.started(endpoint, now);
     if (request.target.kind === 'chat') {
       this.#options.places.remember(request.target.chat, endpoint);
     }
+    for (const observer of this.#options.observers) {
+      observer.started(facts, now);
+    }
+  }
+
+  override progressed(facts: AttemptFacts, now: Instant): void {
+    for (const observer of this.#options.observers) {
+      observer.progressed(facts, now);
+    }
   }
 
   override ended(
-    request: Request,
-    endpoint: EndpointId,
+    facts: AttemptFacts,
     ending: AttemptEnding,
+    events: number,
     now: Instant,
   ): void {
-    this.#options.loads.finished(endpoint, now);
+    this.#options.loads.finished(facts.endpoint, now);
     const evidence = evidenceOf(ending);
     if (evidence) {
-      this.#options.endpoints.evidence(endpoint, evidence, now);
+      this.#options.endpoints.evidence(facts.endpoint, evidence, now);
     }
     for (const observer of this.#options.observers) {
-      observer.ended(request, endpoint, ending, now);
+      observer.ended(facts, ending, events, now);
     }
   }
 
--- a/packages/core/src/policies/endpoint-pools.ts
+++ b/packages/core/src/policies/endpoint-pools.ts
@@ -7,9 +7,9 @@
   EndpointTable,
 } from '../membership/endpoint-table';
 import type { Candidate } from '../placement/candidate';
+import { joinWeight } from '../placement/join-ramp';
 import type { Target } from '../requests/types';
 import type { EndpointId } from '../types/ids';
-import { elapsed } from '../types/units';
 import type { Instant, Milliseconds } from '../types/units';
 
 export interface EndpointPoolsOptions {
@@ -21,9 +21,6 @@
   readonly isEjected: (endpoint: EndpointId, now: Instant) => boolean;
 }
 
-/** Least share of a joining endpoint. */
-const MIN_WEIGHT = 0.1;
-
 /** Returns the pool whose endpoints can stand in for each other. */
 export function poolOf(target: Target): PoolId {
   return target.kind === 'chat'
@@ -44,13 +41,13 @@
     const fit = suited.filter(row => !this.#options.isEjected(row.id, now));
     const rows = fit.length > 0 ? fit : suited;
     const weights = rows.map(row => this.#weight(row, now));
-    const top = Math.max(MIN_WEIGHT, ...weights);
+    const top = Math.max(0, ...weights);
     return rows.map((row, index) => ({
       id: row.id,
       zone: row.zone,
       load: this.#options.loads.estimate(row.id, now),
       capacity: row.capacity,
-      weight: (weights[index] ?? top) / top,
+      weight: top > 0 ? (weights[index] ?? top) / top : 1,
     }));
   }
 
@@ -74,8 +71,7 @@
   }
 
   #weight(row: EndpointMember, now: Instant): number {
-    const age = elapsed(row.rampStart, now);
-    return Math.min(1, Math.max(MIN_WEIGHT, age / this.#options.ramp));
+    return joinWeight(row.rampStart, now, this.#options.ramp);
   }
 }
 
--- a/packages/core/src/requests/request-flow.ts
+++ b/packages/core/src/requests/request-flow.ts
@@ -1,25 +1,26 @@
 /** Leads every request from arrival to its end; takes messages, gives commands. */
 import { SilentRecorder } from '../timeline/event';
 import type { EventRecorder } from '../timeline/event';
-import { Table } from '../table/table';
 import { attemptId } from '../types/ids';
 import type { AttemptId, EndpointId, RequestId } from '../types/ids';
 import type { RefusalReason } from '../types/refusal';
 import { addTime, milliseconds } from '../types/units';
 import type { Instant, Milliseconds } from '../types/units';
-import { refusalOf } from './outcome';
+import { outcomeOf } from './outcome';
+import { RequestLedger } from './request-ledger';
 import {
   endingOf,
   isRepeatable,
+  factsOf,
   isRunning,
   newRow,
   retrying,
-  settlementOf,
 } from './transitions';
 import type {
   AdmissionAnswer,
   AdmissionStep,
   AttemptEnding,
+  AttemptFacts,
   PlacingStep,
   RetryStep,
 } from './steps';
@@ -53,7 +54,7 @@
 
 /** State machine of all requests of one router. */
 export class RequestFlow {
-  readonly #rows = new Table<RequestId, RequestRow>();
+  readonly #ledger: RequestLedger;
   readonly #options: RequestFlowOptions;
   readonly #recorder: EventRecorder;
   #nextAttempt = 1;
@@ -61,15 +62,19 @@
   constructor(options: RequestFlowOptions) {
     this.#options = options;
     this.#recorder = options.recorder ?? new SilentRecorder();
+    this.#ledger = new RequestLedger({
+      admission: options.admission,
+      recorder: this.#recorder,
+    });
   }
 
   /** Requests that have not ended. */
   get inFlight(): number {
-    return this.#rows.size;
+    return this.#ledger.size;
   }
 
   row(id: RequestId): RequestRow | undefined {
-    return this.#rows.get(id);
+    return this.#ledger.get(id);
   }
 
   handle(message: RequestMessage, now: Instant): RequestCommand[] {
@@ -79,7 +84,7 @@
     if (message.kind === 'reattached') {
       return this.#reattach(message, now);
     }
-    const row = this.#rows.get(message.request);
+    const row = this.#ledger.get(message.request);
     if (!row) {
       return [];
     }
@@ -91,9 +96,8 @@
       case 'not-recorded':
         return this.#notRecorded(row, message, now);
       case 'replayed':
-        return this.#end(
-          this.#update(row, { record: 'closed' }),
-          { kind: 'finished' },
+        return this.#ledger.finish(
+          this.#ledger.update(row, { record: 'closed' }),
           now,
         );
       case 'not-sent':
@@ -102,6 +106,7 @@
       case 'delivered':
       case 'broken':
       case 'finished':
+      case 'withheld':
         return this.#handleAttempt(row, message, now);
     }
   }
@@ -111,21 +116,21 @@
     const commands = this.#options.admission
       .tick(now)
       .flatMap(({ request, answer }) => {
-        const row = this.#rows.get(request);
+        const row = this.#ledger.get(request);
         return row ? this.#admissionAnswered(row, answer, now) : [];
       });
-    for (const row of [...this.#rows.rows()]) {
+    for (const row of this.#ledger.all()) {
       commands.push(...this.#tickRow(row, now));
     }
     return commands;
   }
 
   #arrive(request: Request, now: Instant): RequestCommand[] {
-    if (this.#rows.has(request.id)) {
+    if (this.#ledger.get(request.id)) {
       return [];
     }
     const row = newRow(request);
-    this.#rows.put(row);
+    this.#ledger.put(row);
     this.#recorder.record('request-accepted', {
       request: request.id,
       team: request.team,
@@ -141,13 +146,13 @@
     now: Instant,
   ): RequestCommand[] {
     const { request, attempt, endpoint } = message;
-    this.#rows.put({
+    this.#ledger.put({
       ...newRow(request),
       state: { kind: 'answering', attempt, endpoint, resumptions: 0 },
       exposed: true,
       delivered: true,
     });
-    this.#options.placing.started(request, endpoint, now);
+    this.#options.placing.started({ request, attempt, endpoint }, now);
     const after = milliseconds(0);
     return [{ kind: 'resume', request: request.id, attempt, endpoint, after }];
   }
@@ -159,12 +164,15 @@
   ): RequestCommand[] {
     switch (answer.kind) {
       case 'refused':
-        return this.#refuse(row, answer.reason, now);
+        return this.#ledger.refuse(row, answer.reason, now);
       case 'queued':
         this.#recorder.record('request-queued', { request: row.id });
         return [];
       case 'admitted':
-        return this.#admitted(this.#update(row, { admitted: true }), now);
+        return this.#admitted(
+          this.#ledger.update(row, { admitted: true }),
+          now,
+        );
     }
   }
 
@@ -173,7 +181,7 @@
     if (isRepeatable(row.request)) {
       return this.#place(row, now);
     }
-    this.#update(row, {
+    this.#ledger.update(row, {
       state: { kind: 'waiting', on: 'record', until: deadline },
       record: 'open',
     });
@@ -190,11 +198,11 @@
     message: Extract<RequestMessage, { kind: 'not-recorded' }>,
     now: Instant,
   ): RequestCommand[] {
-    const known = this.#update(row, {
+    const known = this.#ledger.update(row, {
       exposed: message.inDoubt,
       record: 'closed',
     });
-    return this.#refuse(known, message.reason, now);
+    return this.#ledger.refuse(known, message.reason, now);
   }
 
   #place(row: RequestRow, now: Instant): RequestCommand[] {
@@ -202,7 +210,7 @@
     const answer = this.#options.placing.choose(request, avoided, now);
     switch (answer.kind) {
       case 'refused':
-        return this.#refuse(row, answer.reason, now);
+        return this.#ledger.refuse(row, answer.reason, now);
       case 'saturated':
         return this.#waitForRoom(row, answer.retryAfter, now);
       case 'endpoint':
@@ -220,10 +228,12 @@
       if (now < state.until) {
         return [];
       }
-      return this.#refuse(row, { kind: 'overloaded', retryAfter }, now);
+      return this.#ledger.refuse(row, { kind: 'overloaded', retryAfter }, now);
     }
     const until = addTime(now, this.#options.placementWait);
-    this.#move(row, { kind: 'waiting', on: 'placement', until });
+    this.#ledger.update(row, {
+      state: { kind: 'waiting', on: 'placement', until },
+    });
     return [];
   }
 
@@ -231,11 +241,14 @@
     const number = String(this.#nextAttempt);
     const attempt = attemptId(`${this.#options.attemptPrefix}.${number}`);
     this.#nextAttempt += 1;
-    this.#update(row, {
+    this.#ledger.update(row, {
       state: { kind: 'sent', attempt, endpoint, at: now },
       attempts: row.attempts + 1,
     });
-    this.#options.placing.started(row.request, endpoint, now);
+    this.#options.placing.started(
+      { request: row.request, attempt, endpoint },
+      now,
+    );
     this.#recorder.record('request-sent', {
       request: row.id,
       attempt,
@@ -254,23 +267,26 @@
     if (!current || state.attempt !== message.attempt) {
       return [];
     }
-    const { endpoint } = state;
+    const facts = factsOf(row, state);
     switch (message.kind) {
       case 'not-sent':
-        return this.#undone(row, endpoint, 'not-sent', now);
+        return this.#undone(row, facts, 'not-sent', now);
       case 'declined':
-        return this.#undone(row, endpoint, endingOf(message.decline), now);
+        return this.#undone(row, facts, endingOf(message.decline), now);
+      case 'withheld':
+        return this.#withheld(row, facts, now);
       case 'answering':
         this.#answering(row);
         return [];
       case 'delivered':
-        this.#update(row, { delivered: true });
+        this.#ledger.update(row, { delivered: true });
+        this.#options.placing.progressed(facts, now);
         return [];
       case 'broken':
         return this.#broken(row, message, now);
       case 'finished':
-        this.#options.placing.ended(row.request, endpoint, 'finished', now);
-        return this.#end(row, { kind: 'finished' }, now);
+        this.#options.placing.ended(facts, 'finished', message.events, now);
+        return this.#ledger.finish(row, now);
     }
   }
 
@@ -279,23 +295,41 @@
       return;
     }
     const { attempt, endpoint } = row.state;
-    this.#move(row, { kind: 'answering', attempt, endpoint, resumptions: 0 });
+    this.#ledger.update(row, {
+      state: { kind: 'answering', attempt, endpoint, resumptions: 0 },
+    });
   }
 
   /** Goes on after an attempt that provably ran nothing. */
   #undone(
     row: RequestRow,
-    endpoint: EndpointId,
+    facts: AttemptFacts,
     ending: AttemptEnding,
     now: Instant,
   ): RequestCommand[] {
-    this.#options.placing.ended(row.request, endpoint, ending, now);
+    const { endpoint } = facts;
+    this.#options.placing.ended(facts, ending, 0, now);
     const avoided = [...row.avoided, endpoint];
-    const known = this.#update(row, { avoided, state: retrying(now) });
+    const known = this.#ledger.update(row, { avoided, state: retrying(now) });
     const reason: RefusalReason = { kind: 'endpoint-refused', endpoint };
     return this.#retry(known, reason, now);
   }
 
+  /** Goes back to waiting for the record, which must be confirmed again. */
+  #withheld(
+    row: RequestRow,
+    facts: AttemptFacts,
+    now: Instant,
+  ): RequestCommand[] {
+    this.#options.placing.ended(facts, 'cancelled', 0, now);
+    const until = row.request.deadline;
+    this.#ledger.update(row, {
+      state: { kind: 'waiting', on: 'record', until },
+      attempts: row.attempts - 1,
+    });
+    return [];
+  }
+
   #broken(
     row: RequestRow,
     message: Extract<RequestMessage, { kind: 'broken' }>,
@@ -311,7 +345,7 @@
         return this.#resume(row, state, answer.after);
       }
     }
-    return this.#lost(row, state.endpoint, message.breakage, now);
+    return this.#lost(row, factsOf(row, state), message.breakage, now);
   }
 
   #resume(
@@ -320,7 +354,9 @@
     after: Milliseconds,
   ): RequestCommand[] {
     const { attempt, endpoint } = state;
-    this.#move(row, { ...state, resumptions: state.resumptions + 1 });
+    this.#ledger.update(row, {
+      state: { ...state, resumptions: state.resumptions + 1 },
+    });
     this.#recorder.record('request-resumed', {
       request: row.id,
       attempt,
@@ -332,12 +368,13 @@
   /** Goes on after an attempt that may have run. */
   #lost(
     row: RequestRow,
-    endpoint: EndpointId,
+    facts: AttemptFacts,
     breakage: Breakage,
     now: Instant,
   ): RequestCommand[] {
-    this.#options.placing.ended(row.request, endpoint, breakage, now);
-    const known = this.#update(row, {
+    const { endpoint, attempt } = facts;
+    this.#options.placing.ended(facts, breakage, 0, now);
+    const known = this.#ledger.update(row, {
       avoided: [...row.avoided, endpoint],
       exposed: true,
       state: retrying(now),
@@ -347,9 +384,16 @@
       ? { kind: 'stream-gone' }
       : { kind: 'answer-lost', endpoint };
     if (!isRepeatable(row.request) || row.delivered) {
-      return this.#refuse(known, reason, now);
+      return this.#ledger.refuse(known, reason, now);
     }
-    return this.#retry(known, reason, now);
+    // The endpoint may still run it; the next attempt makes that useless.
+    const cancel: RequestCommand = {
+      kind: 'cancel',
+      request: row.id,
+      attempt,
+      endpoint,
+    };
+    return [cancel, ...this.#retry(known, reason, now)];
   }
 
   #retry(
@@ -357,16 +401,26 @@
     reason: RefusalReason,
     now: Instant,
   ): RequestCommand[] {
-    const answer = this.#options.retrying.mayRetry(row.attempts, now);
+    const answer = this.#options.retrying.mayRetry(
+      {
+        outcome: outcomeOf(row),
+        repeatable: isRepeatable(row.request),
+        attempts: row.attempts,
+        deadline: row.request.deadline,
+      },
+      now,
+    );
     if (answer.kind === 'give-up') {
-      return this.#refuse(row, reason, now);
+      return this.#ledger.refuse(row, reason, now);
     }
     this.#recorder.record('request-retried', { request: row.id });
     if (answer.after <= IMMEDIATELY) {
       return this.#place(row, now);
     }
     const until = addTime(now, answer.after);
-    this.#move(row, { kind: 'waiting', on: 'retry', until });
+    this.#ledger.update(row, {
+      state: { kind: 'waiting', on: 'retry', until },
+    });
     return [];
   }
 
@@ -385,7 +439,11 @@
 
   #expire(row: RequestRow, now: Instant): RequestCommand[] {
     const cancel = this.#cancelAttempt(row, now);
-    const refusal = this.#refuse(row, { kind: 'deadline-exceeded' }, now);
+    const refusal = this.#ledger.refuse(
+      row,
+      { kind: 'deadline-exceeded' },
+      now,
+    );
     return [...cancel, ...refusal];
   }
 
@@ -394,7 +452,7 @@
       return [];
     }
     const cancel = this.#cancelAttempt(row, now);
-    return [...cancel, ...this.#end(row, { kind: 'finished' }, now)];
+    return [...cancel, ...this.#ledger.finish(row, now)];
   }
 
   #cancelAttempt(row: RequestRow, now: Instant): RequestCommand[] {
@@ -403,48 +461,7 @@
       return [];
     }
     const { attempt, endpoint } = state;
-    this.#options.placing.ended(row.request, endpoint, 'cancelled', now);
+    this.#options.placing.ended(factsOf(row, state), 'cancelled', 0, now);
     return [{ kind: 'cancel', request: row.id, attempt, endpoint }];
   }
-
-  #refuse(
-    row: RequestRow,
-    reason: RefusalReason,
-    now: Instant,
-  ): RequestCommand[] {
-    const refusal = refusalOf(row, reason);
-    const settling = this.#end(row, { kind: 'refused', refusal }, now);
-    this.#recorder.record(
-      'request-refused',
-      { request: row.id, team: row.request.team },
-      { reason: reason.kind, outcome: refusal.outcome },
-    );
-    return [{ kind: 'refuse', request: row.id, refusal }, ...settling];
-  }
-
-  /** Removes the row, returns its slot and settles a recorded order. */
-  #end(row: RequestRow, state: RequestState, now: Instant): RequestCommand[] {
-    this.#rows.delete(row.id);
-    this.#options.admission.released(row.request, now);
-    if (state.kind === 'finished') {
-      this.#recorder.record('request-finished', {
-        request: row.id,
-        team: row.request.team,
-      });
-    }
-    return settlementOf(row, state);
-  }
-
-  #move(row: RequestRow, state: RequestState): RequestRow {
-    return this.#update(row, { state });
-  }
-
-  #update(
-    row: RequestRow,
-    fields: Partial<Omit<RequestRow, 'id'>>,
-  ): RequestRow {
-    const updated = { ...row, ...fields };
-    this.#rows.put(updated);
-    return updated;
-  }
 }
--- a/packages/core/src/requests/steps.ts
+++ b/packages/core/src/requests/steps.ts
@@ -1,5 +1,6 @@
 /** What the request flow asks of the policies around it. */
-import type { EndpointId, RequestId } from '../types/ids';
+import type { AttemptId, EndpointId, RequestId } from '../types/ids';
+import type { Outcome } from '../types/outcome';
 import type { RefusalReason } from '../types/refusal';
 import type { Instant, Milliseconds } from '../types/units';
 import type { Request } from './types';
@@ -44,20 +45,43 @@
   | 'slow-start'
   | 'cancelled';
 
+/** One attempt of a request at an endpoint. */
+export interface AttemptFacts {
+  readonly request: Request;
+  readonly attempt: AttemptId;
+  readonly endpoint: EndpointId;
+}
+
+/** Follows attempts from their start to their end. */
+export abstract class AttemptObserver {
+  abstract started(facts: AttemptFacts, now: Instant): void;
+  /** The first part of the answer is here. */
+  abstract progressed(facts: AttemptFacts, now: Instant): void;
+  /** `events` is the number of streamed events of a finished attempt. */
+  abstract ended(
+    facts: AttemptFacts,
+    ending: AttemptEnding,
+    events: number,
+    now: Instant,
+  ): void;
+}
+
 /** Chooses endpoints and learns from how attempts end. */
-export abstract class PlacingStep {
+export abstract class PlacingStep extends AttemptObserver {
   abstract choose(
     request: Request,
     avoided: readonly EndpointId[],
     now: Instant,
   ): PlacingAnswer;
-  abstract started(request: Request, endpoint: EndpointId, now: Instant): void;
-  abstract ended(
-    request: Request,
-    endpoint: EndpointId,
-    ending: AttemptEnding,
-    now: Instant,
-  ): void;
+}
+
+/** What is known of a request whose last attempt failed. */
+export interface FailedRequest {
+  readonly outcome: Outcome;
+  readonly repeatable: boolean;
+  /** Attempts so far, at least 1. */
+  readonly attempts: number;
+  readonly deadline: Instant;
 }
 
 /** Whether another attempt may be made, and after what delay. */
@@ -65,11 +89,10 @@
   | { readonly kind: 'retry'; readonly after: Milliseconds }
   | { readonly kind: 'give-up' };
 
-/** Limits repeated attempts to a fraction of the traffic. */
+/** Limits repeated attempts. */
 export abstract class RetryStep {
   abstract requestArrived(now: Instant): void;
-  /** Decides on an attempt after `attempts` earlier ones. */
-  abstract mayRetry(attempts: number, now: Instant): RetryAnswer;
+  abstract mayRetry(failed: FailedRequest, now: Instant): RetryAnswer;
   /** Decides on going on with a broken stream. */
   abstract mayResume(resumptions: number, now: Instant): RetryAnswer;
 }
--- a/packages/core/src/requests/transitions.ts
+++ b/packages/core/src/requests/transitions.ts
@@ -1,6 +1,6 @@
 /** Small pure steps of a request's row. */
 import type { Instant } from '../types/units';
-import type { AttemptEnding } from './steps';
+import type { AttemptEnding, AttemptFacts } from './steps';
 import type {
   Decline,
   Request,
@@ -64,3 +64,11 @@
     record: 'none',
   };
 }
+
+/** Returns what identifies the attempt that is under way. */
+export function factsOf(
+  { request }: RequestRow,
+  state: Extract<RequestState, { kind: 'sent' | 'answering' }>,
+): AttemptFacts {
+  return { request, attempt: state.attempt, endpoint: state.endpoint };
+}
--- a/packages/core/src/requests/types.ts
+++ b/packages/core/src/requests/types.ts
@@ -138,6 +138,14 @@
       readonly kind: 'finished';
       readonly request: RequestId;
       readonly attempt: AttemptId;
+      /** Streamed events of the answer; 0 for one in one piece. */
+      readonly events: number;
+    }
+  /** The order's record did not permit the send; nothing went out. */
+  | {
+      readonly kind: 'withheld';
+      readonly request: RequestId;
+      readonly attempt: AttemptId;
     }
   | { readonly kind: 'caller-left'; readonly request: RequestId }
   /** The order's row is confirmed; only now may the call be sent. */
--- a/packages/router/src/dispatch/request-dispatcher.ts
+++ b/packages/router/src/dispatch/request-dispatcher.ts
@@ -17,6 +17,8 @@
 export abstract class OrderDesk {
   abstract record(exchange: Exchange): void;
   abstract settle(request: Request, ending: 'never-sent' | 'in-doubt'): void;
+  /** The endpoint provably ran nothing; the call may be sent again. */
+  abstract unrun(request: RequestId): void;
   /** Checks again, right before sending, that the call may be sent. */
   abstract maySend(request: Request): boolean;
 }
@@ -85,6 +87,9 @@
   }
 
   post(message: RequestMessage): void {
+    if (message.kind === 'not-sent' || message.kind === 'declined') {
+      this.#orders?.unrun(message.request);
+    }
     const commands = this.#flow.handle(message, this.#timers.now());
     this.#perform(commands);
     this.#forget(message);
@@ -159,7 +164,7 @@
     const single = request.target.kind === 'call' && !request.target.repeatable;
     if (single && this.#orders?.maySend(request) !== true) {
       this.post({
-        kind: 'not-sent',
+        kind: 'withheld',
         request: request.id,
         attempt: task.attempt,
       });
--- a/packages/router/src/endpoints/attempt-runner.ts
+++ b/packages/router/src/endpoints/attempt-runner.ts
@@ -186,7 +186,12 @@
     switch (end.kind) {
       case 'finished':
         this.#close(attempt);
-        this.#options.post({ kind: 'finished', request, attempt });
+        this.#options.post({
+          kind: 'finished',
+          request,
+          attempt,
+          events: eventsOf(exchange),
+        });
         return;
       case 'caller-left':
         this.#options.post({ kind: 'caller-left', request });
@@ -241,6 +246,10 @@
 
 const CANCEL_TIMEOUT_MS = 5000;
 
+function eventsOf({ shape }: Exchange): number {
+  return shape.kind === 'stream' ? shape.order.last : 0;
+}
+
 function streamPath(attempt: AttemptId): string {
   return `/v1/streams/${encodeURIComponent(attempt)}`;
 }
--- a/packages/router/src/logs/logger.ts
+++ b/packages/router/src/logs/logger.ts
@@ -6,17 +6,13 @@
 
 /** Makes a logger that writes JSON lines to standard error. */
 export function createLogger({ router, log }: Settings): Logger {
-  return winston.createLogger({
+  const logger = winston.createLogger({
     level: log.level,
     defaultMeta: { router: router.id, zone: router.zone },
     format: winston.format.combine(
       winston.format.timestamp(),
       winston.format.json(),
     ),
-    transports: [
-      new winston.transports.Stream({
-        stream: process.stderr,
-      }),
-    ],
   });
+  return logger.add(new winston.transports.Stream({ stream: process.stderr }));
 }
