Add the stand-in service, the fault proxy and the stand-in command

Fleet tests with real processes need every neighbour of a router as a process that can be told to misbehave while it runs. The service counts executions by key and request, refuses or loses answers; the TCP proxy delays, stalls, cuts, resets, drops, refuses.

--- a/packages/cli/src/commands/commands.ts
+++ b/packages/cli/src/commands/commands.ts
@@ -1,6 +1,7 @@
 import type { Command } from './command';
+import { StandInCommand } from './stand-in';
 
 /** Every command, in the order in which the help lists them. */
 export function commands(): Command[] {
-  return [];
+  return [new StandInCommand()];
 }
--- a/packages/stand-ins/src/engine/engine-options.ts
+++ b/packages/stand-ins/src/engine/engine-options.ts
@@ -54,3 +54,13 @@
   crashDowntime: milliseconds(2000),
   seed: 1,
 };
+
+/** Fills in the defaults for what is absent or undefined. */
+export function engineBehaviour(
+  options: Partial<EngineBehaviour>,
+): EngineBehaviour {
+  const given = Object.entries<unknown>({ ...options }).filter(
+    ([, value]) => value !== undefined,
+  );
+  return { ...DEFAULT_ENGINE_BEHAVIOUR, ...Object.fromEntries(given) };
+}
--- a/packages/stand-ins/src/engine/engine-server.ts
+++ b/packages/stand-ins/src/engine/engine-server.ts
@@ -27,7 +27,7 @@
 import { EngineOrders } from './engine-orders';
 import { EngineModel } from './engine-model';
 import type { SubmitRefusal } from './engine-model';
-import { DEFAULT_ENGINE_BEHAVIOUR } from './engine-options';
+import { engineBehaviour } from './engine-options';
 import type { EngineBehaviour } from './engine-options';
 import { metricsText } from './metrics';
 import { wholeAnswer } from './sequence';
@@ -61,7 +61,7 @@
 
   constructor(options: EngineOptions = {}) {
     super(options.listen ?? LOOPBACK);
-    this.#behaviour = { ...DEFAULT_ENGINE_BEHAVIOUR, ...options };
+    this.#behaviour = engineBehaviour(options);
     this.#model = new EngineModel(this.#behaviour, this.#now());
     this.#cache = new CacheInterface(this.#model);
     this.#orders = new EngineOrders(
--- /dev/null
+++ b/packages/stand-ins/src/fault-proxy/proxy-fault.ts
@@ -0,0 +1,21 @@
+/** Faults that a TCP fault proxy puts between two processes. */
+import { z } from 'zod';
+
+export const proxyFaultSchema = z.strictObject({
+  /** Delay of every chunk, in each direction. */
+  delayMs: z.number().nonnegative().default(0),
+  /** Holds all bytes back until the fault is cleared. */
+  stall: z.boolean().default(false),
+  /** Resets every connection that is open, once. */
+  reset: z.boolean().default(false),
+  /** Resets a connection after this many bytes to the client; null for never. */
+  cutAfterBytes: z.number().int().nonnegative().nullable().default(null),
+  /** Swallows the bytes of one direction. */
+  drop: z.enum(['none', 'to-target', 'to-client']).default('none'),
+  /** Resets new connections. */
+  refuse: z.boolean().default(false),
+});
+
+export type ProxyFault = z.infer<typeof proxyFaultSchema>;
+
+export const NO_FAULT: ProxyFault = proxyFaultSchema.parse({});
--- /dev/null
+++ b/packages/stand-ins/src/service/execution-log.ts
@@ -0,0 +1,53 @@
+/** A plain service's own record of every call that it executed. */
+
+/** One executed call. */
+export interface Execution {
+  readonly idempotencyKey?: string;
+  readonly requestId?: string;
+  readonly method: string;
+  readonly path: string;
+  /** SHA-256 of the body, in hexadecimal. */
+  readonly bodyHash: string;
+  /** Milliseconds since the Unix epoch. */
+  readonly at: number;
+}
+
+/** What `GET /control/executions` answers. */
+export interface ExecutionReport {
+  readonly total: number;
+  readonly byKey: Readonly<Record<string, number>>;
+  readonly byRequest: Readonly<Record<string, number>>;
+  readonly executions: readonly Execution[];
+}
+
+function count(counts: Map<string, number>, name: string | undefined): number {
+  if (name === undefined) {
+    return 0;
+  }
+  const value = (counts.get(name) ?? 0) + 1;
+  counts.set(name, value);
+  return value;
+}
+
+export class ExecutionLog {
+  readonly #executions: Execution[] = [];
+  readonly #byKey = new Map<string, number>();
+  readonly #byRequest = new Map<string, number>();
+
+  /** Adds a call and returns its number among all. */
+  add(execution: Execution): number {
+    this.#executions.push(execution);
+    count(this.#byKey, execution.idempotencyKey);
+    count(this.#byRequest, execution.requestId);
+    return this.#executions.length;
+  }
+
+  report(): ExecutionReport {
+    return {
+      total: this.#executions.length,
+      byKey: Object.fromEntries(this.#byKey),
+      byRequest: Object.fromEntries(this.#byRequest),
+      executions: this.#executions,
+    };
+  }
+}
