--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -89,5 +89,10 @@
       ],
     },
   },
+  {
+    // winston's declared transports do not match its own stream types.
+    files: ['packages/router/src/logs/logger.ts'],
+    rules: { '@typescript-eslint/no-unsafe-class-instance-assignment': 'off' },
+  },
   prettier,
 );
--- a/packages/cli/src/commands/commands.ts
+++ b/packages/cli/src/commands/commands.ts
@@ -1,7 +1,9 @@
+import { CheckCommand } from './check';
 import type { Command } from './command';
+import { RouterCommand } from './router';
 import { StandInCommand } from './stand-in';
 
 /** Every command, in the order in which the help lists them. */
 export function commands(): Command[] {
-  return [new StandInCommand()];
+  return [new RouterCommand(), new CheckCommand(), new StandInCommand()];
 }
--- a/packages/router/src/metrics/counters.ts
+++ b/packages/router/src/metrics/counters.ts
@@ -17,12 +17,13 @@
 
 /** Makes the statsd client that the settings ask for; port 0 sends nothing. */
 export function createStatsd({ metrics, router }: Settings): StatsD {
+  const silent = metrics.statsd_port === 0;
   return new StatsD({
     host: metrics.statsd_host,
-    port: metrics.statsd_port,
+    ...(silent ? {} : { port: metrics.statsd_port }),
     prefix: metrics.prefix,
     globalTags: { router: router.id, zone: router.zone },
-    mock: metrics.statsd_port === 0,
+    mock: silent,
     // A lost metric must not end the process.
     errorHandler: () => undefined,
   });
--- /dev/null
+++ b/packages/router/src/orders/store-order-desk.ts
@@ -0,0 +1,206 @@
+/** Carries the order book's commands to the platform's tables and to callers. */
+import type { OrderBook } from '@sesamegrade/core/orders/order-book';
+import type { OrderCommand } from '@sesamegrade/core/orders/order';
+import { INLINE_RESULT_BYTES } from '@sesamegrade/core/orders/order-row';
+import type { RecordedResult } from '@sesamegrade/core/orders/order-row';
+import type { Request } from '@sesamegrade/core/requests/types';
+import type { TimerService } from '@sesamegrade/core/time/timer-service';
+import type { RequestId } from '@sesamegrade/core/types/ids';
+import { milliseconds } from '@sesamegrade/core/types/units';
+import type { Exchange } from '../dispatch/exchange';
+import { OrderDesk } from '../dispatch/request-dispatcher';
+import type { RequestDispatcher } from '../dispatch/request-dispatcher';
+import { sendWhole } from '../endpoints/whole-relay';
+import type { WholeAnswer } from '../endpoints/whole-relay';
+import type { Platform } from '../platform/platform';
+
+export interface StoreOrderDeskOptions {
+  readonly orderBook: OrderBook;
+  readonly platform: Platform;
+  readonly timers: TimerService;
+  readonly dispatcher: RequestDispatcher;
+}
+
+const TICK_PERIOD = milliseconds(20);
+const JSON_TYPE = 'application/json';
+
+export class StoreOrderDesk extends OrderDesk {
+  readonly #book: OrderBook;
+  readonly #platform: Platform;
+  readonly #timers: TimerService;
+  readonly #dispatcher: RequestDispatcher;
+
+  constructor(options: StoreOrderDeskOptions) {
+    super();
+    this.#book = options.orderBook;
+    this.#platform = options.platform;
+    this.#timers = options.timers;
+    this.#dispatcher = options.dispatcher;
+  }
+
+  /** Orders whose last state the store does not have yet. */
+  get open(): number {
+    return this.#book.open;
+  }
+
+  start(): () => void {
+    return this.#timers.every(TICK_PERIOD, now => {
+      this.#book.tick(now);
+      this.#perform();
+    });
+  }
+
+  override record({ request }: Exchange): void {
+    const { target } = request;
+    if (target.kind !== 'call' || target.key === undefined) {
+      return;
+    }
+    this.#book.begin(
+      {
+        request: request.id,
+        team: request.team,
+        service: target.service,
+        key: target.key,
+        fingerprint: request.fingerprint,
+        deadline: request.deadline,
+      },
+      this.#timers.now(),
+    );
+    this.#perform();
+  }
+
+  override maySend(request: Request): boolean {
+    const permitted = this.#book.permitSend(request.id, this.#timers.now());
+    this.#perform();
+    return permitted;
+  }
+
+  override unrun(request: RequestId): void {
+    this.#book.refusedUnrun(request);
+    this.#perform();
+  }
+
+  override settle(request: Request, ending: 'never-sent' | 'in-doubt'): void {
+    const now = this.#timers.now();
+    if (ending === 'in-doubt') {
+      this.#book.broken(request.id, now);
+    } else {
+      this.#book.neverSent(request.id, now);
+    }
+    this.#perform();
+  }
+
+  /** Records a whole answer, so that a repeated call gets it again. */
+  async answered(request: Request, answer: WholeAnswer): Promise<void> {
+    const { target } = request;
+    if (target.kind !== 'call' || target.repeatable) {
+      return;
+    }
+    const result = await this.#recordedResult(request, answer);
+    this.#book.finished(request.id, result, this.#timers.now());
+    this.#perform();
+  }
+
+  async #recordedResult(
+    request: Request,
+    { status, headers, body }: WholeAnswer,
+  ): Promise<RecordedResult> {
+    const type = headers['content-type'];
+    const contentType = typeof type === 'string' ? type : JSON_TYPE;
+    if (body.length <= INLINE_RESULT_BYTES) {
+      const base64 = body.toString('base64');
+      return { status, contentType, body: { kind: 'inline', base64 } };
+    }
+    const key = `order-results/${request.fingerprint}/${request.id}`;
+    const stored = await this.#platform.writeObject(key, body);
+    if (stored.kind === 'stored') {
+      return { status, contentType, body: { kind: 'object', key } };
+    }
+    return { status, contentType, body: { kind: 'dropped' } };
+  }
+
+  #perform(): void {
+    for (const command of this.#book.takeCommands()) {
+      this.#performOne(command);
+    }
+  }
+
+  #performOne(command: OrderCommand): void {
+    switch (command.kind) {
+      case 'write':
+        void this.#write(command);
+        return;
+      case 'read':
+        void this.#read(command);
+        return;
+      case 'send':
+        this.#dispatcher.post({ kind: 'recorded', request: command.request });
+        return;
+      case 'replay':
+        void this.#replay(command.request, command.result);
+        return;
+      case 'refuse':
+        this.#dispatcher.post({
+          kind: 'not-recorded',
+          request: command.request,
+          reason: command.reason,
+          inDoubt: command.outcome !== 'not_run',
+        });
+    }
+  }
+
+  async #write(
+    command: Extract<OrderCommand, { kind: 'write' }>,
+  ): Promise<void> {
+    const answer = await this.#platform.write(command.operations);
+    this.#book.writeAnswered(command.ticket, answer, this.#timers.now());
+    this.#perform();
+  }
+
+  async #read(command: Extract<OrderCommand, { kind: 'read' }>): Promise<void> {
+    const answer = await this.#platform.read(command.table, command.key);
+    this.#book.readAnswered(command.ticket, answer, this.#timers.now());
+    this.#perform();
+  }
+
+  /** Gives a caller the answer that an earlier call with its key got. */
+  async #replay(request: RequestId, result: RecordedResult): Promise<void> {
+    const body = await this.#bodyOf(result);
+    const exchange = this.#dispatcher.exchangeOf(request);
+    if (!exchange) {
+      return;
+    }
+    if (body === undefined) {
+      this.#dispatcher.post({
+        kind: 'not-recorded',
+        request,
+        reason: { kind: 'order-unsettled' },
+        inDoubt: true,
+      });
+      return;
+    }
+    sendWhole(
+      exchange.answer,
+      {
+        status: result.status,
+        headers: { 'content-type': result.contentType },
+        body,
+      },
+      { 'x-answer-repeated': 'true' },
+    );
+    this.#dispatcher.post({ kind: 'replayed', request });
+  }
+
+  async #bodyOf({ body }: RecordedResult): Promise<Buffer | undefined> {
+    switch (body.kind) {
+      case 'inline':
+        return Buffer.from(body.base64, 'base64');
+      case 'object': {
+        const object = await this.#platform.readObject(body.key);
+        return object.kind === 'found' ? Buffer.from(object.body) : undefined;
+      }
+      case 'dropped':
+        return undefined;
+    }
+  }
+}
