--- /dev/null
+++ b/packages/core/src/poison/keeper-choice.ts
@@ -0,0 +1,75 @@
+/** Which router keeps the trials of a suspect, and from when on it may grant them. */
+import { topMember } from '../hashing/rendezvous';
+import type { RouterId } from '../types/ids';
+import { elapsed } from '../types/units';
+import type { Instant } from '../types/units';
+import { openCrashes } from './suspect';
+import type { Suspect } from './suspect';
+import { trialLength } from './trial-keeper';
+
+/** Former sets of routers remembered at once. */
+const maxFormerSets = 16;
+
+interface FormerSet {
+  readonly routers: readonly RouterId[];
+  readonly endedAt: Instant;
+}
+
+export class KeeperChoice {
+  readonly #self: RouterId;
+  #routers: readonly RouterId[];
+  #former: FormerSet[] = [];
+  #started = false;
+
+  constructor(self: RouterId) {
+    this.#self = self;
+    this.#routers = [self];
+  }
+
+  /** The live routers, this one included. */
+  get routers(): readonly RouterId[] {
+    return this.#routers;
+  }
+
+  routersChanged(routers: readonly RouterId[], now: Instant): void {
+    const next = [...new Set([this.#self, ...routers])].sort();
+    if (this.#started && next.join() === this.#routers.join()) {
+      return;
+    }
+    // What the fleet was before this router knew of it is unknown.
+    const before = this.#started ? this.#routers : [];
+    this.#former.push({ routers: before, endedAt: now });
+    this.#former = this.#former.slice(-maxFormerSets);
+    this.#routers = next;
+    this.#started = true;
+  }
+
+  /** All suspects of one crash have the same keeper. */
+  keeperOf(row: Suspect): RouterId | undefined {
+    return choose(row, this.#routers);
+  }
+
+  /**
+   * True when this router keeps the suspect's trials and any trial that
+   * another router granted before has run out.
+   */
+  mayGrant(row: Suspect, now: Instant): boolean {
+    if (choose(row, this.#routers) !== this.#self) {
+      return false;
+    }
+    return this.#former.every(
+      ({ routers, endedAt }) =>
+        endedAt < row.seenAt ||
+        elapsed(endedAt, now) >= trialLength ||
+        choose(row, routers) === this.#self,
+    );
+  }
+}
+
+function choose(
+  row: Suspect,
+  routers: readonly RouterId[],
+): RouterId | undefined {
+  const crash = openCrashes(row)[0] ?? [...row.crashes].sort()[0];
+  return crash === undefined ? undefined : topMember(crash, routers);
+}
