--- a/packages/core/src/gossip/gossip-topic.ts
+++ b/packages/core/src/gossip/gossip-topic.ts
@@ -28,4 +28,9 @@
 
   /** Drops what is kept for a peer that left. */
   abstract forget(peer: RouterId): void;
+
+  /** Peers that should be told something soon; the others take their turn. */
+  urgentPeers(): readonly RouterId[] {
+    return [];
+  }
 }
