--- a/packages/core/src/orders/order-book.ts
+++ b/packages/core/src/orders/order-book.ts
@@ -42,12 +42,14 @@
 };
 
 const STORE_RETRY_AFTER = seconds(1);
+const STOPPING_RETRY_AFTER = seconds(0);
 
 export class OrderBook extends System {
   readonly #settings: OrderSettings;
   readonly #rules: OrderRules;
   readonly #ledger: OrderLedger;
   readonly #settlement: OrderSettlement;
+  #isStopping = false;
 
   constructor(options: OrderBookOptions) {
     super();
@@ -78,6 +80,11 @@
     return this.#ledger.takeCommands();
   }
 
+  /** Refuses calls with new keys from now on; the rest goes on to its end. */
+  stop(): void {
+    this.#isStopping = true;
+  }
+
   /** Starts a call, or joins it to one with the same key. */
   begin(call: OrderCall, now: Instant): void {
     if (this.#ledger.hasRequest(call.request)) {
@@ -89,6 +96,11 @@
       this.#join(held, call);
       return;
     }
+    if (this.#isStopping) {
+      const retryAfter = STOPPING_RETRY_AFTER;
+      this.#ledger.refuse(call, { kind: 'stopping', retryAfter }, 'not_run');
+      return;
+    }
     if (this.#ledger.size >= this.#settings.maxOrders) {
       this.#ledger.refuse(call, storeUnavailable(), 'not_run');
       return;
@@ -162,17 +174,19 @@
     this.#settlement.close(rest, this.#rules.lostAnswerState(), now);
   }
 
-  /** The request ends without having been sent: no endpoint, or its caller left. */
-  neverSent(request: RequestId, now: Instant): void {
+  /**
+   * The request ends without having been sent: no endpoint, or its caller left.
+   * Returns what may be said of it; another caller may still run the order.
+   */
+  neverSent(request: RequestId, now: Instant): Outcome {
     const order = this.#ledger.ofRequest(request);
-    if (!order) {
-      return;
-    }
-    if (this.#sentBy(request)) {
+    if (!order || this.#sentBy(request)) {
       this.broken(request, now);
-      return;
+      return 'unknown';
     }
+    const outcome = this.#rules.waitingOutcome(order);
     this.#leave(order, request, now);
+    return outcome;
   }
 
   /** Takes the answer to a `write` command; only the first for a ticket counts. */
