--- a/packages/cli/src/commands/commands.ts
+++ b/packages/cli/src/commands/commands.ts
@@ -1,9 +1,15 @@
 import { CheckCommand } from './check';
 import type { Command } from './command';
+import { MeasureGossipCommand } from './measure-gossip';
 import { RouterCommand } from './router';
 import { StandInCommand } from './stand-in';
 
 /** Every command, in the order in which the help lists them. */
 export function commands(): Command[] {
-  return [new RouterCommand(), new CheckCommand(), new StandInCommand()];
+  return [
+    new RouterCommand(),
+    new CheckCommand(),
+    new StandInCommand(),
+    new MeasureGossipCommand(),
+  ];
 }
