Hold content whose endpoint may have crashed and test the request flow

Cause: a request that crashes engines must not be retried before the crash is known. Change: attempts that break wait for a probe of their endpoint; a dead or restarted one makes suspects of what it ran, which are run alone or refused. A property test drives the flow with random events against a record of what really ran.

--- a/packages/core/src/policies/endpoint-placing.ts
+++ b/packages/core/src/policies/endpoint-placing.ts
@@ -16,6 +16,8 @@
 import type { ChatId, EndpointId } from '../types/ids';
 import { milliseconds } from '../types/units';
 import type { Instant } from '../types/units';
+import type { SuspectRegistry } from '../poison/suspect-registry';
+import type { CrashWatch } from './crash-watch';
 import type { EndpointPools } from './endpoint-pools';
 
 export interface EndpointPlacingOptions {
@@ -24,6 +26,8 @@
   readonly loads: LoadView;
   readonly places: LastPlaces;
   readonly endpoints: EndpointTable;
+  readonly crashes: CrashWatch;
+  readonly suspects: SuspectRegistry;
   readonly observers: readonly AttemptObserver[];
 }
 
@@ -44,7 +48,35 @@
   ): PlacingAnswer {
     const suited = this.#options.pools.candidates(request.target, now);
     const candidates = suited.filter(({ id }) => !avoided.includes(id));
-    return answerOf(this.#place(request, candidates, now));
+    const { crashes, suspects } = this.#options;
+    if (crashes.inDoubt(request.fingerprint)) {
+      return { kind: 'held' };
+    }
+    const leastLoss = candidates.toSorted(
+      (left, right) => left.load - right.load,
+    );
+    const ids = leastLoss.map(({ id }) => id);
+    const decision = suspects.decide(request.fingerprint, ids, now);
+    switch (decision.kind) {
+      case 'run':
+        return answerOf(this.#place(request, this.#spared(candidates), now));
+      case 'run-isolated':
+        return { kind: 'endpoint', endpoint: decision.endpoint };
+      case 'hold':
+        return { kind: 'held' };
+      case 'refuse':
+        return { kind: 'refused', reason: decision.reason };
+    }
+  }
+
+  /** Leaves out endpoints where a suspect runs, while there are others. */
+  #spared(candidates: readonly Candidate[]): readonly Candidate[] {
+    const trials = this.#options.suspects.trialEndpoints();
+    if (trials.length === 0) {
+      return candidates;
+    }
+    const others = candidates.filter(({ id }) => !trials.includes(id));
+    return others.length > 0 ? others : candidates;
   }
 
   override started(facts: AttemptFacts, now: Instant): void {
--- /dev/null
+++ b/packages/core/src/requests/request-flow.test.ts
@@ -0,0 +1,359 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+
+import { Random } from '../random/random';
+import {
+  chatId,
+  endpointId,
+  fingerprint,
+  idempotencyKey,
+  modelId,
+  requestId,
+  serviceId,
+  teamId,
+} from '../types/ids';
+import type { AttemptId, EndpointId, RequestId } from '../types/ids';
+import { instant, milliseconds } from '../types/units';
+import { RequestFlow } from './request-flow';
+import { AdmissionStep, PlacingStep, RetryStep } from './steps';
+import type { RefusalReason } from '../types/refusal';
+import type {
+  AdmissionAnswer,
+  AttemptEnding,
+  AttemptFacts,
+  FailedRequest,
+  PlacingAnswer,
+  QueuedAnswer,
+  RetryAnswer,
+} from './steps';
+import type { Request, RequestCommand, RequestMessage } from './types';
+
+const RETRY_AFTER = milliseconds(100);
+const OVER_LIMIT: RefusalReason = {
+  kind: 'team-over-limit',
+  retryAfter: RETRY_AFTER,
+};
+const NO_ENDPOINT: RefusalReason = {
+  kind: 'no-endpoint',
+  retryAfter: RETRY_AFTER,
+};
+const STORE_DOWN: RefusalReason = {
+  kind: 'store-unavailable',
+  retryAfter: RETRY_AFTER,
+};
+
+class RandomAdmission extends AdmissionStep {
+  readonly #random: Random;
+  readonly #queued = new Set<RequestId>();
+
+  constructor(random: Random) {
+    super();
+    this.#random = random;
+  }
+
+  override request({ id, deadline }: Request): AdmissionAnswer {
+    const draw = this.#random.integer(0, 9);
+    if (draw === 0) {
+      return { kind: 'refused', reason: OVER_LIMIT };
+    }
+    if (draw === 1) {
+      this.#queued.add(id);
+      return { kind: 'queued', until: deadline };
+    }
+    return { kind: 'admitted' };
+  }
+
+  override released({ id }: Request): void {
+    this.#queued.delete(id);
+  }
+
+  override tick(): readonly QueuedAnswer[] {
+    const answers = [...this.#queued].map(request => ({
+      request,
+      answer: { kind: 'admitted' } as const,
+    }));
+    this.#queued.clear();
+    return answers;
+  }
+}
+
+class RandomPlacing extends PlacingStep {
+  readonly #random: Random;
+  readonly open = new Set<AttemptId>();
+
+  constructor(random: Random) {
+    super();
+    this.#random = random;
+  }
+
+  override choose(
+    _request: Request,
+    avoided: readonly EndpointId[],
+  ): PlacingAnswer {
+    const draw = this.#random.integer(0, 9);
+    if (draw === 0) {
+      return { kind: 'held' };
+    }
+    if (draw === 1) {
+      return { kind: 'saturated', retryAfter: RETRY_AFTER };
+    }
+    const free = ['a', 'b', 'c', 'd']
+      .map(endpointId)
+      .filter(id => !avoided.includes(id));
+    if (free.length === 0) {
+      return { kind: 'refused', reason: NO_ENDPOINT };
+    }
+    return { kind: 'endpoint', endpoint: this.#random.pick(free) };
+  }
+
+  override started({ attempt }: AttemptFacts): void {
+    this.open.add(attempt);
+  }
+
+  override progressed(): void {
+    // Not looked at.
+  }
+
+  override ended({ attempt }: AttemptFacts, ending: AttemptEnding): void {
+    expect(this.open.delete(attempt), `${attempt} ${ending}`).to.equal(true);
+  }
+}
+
+class BoundedRetry extends RetryStep {
+  override requestArrived(): void {
+    // No budget.
+  }
+
+  override mayRetry(failed: FailedRequest): RetryAnswer {
+    const allowed = failed.outcome === 'not_run' || failed.repeatable;
+    return allowed && failed.attempts < 3
+      ? { kind: 'retry', after: milliseconds(failed.attempts) }
+      : { kind: 'give-up' };
+  }
+
+  override mayResume(resumptions: number): RetryAnswer {
+    return resumptions < 2
+      ? { kind: 'retry', after: milliseconds(1) }
+      : { kind: 'give-up' };
+  }
+}
+
+type Sent = Extract<RequestCommand, { kind: 'send' | 'resume' }>;
+
+/** What endpoints, the store and callers really did to one request. */
+class Truth {
+  runs = 0;
+  recorded = false;
+  ended = 0;
+  settled: string[] = [];
+}
+
+/** Drives a flow with random events and checks each command against the truth. */
+class World {
+  readonly #random: Random;
+  readonly #flow: RequestFlow;
+  readonly #placing: RandomPlacing;
+  readonly #truths = new Map<RequestId, Truth>();
+  readonly #requests = new Map<RequestId, Request>();
+  readonly #running: Sent[] = [];
+  readonly #unrecorded: RequestId[] = [];
+  #now = instant(0);
+
+  constructor(seed: number) {
+    this.#random = new Random(seed);
+    this.#placing = new RandomPlacing(this.#random);
+    this.#flow = new RequestFlow({
+      admission: new RandomAdmission(this.#random),
+      placing: this.#placing,
+      retrying: new BoundedRetry(),
+      placementWait: milliseconds(20),
+      attemptPrefix: 'r',
+    });
+  }
+
+  run(requests: number, steps: number): void {
+    for (let index = 0; index < requests; index += 1) {
+      this.#arrive(index);
+    }
+    for (let step = 0; step < steps; step += 1) {
+      this.#now = instant(this.#now + this.#random.integer(0, 5));
+      this.#step();
+      this.#perform(this.#flow.tick(this.#now));
+    }
+    this.#now = instant(10_000);
+    this.#perform(this.#flow.tick(this.#now));
+    expect(this.#flow.inFlight).to.equal(0);
+    expect(this.#placing.open.size, 'attempts left open').to.equal(0);
+    this.#checkEnds();
+  }
+
+  #arrive(index: number): void {
+    const repeatable = this.#random.integer(0, 1) === 0;
+    const id = requestId(`q${index}`);
+    const request: Request = {
+      id,
+      team: teamId('t'),
+      target: repeatable
+        ? { kind: 'chat', model: modelId('m'), chat: chatId(id) }
+        : {
+            kind: 'call',
+            service: serviceId('s'),
+            repeatable: false,
+            key: idempotencyKey(id),
+          },
+      fingerprint: fingerprint(id),
+      priority: 0,
+      lastPlace: undefined,
+      arrived: this.#now,
+      deadline: instant(this.#now + this.#random.integer(20, 400)),
+    };
+    this.#truths.set(id, new Truth());
+    this.#requests.set(id, request);
+    this.#send({ kind: 'arrived', request });
+  }
+
+  #step(): void {
+    const record = this.#unrecorded.shift();
+    if (record) {
+      this.#answerRecord(record);
+    }
+    const index = this.#random.integer(
+      0,
+      Math.max(0, this.#running.length - 1),
+    );
+    const [attempt] = this.#running.splice(index, 1);
+    if (attempt) {
+      this.#answerAttempt(attempt);
+    }
+    if (this.#random.integer(0, 40) === 0) {
+      const request = this.#random.pick([...this.#requests.keys()]);
+      const gone = this.#flow.row(request) !== undefined;
+      this.#send({ kind: 'caller-left', request });
+      if (gone && !this.#flow.row(request)) {
+        this.#truth(request).ended += 1;
+      }
+    }
+  }
+
+  #answerRecord(request: RequestId): void {
+    if (this.#random.integer(0, 3) > 0) {
+      this.#truth(request).recorded = true;
+      this.#send({ kind: 'recorded', request });
+      return;
+    }
+    const inDoubt = this.#random.integer(0, 1) === 0;
+    if (inDoubt) {
+      this.#truth(request).runs += 1;
+    }
+    this.#send({
+      kind: 'not-recorded',
+      request,
+      reason: inDoubt ? { kind: 'order-unsettled' } : STORE_DOWN,
+      inDoubt,
+    });
+  }
+
+  #answerAttempt({ request, attempt, kind }: Sent): void {
+    const base = { request, attempt };
+    const truth = this.#truth(request);
+    const draw = this.#random.integer(0, 5);
+    if (kind === 'send' && draw === 0) {
+      this.#send({ ...base, kind: 'not-sent' });
+      return;
+    }
+    if (kind === 'send' && draw === 1) {
+      this.#send({ ...base, kind: 'declined', decline: 'full' });
+      return;
+    }
+    if (kind === 'send') {
+      truth.runs += 1;
+    }
+    if (draw === 2) {
+      const breakage = 'reset';
+      this.#send({ ...base, kind: 'broken', breakage, resumable: false });
+      return;
+    }
+    this.#send({ ...base, kind: 'answering' });
+    if (this.#random.integer(0, 1) === 0) {
+      this.#send({ ...base, kind: 'delivered' });
+    }
+    if (draw === 3) {
+      const breakage = 'stall';
+      this.#send({ ...base, kind: 'broken', breakage, resumable: true });
+      return;
+    }
+    const known = this.#flow.row(request)?.state;
+    const current =
+      known !== undefined && 'attempt' in known && known.attempt === attempt;
+    this.#send({ ...base, kind: 'finished', events: 0 });
+    truth.ended += current ? 1 : 0;
+  }
+
+  #send(message: RequestMessage): void {
+    this.#perform(this.#flow.handle(message, this.#now));
+  }
+
+  #perform(commands: readonly RequestCommand[]): void {
+    for (const command of commands) {
+      this.#performOne(command, this.#truth(command.request));
+    }
+  }
+
+  #performOne(command: RequestCommand, truth: Truth): void {
+    switch (command.kind) {
+      case 'send':
+        this.#checkSend(command.request, truth);
+        this.#running.push(command);
+        return;
+      case 'resume':
+        this.#running.push(command);
+        return;
+      case 'record':
+        this.#unrecorded.push(command.request);
+        return;
+      case 'refuse':
+        truth.ended += 1;
+        if (command.refusal.outcome === 'not_run') {
+          expect(truth.runs, 'told not_run').to.equal(0);
+        }
+        return;
+      case 'settle':
+        truth.settled.push(command.ending);
+        if (command.ending === 'never-sent') {
+          expect(truth.runs, 'withdrawn').to.equal(0);
+        }
+        return;
+      case 'cancel':
+    }
+  }
+
+  #checkSend(id: RequestId, truth: Truth): void {
+    expect(truth.ended, 'sent after its end').to.equal(0);
+    if (this.#requests.get(id)?.target.kind === 'call') {
+      expect(truth.recorded, 'sent before the record').to.equal(true);
+      expect(truth.runs, 'ran before').to.equal(0);
+    }
+  }
+
+  #checkEnds(): void {
+    for (const [id, truth] of this.#truths) {
+      expect(truth.ended, id).to.equal(1);
+      expect(truth.settled.length, id).to.be.at.most(1);
+    }
+  }
+
+  #truth(id: RequestId): Truth {
+    return this.#truths.get(id) ?? new Truth();
+  }
+}
+
+describe('RequestFlow', () => {
+  it('ends every request once, tells the truth and runs an order once', () => {
+    fc.assert(
+      fc.property(fc.integer(), seed => {
+        new World(seed).run(12, 150);
+      }),
+      { seed: 11, numRuns: 400 },
+    );
+  });
+});
--- a/packages/core/src/requests/request-flow.ts
+++ b/packages/core/src/requests/request-flow.ts
@@ -213,6 +213,11 @@
         return this.#ledger.refuse(row, answer.reason, now);
       case 'saturated':
         return this.#waitForRoom(row, answer.retryAfter, now);
+      case 'held':
+        this.#ledger.update(row, {
+          state: { kind: 'waiting', on: 'hold', until: request.deadline },
+        });
+        return [];
       case 'endpoint':
         return [this.#send(row, answer.endpoint, now)];
     }
@@ -433,7 +438,9 @@
       return [];
     }
     const due =
-      state.on === 'placement' || (state.on === 'retry' && now >= state.until);
+      state.on === 'placement' ||
+      state.on === 'hold' ||
+      (state.on === 'retry' && now >= state.until);
     return due ? this.#place(row, now) : [];
   }
 
--- a/packages/core/src/requests/steps.ts
+++ b/packages/core/src/requests/steps.ts
@@ -31,6 +31,8 @@
   | { readonly kind: 'endpoint'; readonly endpoint: EndpointId }
   /** Every endpoint that could run it is at its bound. */
   | { readonly kind: 'saturated'; readonly retryAfter: Milliseconds }
+  /** Its content may have crashed an endpoint; ask again at the next tick. */
+  | { readonly kind: 'held' }
   | { readonly kind: 'refused'; readonly reason: RefusalReason };
 
 /** How one attempt ended, as evidence about its endpoint. */
--- a/packages/core/src/requests/types.ts
+++ b/packages/core/src/requests/types.ts
@@ -40,7 +40,7 @@
 }
 
 /** What a request waits for before it is sent. */
-export type Wait = 'admission' | 'record' | 'placement' | 'retry';
+export type Wait = 'admission' | 'record' | 'placement' | 'retry' | 'hold';
 
 /** The steps of a request; every request is in exactly one. */
 export type RequestState =
--- a/packages/router/src/composition/container.ts
+++ b/packages/router/src/composition/container.ts
@@ -19,10 +19,12 @@
 import type { Placement } from '@sesamegrade/core/placement/placement';
 import { ReturningPlacement } from '@sesamegrade/core/placement/returning-placement';
 import { BoundedRetrying } from '@sesamegrade/core/policies/bounded-retrying';
+import { CrashWatch } from '@sesamegrade/core/policies/crash-watch';
 import { EndpointPlacing } from '@sesamegrade/core/policies/endpoint-placing';
 import { EndpointPools } from '@sesamegrade/core/policies/endpoint-pools';
 import { HealthWatch } from '@sesamegrade/core/policies/health-watch';
 import { PoolAdmission } from '@sesamegrade/core/policies/pool-admission';
+import { SuspectRegistry } from '@sesamegrade/core/poison/suspect-registry';
 import { Random } from '@sesamegrade/core/random/random';
 import { RequestFlow } from '@sesamegrade/core/requests/request-flow';
 import { Backoff } from '@sesamegrade/core/retries/backoff';
@@ -40,6 +42,7 @@
 import { RequestDispatcher } from '../dispatch/request-dispatcher';
 import { AttemptRunner } from '../endpoints/attempt-runner';
 import { EndpointClient } from '../endpoints/endpoint-client';
+import { EndpointProber } from '../endpoints/endpoint-prober';
 import { StreamRelay } from '../endpoints/stream-relay';
 import { StreamTags } from '../endpoints/stream-tags';
 import { WholeRelay } from '../endpoints/whole-relay';
@@ -72,6 +75,9 @@
   readonly placement: Placement;
   readonly detector: OutlierDetector;
   readonly healthWatch: HealthWatch;
+  readonly registry: SuspectRegistry;
+  readonly crashes: CrashWatch;
+  readonly prober: EndpointProber;
   readonly pools: EndpointPools;
   readonly demands: DemandTable;
   readonly policy: TeamPolicy;
@@ -167,6 +173,9 @@
     places: asFunction(() => new LastPlaces()).singleton(),
     detector: asFunction(() => new AveragedHealthDetector()).singleton(),
     healthWatch: asClass(HealthWatch).singleton(),
+    registry: asFunction(() => new SuspectRegistry(self.id)).singleton(),
+    crashes: asClass(CrashWatch).singleton(),
+    prober: asClass(EndpointProber).singleton(),
     directory: asClass(FleetDirectory).singleton(),
     feed: asClass(VmListFeed).singleton(),
   });
@@ -205,14 +214,16 @@
         }),
     ).singleton(),
     placing: asFunction(
-      ({ pools, placement, loads, places, endpoints, healthWatch }: Cradle) =>
+      (cradle: Cradle) =>
         new EndpointPlacing({
-          pools,
-          placement,
-          loads,
-          places,
-          endpoints,
-          observers: [healthWatch],
+          pools: cradle.pools,
+          placement: cradle.placement,
+          loads: cradle.loads,
+          places: cradle.places,
+          endpoints: cradle.endpoints,
+          crashes: cradle.crashes,
+          suspects: cradle.registry,
+          observers: [cradle.healthWatch, cradle.crashes],
         }),
     ).singleton(),
     retrying: asFunction(
--- /dev/null
+++ b/packages/router/src/endpoints/endpoint-prober.ts
@@ -0,0 +1,55 @@
+/** Asks endpoints whether they are alive after an attempt broke. */
+import type { CrashWatch } from '@sesamegrade/core/policies/crash-watch';
+import type { TimerService } from '@sesamegrade/core/time/timer-service';
+import type { EndpointId } from '@sesamegrade/core/types/ids';
+import { milliseconds } from '@sesamegrade/core/types/units';
+import type { FleetDirectory } from '../fleet/fleet-directory';
+import type { EndpointClient } from './endpoint-client';
+
+export interface EndpointProberOptions {
+  readonly crashes: CrashWatch;
+  readonly directory: FleetDirectory;
+  readonly client: EndpointClient;
+  readonly timers: TimerService;
+}
+
+const TAKE_PERIOD = milliseconds(10);
+const PROBE_TIMEOUT_MS = 1000;
+const PROBE = { method: 'GET', path: '/health', headers: {}, body: undefined };
+
+export class EndpointProber {
+  readonly #options: EndpointProberOptions;
+
+  constructor(options: EndpointProberOptions) {
+    this.#options = options;
+  }
+
+  start(): () => void {
+    return this.#options.timers.every(TAKE_PERIOD, () => {
+      for (const endpoint of this.#options.crashes.takeProbes()) {
+        void this.#probe(endpoint);
+      }
+    });
+  }
+
+  async #probe(endpoint: EndpointId): Promise<void> {
+    const alive = await this.#answers(endpoint);
+    const now = this.#options.timers.now();
+    this.#options.crashes.probed(endpoint, alive, now);
+  }
+
+  /** Any answer counts, as a plain service may not know the path. */
+  async #answers(endpoint: EndpointId): Promise<boolean> {
+    const address = this.#options.directory.addressOf(endpoint);
+    if (address === undefined) {
+      return false;
+    }
+    const signal = AbortSignal.timeout(PROBE_TIMEOUT_MS);
+    const result = await this.#options.client.send(address, PROBE, signal);
+    if (result.kind === 'failed') {
+      return false;
+    }
+    await result.response.body.dump();
+    return true;
+  }
+}
--- a/packages/router/src/fleet/vm-list-feed.ts
+++ b/packages/router/src/fleet/vm-list-feed.ts
@@ -5,6 +5,7 @@
 import type { OutlierDetector } from '@sesamegrade/core/outliers/outlier-detector';
 import type { LastPlaces } from '@sesamegrade/core/placement/last-places';
 import type { HealthWatch } from '@sesamegrade/core/policies/health-watch';
+import type { SuspectRegistry } from '@sesamegrade/core/poison/suspect-registry';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
 import { milliseconds } from '@sesamegrade/core/types/units';
 import type { Instant } from '@sesamegrade/core/types/units';
@@ -21,6 +22,7 @@
   readonly places: LastPlaces;
   readonly detector: OutlierDetector;
   readonly healthWatch: HealthWatch;
+  readonly registry: SuspectRegistry;
 }
 
 const TICK_PERIOD = milliseconds(100);
@@ -81,7 +83,8 @@
   }
 
   #tick(now: Instant): void {
-    const { endpoints, routers, loads, detector, healthWatch } = this.#options;
+    const { endpoints, routers, loads, detector, healthWatch, registry } =
+      this.#options;
     routers.tick(now);
     endpoints.tick(now);
     for (const row of endpoints.rows()) {
@@ -94,6 +97,8 @@
     const works = [...endpoints.endpoints()].map(row => row.id);
     detector.endpointsChanged(works, now);
     healthWatch.tick(now);
+    registry.routersChanged(routers.live(now), now);
+    registry.tick(now);
     loads.expire(now);
   }
 }
--- a/packages/router/src/process/router-process.ts
+++ b/packages/router/src/process/router-process.ts
@@ -33,6 +33,7 @@
       dispatcher.start(runner, orderDesk),
       orderDesk.start(),
       feed.start(),
+      this.#cradle.prober.start(),
     );
     const callers = await callerServer.start();
     const { logger, recorder, settings } = this.#cradle;
