--- a/packages/core/src/orders/order-exchanges.ts
+++ b/packages/core/src/orders/order-exchanges.ts
@@ -1,5 +1,6 @@
 /** Starts exchanges with the table service for orders, one at a time for each. */
 import type { Random } from '../random/random';
+import { Backoff } from '../retries/backoff';
 import type { RouterId } from '../types/ids';
 import type { ReadAnswer, WriteAnswer } from '../types/platform';
 import type { Instant, Milliseconds } from '../types/units';
@@ -16,14 +17,10 @@
   readonly order: Order;
 }
 
-/** Doublings after which a pause grows no more. */
-const MAX_DOUBLINGS = 16;
-
 export class OrderExchanges {
   readonly #ledger: OrderLedger;
   readonly #router: RouterId;
-  readonly #random: Random;
-  readonly #settings: OrderSettings;
+  readonly #backoff: Backoff;
   readonly #byTicket = new Map<number, OrderId>();
   #lastTicket = 0;
 
@@ -35,8 +32,10 @@
   ) {
     this.#ledger = ledger;
     this.#router = router;
-    this.#random = random;
-    this.#settings = settings;
+    this.#backoff = new Backoff(random, {
+      base: settings.firstPause,
+      cap: settings.longestPause,
+    });
   }
 
   /** Closes the exchange of a ticket; undefined when it is not open any more. */
@@ -56,12 +55,7 @@
 
   /** Puts off the next exchange, longer each time, with full jitter above the minimum. */
   pause(order: Order, minimum: Milliseconds, now: Instant): void {
-    const doublings = Math.min(order.failures, MAX_DOUBLINGS);
-    const ceiling = Math.min(
-      this.#settings.longestPause,
-      this.#settings.firstPause * 2 ** doublings,
-    );
-    const pause = milliseconds(minimum + this.#random.fraction() * ceiling);
+    const pause = milliseconds(minimum + this.#backoff.delay(order.failures));
     this.#ledger.update(order, {
       resumeAt: addTime(now, pause),
       failures: order.failures + 1,
