Add the load tool with its checks, report and demo fleet

A promise to callers is worth what checks it: answers whole and own, refusals true, orders at most once, against the endpoints' records. Adds seeded plans with surges, returning chats, resent orders, resumed streams, the audit, the closing table, a report page and the demo fleet.

--- /dev/null
+++ b/packages/load/src/callers/problem.ts
@@ -0,0 +1,25 @@
+/** A refusal as callers get it. */
+import { z } from 'zod';
+
+export const problemSchema = z.looseObject({
+  type: z.string(),
+  status: z.number(),
+  outcome: z.enum(['not_run', 'ran', 'unknown']),
+  requestId: z.string(),
+});
+
+export type Problem = z.infer<typeof problemSchema>;
+
+/** Reads a problem document; undefined when the text is not one. */
+export function parseProblem(text: string): Problem | undefined {
+  try {
+    return problemSchema.safeParse(JSON.parse(text)).data;
+  } catch {
+    return undefined;
+  }
+}
+
+/** Returns the last part of a problem's type, such as `team-over-limit`. */
+export function problemName({ type }: Problem): string {
+  return type.split(/[:/]/).at(-1) ?? type;
+}
--- /dev/null
+++ b/packages/load/src/report/text-table.ts
@@ -0,0 +1,99 @@
+/** Tables for terminals. */
+import type { LoadSummary } from '../run/summary';
+
+/** One line of a table. */
+export interface TableLine {
+  readonly label: string;
+  readonly value: string;
+}
+
+const MS_DIGITS = 1;
+const RATIO_DIGITS = 3;
+
+function percentileText(values: LoadSummary['firstTokenMs']): string {
+  if (values.count === 0) {
+    return 'n/a';
+  }
+  const text = [values.p50, values.p95, values.p99].map(value =>
+    value.toFixed(MS_DIGITS),
+  );
+  return `${text.join(' / ')} ms`;
+}
+
+/** The three measures: reuse, skew and control traffic. */
+export function measureLines(summary: LoadSummary): TableLine[] {
+  const { reuse, skew, controlBytesPerSecond } = summary;
+  const skewText = `${skew.mean.toFixed(RATIO_DIGITS)} / ${skew.p99.toFixed(RATIO_DIGITS)}`;
+  return [
+    {
+      label: 'reuse of returning chats (cached / prompt tokens)',
+      value: reuse.ratio?.toFixed(RATIO_DIGITS) ?? 'n/a',
+    },
+    {
+      label: 'skew (max / mean running): mean / p99',
+      value: skew.samples === 0 ? 'n/a' : skewText,
+    },
+    {
+      label: 'control bytes per router per second',
+      value: controlBytesPerSecond?.toFixed(0) ?? 'n/a',
+    },
+  ];
+}
+
+/** Requests, outcomes and broken promises. */
+export function outcomeLines(summary: LoadSummary): TableLine[] {
+  const { audit } = summary;
+  const line = (label: string, value: number) => ({
+    label,
+    value: String(value),
+  });
+  return [
+    line('requests', summary.requests),
+    line('ok', summary.ok),
+    ...summary.refusals.map(({ type, outcome, count }) =>
+      line(`refused ${type} (${outcome})`, count),
+    ),
+    line('unknown', summary.unknown),
+    line('mixed answers', summary.mixedAnswers),
+    line('cut answers that look whole', summary.cutAnswersAsWhole),
+    line('untrue refusals', audit.untrueRefusals.length),
+    line('double executions', audit.doubleExecutions.length),
+    line('answers without execution', audit.falseSuccesses.length),
+    line('endpoints without a record', audit.missingRecords.length),
+  ];
+}
+
+/** Delays of tokens. */
+export function delayLines(summary: LoadSummary): TableLine[] {
+  return [
+    {
+      label: 'first token p50 / p95 / p99',
+      value: percentileText(summary.firstTokenMs),
+    },
+    {
+      label: 'inter-token p50 / p95 / p99',
+      value: percentileText(summary.interTokenMs),
+    },
+  ];
+}
+
+/** Every line of the closing table. */
+export function closingLines(summary: LoadSummary): TableLine[] {
+  return [
+    ...outcomeLines(summary),
+    ...delayLines(summary),
+    ...measureLines(summary),
+  ];
+}
+
+/** Aligns labels to the left and values to the right. */
+export function renderTable(lines: readonly TableLine[]): string {
+  const labels = Math.max(...lines.map(({ label }) => label.length));
+  const values = Math.max(...lines.map(({ value }) => value.length));
+  return lines
+    .map(
+      ({ label, value }) =>
+        `${label.padEnd(labels)}  ${value.padStart(values)}`,
+    )
+    .join('\n');
+}
--- /dev/null
+++ b/packages/load/src/run/load-run.ts
@@ -0,0 +1,177 @@
+/** Runs a load plan against routers and checks every answer. */
+import { setTimeout as sleep } from 'node:timers/promises';
+
+import { Random } from '@sesamegrade/core/random/random';
+import { contentHash } from '@sesamegrade/stand-ins/engine/expected-answer';
+import type { CallResult } from '../callers/call-result';
+import { ChatCaller, chatBody } from '../callers/chat-caller';
+import { RouterPool } from '../callers/router-pool';
+import { ServiceCaller } from '../callers/service-caller';
+import { FleetObserver } from '../measures/fleet-observer';
+import type { FleetObserverOptions } from '../measures/fleet-observer';
+import { ChatPopulation } from '../plan/chat-population';
+import { arrivals } from '../plan/load-plan';
+import type { Arrival, LoadPlan } from '../plan/load-plan';
+import { Ledger } from './ledger';
+import type { LoadSummary } from './summary';
+
+const SAMPLE_PERIOD_MS = 500;
+const DEFAULT_PATIENCE_MS = 30_000;
+
+export interface LoadTarget extends FleetObserverOptions {
+  /** Base URLs of the routers' caller interfaces. */
+  readonly routers: readonly string[];
+  /** Time after which a caller gives up; 30 s by default. */
+  readonly patienceMs?: number;
+}
+
+/** Where a run stands. */
+export interface LoadProgress {
+  readonly elapsedMs: number;
+  readonly requests: number;
+  readonly ok: number;
+  readonly refused: number;
+  readonly inFlight: number;
+}
+
+export class LoadRun {
+  readonly ledger = new Ledger();
+  readonly observer: FleetObserver;
+  readonly #plan: LoadPlan;
+  readonly #pool: RouterPool;
+  readonly #chats: ChatPopulation;
+  readonly #chatCaller: ChatCaller;
+  readonly #serviceCaller: ServiceCaller;
+  readonly #random: Random;
+  readonly #inFlight = new Set<Promise<void>>();
+  #started = 0;
+  #requestNumber = 0;
+
+  constructor(plan: LoadPlan, target: LoadTarget) {
+    const patience = target.patienceMs ?? DEFAULT_PATIENCE_MS;
+    this.#plan = plan;
+    this.#random = new Random(plan.seed + 2);
+    this.#pool = new RouterPool(target.routers, new Random(plan.seed + 3));
+    this.#chats = new ChatPopulation(plan);
+    this.#chatCaller = new ChatCaller(this.#pool, patience);
+    this.#serviceCaller = new ServiceCaller(this.#pool, patience);
+    this.observer = new FleetObserver(target, this.#pool.agent);
+  }
+
+  get plan(): LoadPlan {
+    return this.#plan;
+  }
+
+  progress(): LoadProgress {
+    const { counts } = this.ledger;
+    return {
+      elapsedMs: this.#elapsed(),
+      requests: counts.total('requests'),
+      ok: counts.total('ok'),
+      refused: counts.total('refusals'),
+      inFlight: this.#inFlight.size,
+    };
+  }
+
+  /** Sends every request, waits for the answers and compares the records. */
+  async run(): Promise<LoadSummary> {
+    this.#started = performance.now();
+    const sampling = this.#sampleRegularly();
+    for (const arrival of arrivals(this.#plan)) {
+      const wait = arrival.at - this.#elapsed();
+      if (wait > 0) {
+        await sleep(wait);
+      }
+      this.#begin(arrival);
+    }
+    await Promise.all(this.#inFlight);
+    await sampling;
+    const records = await this.observer.records();
+    await this.#pool.close();
+    return this.ledger.summary(this.#plan, this.observer, records);
+  }
+
+  #elapsed(): number {
+    return performance.now() - this.#started;
+  }
+
+  async #sampleRegularly(): Promise<void> {
+    const end = this.#plan.seconds * 1000;
+    while (this.#elapsed() < end) {
+      await this.observer.sample(this.#elapsed());
+      await sleep(SAMPLE_PERIOD_MS);
+    }
+  }
+
+  #begin(arrival: Arrival): void {
+    const task = this.#send(arrival).finally(() => {
+      this.#inFlight.delete(task);
+    });
+    this.#inFlight.add(task);
+  }
+
+  async #send(arrival: Arrival): Promise<void> {
+    this.#requestNumber += 1;
+    const name = `load-${this.#plan.seed}-${this.#requestNumber}`;
+    switch (arrival.kind) {
+      case 'chat':
+        await this.#sendChat(arrival, name);
+        break;
+      case 'order':
+        await this.#sendOrder(arrival, name);
+        break;
+      case 'lookup':
+        await this.#sendLookup(arrival, name);
+        break;
+    }
+  }
+
+  async #sendChat({ team }: Arrival, requestId: string): Promise<void> {
+    const at = this.#elapsed();
+    const chat = this.#chats.take(team, at);
+    const messages = this.#chats.nextMessages(chat);
+    const { maxTokens } = this.#plan;
+    const call = { chat, messages, requestId, maxTokens };
+    const returning = chat.turns > 0;
+    const result = await this.#chatCaller.call(call);
+    this.ledger.record(result, at, returning);
+    const hash = contentHash(chatBody(call));
+    this.ledger.audit.note({ kind: 'chat', contentHash: hash }, result);
+    if (result.kind === 'ok') {
+      this.#chats.answered(chat, messages, result.text, this.#elapsed());
+    } else {
+      this.#chats.unanswered(chat, this.#elapsed());
+    }
+  }
+
+  async #sendOrder({ team }: Arrival, key: string): Promise<void> {
+    const at = this.#elapsed();
+    const resent = this.#random.fraction() < this.#plan.resends;
+    const results = await this.#serviceCaller.order({
+      service: this.#random.pick(this.#plan.services),
+      teamKey: team.key,
+      key,
+      sends: resent ? 2 : 1,
+    });
+    this.#recordAll(results, at);
+    this.ledger.audit.noteOrder(key, results);
+  }
+
+  async #sendLookup({ team }: Arrival, name: string): Promise<void> {
+    const at = this.#elapsed();
+    const path = `/lookups/${name}`;
+    const result = await this.#serviceCaller.lookup({
+      service: this.#random.pick(this.#plan.services),
+      teamKey: team.key,
+      path,
+    });
+    this.ledger.record(result, at);
+    this.ledger.audit.note({ kind: 'lookup', path }, result);
+  }
+
+  #recordAll(results: readonly CallResult[], at: number): void {
+    for (const result of results) {
+      this.ledger.record(result, at);
+    }
+  }
+}
--- a/packages/stand-ins/src/engine/chat-request.ts
+++ b/packages/stand-ins/src/engine/chat-request.ts
@@ -17,8 +17,25 @@
   priority: z.number().int().optional(),
 });
 
-export type ChatRequest = z.infer<typeof chatRequestSchema>;
-export type ChatMessage = ChatRequest['messages'][number];
+/** A request that the schema has accepted. */
+export interface ChatRequest {
+  readonly model: string;
+  readonly messages: readonly ChatMessage[];
+  readonly stream?: boolean | undefined;
+  readonly max_tokens?: number | null | undefined;
+  readonly priority?: number | undefined;
+}
+
+/** Part of a message's content; parts without text are ignored. */
+export interface MessagePart {
+  readonly type: string;
+  readonly text?: string | undefined;
+}
+
+export interface ChatMessage {
+  readonly role: string;
+  readonly content?: string | readonly MessagePart[] | null | undefined;
+}
 
 /** Returns the text of a message; the parts of a list are joined. */
 export function messageText(message: ChatMessage): string {
