Add the time line's clock, bounded buffer and merge

Events of several processes have to be read in one order although wall clocks differ and jump, and a full buffer must not hide what it dropped. Each process stamps events by a hybrid logical clock that takes in the stamps of messages within a minute's lead, keeps them in a ring, and counts what a reader missed; the merge orders pages of several processes, filters them and notices a replaced process. 500 seeded histories of jumping clocks and hostile stamps keep the stamps rising.

--- /dev/null
+++ b/packages/core/src/timeline/event-buffer.ts
@@ -0,0 +1,96 @@
+/** The bounded buffer of a process's events; what it had to drop is counted. */
+import { EventRecorder } from './event';
+import type { EventKind, EventLinks } from './event';
+import type { HybridClock, Stamp } from './hybrid-clock';
+
+/** Details that an event may carry beside its links. */
+export type EventDetail = Readonly<Record<string, string | number | boolean>>;
+
+/** One event as a process keeps it and tells it. */
+export interface TimeLineEvent {
+  /** Counts a process's events from 1. */
+  readonly sequence: number;
+  readonly stamp: Stamp;
+  readonly kind: EventKind;
+  readonly links: EventLinks;
+  readonly detail?: EventDetail;
+}
+
+/** A process's answer to a reader of its events. */
+export interface EventPage {
+  readonly process: string;
+  /** Number of the process start; sequence numbers begin anew with it. */
+  readonly incarnation: number;
+  readonly events: readonly TimeLineEvent[];
+  /** Events after the asked one that the buffer had dropped already. */
+  readonly lost: number;
+  /** Sequence number to ask after next time. */
+  readonly next: number;
+}
+
+export interface EventBufferOptions {
+  readonly process: string;
+  readonly incarnation: number;
+  readonly clock: HybridClock;
+  /** Events kept at most. */
+  readonly capacity?: number;
+}
+
+const DEFAULT_CAPACITY = 20_000;
+const DEFAULT_PAGE = 1000;
+
+export class EventBuffer extends EventRecorder {
+  readonly #process: string;
+  readonly #incarnation: number;
+  readonly #clock: HybridClock;
+  readonly #capacity: number;
+  readonly #ring: TimeLineEvent[] = [];
+  #recorded = 0;
+
+  constructor(options: EventBufferOptions) {
+    super();
+    this.#process = options.process;
+    this.#incarnation = options.incarnation;
+    this.#clock = options.clock;
+    this.#capacity = Math.max(1, options.capacity ?? DEFAULT_CAPACITY);
+  }
+
+  /** Events recorded since the start. */
+  get recorded(): number {
+    return this.#recorded;
+  }
+
+  override record(
+    kind: EventKind,
+    links: EventLinks,
+    detail?: EventDetail,
+  ): void {
+    this.#recorded += 1;
+    const sequence = this.#recorded;
+    const event = { sequence, stamp: this.#clock.next(), kind, links };
+    const slot = (sequence - 1) % this.#capacity;
+    this.#ring[slot] = detail ? { ...event, detail } : event;
+  }
+
+  /** Returns the events after a sequence number, the oldest first. */
+  after(sequence: number, limit = DEFAULT_PAGE): EventPage {
+    const asked = Math.min(Math.max(0, sequence), this.#recorded);
+    const dropped = Math.max(0, this.#recorded - this.#capacity);
+    const first = Math.max(asked, dropped);
+    const last = Math.min(first + Math.max(1, limit), this.#recorded);
+    const events: TimeLineEvent[] = [];
+    for (let index = first; index < last; index += 1) {
+      const event = this.#ring[index % this.#capacity];
+      if (event) {
+        events.push(event);
+      }
+    }
+    return {
+      process: this.#process,
+      incarnation: this.#incarnation,
+      events,
+      lost: first - asked,
+      next: last,
+    };
+  }
+}
--- /dev/null
+++ b/packages/core/src/timeline/time-line.test.ts
@@ -0,0 +1,92 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+
+import { EventBuffer } from './event-buffer';
+import { eventPageSchema } from './event-page';
+import { compareStamps, HybridClock } from './hybrid-clock';
+import type { Stamp } from './hybrid-clock';
+import { MergedTimeLine } from './merged-time-line';
+
+const SEED = 20_261_203;
+
+function bufferOf(process: string, wallTime: () => number, capacity = 100) {
+  const clock = new HybridClock(wallTime);
+  const buffer = new EventBuffer({ process, incarnation: 1, clock, capacity });
+  return { clock, buffer };
+}
+
+function read(buffer: EventBuffer, after = 0) {
+  return eventPageSchema.parse(JSON.parse(JSON.stringify(buffer.after(after))));
+}
+
+describe('HybridClock', () => {
+  it('rises over any jumps of wall time and any stamps of others', () => {
+    const step = fc.record({
+      wall: fc.integer({ min: 0, max: 1_000_000 }),
+      stamp: fc.option(fc.tuple(fc.nat(2_000_000), fc.nat(50))),
+    });
+    fc.assert(
+      fc.property(fc.array(step, { maxLength: 60 }), steps => {
+        let wall = 0;
+        const clock = new HybridClock(() => wall);
+        let last: Stamp = [0, 0];
+        for (const taken of steps) {
+          wall = taken.wall;
+          const believed = taken.stamp && taken.stamp[0] <= wall + 60_000;
+          if (taken.stamp) {
+            clock.receive(taken.stamp);
+          }
+          const next = clock.next();
+          expect(compareStamps(next, last)).to.be.greaterThan(0);
+          if (taken.stamp && believed) {
+            expect(compareStamps(next, taken.stamp)).to.be.greaterThan(0);
+          }
+          expect(next[0]).to.be.at.most(1_060_000);
+          last = next;
+        }
+      }),
+      { seed: SEED, numRuns: 500 },
+    );
+  });
+});
+
+describe('MergedTimeLine', () => {
+  it('orders a message after its cause although the receiver’s clock is behind', () => {
+    const first = bufferOf('r1', () => 5000);
+    const second = bufferOf('r2', () => 1000);
+    first.buffer.record('request-accepted', { request: 'q' });
+    second.clock.receive(first.clock.next());
+    second.buffer.record('request-sent', { request: 'q' });
+    second.buffer.record('request-sent', { request: 'other' });
+    const merged = new MergedTimeLine({ request: 'q' });
+    merged.add('b', read(second.buffer));
+    merged.add('a', read(first.buffer));
+    const kinds = merged.takeEvents().map(event => event.kind);
+    expect(kinds).to.deep.equal(['request-accepted', 'request-sent']);
+  });
+
+  it('counts what the bounded buffer dropped and pages through the rest', () => {
+    const { buffer } = bufferOf('r1', () => 1, 10);
+    for (let index = 0; index < 25; index += 1) {
+      buffer.record('request-accepted', { request: `q${index}` });
+    }
+    const merged = new MergedTimeLine({});
+    merged.add('a', eventPageSchema.parse(buffer.after(0, 4)));
+    expect(merged.next('a')).to.equal(19);
+    merged.add('a', read(buffer, merged.next('a')));
+    const sequences = merged.takeEvents().map(event => event.sequence);
+    expect(sequences).to.deep.equal([16, 17, 18, 19, 20, 21, 22, 23, 24, 25]);
+    expect(merged.lost()).to.deep.equal([{ process: 'r1', count: 15 }]);
+    expect(read(buffer, merged.next('a')).events).to.deep.equal([]);
+  });
+
+  it('reads a replaced process from its start', () => {
+    const merged = new MergedTimeLine({});
+    const { buffer } = bufferOf('r1', () => 1);
+    buffer.record('process-started', {});
+    merged.add('a', read(buffer));
+    const page = { ...read(buffer, 1), incarnation: 2 };
+    expect(merged.add('a', page)).to.equal(true);
+    expect(merged.next('a')).to.equal(0);
+  });
+});
