--- a/packages/cli/src/commands/commands.ts
+++ b/packages/cli/src/commands/commands.ts
@@ -1,5 +1,6 @@
 import { CheckCommand } from './check';
 import type { Command } from './command';
+import { LoadCommand } from './load';
 import { MeasureGossipCommand } from './measure-gossip';
 import { RouterCommand } from './router';
 import { StandInCommand } from './stand-in';
@@ -9,6 +10,7 @@
   return [
     new RouterCommand(),
     new CheckCommand(),
+    new LoadCommand(),
     new StandInCommand(),
     new MeasureGossipCommand(),
   ];
