Run the demo with real routers on loopback

Cause: both README commands need the whole fleet in one process. Change: a launcher that composes routers on free ports and lists them at the platform.

--- /dev/null
+++ b/packages/cli/src/launch/loopback-router-launcher.ts
@@ -0,0 +1,102 @@
+/** Starts real routers in this process, on loopback and free ports. */
+import { randomBytes, randomInt } from 'node:crypto';
+
+import { RouterLauncher } from '@sesamegrade/load/demo/router-launcher';
+import type {
+  DemoFleet,
+  LaunchedRouter,
+} from '@sesamegrade/load/demo/router-launcher';
+import { hashKey } from '@sesamegrade/router/callers/team-keys';
+import { composeRouter } from '@sesamegrade/router/composition/container';
+import { RouterProcess } from '@sesamegrade/router/process/router-process';
+import { settingsSchema } from '@sesamegrade/settings/schema';
+import type { Settings } from '@sesamegrade/settings/schema';
+import { Registration } from '@sesamegrade/stand-ins/http/registration';
+
+const SECRET_BYTES = 16;
+const MAX_SEED = 2 ** 31;
+const READY_POLL_MS = 50;
+
+export class LoopbackRouterLauncher extends RouterLauncher {
+  readonly #secrets = {
+    peerSecret: randomBytes(SECRET_BYTES).toString('hex'),
+    operatorToken: randomBytes(SECRET_BYTES).toString('hex'),
+  };
+  #incarnation = Date.now();
+
+  override async launch(
+    fleet: DemoFleet,
+    router: { readonly id: string; readonly zone: string },
+  ): Promise<LaunchedRouter> {
+    this.#incarnation += 1;
+    const settings = settingsOf(fleet, router);
+    const container = composeRouter(settings, this.#secrets, {
+      incarnation: this.#incarnation,
+      seed: randomInt(MAX_SEED),
+    });
+    const process = new RouterProcess(container);
+    const { callers } = await process.start();
+    const platform = new Registration(fleet.platform);
+    await platform.register({
+      vm: router.id,
+      kind: 'router',
+      host: callers.host,
+      port: callers.port,
+      zone: router.zone,
+      state: 'live',
+      incarnation: this.#incarnation,
+      capacity: 0,
+    });
+    const base = `http://${callers.host}:${callers.port}`;
+    await untilReady(base);
+    return {
+      callers: base,
+      stop: async () => {
+        await platform.leave(router.id);
+        await process.stop();
+      },
+    };
+  }
+}
+
+function settingsOf(
+  fleet: DemoFleet,
+  router: { readonly id: string; readonly zone: string },
+): Settings {
+  const engines = { engines: { kind: 'engine', models: fleet.models.join() } };
+  const services: Record<string, unknown> = {};
+  for (const { service, keyRequired, notRunStatuses } of fleet.services) {
+    services[service] = {
+      kind: 'service',
+      repeatable: !keyRequired,
+      not_run_statuses: notRunStatuses.join(),
+    };
+  }
+  const teams: Record<string, unknown> = {};
+  for (const { team, key } of fleet.teams) {
+    teams[team] = { key_sha256: hashKey(key) };
+  }
+  return settingsSchema.parse({
+    router: {
+      ...router,
+      caller_port: 0,
+      peer_port: 0,
+      operator_port: 0,
+    },
+    platform: { url: fleet.platform },
+    log: { level: 'error' },
+    service: { ...engines, ...services },
+    team: teams,
+  });
+}
+
+async function untilReady(base: string): Promise<void> {
+  for (;;) {
+    const answer = await fetch(`${base}/readyz`);
+    await answer.arrayBuffer();
+    if (answer.ok) {
+      return;
+    }
+    await new Promise(resolve => setTimeout(resolve, READY_POLL_MS));
+  }
+}
