--- a/packages/cli/src/commands/commands.ts
+++ b/packages/cli/src/commands/commands.ts
@@ -1,5 +1,7 @@
 import { CheckCommand } from './check';
 import type { Command } from './command';
+import { DemoCommand } from './demo';
+import { InProcessRouterLauncher } from './demo-routers';
 import { LoadCommand } from './load';
 import { MeasureGossipCommand } from './measure-gossip';
 import { RouterCommand } from './router';
@@ -10,6 +12,7 @@
   return [
     new RouterCommand(),
     new CheckCommand(),
+    new DemoCommand(new InProcessRouterLauncher()),
     new LoadCommand(),
     new StandInCommand(),
     new MeasureGossipCommand(),
--- a/packages/cli/src/commands/load.ts
+++ b/packages/cli/src/commands/load.ts
@@ -35,7 +35,8 @@
 /** Prints the closing table, or the summary as JSON. */
 export function printSummary(summary: LoadSummary, json: boolean): void {
   if (json) {
-    process.stdout.write(`${JSON.stringify(summary)}\n`);
+    const text = JSON.stringify(summary, (_, value: unknown) => value ?? null);
+    process.stdout.write(`${text}\n`);
     return;
   }
   process.stdout.write(`${renderTable(closingLines(summary))}\n`);
--- a/packages/load/src/demo/demo.ts
+++ b/packages/load/src/demo/demo.ts
@@ -23,6 +23,8 @@
 const VM_LIST_LAG_MS = 1000;
 const SETTLE_MS = 1500;
 const NOT_RUN_STATUS = 429;
+const ANSWER_TOKENS = 32;
+const TOKENS_PER_SECOND = 40;
 
 export interface DemoOptions {
   readonly seconds: number;
@@ -48,6 +50,7 @@
     chatPopulation: 150,
     returnPauseMs: 2000,
     turnsPerChat: 8,
+    maxTokens: ANSWER_TOKENS,
     services: fleet.services.map(({ service }) => service),
     ordersPerSecond: 10,
     resends: 0.2,
@@ -118,6 +121,7 @@
         vm,
         zone,
         models: [MODEL],
+        tokensPerSecond: TOKENS_PER_SECOND,
         seed: seed + index,
       });
       this.#engines.push(engine);
