--- a/packages/cli/src/commands/commands.ts
+++ b/packages/cli/src/commands/commands.ts
@@ -1,8 +1,19 @@
+import { CheckCommand } from './check';
 import type { Command } from './command';
+import { LoadCommand } from './load';
+import { MeasureGossipCommand } from './measure-gossip';
 import { MeasurePoliciesCommand } from './measure-policies';
+import { RouterCommand } from './router';
 import { StandInCommand } from './stand-in';
 
 /** Every command, in the order in which the help lists them. */
 export function commands(): Command[] {
-  return [new StandInCommand(), new MeasurePoliciesCommand()];
+  return [
+    new RouterCommand(),
+    new CheckCommand(),
+    new LoadCommand(),
+    new StandInCommand(),
+    new MeasureGossipCommand(),
+    new MeasurePoliciesCommand(),
+  ];
 }
