--- a/packages/cli/src/commands/commands.ts
+++ b/packages/cli/src/commands/commands.ts
@@ -4,6 +4,7 @@
 import { DemoCommand } from './demo';
 import { LoadCommand } from './load';
 import { MeasureGossipCommand } from './measure-gossip';
+import { MeasurePoliciesCommand } from './measure-policies';
 import { RouterCommand } from './router';
 import { StandInCommand } from './stand-in';
 
@@ -16,5 +17,6 @@
     new LoadCommand(),
     new StandInCommand(),
     new MeasureGossipCommand(),
+    new MeasurePoliciesCommand(),
   ];
 }
