--- a/packages/router/src/callers/caller-server.ts
+++ b/packages/router/src/callers/caller-server.ts
@@ -18,6 +18,7 @@
 import type { Counters } from '../metrics/counters';
 import { CallerAnswer } from './caller-answer';
 import { headerOf, newRequestId } from './intake';
+import { rawRefusal } from './raw-refusal';
 import type { Intake, IntakeReader, Received } from './intake';
 import { readBody } from './read-body';
 import type { TeamKeys } from './team-keys';
@@ -80,6 +81,7 @@
   #createServer(): Server {
     const { limits } = this.#options.settings;
     const app = new Koa();
+    app.silent = true;
     app.use(this.#routes().routes());
     app.use(context => {
       this.#unmatched(context);
@@ -99,6 +101,14 @@
         void handler(request, response);
       },
     );
+    server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+      this.#options.counters.refusedUnaccepted('malformed-request');
+      if (socket.writable) {
+        socket.end(rawRefusal(error.code ?? ''));
+      } else {
+        socket.destroy();
+      }
+    });
     return server;
   }
 
--- /dev/null
+++ b/packages/router/src/callers/raw-refusal.ts
@@ -0,0 +1,37 @@
+/** Answers to bytes that are not an HTTP request. */
+import { STATUS_CODES } from 'node:http';
+
+import { refuseUnaccepted } from '@sesamegrade/core/requests/outcome';
+import { newRequestId } from './intake';
+import { problemOf } from './problem';
+
+interface Fault {
+  readonly status: number;
+  readonly detail: string;
+}
+
+const MALFORMED: Fault = { status: 400, detail: 'this is not valid HTTP' };
+
+/** Faults by the code that the HTTP parser gives. */
+const FAULTS: Readonly<Record<string, Fault>> = {
+  HPE_HEADER_OVERFLOW: { status: 431, detail: 'the header is too large' },
+  ERR_HTTP_REQUEST_TIMEOUT: {
+    status: 408,
+    detail: 'the request did not arrive in time',
+  },
+};
+
+/** Returns a whole HTTP response with a problem document, as text. */
+export function rawRefusal(code: string): string {
+  const { status, detail } = FAULTS[code] ?? MALFORMED;
+  const refusal = refuseUnaccepted({ kind: 'malformed-request', detail });
+  const { document, headers } = problemOf(refusal, newRequestId());
+  const body = JSON.stringify({ ...document, status });
+  const lines = [
+    `HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}`,
+    ...Object.entries(headers).map(([name, value]) => `${name}: ${value}`),
+    `content-length: ${Buffer.byteLength(body)}`,
+    'connection: close',
+  ];
+  return `${lines.join('\r\n')}\r\n\r\n${body}`;
+}
