Connect routers by tRPC over WebSocket

Gossip needs a carrier that costs few bytes a message and that nobody without the fleet's secret can join. Each router subscribes to each peer's feed over one WebSocket, so a message is one frame without an answer; both ends prove the secret by an HMAC that names the other end, a moment and a nonce, compared in constant time; frames are binary and validated; one link a second is probed in turn; sockets' bytes are counted both ways; a peer that does not read is cut off at 64 KiB.

--- a/packages/core/src/membership/router-table.ts
+++ b/packages/core/src/membership/router-table.ts
@@ -116,6 +116,11 @@
     this.#revision += 1;
   }
 
+  /** A message of a connected router arrived. */
+  heard(id: RouterId, now: Instant): void {
+    this.table.patch(id, { answeredAt: now });
+  }
+
   /** A connection to a router broke or could not be made. */
   disconnected(id: RouterId, now: Instant): void {
     const row = this.table.get(id);
--- /dev/null
+++ b/packages/router/src/peers/peer-network.ts
@@ -0,0 +1,247 @@
+/** Connects this router to all others and carries their gossip. */
+import type { ConfigurationKeeper } from '@sesamegrade/core/configuration/configuration-keeper';
+import type { ConfigurationTopic } from '@sesamegrade/core/configuration/configuration-topic';
+import type { GossipScheduler } from '@sesamegrade/core/gossip/gossip-scheduler';
+import { jsonSize } from '@sesamegrade/core/gossip/json-size';
+import type { RouterTable } from '@sesamegrade/core/membership/router-table';
+import type { Random } from '@sesamegrade/core/random/random';
+import type {
+  Cancel,
+  TimerService,
+} from '@sesamegrade/core/time/timer-service';
+import type { HybridClock } from '@sesamegrade/core/timeline/hybrid-clock';
+import type { Address } from '@sesamegrade/core/types/endpoint';
+import type { RouterId } from '@sesamegrade/core/types/ids';
+import { milliseconds, seconds } from '@sesamegrade/core/types/units';
+import type { Instant } from '@sesamegrade/core/types/units';
+import { PeerLink } from './peer-link';
+import type { GossipFrame } from './peer-message';
+import { PeerProof } from './peer-proof';
+import { PeerServer } from './peer-server';
+import { SocketMeter } from './socket-meter';
+import type { SocketBytes } from './socket-meter';
+
+const ROUND = milliseconds(250);
+const RECONCILE = seconds(1);
+/** Rounds of `RECONCILE` after which an unanswered probe breaks a link. */
+const PROBE_ROUNDS = 3;
+
+export interface PeerNetworkOptions {
+  readonly secret: string;
+  readonly routers: RouterTable;
+  readonly scheduler: GossipScheduler;
+  readonly keeper: ConfigurationKeeper;
+  readonly configurationTopic: ConfigurationTopic;
+  readonly clock: HybridClock;
+  readonly timers: TimerService;
+  readonly random: Random;
+}
+
+export interface PeerCounters {
+  malformed: number;
+  /** Messages for peers whose feed had just ended. */
+  unsent: number;
+}
+
+/** The one link that is being probed. */
+interface Probe {
+  readonly peer: RouterId;
+  readonly heard: number;
+  rounds: number;
+}
+
+export class PeerNetwork {
+  readonly counters: PeerCounters = { malformed: 0, unsent: 0 };
+  readonly #options: PeerNetworkOptions;
+  readonly #proof: PeerProof;
+  readonly #meter = new SocketMeter();
+  readonly #server: PeerServer;
+  readonly #links = new Map<RouterId, PeerLink>();
+  readonly #cancels: Cancel[] = [];
+  #probe: Probe | undefined;
+
+  constructor(options: PeerNetworkOptions) {
+    this.#options = options;
+    const { routers, scheduler, timers, keeper } = options;
+    this.#proof = new PeerProof({
+      self: routers.self,
+      secret: options.secret,
+      wallTime: () => timers.wallTime(),
+    });
+    this.#server = new PeerServer({
+      self: routers.self,
+      proof: this.#proof,
+      meter: this.#meter,
+      timers,
+      snapshot: () => keeper.snapshot,
+      listener: {
+        subscribed: identity => {
+          routers.connected(identity, timers.now());
+          scheduler.addPeer(identity.id);
+        },
+        unsubscribed: peer => {
+          scheduler.removePeer(peer);
+        },
+      },
+    });
+  }
+
+  /** Bytes on all sockets between routers since the start, without TCP and IP headers. */
+  get bytes(): SocketBytes {
+    return this.#meter.total();
+  }
+
+  /** Connections that were refused for want of a proof. */
+  get rejected(): number {
+    return this.#server.rejected;
+  }
+
+  /** Peers whose gossip this router receives. */
+  get connected(): RouterId[] {
+    const links = [...this.#links].filter(([, link]) => link.verified);
+    return links.map(([peer]) => peer);
+  }
+
+  /** Listens on this router's own peer address and begins to connect. */
+  async start(): Promise<Address> {
+    const { timers, routers } = this.#options;
+    const address = await this.#server.listen(routers.self.address);
+    this.#cancels.push(
+      timers.every(ROUND, now => {
+        this.#round(now);
+      }),
+      timers.every(RECONCILE, () => {
+        this.reconcile();
+        this.#probeNext();
+      }),
+    );
+    this.reconcile();
+    return address;
+  }
+
+  /** Sends what is due now, such as the news that this router leaves. */
+  flush(): void {
+    this.#round(this.#options.timers.now());
+  }
+
+  async stop(): Promise<void> {
+    for (const cancel of this.#cancels) {
+      cancel();
+    }
+    const links = [...this.#links.values()];
+    this.#links.clear();
+    await Promise.all(links.map(link => link.close()));
+    await this.#server.close();
+  }
+
+  /** Makes links to routers that joined and drops those of routers that are gone. */
+  reconcile(): void {
+    const wanted = new Map<RouterId, Address>();
+    for (const row of this.#options.routers.peers()) {
+      wanted.set(row.id, row.address);
+    }
+    for (const [peer, link] of this.#links) {
+      const address = wanted.get(peer);
+      const same =
+        address?.host === link.address.host &&
+        address.port === link.address.port;
+      if (!same) {
+        this.#links.delete(peer);
+        void link.close();
+      }
+    }
+    for (const [peer, address] of wanted) {
+      if (!this.#links.has(peer)) {
+        this.#links.set(peer, this.#open(peer, address));
+      }
+    }
+  }
+
+  #open(peer: RouterId, address: Address): PeerLink {
+    const { routers, timers, random } = this.#options;
+    return new PeerLink({
+      peer,
+      address,
+      proof: this.#proof,
+      meter: this.#meter,
+      random,
+      listener: {
+        connected: identity => {
+          routers.connected(identity, timers.now());
+        },
+        disconnected: id => {
+          routers.disconnected(id, timers.now());
+        },
+        gossip: (id, frame) => {
+          this.#received(id, frame);
+        },
+        malformed: () => {
+          this.counters.malformed += 1;
+        },
+      },
+    });
+  }
+
+  #received(peer: RouterId, frame: GossipFrame): void {
+    const { clock, scheduler, timers, routers } = this.#options;
+    const now = timers.now();
+    clock.receive(frame.h);
+    routers.heard(peer, now);
+    scheduler.receive(peer, frame.t, now);
+    this.#fetchConfiguration();
+  }
+
+  #round(now: Instant): void {
+    const { scheduler, clock } = this.#options;
+    for (const { peer, topics } of scheduler.round(now)) {
+      const frame = { h: clock.next(), t: topics };
+      if (!this.#server.send(peer, frame)) {
+        this.counters.unsent += 1;
+      }
+    }
+  }
+
+  /** Fetches the whole configuration when changes in between are missing. */
+  #fetchConfiguration(): void {
+    const source = this.#options.configurationTopic.takeSnapshotSource();
+    const link = source && this.#links.get(source);
+    if (!link) {
+      return;
+    }
+    link.fetchConfiguration().then(
+      snapshot => {
+        this.#options.scheduler.charge(jsonSize(snapshot));
+        this.#options.keeper.snapshotArrived(snapshot);
+      },
+      () => {
+        // The connection broke; the next version number asks again.
+      },
+    );
+  }
+
+  /** Probes one link a second in turn, so that its cost does not grow with the fleet. */
+  #probeNext(): void {
+    const probed = this.#probe && this.#links.get(this.#probe.peer);
+    if (this.#probe && probed?.verified) {
+      const answered = probed.heard > this.#probe.heard;
+      this.#probe.rounds += 1;
+      if (!answered && this.#probe.rounds < PROBE_ROUNDS) {
+        return;
+      }
+      if (!answered) {
+        probed.reset();
+      }
+    }
+    const [peer] = this.#links.keys();
+    const link = peer && this.#links.get(peer);
+    if (!peer || !link) {
+      this.#probe = undefined;
+      return;
+    }
+    // The probed link goes to the end of the order.
+    this.#links.delete(peer);
+    this.#links.set(peer, link);
+    this.#probe = { peer, heard: link.heard, rounds: 0 };
+    link.probe();
+  }
+}
--- /dev/null
+++ b/packages/router/src/peers/peer-proof.ts
@@ -0,0 +1,127 @@
+/**
+ * Proofs that both ends of a connection know the fleet's secret, without
+ * sending it. A proof names both ends and a moment, so that it is of no use
+ * elsewhere or later.
+ */
+import { createHmac, randomBytes, timingSafeEqual } from 'node:crypto';
+
+import { z } from 'zod';
+
+import type { RouterIdentity } from '@sesamegrade/core/membership/router-table';
+import type { RouterId } from '@sesamegrade/core/types/ids';
+import { identitySchema, tellIdentity } from './peer-message';
+import type { ToldIdentity } from './peer-message';
+
+/** Difference of two routers' clocks up to which a proof is accepted. */
+const MAX_CLOCK_DIFFERENCE_MS = 300_000;
+const NONCE_BYTES = 12;
+
+const claimSchema = z.object({
+  identity: identitySchema,
+  to: z.string().max(200),
+  at: z.number(),
+  nonce: z.string().min(8).max(64),
+});
+
+interface Claim {
+  readonly identity: ToldIdentity;
+  readonly to: string;
+  readonly at: number;
+  readonly nonce: string;
+}
+
+/** Connection parameters; tRPC carries strings only. */
+export interface ProofParameters extends Record<string, string> {
+  readonly claim: string;
+  readonly proof: string;
+}
+
+/** A connecting router whose proof holds. */
+export interface ProvenPeer {
+  readonly identity: RouterIdentity;
+  readonly nonce: string;
+}
+
+const parametersSchema = z.object({
+  claim: z.string().max(2000),
+  proof: z.string().max(100),
+});
+
+export function newNonce(): string {
+  return randomBytes(NONCE_BYTES).toString('base64url');
+}
+
+export interface PeerProofOptions {
+  readonly self: RouterIdentity;
+  readonly secret: string;
+  /** Unix milliseconds. */
+  readonly wallTime: () => number;
+}
+
+export class PeerProof {
+  readonly #self: RouterIdentity;
+  readonly #secret: string;
+  readonly #wallTime: () => number;
+
+  constructor(options: PeerProofOptions) {
+    this.#self = options.self;
+    this.#secret = options.secret;
+    this.#wallTime = options.wallTime;
+  }
+
+  /** Returns the parameters of a connection to another router. */
+  connect(to: RouterId, nonce: string): ProofParameters {
+    const identity = tellIdentity(this.#self);
+    const claim: Claim = { identity, to, at: this.#wallTime(), nonce };
+    const text = JSON.stringify(claim);
+    return { claim: text, proof: this.#sign('client', text) };
+  }
+
+  /** Returns who connects, or nothing when the proof does not hold. */
+  accept(parameters: unknown): ProvenPeer | undefined {
+    const parsed = parametersSchema.safeParse(parameters);
+    if (!parsed.success) {
+      return undefined;
+    }
+    const { claim: text, proof } = parsed.data;
+    if (!this.#holds(proof, this.#sign('client', text))) {
+      return undefined;
+    }
+    const claim = claimSchema.safeParse(parseJson(text));
+    if (!claim.success || claim.data.to !== this.#self.id) {
+      return undefined;
+    }
+    const difference = Math.abs(this.#wallTime() - claim.data.at);
+    return difference <= MAX_CLOCK_DIFFERENCE_MS ? claim.data : undefined;
+  }
+
+  /** Returns this router's proof towards a client that sent a nonce. */
+  answer(nonce: string): string {
+    return this.#sign('server', `${this.#self.id} ${nonce}`);
+  }
+
+  /** Whether a server proved to be the router that was meant. */
+  answerHolds(server: RouterId, nonce: string, proof: string): boolean {
+    return this.#holds(proof, this.#sign('server', `${server} ${nonce}`));
+  }
+
+  #sign(role: 'client' | 'server', text: string): string {
+    const hmac = createHmac('sha256', this.#secret);
+    return hmac.update(`${role}\n${text}`).digest('base64url');
+  }
+
+  /** Compares in constant time. */
+  #holds(given: string, expected: string): boolean {
+    const left = Buffer.from(given);
+    const right = Buffer.from(expected);
+    return left.length === right.length && timingSafeEqual(left, right);
+  }
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/router/src/peers/peer-server.ts
@@ -0,0 +1,196 @@
+/** Accepts other routers' connections and feeds them gossip. */
+import { createServer } from 'node:http';
+import type { Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+
+import { TRPCError } from '@trpc/server';
+import { applyWSSHandler } from '@trpc/server/adapters/ws';
+import { WebSocketServer } from 'ws';
+import type { WebSocket } from 'ws';
+
+import type { ConfigurationSnapshot } from '@sesamegrade/core/configuration/rows';
+import type { RouterIdentity } from '@sesamegrade/core/membership/router-table';
+import type { TimerService } from '@sesamegrade/core/time/timer-service';
+import type { Address } from '@sesamegrade/core/types/endpoint';
+import type { RouterId } from '@sesamegrade/core/types/ids';
+import { seconds } from '@sesamegrade/core/types/units';
+import { PeerFeed } from './peer-feed';
+import { binaryEncoder, tellIdentity } from './peer-message';
+import type { FeedMessage } from './peer-message';
+import type { PeerProof } from './peer-proof';
+import { peerRoutes } from './peer-routes';
+import type { PeerContext } from './peer-routes';
+import type { SocketMeter } from './socket-meter';
+
+/** Largest message that a peer may send here; gossip flows the other way. */
+const MAX_REQUEST_BYTES = 16_384;
+/** Bytes that may wait for a peer that does not read. */
+const MAX_UNSENT_BYTES = 65_536;
+/** Time in which a connection has to prove itself. */
+const PROOF_TIME = seconds(5);
+
+/** Told of peers that subscribe to this router and of those that no longer do. */
+export interface PeerServerListener {
+  subscribed(peer: RouterIdentity): void;
+  unsubscribed(peer: RouterId): void;
+}
+
+export interface PeerServerOptions {
+  readonly self: RouterIdentity;
+  readonly proof: PeerProof;
+  readonly meter: SocketMeter;
+  readonly timers: TimerService;
+  readonly snapshot: () => ConfigurationSnapshot;
+  readonly listener: PeerServerListener;
+}
+
+interface Subscriber {
+  readonly feed: PeerFeed;
+  readonly context: PeerContext;
+}
+
+export class PeerServer {
+  readonly #options: PeerServerOptions;
+  readonly #http: Server;
+  readonly #sockets: WebSocketServer;
+  readonly #subscribers = new Map<RouterId, Subscriber>();
+  readonly #proven = new WeakSet<WebSocket>();
+  #rejected = 0;
+
+  constructor(options: PeerServerOptions) {
+    this.#options = options;
+    this.#http = createServer((_request, response) => {
+      response.writeHead(426).end();
+    });
+    this.#http.on('connection', socket => {
+      options.meter.track(socket);
+    });
+    this.#sockets = new WebSocketServer({
+      server: this.#http,
+      maxPayload: MAX_REQUEST_BYTES,
+      perMessageDeflate: false,
+    });
+    this.#sockets.on('connection', socket => {
+      this.#awaitProof(socket);
+    });
+    this.#serve();
+  }
+
+  /** Connections whose proof did not hold. */
+  get rejected(): number {
+    return this.#rejected;
+  }
+
+  /** Starts to listen on this router's own peer address; port 0 picks one. */
+  async listen({ host, port }: Address): Promise<Address> {
+    await new Promise<void>((resolve, reject) => {
+      this.#http.once('error', reject);
+      this.#http.listen(port, host, () => {
+        this.#http.off('error', reject);
+        resolve();
+      });
+    });
+    const bound = this.#http.address() as AddressInfo;
+    return { host, port: bound.port };
+  }
+
+  /** Hands a message to a peer's feed; returns false when it has none. */
+  send(peer: RouterId, message: FeedMessage): boolean {
+    const subscriber = this.#subscribers.get(peer);
+    if (!subscriber) {
+      return false;
+    }
+    if (subscriber.context.unsent() > MAX_UNSENT_BYTES) {
+      subscriber.context.terminate();
+      return false;
+    }
+    subscriber.feed.push(message);
+    return true;
+  }
+
+  /** Ends every connection and stops listening. */
+  async close(): Promise<void> {
+    for (const { feed } of this.#subscribers.values()) {
+      feed.close();
+    }
+    for (const socket of this.#sockets.clients) {
+      socket.terminate();
+    }
+    this.#sockets.close();
+    this.#http.closeAllConnections();
+    await new Promise<void>(resolve => {
+      this.#http.close(() => {
+        resolve();
+      });
+    });
+  }
+
+  #serve(): void {
+    const router = peerRoutes({
+      openFeed: context => this.#openFeed(context),
+      closeFeed: (context, feed) => {
+        this.#closeFeed(context, feed);
+      },
+      snapshot: this.#options.snapshot,
+    });
+    applyWSSHandler({
+      wss: this.#sockets,
+      router,
+      experimental_encoder: binaryEncoder,
+      createContext: ({ res, info }) => this.#prove(res, info.connectionParams),
+      onError: () => {
+        // A broken connection or a refused proof; both are counted elsewhere.
+      },
+    });
+  }
+
+  #awaitProof(socket: WebSocket): void {
+    socket.on('error', () => {
+      socket.terminate();
+    });
+    const cancel = this.#options.timers.after(PROOF_TIME, () => {
+      if (!this.#proven.has(socket)) {
+        socket.terminate();
+      }
+    });
+    socket.once('close', cancel);
+  }
+
+  #prove(socket: WebSocket, parameters: unknown): PeerContext {
+    const peer = this.#options.proof.accept(parameters);
+    if (!peer) {
+      this.#rejected += 1;
+      throw new TRPCError({ code: 'UNAUTHORIZED' });
+    }
+    this.#proven.add(socket);
+    return {
+      peer,
+      terminate: () => {
+        socket.terminate();
+      },
+      unsent: () => socket.bufferedAmount,
+    };
+  }
+
+  #openFeed(context: PeerContext): PeerFeed {
+    const { identity, nonce } = context.peer;
+    const feed = new PeerFeed();
+    feed.push({
+      identity: tellIdentity(this.#options.self),
+      proof: this.#options.proof.answer(nonce),
+    });
+    this.#subscribers.get(identity.id)?.feed.close();
+    this.#subscribers.set(identity.id, { feed, context });
+    this.#options.listener.subscribed(identity);
+    return feed;
+  }
+
+  #closeFeed(context: PeerContext, feed: PeerFeed): void {
+    const { id } = context.peer.identity;
+    feed.close();
+    if (this.#subscribers.get(id)?.feed === feed) {
+      this.#subscribers.delete(id);
+      this.#options.listener.unsubscribed(id);
+    }
+  }
+}
--- /dev/null
+++ b/packages/router/src/peers/socket-meter.ts
@@ -0,0 +1,38 @@
+/** Counts the bytes of all sockets that carry control traffic, in both directions. */
+import type { Socket } from 'node:net';
+
+export interface SocketBytes {
+  readonly read: number;
+  readonly written: number;
+}
+
+export class SocketMeter {
+  readonly #open = new Set<Socket>();
+  #read = 0;
+  #written = 0;
+
+  /** Sockets that are open now. */
+  get size(): number {
+    return this.#open.size;
+  }
+
+  track(socket: Socket): void {
+    this.#open.add(socket);
+    socket.once('close', () => {
+      this.#open.delete(socket);
+      this.#read += socket.bytesRead;
+      this.#written += socket.bytesWritten;
+    });
+  }
+
+  /** Bytes since the start; headers of TCP and IP are not in them. */
+  total(): SocketBytes {
+    let read = this.#read;
+    let written = this.#written;
+    for (const socket of this.#open) {
+      read += socket.bytesRead;
+      written += socket.bytesWritten;
+    }
+    return { read, written };
+  }
+}
