Add the operators' HTTP API, its client and the configuration's shell

Operators have to see and change the fleet through any router, and be told the truth when changes race or the store fails. Three tests run it with a real server and client over a platform in memory.

--- a/packages/core/src/configuration/configuration-topic.ts
+++ b/packages/core/src/configuration/configuration-topic.ts
@@ -82,6 +82,17 @@
     return source;
   }
 
+  /** Versions that peers have in force, as far as this router knows. */
+  versions(): ReadonlyMap<RouterId, number> {
+    const versions = new Map<RouterId, number>();
+    for (const [peer, { version }] of this.#peers) {
+      if (version !== undefined) {
+        versions.set(peer, version);
+      }
+    }
+    return versions;
+  }
+
   override urgentPeers(): readonly RouterId[] {
     const urgent: RouterId[] = [];
     for (const [peer, state] of this.#peers) {
--- /dev/null
+++ b/packages/router/src/operators/operator-answers.ts
@@ -0,0 +1,119 @@
+/** Shapes of the operators' API, shared by the server and its client. */
+import { z } from 'zod';
+
+import type { InvalidChange } from '@sesamegrade/core/configuration/change-check';
+import { acceptedExceptionSchema } from '@sesamegrade/core/configuration/content';
+import type { ProposalOutcome } from '@sesamegrade/core/configuration/proposal';
+
+const acceptedSchema = z.object({
+  version: z.number(),
+  changeId: z.string(),
+  who: z.string(),
+  when: z.number(),
+});
+
+export const defaultsSchema = z.object({
+  version: z.number(),
+  settings: z.array(
+    z.object({
+      name: z.string(),
+      value: z.json(),
+      builtIn: z.json(),
+      /** Whether an operator set the value. */
+      set: z.boolean(),
+      meaning: z.string(),
+    }),
+  ),
+});
+
+export const exceptionsSchema = z.object({
+  version: z.number(),
+  exceptions: z.array(acceptedExceptionSchema),
+});
+
+/** Who asks for a change, and how a resend is recognised. */
+export const requestSchema = z.object({
+  who: z.string().trim().min(1).max(100),
+  changeId: z.string().min(1).max(100).optional(),
+  expected: z.int().min(0).optional(),
+});
+
+export const changeAnswerSchema = z.discriminatedUnion('kind', [
+  z.object({
+    kind: z.literal('committed'),
+    version: z.number(),
+    changeId: z.string(),
+  }),
+  z.object({ kind: z.literal('conflict'), winner: acceptedSchema }),
+  z.object({ kind: z.literal('invalid'), problem: z.string() }),
+  /** Nothing was changed. */
+  z.object({ kind: z.literal('not-accepted'), problem: z.string() }),
+  /** It may have been accepted; sending it again with the same id settles it. */
+  z.object({ kind: z.literal('unknown'), changeId: z.string() }),
+]);
+
+export type ChangeAnswer = z.infer<typeof changeAnswerSchema>;
+export type Defaults = z.infer<typeof defaultsSchema>;
+export type Exceptions = z.infer<typeof exceptionsSchema>;
+
+/** HTTP status of each answer to a change. */
+export const CHANGE_STATUS: Readonly<Record<ChangeAnswer['kind'], number>> = {
+  committed: 200,
+  conflict: 409,
+  invalid: 422,
+  'not-accepted': 503,
+  unknown: 504,
+};
+
+/** Says in a sentence what is wrong with a change. */
+export function describeProblem(problem: InvalidChange): string {
+  switch (problem.kind) {
+    case 'malformed':
+      return problem.detail;
+    case 'too-large':
+      return `the change is longer than ${problem.limitBytes} bytes`;
+    case 'unknown-setting':
+      return `there is no setting "${problem.setting}"`;
+    case 'wrong-value':
+      return `wrong value for "${problem.setting}": ${problem.detail}`;
+    case 'wrong-scope': {
+      const allowed = problem.allowed.join(', ') || 'nothing';
+      return `"${problem.setting}" allows exceptions for ${allowed} only`;
+    }
+    case 'exception-exists':
+      return `there is an exception with the id "${problem.id}" already`;
+    case 'already-excepted':
+      return `exception "${problem.id}" covers the same setting and subject`;
+    case 'no-such-exception':
+      return `there is no exception with the id "${problem.id}"`;
+  }
+}
+
+/** Turns what became of a proposal into an answer. */
+export function changeAnswer(
+  outcome: ProposalOutcome,
+  changeId: string,
+): ChangeAnswer {
+  switch (outcome.kind) {
+    case 'committed':
+      return { kind: 'committed', version: outcome.version, changeId };
+    case 'conflict':
+      return outcome;
+    case 'invalid':
+      return { kind: 'invalid', problem: describeProblem(outcome.problem) };
+    case 'unreadable': {
+      const { row, kind } = outcome.problem;
+      return notAccepted(`the stored row "${row}" is unusable: ${kind}`);
+    }
+    case 'store-unavailable':
+      return notAccepted('the store is not reachable');
+    case 'store-behind':
+      return notAccepted('the store holds an older version than is in force');
+    case 'unsettled':
+      return { kind: 'unknown', changeId };
+  }
+}
+
+export function notAccepted(problem: string): ChangeAnswer {
+  return { kind: 'not-accepted', problem };
+}
--- /dev/null
+++ b/packages/router/src/operators/operator-server.test.ts
@@ -0,0 +1,141 @@
+import { expect } from 'chai';
+
+import { ConfigurationKeeper } from '@sesamegrade/core/configuration/configuration-keeper';
+import { Random } from '@sesamegrade/core/random/random';
+import { SilentRecorder } from '@sesamegrade/core/timeline/event';
+import { EventBuffer } from '@sesamegrade/core/timeline/event-buffer';
+import { HybridClock } from '@sesamegrade/core/timeline/hybrid-clock';
+import { MemoryPlatform } from '../platform/memory-platform';
+import { SystemTimerService } from '../process/system-timer-service';
+import { ConfigurationStore } from './configuration-store';
+import { OperatorClient } from './operator-client';
+import { OperatorServer } from './operator-server';
+import { OperatorToken } from './operator-token';
+import { StatusSource } from './status';
+import type { FleetStatus } from './status';
+
+const TOKEN = 'secret of the operators';
+const CHANGE = { who: 'ana' };
+
+class FixedStatus extends StatusSource {
+  override status(): FleetStatus {
+    const router = { id: 'r1', incarnation: 1, zone: 'a', program: '0' };
+    return {
+      router: { ...router, ready: true, leaving: false, upSeconds: 1 },
+      configuration: { version: 0, storeUp: true, ignoredSettings: 0 },
+      routers: [],
+      endpoints: [],
+      leases: [],
+      outcomes: { not_run: 3 },
+      controlBytesPerSecond: 12,
+    };
+  }
+}
+
+describe('OperatorServer', () => {
+  const timers = new SystemTimerService();
+  const clock = new HybridClock(() => timers.wallTime());
+  const events = new EventBuffer({ process: 'r1', incarnation: 1, clock });
+  const platform = new MemoryPlatform(timers);
+  const random = new Random(1);
+  const recorder = new SilentRecorder();
+  const routerCount = () => 1;
+  const keeper = new ConfigurationKeeper({ random, recorder, routerCount });
+  const store = new ConfigurationStore({ keeper, platform, timers });
+  const server = new OperatorServer({
+    address: { host: '127.0.0.1', port: 0 },
+    token: new OperatorToken(TOKEN),
+    status: new FixedStatus(),
+    keeper,
+    store,
+    events,
+    timers,
+  });
+  let origin = '';
+  let client = new OperatorClient({ origin, token: TOKEN });
+
+  before(async () => {
+    const { host, port } = await server.listen();
+    origin = `http://${host}:${port}`;
+    client = new OperatorClient({ origin, token: TOKEN });
+    store.start();
+  });
+
+  after(async () => {
+    timers.stop();
+    await server.close();
+  });
+
+  async function kindOf(answer: ReturnType<OperatorClient['setDefaults']>) {
+    const result = await answer;
+    return result.ok ? result.value.kind : result.failure.kind;
+  }
+
+  it('accepts, shows and removes defaults and exceptions', async () => {
+    const set = await client.setDefaults({ loadBound: 1.5 }, CHANGE);
+    expect(set.ok && set.value.kind).to.equal('committed');
+    const defaults = await client.defaults();
+    const bound =
+      defaults.ok &&
+      defaults.value.settings.find(entry => entry.name === 'loadBound');
+    expect(bound).to.include({ value: 1.5, builtIn: 1.25, set: true });
+    const exception = {
+      id: 'x1',
+      scope: { kind: 'team', name: 'coop' },
+      setting: 'teamLimit',
+      value: 5,
+      reason: 'harvest week',
+    };
+    expect(await kindOf(client.addException(exception, CHANGE))).to.equal(
+      'committed',
+    );
+    expect(keeper.settings.get('teamLimit', { team: 'coop' })).to.equal(5);
+    const shown = await client.exceptions();
+    const first = shown.ok ? shown.value.exceptions[0] : undefined;
+    expect(first).to.include({ reason: 'harvest week', who: 'ana' });
+    expect(await kindOf(client.removeException('x1', CHANGE))).to.equal(
+      'committed',
+    );
+  });
+
+  it('answers a resend alike, a stale change by its winner, a wrong one by why', async () => {
+    const resend = { ...CHANGE, changeId: 'once' };
+    const first = await client.setDefaults({ teamLimit: 9 }, resend);
+    expect(await client.setDefaults({ teamLimit: 9 }, resend)).to.deep.equal(
+      first,
+    );
+    const stale = { ...CHANGE, expected: 1 };
+    const lost = await client.setDefaults({ teamLimit: 8 }, stale);
+    expect(lost.ok && lost.value).to.deep.include({ kind: 'conflict' });
+    expect(JSON.stringify(lost)).to.contain('"changeId":"once"');
+    expect(await kindOf(client.setDefaults({ loadBound: 0 }, CHANGE))).to.equal(
+      'invalid',
+    );
+    const noReason = {
+      id: 'x',
+      scope: { kind: 'team', name: 't' },
+      reason: ' ',
+    };
+    expect(await kindOf(client.addException(noReason, CHANGE))).to.equal(
+      'invalid',
+    );
+    expect(await kindOf(client.setDefaults({}, { who: '' }))).to.equal(
+      'refused',
+    );
+  });
+
+  it('pages events, shows the status, and knows only its token', async () => {
+    events.record('configuration-applied', { configuration: 1 });
+    const page = await client.timeline(0);
+    expect(page.ok && page.value.events[0]?.kind).to.equal(
+      'configuration-applied',
+    );
+    const status = await client.status();
+    expect(status.ok && status.value.outcomes).to.deep.equal({ not_run: 3 });
+    for (const token of ['', 'guess', `${TOKEN}x`]) {
+      const other = new OperatorClient({ origin, token });
+      const answer = await other.status();
+      expect(!answer.ok && answer.failure.kind).to.equal('unauthorized');
+    }
+  });
+});
