Count what is sent to leaving endpoints and let stand-ins advertise

The promise that a leaving endpoint gets no new work was not checked, and an engine behind a fault proxy could not name the proxy's address.

--- a/packages/cli/src/commands/stand-in.ts
+++ b/packages/cli/src/commands/stand-in.ts
@@ -51,6 +51,7 @@
   vmListLagMs: number.optional(),
   weightSlots: number.int().optional(),
   weightLoadMs: number.optional(),
+  advertise: addressSchema.optional(),
   /** Required for a fault proxy. */
   target: addressSchema.optional(),
   controlPort: number.int().max(65535).default(0),
@@ -181,6 +182,7 @@
       .option('--host <host>', 'Address to listen on', { default: '127.0.0.1' })
       .option('--port <port>', 'Port to listen on, 0 for any', { default: 0 })
       .option('--platform <url>', 'Stand-in platform to register at')
+      .option('--advertise <host:port>', 'Address to register instead')
       .option('--vm <id>', 'Name in the list of VMs')
       .option('--zone <id>', 'Availability zone')
       .option('--seed <number>', 'Seed of everything random')
--- a/packages/load/src/checks/promise-audit.ts
+++ b/packages/load/src/checks/promise-audit.ts
@@ -15,6 +15,8 @@
   readonly doubleExecutions: readonly string[];
   /** Idempotency keys that were answered and never ran. */
   readonly falseSuccesses: readonly string[];
+  /** Requests sent to endpoints long after they began to leave. */
+  readonly sentToLeaving: number;
   /** Endpoints whose records could not be read, so that claims stay unchecked. */
   readonly missingRecords: readonly string[];
 }
@@ -75,6 +77,7 @@
         .filter(({ results }) => results.some(result => result.kind === 'ok'))
         .filter(({ key }) => complete && runs(key) === 0)
         .map(({ key }) => key),
+      sentToLeaving: records.sentLate,
       missingRecords: records.missing,
     };
   }
--- a/packages/load/src/measures/fleet-observer.ts
+++ b/packages/load/src/measures/fleet-observer.ts
@@ -21,6 +21,7 @@
 });
 
 const engineSchema = z.looseObject({
+  sentLate: z.number(),
   running: z.number(),
   down: z.boolean(),
   leaving: z.boolean(),
@@ -37,6 +38,7 @@
 });
 
 const executionsSchema = z.looseObject({
+  sentLate: z.number(),
   byKey: z.record(z.string(), z.number()),
   executions: z.array(z.looseObject({ path: z.string() })),
 });
@@ -53,6 +55,8 @@
   readonly contentHashes: ReadonlySet<string>;
   readonly executionsByKey: ReadonlyMap<string, number>;
   readonly executedPaths: ReadonlySet<string>;
+  /** Requests sent to endpoints long after they began to leave. */
+  readonly sentLate: number;
   /** VMs whose record could not be read. */
   readonly missing: readonly string[];
 }
@@ -117,6 +121,7 @@
     const executionsByKey = new Map<string, number>();
     const executedPaths = new Set<string>();
     const missing: string[] = [];
+    let sentLate = 0;
     for (const [vm, { kind, url }] of this.#seen) {
       const path = kind === 'engine' ? 'runs' : 'executions';
       const record = await this.#get(
@@ -126,8 +131,11 @@
       const runs = runsSchema.safeParse(record);
       const executions = executionsSchema.safeParse(record);
       if (kind === 'engine' && runs.success) {
+        const state = await this.#get(`${url}/control`, REPORT_TIMEOUT_MS);
+        sentLate += engineSchema.safeParse(state).data?.sentLate ?? 0;
         runs.data.runs.forEach(run => contentHashes.add(run.contentHash));
       } else if (kind === 'service' && executions.success) {
+        sentLate += executions.data.sentLate;
         for (const [key, count] of Object.entries(executions.data.byKey)) {
           const bare = key.replaceAll('"', '');
           executionsByKey.set(bare, (executionsByKey.get(bare) ?? 0) + count);
@@ -139,7 +147,13 @@
         missing.push(vm);
       }
     }
-    return { contentHashes, executionsByKey, executedPaths, missing };
+    return {
+      contentHashes,
+      executionsByKey,
+      executedPaths,
+      sentLate,
+      missing,
+    };
   }
 
   async #sampleEngines(at: number): Promise<void> {
--- a/packages/load/src/report/text-table.ts
+++ b/packages/load/src/report/text-table.ts
@@ -59,6 +59,7 @@
     line('untrue refusals', audit.untrueRefusals.length),
     line('double executions', audit.doubleExecutions.length),
     line('answers without execution', audit.falseSuccesses.length),
+    line('requests sent to leaving endpoints', audit.sentToLeaving),
     line('endpoints without a record', audit.missingRecords.length),
   ];
 }
--- a/packages/load/src/run/summary.ts
+++ b/packages/load/src/run/summary.ts
@@ -46,6 +46,7 @@
     'untrue refusals': audit.untrueRefusals.length,
     'double executions': audit.doubleExecutions.length,
     'answers without execution': audit.falseSuccesses.length,
+    'requests sent to leaving endpoints': audit.sentToLeaving,
   };
   return Object.entries(counts)
     .filter(([, count]) => count > 0)
--- a/packages/stand-ins/src/engine/engine-model.test.ts
+++ b/packages/stand-ins/src/engine/engine-model.test.ts
@@ -33,7 +33,8 @@
   ) => {
     const { chat, ...fields } = extra;
     const request = { model: 'drafting', messages, ...fields };
-    return model.submit({ id: attemptId(name), chat, request });
+    const submission = { id: attemptId(name), chat, request };
+    return model.submit(submission, instant(now));
   };
   return { model, run, submit, now: () => instant(now) };
 }
@@ -114,6 +115,17 @@
     expect(ends).to.deep.equal(['crashed', 'crashed']);
   });
 
+  it('counts what is sent long after it began to leave', () => {
+    const { model, run, submit, now } = engine();
+    model.leave(now());
+    const early = submit('a', [ask('1')]);
+    expect(early).to.deep.equal({ ok: false, failure: { kind: 'leaving' } });
+    expect(model.sentLate).to.equal(0);
+    run(6000);
+    submit('b', [ask('2')]);
+    expect(model.sentLate).to.equal(1);
+  });
+
   it('publishes cache events late', () => {
     const { model, run, submit, now } = engine({ cacheEventLoss: 0 });
     submit('a', [ask('1')], { chat: 'c1', max_tokens: 1 });
--- a/packages/stand-ins/src/engine/engine-model.ts
+++ b/packages/stand-ins/src/engine/engine-model.ts
@@ -4,25 +4,23 @@
 import type { AttemptId } from '@sesamegrade/core/types/ids';
 import { fail, succeed } from '@sesamegrade/core/types/result';
 import type { Result } from '@sesamegrade/core/types/result';
-import { elapsed, milliseconds } from '@sesamegrade/core/types/units';
+import { elapsed, milliseconds, seconds } from '@sesamegrade/core/types/units';
 import type { Instant } from '@sesamegrade/core/types/units';
 import { CacheEventLog } from './cache-event-log';
 import type { CacheEvent } from './cache-event-log';
 import { messageText } from './chat-request';
 import type { ChatRequest } from './chat-request';
 import type { EngineBehaviour } from './engine-options';
-import {
-  contentHash,
-  expectedTokens,
-  messageHash,
-  messageTokens,
-} from './expected-answer';
+import { messageHash, messageTokens } from './expected-answer';
 import { PrefixCache } from './prefix-cache';
 import type { CachedMessage } from './prefix-cache';
 import { RunLog } from './run-log';
-import type { Sequence } from './sequence';
+import { createSequence } from './sequence';
+import type { Sequence, Submission } from './sequence';
 
 const MS_PER_SECOND = 1000;
+/** Time in which routers are to notice that an engine leaves. */
+const LEAVING_GRACE = seconds(5);
 
 /** Why a request was not taken; nothing of it was run. */
 export interface SubmitRefusal {
@@ -37,12 +35,6 @@
   readonly cacheUsage: number;
 }
 
-export interface Submission {
-  readonly id: AttemptId;
-  readonly chat: string | undefined;
-  readonly request: ChatRequest;
-}
-
 /** What a step did. */
 export type StepOutcome = 'progressed' | 'crashed';
 
@@ -69,8 +61,8 @@
   #stalledUntil: Instant;
   /** Factor by which everything takes longer. */
   slowFactor = 1;
-  /** Refuses new requests, finishes those it has. */
-  leaving = false;
+  #leavingSince: Instant | undefined;
+  #sentLate = 0;
 
   constructor(behaviour: EngineBehaviour, now: Instant) {
     this.#behaviour = behaviour;
@@ -97,6 +89,16 @@
     return this.#incarnation;
   }
 
+  /** Whether new requests are refused, while those at hand are finished. */
+  get leaving(): boolean {
+    return this.#leavingSince !== undefined;
+  }
+
+  /** Requests that arrived more than `LEAVING_GRACE` after it began to leave. */
+  get sentLate(): number {
+    return this.#sentLate;
+  }
+
   /** Whether there is anything to compute. */
   get busy(): boolean {
     return this.#running.size > 0 || this.#waiting.length > 0;
@@ -115,6 +117,15 @@
     return this.#published;
   }
 
+  leave(now: Instant): void {
+    this.#leavingSince ??= now;
+  }
+
+  /** Takes new requests again. */
+  stay(): void {
+    this.#leavingSince = undefined;
+  }
+
   serve(models: readonly string[]): void {
     this.#models = models;
   }
@@ -128,12 +139,20 @@
     return this.#sequences.get(id);
   }
 
-  submit(submission: Submission): Result<Sequence, SubmitRefusal> {
+  submit(
+    submission: Submission,
+    now: Instant,
+  ): Result<Sequence, SubmitRefusal> {
+    if (this.#leavesLong(now)) {
+      this.#sentLate += 1;
+    }
     const refusal = this.#refusal(submission);
     if (refusal) {
       return fail(refusal);
     }
-    const sequence = this.#sequence(submission);
+    this.#order += 1;
+    const created = Math.floor(this.#wallTime / MS_PER_SECOND);
+    const sequence = createSequence(submission, this.#order, created);
     this.#sequences.put(sequence);
     const priority = sequence.request.priority ?? 0;
     const place = this.#waiting.findIndex(
@@ -192,7 +211,7 @@
     this.#cache.clear();
     this.#events.add('cleared', '', 0, now);
     this.#incarnation += 1;
-    this.leaving = false;
+    this.stay();
   }
 
   exportPrefix(prefix: string): readonly CachedMessage[] | undefined {
@@ -211,6 +230,11 @@
     return this.#events.after(after, now);
   }
 
+  #leavesLong(now: Instant): boolean {
+    const since = this.#leavingSince;
+    return since !== undefined && elapsed(since, now) > LEAVING_GRACE;
+  }
+
   #refusal(submission: Submission): SubmitRefusal | undefined {
     if (this.leaving) {
       return { kind: 'leaving' };
@@ -226,30 +250,6 @@
     return held >= capacity + waitingLimit ? { kind: 'full' } : undefined;
   }
 
-  #sequence({ id, chat, request }: Submission): Sequence {
-    const prompt = request.messages.map(message => ({
-      hash: messageHash(message),
-      tokens: messageTokens(message),
-    }));
-    this.#order += 1;
-    return {
-      id,
-      request,
-      contentHash: contentHash(request),
-      chat: chat ?? `opening-${prompt[0]?.hash ?? ''}`,
-      prompt,
-      promptTokens: prompt.reduce((sum, entry) => sum + entry.tokens, 0),
-      tokens: expectedTokens(request),
-      order: this.#order,
-      created: Math.floor(this.#wallTime / MS_PER_SECOND),
-      phase: 'waiting',
-      cachedTokens: 0,
-      prefillLeft: 0,
-      generated: 0,
-      endedAt: undefined,
-    };
-  }
-
   /** Moves waiting sequences into the batch; true when one crashes the engine. */
   #admit(): boolean {
     while (this.#running.size < this.#behaviour.capacity) {
--- a/packages/stand-ins/src/engine/engine-server.ts
+++ b/packages/stand-ins/src/engine/engine-server.ts
@@ -39,7 +39,9 @@
 export interface EngineOptions extends Partial<EngineBehaviour> {
   readonly listen?: ListenOptions;
   /** Base URL of the stand-in platform, where the engine registers itself. */
-  readonly platform?: string;
+  readonly platform?: string | undefined;
+  /** Address to register, when it is not the one it listens on. */
+  readonly advertise?: Address | undefined;
 }
 
 /** Something that waits for a sequence; `pump` returns false when done. */
@@ -53,6 +55,7 @@
   readonly #cache: CacheInterface;
   readonly #orders: EngineOrders;
   readonly #registration: Registration | undefined;
+  readonly #advertise: Address | undefined;
   readonly #readers = new Set<Reader>();
   #timer: NodeJS.Timeout | undefined;
   #downUntil: Instant = instant(0);
@@ -63,6 +66,7 @@
     super(options.listen ?? LOOPBACK);
     this.#behaviour = engineBehaviour(options);
     this.#model = new EngineModel(this.#behaviour, this.#now());
+    this.#advertise = options.advertise;
     this.#cache = new CacheInterface(this.#model);
     this.#orders = new EngineOrders(
       this.#behaviour.checksFence,
@@ -97,7 +101,11 @@
       this.#crash(now);
     }
     if (change.leaving !== undefined) {
-      this.#model.leaving = change.leaving;
+      if (change.leaving) {
+        this.#model.leave(now);
+      } else {
+        this.#model.stay();
+      }
       await this.#register();
     }
   }
@@ -208,7 +216,9 @@
 
   async #register(): Promise<void> {
     if (!this.#stopped) {
-      await this.#registration?.register(this.#entry(this.address));
+      await this.#registration?.register(
+        this.#entry(this.#advertise ?? this.address),
+      );
     }
   }
 
@@ -246,11 +256,9 @@
       return;
     }
     const id = attemptId(header(request, 'x-request-id') ?? randomUUID());
-    const submitted = this.#model.submit({
-      id,
-      chat: header(request, 'x-chat-id'),
-      request: parsed.data,
-    });
+    const chat = header(request, 'x-chat-id');
+    const submission = { id, chat, request: parsed.data };
+    const submitted = this.#model.submit(submission, this.#now());
     if (!submitted.ok) {
       this.#refuse(response, submitted.failure);
       return;
@@ -361,6 +369,7 @@
           down: this.#down,
           incarnation: this.#model.incarnation,
           leaving: this.#model.leaving,
+          sentLate: this.#model.sentLate,
           capacity: this.#behaviour.capacity,
           ...this.#model.load,
         });
--- a/packages/stand-ins/src/engine/sequence.ts
+++ b/packages/stand-ins/src/engine/sequence.ts
@@ -2,6 +2,12 @@
 import type { AttemptId } from '@sesamegrade/core/types/ids';
 import type { Instant } from '@sesamegrade/core/types/units';
 import type { ChatRequest } from './chat-request';
+import {
+  contentHash,
+  expectedTokens,
+  messageHash,
+  messageTokens,
+} from './expected-answer';
 import type { CachedMessage } from './prefix-cache';
 
 export type SequencePhase = 'waiting' | 'running' | 'finished' | 'cancelled';
@@ -28,8 +34,43 @@
   endedAt: Instant | undefined;
 }
 
+/** A request as it arrives. */
+export interface Submission {
+  readonly id: AttemptId;
+  readonly chat: string | undefined;
+  readonly request: ChatRequest;
+}
+
 const EVENTS_AFTER_TOKENS = 2;
 
+/** Makes the sequence of a request that waits. */
+export function createSequence(
+  { id, chat, request }: Submission,
+  order: number,
+  created: number,
+): Sequence {
+  const prompt = request.messages.map(message => ({
+    hash: messageHash(message),
+    tokens: messageTokens(message),
+  }));
+  return {
+    id,
+    request,
+    contentHash: contentHash(request),
+    chat: chat ?? `opening-${prompt[0]?.hash ?? ''}`,
+    prompt,
+    promptTokens: prompt.reduce((sum, entry) => sum + entry.tokens, 0),
+    tokens: expectedTokens(request),
+    order,
+    created,
+    phase: 'waiting',
+    cachedTokens: 0,
+    prefillLeft: 0,
+    generated: 0,
+    endedAt: undefined,
+  };
+}
+
 /** Returns the number of events that can be read so far; ids start at 1. */
 export function readyEvents(sequence: Sequence): number {
   if (sequence.phase === 'finished') {
--- a/packages/stand-ins/src/service/service-server.ts
+++ b/packages/stand-ins/src/service/service-server.ts
@@ -6,6 +6,7 @@
 import { z } from 'zod';
 
 import { Random } from '@sesamegrade/core/random/random';
+import type { Address } from '@sesamegrade/core/types/endpoint';
 import {
   HttpStandIn,
   LOOPBACK,
@@ -22,11 +23,15 @@
 const DEFAULT_DELAY_MS = 5;
 const DEFAULT_CAPACITY = 64;
 const DEFAULT_REFUSAL_STATUS = 429;
+/** Time in which routers are to notice that a service leaves. */
+const LEAVING_GRACE_MS = 5000;
 
 export interface ServiceOptions {
   readonly listen?: ListenOptions;
   /** Base URL of the stand-in platform, where the service registers itself. */
   readonly platform?: string;
+  /** Address to register, when it is not the one it listens on. */
+  readonly advertise?: Address | undefined;
   readonly vm?: string;
   readonly service?: string;
   readonly zone?: string;
@@ -57,6 +62,8 @@
   readonly #random: Random;
   readonly #registration: Registration | undefined;
   #control: ServiceControl = {};
+  #leavingSince: number | undefined;
+  #sentLate = 0;
 
   constructor(options: ServiceOptions = {}) {
     super(options.listen ?? LOOPBACK);
@@ -77,6 +84,7 @@
   async control(change: ServiceControl): Promise<void> {
     this.#control = { ...this.#control, ...change };
     if (change.leaving !== undefined) {
+      this.#leavingSince = change.leaving ? performance.now() : undefined;
       await this.#register();
     }
   }
@@ -99,6 +107,10 @@
       return;
     }
     const body = await readBody(request);
+    const leftFor = performance.now() - (this.#leavingSince ?? Infinity);
+    if (leftFor > LEAVING_GRACE_MS) {
+      this.#sentLate += 1;
+    }
     if (this.#random.fraction() < (this.#control.refusals ?? 0)) {
       const status = this.#control.refusalStatus ?? DEFAULT_REFUSAL_STATUS;
       sendJson(response, status, { error: 'refused' }, { 'Retry-After': '1' });
@@ -144,7 +156,8 @@
     response: ServerResponse,
   ): Promise<void> {
     if (request.method !== 'POST') {
-      sendJson(response, 200, this.#log.report());
+      const report = this.#log.report();
+      sendJson(response, 200, { ...report, sentLate: this.#sentLate });
       return;
     }
     const parsed = serviceControlSchema.safeParse(await readJson(request));
@@ -161,12 +174,13 @@
   }
 
   async #register(): Promise<void> {
+    const { host, port } = this.#options.advertise ?? this.address;
     await this.#registration?.register({
       vm: this.#vm(),
       kind: 'service',
       service: this.#options.service ?? 'registry',
-      host: this.address.host,
-      port: this.address.port,
+      host,
+      port,
       zone: this.#options.zone ?? 'zone-1',
       state: this.#control.leaving === true ? 'leaving' : 'live',
       incarnation: this.#options.incarnation ?? 1,
