Bring engines to the planned state under a lease

Models must keep their wanted number of engines while engines crash, routers are paused and the lease moves, and an order of an earlier holder must not win.

--- a/packages/core/src/leases/lease-keeper.ts
+++ b/packages/core/src/leases/lease-keeper.ts
@@ -73,22 +73,15 @@
 
   /** Tries to hold a lease from now on. */
   want(id: LeaseId, now: Instant): void {
-    if (!this.#leases.has(id)) {
-      this.#leases.put({
-        id,
-        wanted: true,
-        view: { kind: 'unseen' },
-        mustRead: false,
-        fenceFloor: fencingNumber(0),
-        hold: undefined,
-        told: false,
-        exchange: undefined,
-        unsettled: undefined,
-        resumeAt: now,
-        failures: 0,
-      });
+    const lease = this.#leases.get(id);
+    if (lease?.wanted) {
+      return;
+    }
+    if (lease) {
+      this.#leases.patch(id, { wanted: true });
+    } else {
+      this.#leases.put(newLease(id, now));
     }
-    this.#leases.patch(id, { wanted: true });
     this.#advance(id, now);
   }
 
@@ -364,6 +357,22 @@
   }
 }
 
+function newLease(id: LeaseId, now: Instant): Lease {
+  return {
+    id,
+    wanted: true,
+    view: { kind: 'unseen' },
+    mustRead: false,
+    fenceFloor: fencingNumber(0),
+    hold: undefined,
+    told: false,
+    exchange: undefined,
+    unsettled: undefined,
+    resumeAt: now,
+    failures: 0,
+  };
+}
+
 /** When a version was first seen; undefined when it was not seen before. */
 function seenSince(view: LeaseView, version: RowVersion): Instant | undefined {
   return view.kind === 'seen' && view.version === version
--- /dev/null
+++ b/packages/faults/src/engine-orders/engine-order-router.ts
@@ -0,0 +1,210 @@
+/** A router's shell around a lease keeper and a reconciler, on a schedule. */
+import type {
+  EngineAnswer,
+  EngineCommand,
+} from '@sesamegrade/core/engine-orders/engine-row';
+import {
+  EngineReconciler,
+  defaultEngineOrderSettings,
+} from '@sesamegrade/core/engine-orders/engine-reconciler';
+import type { ModelPlan } from '@sesamegrade/core/engine-orders/engine-planner';
+import type { EngineOrder } from '@sesamegrade/core/engine-orders/engine-state';
+import type { LeaseCommand } from '@sesamegrade/core/leases/lease';
+import { LeaseKeeper } from '@sesamegrade/core/leases/lease-keeper';
+import type { LeaseRules } from '@sesamegrade/core/leases/lease-rules';
+import type { Random } from '@sesamegrade/core/random/random';
+import { SilentRecorder } from '@sesamegrade/core/timeline/event';
+import type { EndpointId } from '@sesamegrade/core/types/ids';
+import { leaseId, routerId } from '@sesamegrade/core/types/ids';
+import type { Instant, Milliseconds } from '@sesamegrade/core/types/units';
+import { instant, milliseconds } from '@sesamegrade/core/types/units';
+import type { ExchangeFault } from '../simulation/fault';
+import type { FaultyStore } from '../simulation/faulty-store';
+import { Process } from '../simulation/process';
+import type { Schedule } from '../simulation/schedule';
+
+export const ENGINE_ORDER_STEPS = [
+  'take-lease',
+  'renew-lease',
+  'release-lease',
+  'read-lease',
+  'read-engine',
+  'order',
+  'load',
+] as const;
+
+export type EngineOrderStep = (typeof ENGINE_ORDER_STEPS)[number];
+
+export const ENGINE_LEASE = leaseId('engines');
+
+/** What a router needs from the world around it. */
+export interface EngineOrderSurroundings {
+  readonly schedule: Schedule;
+  readonly random: Random;
+  readonly store: FaultyStore;
+  readonly rules: LeaseRules;
+  readonly enginesCheckFence: boolean;
+  reach(
+    step: EngineOrderStep,
+    router: EngineOrderRouter,
+  ): ExchangeFault | undefined;
+  readEngine(
+    engine: EndpointId,
+    fault: ExchangeFault | undefined,
+    reply: (answer: EngineAnswer) => void,
+  ): void;
+  /** Called with the permission given; the order is on its way. */
+  orderEngine(
+    router: EngineOrderRouter,
+    order: EngineOrder,
+    engine: EndpointId,
+    fault: ExchangeFault | undefined,
+    reply: (answer: EngineAnswer) => void,
+  ): void;
+  permitted(router: EngineOrderRouter, order: EngineOrder): void;
+}
+
+const TICK = milliseconds(500);
+/** Highest part by which a clock runs fast or slow. */
+const CLOCK_DRIFT = 0.003;
+const LONGEST_CLOCK_OFFSET_MS = 1_000_000;
+
+export class EngineOrderRouter {
+  readonly name: string;
+  readonly process: Process;
+  readonly keeper: LeaseKeeper;
+  readonly reconciler: EngineReconciler;
+  readonly #world: EngineOrderSurroundings;
+  readonly #clockOffset: number;
+  readonly #clockRate: number;
+  /** Whether the duty falls on this router by its own view. */
+  isOnDuty = true;
+
+  constructor(name: string, world: EngineOrderSurroundings) {
+    const { random, rules } = world;
+    this.name = name;
+    this.#world = world;
+    this.process = new Process(random);
+    this.#clockOffset = random.integer(0, LONGEST_CLOCK_OFFSET_MS);
+    this.#clockRate = 1 + (random.fraction() * 2 - 1) * CLOCK_DRIFT;
+    const recorder = new SilentRecorder();
+    const shared = { random, recorder };
+    const router = routerId(name);
+    this.keeper = new LeaseKeeper({ ...shared, router, holder: name, rules });
+    this.reconciler = new EngineReconciler({
+      ...shared,
+      lease: ENGINE_LEASE,
+      keeper: this.keeper,
+      settings: {
+        ...defaultEngineOrderSettings,
+        enginesCheckFence: world.enginesCheckFence,
+      },
+    });
+  }
+
+  /** The router's own monotonic clock. */
+  get now(): Instant {
+    const elapsedTime = this.#world.schedule.now * this.#clockRate;
+    return instant(this.#clockOffset + elapsedTime);
+  }
+
+  start(engines: readonly EndpointId[], plans: readonly ModelPlan[]): void {
+    this.reconciler.setEngines(engines);
+    this.reconciler.setPlans(plans);
+    this.#tickLater(milliseconds(this.#world.random.integer(0, TICK)));
+  }
+
+  #tickLater(delay: Milliseconds): void {
+    this.#world.schedule.after(delay, () => {
+      this.process.run(() => {
+        this.#tick();
+      });
+      if (this.process.state !== 'dead') {
+        this.#tickLater(TICK);
+      }
+    });
+  }
+
+  #tick(): void {
+    if (this.isOnDuty) {
+      this.keeper.want(ENGINE_LEASE, this.now);
+    } else {
+      this.keeper.release(ENGINE_LEASE, this.now);
+    }
+    this.keeper.tick(this.now);
+    this.reconciler.tick(this.now);
+    this.#drain();
+  }
+
+  #drain(): void {
+    for (const command of this.keeper.takeCommands()) {
+      this.#runLease(command);
+    }
+    for (const command of this.reconciler.takeCommands()) {
+      this.#runEngine(command);
+    }
+  }
+
+  #runLease(command: LeaseCommand): void {
+    if (command.kind === 'write') {
+      const { ticket, operations } = command;
+      const fault = this.#world.reach(this.#stepOf(command), this);
+      this.process.run(() => {
+        this.#world.store.write(operations, fault, answer => {
+          this.#later(() => {
+            this.keeper.writeAnswered(ticket, answer, this.now);
+          });
+        });
+      });
+    } else if (command.kind === 'read') {
+      const { ticket, table, key } = command;
+      const fault = this.#world.reach('read-lease', this);
+      this.process.run(() => {
+        this.#world.store.read(table, key, fault, answer => {
+          this.#later(() => {
+            this.keeper.readAnswered(ticket, answer, this.now);
+          });
+        });
+      });
+    }
+  }
+
+  #stepOf(command: Extract<LeaseCommand, { kind: 'write' }>): EngineOrderStep {
+    if (!this.isOnDuty) {
+      return 'release-lease';
+    }
+    const isHeld = this.keeper.mayAct(ENGINE_LEASE, this.now) !== undefined;
+    const isInsert = command.operations[0]?.condition.kind === 'absent';
+    return isHeld && !isInsert ? 'renew-lease' : 'take-lease';
+  }
+
+  #runEngine(command: EngineCommand): void {
+    const { ticket, engine } = command;
+    const reply = (answer: EngineAnswer) => {
+      this.#later(() => {
+        this.reconciler.answered(ticket, answer, this.now);
+      });
+    };
+    if (command.kind === 'read-engine') {
+      const fault = this.#world.reach('read-engine', this);
+      this.process.run(() => {
+        this.#world.readEngine(engine, fault, reply);
+      });
+      return;
+    }
+    const fault = this.#world.reach('order', this);
+    this.process.run(() => {
+      if (this.reconciler.permitOrder(ticket, this.now)) {
+        this.#world.permitted(this, command.order);
+        this.#world.orderEngine(this, command.order, engine, fault, reply);
+      }
+    });
+  }
+
+  #later(action: () => void): void {
+    this.process.run(() => {
+      action();
+      this.#drain();
+    });
+  }
+}
--- a/packages/faults/src/orders/order-mutations.test.ts
+++ b/packages/faults/src/orders/order-mutations.test.ts
@@ -6,7 +6,8 @@
 import { Random } from '@sesamegrade/core/random/random';
 import type { WriteAnswer } from '@sesamegrade/core/types/platform';
 import type { Violation } from '../simulation/fault';
-import { randomOrderPlan } from './order-plans';
+import { randomPlan } from '../simulation/random-plan';
+import { ORDER_STEPS } from './order-router';
 import { OrderWorld } from './order-world';
 
 const HISTORIES = 2000;
@@ -39,7 +40,7 @@
 function brokenPromises(rules: OrderRules): Set<Violation['promise']> {
   const broken = new Set<Violation['promise']>();
   for (let seed = 1; seed <= HISTORIES; seed += 1) {
-    const plan = randomOrderPlan(new Random(seed));
+    const plan = randomPlan(new Random(seed), ORDER_STEPS);
     const { violations } = new OrderWorld({ seed, plan, rules }).run();
     for (const { promise } of violations) {
       broken.add(promise);
