--- a/packages/cli/src/commands/commands.ts
+++ b/packages/cli/src/commands/commands.ts
@@ -1,7 +1,10 @@
+import { LoopbackRouterLauncher } from '../launch/loopback-router-launcher';
 import { CheckCommand } from './check';
 import type { Command } from './command';
+import { DemoCommand } from './demo';
 import { LoadCommand } from './load';
 import { MeasureGossipCommand } from './measure-gossip';
+import { MeasurePoliciesCommand } from './measure-policies';
 import { RouterCommand } from './router';
 import { StandInCommand } from './stand-in';
 
@@ -10,8 +13,10 @@
   return [
     new RouterCommand(),
     new CheckCommand(),
+    new DemoCommand(new LoopbackRouterLauncher()),
     new LoadCommand(),
     new StandInCommand(),
     new MeasureGossipCommand(),
+    new MeasurePoliciesCommand(),
   ];
 }
