--- a/packages/cli/src/commands/commands.ts
+++ b/packages/cli/src/commands/commands.ts
@@ -1,7 +1,7 @@
+import { LoopbackRouterLauncher } from '../launch/loopback-router-launcher';
 import { CheckCommand } from './check';
 import type { Command } from './command';
 import { DemoCommand } from './demo';
-import { InProcessRouterLauncher } from './demo-routers';
 import { LoadCommand } from './load';
 import { MeasureGossipCommand } from './measure-gossip';
 import { MeasurePoliciesCommand } from './measure-policies';
@@ -13,7 +13,7 @@
   return [
     new RouterCommand(),
     new CheckCommand(),
-    new DemoCommand(new InProcessRouterLauncher()),
+    new DemoCommand(new LoopbackRouterLauncher()),
     new LoadCommand(),
     new StandInCommand(),
     new MeasureGossipCommand(),
