Add the operators' commands and the time line's readers

Operators need the fleet at a glance, changes whose fate they are told, and one request's way over several processes. status, defaults, exceptions and timeline call any router's operator API with a token from the environment and exit by the documented codes; timeline pages through each router's buffer, reads replaced processes afresh, tells of lost events, and writes text, JSON lines or a page with lanes.

--- a/packages/cli/src/commands/commands.ts
+++ b/packages/cli/src/commands/commands.ts
@@ -1,12 +1,16 @@
 import { LoopbackRouterLauncher } from '../launch/loopback-router-launcher';
 import { CheckCommand } from './check';
 import type { Command } from './command';
+import { DefaultsCommand } from './defaults';
 import { DemoCommand } from './demo';
+import { ExceptionsCommand } from './exceptions';
 import { LoadCommand } from './load';
 import { MeasureGossipCommand } from './measure-gossip';
 import { MeasurePoliciesCommand } from './measure-policies';
 import { RouterCommand } from './router';
 import { StandInCommand } from './stand-in';
+import { StatusCommand } from './status';
+import { TimelineCommand } from './timeline';
 
 /** Every command, in the order in which the help lists them. */
 export function commands(): Command[] {
@@ -14,6 +18,10 @@
     new RouterCommand(),
     new CheckCommand(),
     new DemoCommand(new LoopbackRouterLauncher()),
+    new StatusCommand(),
+    new DefaultsCommand(),
+    new ExceptionsCommand(),
+    new TimelineCommand(),
     new LoadCommand(),
     new StandInCommand(),
     new MeasureGossipCommand(),
--- /dev/null
+++ b/packages/cli/src/commands/timeline.ts
@@ -0,0 +1,209 @@
+/** `timeline`: events of several routers in one order. */
+import { writeFile } from 'node:fs/promises';
+import { setTimeout as sleep } from 'node:timers/promises';
+
+import type { CAC } from 'cac';
+import { z } from 'zod';
+
+import type { EventFilter } from '@sesamegrade/core/timeline/event-page';
+import type { MergedEvent } from '@sesamegrade/core/timeline/merged-time-line';
+import { timeLinePage } from '@sesamegrade/core/timeline/time-line-page';
+import { eventLine, lostLine } from '@sesamegrade/core/timeline/time-line-text';
+import type { OperatorClient } from '@sesamegrade/router/operators/operator-client';
+import { TimeLineReader } from '@sesamegrade/router/timeline/time-line-reader';
+import type { SilentSource } from '@sesamegrade/router/timeline/time-line-reader';
+import { Command, ExitCode } from './command';
+import type { ExitStatus } from './command';
+import {
+  checkOptions,
+  clientFor,
+  complain,
+  DEFAULT_TOKEN_ENV,
+  print,
+  reportFailure,
+} from './operator-options';
+
+const FOLLOW_PERIOD_MS = 500;
+const UNIT_MS: Readonly<Record<string, number>> = {
+  s: 1000,
+  m: 60_000,
+  h: 3_600_000,
+};
+
+const text = z.union([z.string(), z.number()]).transform(String);
+
+const sinceSchema = text.transform((value, context) => {
+  const relative = /^(\d+)([smh])$/.exec(value);
+  const [, amount, unit] = relative ?? [];
+  const moment =
+    amount && unit
+      ? Date.now() - Number(amount) * (UNIT_MS[unit] ?? 0)
+      : Date.parse(value);
+  if (Number.isNaN(moment)) {
+    context.addIssue('expected a time such as 10m or 2026-01-31T12:00:00Z');
+    return z.NEVER;
+  }
+  return moment;
+});
+
+const timelineSchema = z.object({
+  routers: z.string().transform(value => value.split(',')),
+  tokenEnv: z.string().default(DEFAULT_TOKEN_ENV),
+  request: text.optional(),
+  endpoint: text.optional(),
+  team: text.optional(),
+  router: text.optional(),
+  lease: text.optional(),
+  configuration: z.number().optional(),
+  kind: text.optional(),
+  since: sinceSchema.optional(),
+  follow: z.boolean().default(false),
+  format: z.enum(['text', 'json', 'html']).default('text'),
+  output: z.string().optional(),
+});
+
+type TimelineOptions = z.infer<typeof timelineSchema>;
+
+function filterOf(options: TimelineOptions): EventFilter {
+  const { request, endpoint, team, router, lease, configuration } = options;
+  const { kind, since } = options;
+  return {
+    ...(request !== undefined && { request }),
+    ...(endpoint !== undefined && { endpoint }),
+    ...(team !== undefined && { team }),
+    ...(router !== undefined && { router }),
+    ...(lease !== undefined && { lease }),
+    ...(configuration !== undefined && { configuration }),
+    ...(kind !== undefined && { kind }),
+    ...(since !== undefined && { since }),
+  };
+}
+
+function clientsOf(
+  options: TimelineOptions,
+): ReadonlyMap<string, OperatorClient> | undefined {
+  const clients = new Map<string, OperatorClient>();
+  for (const origin of options.routers) {
+    const client = clientFor(origin, options.tokenEnv);
+    if (!client) {
+      return undefined;
+    }
+    clients.set(origin, client);
+  }
+  return clients;
+}
+
+function lines(events: readonly MergedEvent[], json: boolean): string[] {
+  if (json) {
+    return events.map(event => JSON.stringify(event));
+  }
+  const width = Math.max(0, ...events.map(event => event.process.length));
+  return events.map(event => eventLine(event, width));
+}
+
+async function write(textOut: string, output?: string): Promise<void> {
+  if (output === undefined) {
+    process.stdout.write(textOut);
+    return;
+  }
+  await writeFile(output, textOut);
+}
+
+function reportSilent(silent: readonly SilentSource[]): ExitStatus {
+  let status: ExitStatus = ExitCode.success;
+  for (const { source, failure } of silent) {
+    complain(`${source}:`);
+    status = reportFailure(failure);
+  }
+  return status;
+}
+
+async function once(
+  reader: TimeLineReader,
+  options: TimelineOptions,
+): Promise<ExitStatus> {
+  const silent = await reader.read();
+  const events = reader.takeEvents();
+  const lost = reader.lost();
+  const body =
+    options.format === 'html'
+      ? timeLinePage(events, lost)
+      : lines(events, options.format === 'json')
+          .map(line => `${line}\n`)
+          .join('');
+  await write(body, options.output);
+  for (const entry of lost) {
+    complain(lostLine(entry));
+  }
+  return reportSilent(silent);
+}
+
+/** Prints events as they come, until the process is ended. */
+async function follow(
+  reader: TimeLineReader,
+  options: TimelineOptions,
+): Promise<ExitStatus> {
+  const told = new Map<string, string>();
+  for (;;) {
+    for (const { source, failure } of await reader.read()) {
+      if (told.get(source) !== failure.kind) {
+        told.set(source, failure.kind);
+        complain(`${source}: ${failure.kind}`);
+      }
+    }
+    lines(reader.takeEvents(), options.format === 'json').forEach(print);
+    for (const entry of reader.lost()) {
+      const line = lostLine(entry);
+      if (told.get(entry.process) !== line) {
+        told.set(entry.process, line);
+        complain(line);
+      }
+    }
+    await sleep(FOLLOW_PERIOD_MS);
+  }
+}
+
+function readTimeline(untrusted: unknown): Promise<ExitStatus> {
+  const options = checkOptions(timelineSchema, untrusted);
+  const clients = options && clientsOf(options);
+  if (!clients) {
+    return Promise.resolve(ExitCode.usage);
+  }
+  const reader = new TimeLineReader({ clients, filter: filterOf(options) });
+  if (!options.follow) {
+    return once(reader, options);
+  }
+  if (options.format === 'html' || options.output !== undefined) {
+    complain('--follow writes text or JSON to the terminal only');
+    return Promise.resolve(ExitCode.usage);
+  }
+  return follow(reader, options);
+}
+
+export class TimelineCommand extends Command {
+  override register(
+    cli: CAC,
+    run: (action: () => Promise<ExitStatus>) => void,
+  ): void {
+    cli
+      .command('timeline', 'Merge the events of several routers')
+      .option('--routers <urls>', 'Operator addresses, separated by commas')
+      .option('--token-env <name>', 'Environment variable with the token', {
+        default: DEFAULT_TOKEN_ENV,
+      })
+      .option('--request <id>', 'Only events of this request')
+      .option('--endpoint <id>', 'Only events of this endpoint')
+      .option('--team <id>', 'Only events of this team')
+      .option('--router <id>', 'Only events about this router')
+      .option('--lease <id>', 'Only events of this lease')
+      .option('--configuration <version>', 'Only events of this version')
+      .option('--kind <kind>', 'Only events of this kind')
+      .option('--since <time>', 'A time, or an age such as 10m')
+      .option('--follow', 'Go on printing events as they come')
+      .option('--format <format>', 'text, json or html', { default: 'text' })
+      .option('--output <file>', 'Write to a file')
+      .action((options: unknown) => {
+        run(() => readTimeline(options));
+      });
+  }
+}
--- a/packages/core/src/timeline/time-line.test.ts
+++ b/packages/core/src/timeline/time-line.test.ts
@@ -6,6 +6,8 @@
 import { compareStamps, HybridClock } from './hybrid-clock';
 import type { Stamp } from './hybrid-clock';
 import { MergedTimeLine } from './merged-time-line';
+import { timeLinePage } from './time-line-page';
+import { eventLine } from './time-line-text';
 
 const SEED = 20_261_203;
 
@@ -89,4 +91,20 @@
     expect(merged.add('a', page)).to.equal(true);
     expect(merged.next('a')).to.equal(0);
   });
+
+  it('shows hostile text harmlessly, lanes and what was lost', () => {
+    const merged = new MergedTimeLine({});
+    const { buffer } = bufferOf('<img src=x>', () => 1, 2);
+    const hostile = '"><script>alert(1)</script>\u001b[2J';
+    for (let index = 0; index < 3; index += 1) {
+      buffer.record('request-sent', { request: hostile });
+    }
+    merged.add('a', read(buffer));
+    const events = merged.takeEvents();
+    const page = timeLinePage(events, merged.lost());
+    expect(page.match(/<script>/g)?.length).to.equal(1);
+    expect(page).to.not.contain('<img');
+    expect(page).to.contain('1 events of &lt;img src=x&gt; were dropped');
+    expect(eventLine(events[0]!, 4)).to.not.contain('\u001b');
+  });
 });
