--- a/packages/cli/src/commands/commands.ts
+++ b/packages/cli/src/commands/commands.ts
@@ -2,6 +2,7 @@
 import { CheckCommand } from './check';
 import type { Command } from './command';
 import { DemoCommand } from './demo';
+import { FaultsCommand } from './faults';
 import { LoadCommand } from './load';
 import { MeasureGossipCommand } from './measure-gossip';
 import { MeasurePoliciesCommand } from './measure-policies';
@@ -16,6 +17,7 @@
     new DemoCommand(new LoopbackRouterLauncher()),
     new LoadCommand(),
     new StandInCommand(),
+    new FaultsCommand(),
     new MeasureGossipCommand(),
     new MeasurePoliciesCommand(),
   ];
--- /dev/null
+++ b/packages/faults/src/engine-orders/engine-order-scenario.ts
@@ -0,0 +1,34 @@
+/** Orders to engines under a lease, as rows of the fault matrix. */
+import type { HistoryReport } from '../matrix/scenario';
+import { Scenario } from '../matrix/scenario';
+import type { Fault, Injection } from '../simulation/fault';
+import { isExchangeFault } from '../simulation/fault';
+import type { EngineOrderStep } from './engine-order-router';
+import { ENGINE_ORDER_STEPS } from './engine-order-router';
+import { EngineOrderWorld } from './engine-order-world';
+
+export class EngineOrderScenario extends Scenario<EngineOrderStep> {
+  override readonly name = 'engine order';
+  override readonly steps = ENGINE_ORDER_STEPS;
+
+  override exemption(fault: Fault, step: EngineOrderStep): string | undefined {
+    return isExchangeFault(fault) && step === 'load'
+      ? 'the engine loads weights by itself, without an exchange of the router'
+      : undefined;
+  }
+
+  override approach(
+    step: EngineOrderStep,
+  ): readonly Injection<EngineOrderStep>[] {
+    return step === 'release-lease'
+      ? [{ fault: 'router-stop', step: 'renew-lease', occurrence: 1 }]
+      : [];
+  }
+
+  override run(
+    seed: number,
+    plan: readonly Injection<EngineOrderStep>[],
+  ): HistoryReport {
+    return new EngineOrderWorld({ seed, plan }).run();
+  }
+}
--- /dev/null
+++ b/packages/faults/src/matrix/scenarios.ts
@@ -0,0 +1,8 @@
+/** Every scenario of the fault matrix. */
+import { EngineOrderScenario } from '../engine-orders/engine-order-scenario';
+import { OrderScenario } from '../orders/order-scenario';
+import type { Scenario } from './scenario';
+
+export function scenarios(): Scenario[] {
+  return [new OrderScenario(), new EngineOrderScenario()];
+}
--- a/packages/faults/src/orders/order-service.ts
+++ b/packages/faults/src/orders/order-service.ts
@@ -57,6 +57,9 @@
     () => ({ downUntil: 0, isLeaving: false }),
   );
 
+  /** Endpoint that a router, by its name, does not see. */
+  readonly #hidden = new Map<string, ServiceEndpoint>();
+
   constructor(schedule: Schedule, random: Random, reach: Reach) {
     this.#schedule = schedule;
     this.#random = random;
@@ -73,7 +76,10 @@
     call: OrderCall,
     fault: ExchangeFault | undefined,
   ): void {
-    const endpoint = this.#random.pick(this.#endpoints);
+    const seen = this.#endpoints.filter(
+      endpoint => this.#hidden.get(router.name) !== endpoint,
+    );
+    const endpoint = this.#random.pick(seen);
     const sentAt = this.#schedule.now;
     this.#travel(() => {
       const refuses =
@@ -95,6 +101,11 @@
     }
   }
 
+  /** One router does not see an endpoint that the others use. */
+  hideFrom(router: OrderRouter): void {
+    this.#hidden.set(router.name, this.#random.pick(this.#endpoints));
+  }
+
   /** One endpoint refuses while it is still listed, then comes and goes. */
   flap(): void {
     const endpoint = this.#random.pick(this.#endpoints);
--- a/packages/faults/src/orders/order-world.ts
+++ b/packages/faults/src/orders/order-world.ts
@@ -245,9 +245,11 @@
         return;
       case 'flapping-endpoint':
       case 'stale-list':
-      case 'split-views':
         this.#service.flap();
         return;
+      case 'split-views':
+        this.#service.hideFrom(router);
+        return;
       case 'operators-racing':
     }
   }
