--- a/packages/cli/src/commands/commands.ts
+++ b/packages/cli/src/commands/commands.ts
@@ -4,6 +4,7 @@
 import { DefaultsCommand } from './defaults';
 import { DemoCommand } from './demo';
 import { ExceptionsCommand } from './exceptions';
+import { FaultsCommand } from './faults';
 import { LoadCommand } from './load';
 import { MeasureGossipCommand } from './measure-gossip';
 import { MeasurePoliciesCommand } from './measure-policies';
@@ -24,6 +25,7 @@
     new TimelineCommand(),
     new LoadCommand(),
     new StandInCommand(),
+    new FaultsCommand(),
     new MeasureGossipCommand(),
     new MeasurePoliciesCommand(),
   ];
