Join routers by gossip, configuration and an operator interface

Cause: routers placed chats by their own view alone and had no accepted configuration. Change: composition in modules by area; peers over tRPC with topics for configuration, membership, loads, suspects and demand under the byte cap; the configuration in force drives bounds, shares, waits, retries and ejections; status with the control rate; settings that nothing honours are gone from the list.

--- /dev/null
+++ b/packages/router/src/composition/register-fleet.ts
@@ -0,0 +1,152 @@
+/** Parts that know the fleet: members, configuration, loads, health and peers. */
+import { asClass, asFunction } from 'awilix';
+import type { AwilixContainer } from 'awilix';
+
+import { ConfigurationKeeper } from '@sesamegrade/core/configuration/configuration-keeper';
+import { ConfigurationTopic } from '@sesamegrade/core/configuration/configuration-topic';
+import { DutyRoster } from '@sesamegrade/core/duties/duty-roster';
+import {
+  DEFAULT_GOSSIP_SETTINGS,
+  GossipScheduler,
+} from '@sesamegrade/core/gossip/gossip-scheduler';
+import { DemandTable } from '@sesamegrade/core/limits/demand-table';
+import { DemandTopic } from '@sesamegrade/core/limits/demand-topic';
+import { LoadTopic } from '@sesamegrade/core/loads/load-topic';
+import { LoadView } from '@sesamegrade/core/loads/load-view';
+import { EndpointTable } from '@sesamegrade/core/membership/endpoint-table';
+import { MembershipTopic } from '@sesamegrade/core/membership/membership-topic';
+import { RouterTable } from '@sesamegrade/core/membership/router-table';
+import { AveragedHealthDetector } from '@sesamegrade/core/outliers/averaged-health-detector';
+import { defaultEjection } from '@sesamegrade/core/outliers/outlier-detector';
+import { LastPlaces } from '@sesamegrade/core/placement/last-places';
+import { SuspectRegistry } from '@sesamegrade/core/poison/suspect-registry';
+import { SuspectTopic } from '@sesamegrade/core/poison/suspect-topic';
+import { CrashWatch } from '@sesamegrade/core/policies/crash-watch';
+import { HealthWatch } from '@sesamegrade/core/policies/health-watch';
+import { incarnation, routerId, zoneId } from '@sesamegrade/core/types/ids';
+import { bytes } from '@sesamegrade/core/types/units';
+import { EndpointProber } from '../endpoints/endpoint-prober';
+import { FleetDirectory } from '../fleet/fleet-directory';
+import { VmListFeed } from '../fleet/vm-list-feed';
+import { ControlMeter } from '../metrics/control-meter';
+import { ConfigurationStore } from '../operators/configuration-store';
+import { PeerNetwork } from '../peers/peer-network';
+import type { Cradle } from './cradle';
+
+/**
+ * Part of the control budget that gossip may send. What peers send here, and
+ * reads of the platform, take the rest.
+ */
+const GOSSIP_SHARE = 0.44;
+
+export function registerFleet(container: AwilixContainer<Cradle>): void {
+  container.register({
+    routers: asFunction(newRouterTable).singleton(),
+    endpoints: asFunction(
+      ({ events }: Cradle) => new EndpointTable({ recorder: events }),
+    ).singleton(),
+    duties: asFunction(
+      ({ routers, timers }: Cradle) =>
+        new DutyRoster({ routers, now: () => timers.now() }),
+    ).singleton(),
+    keeper: asFunction(
+      ({ random, events, routers }: Cradle) =>
+        new ConfigurationKeeper({
+          random,
+          recorder: events,
+          routerCount: () => routers.peers().length + 1,
+        }),
+    ).singleton(),
+    store: asClass(ConfigurationStore).singleton(),
+    loads: asFunction(() => new LoadView()).singleton(),
+    places: asFunction(() => new LastPlaces()).singleton(),
+    demands: asFunction(() => new DemandTable()).singleton(),
+    detector: asFunction(newDetector).singleton(),
+    healthWatch: asFunction(
+      ({ detector, events }: Cradle) =>
+        new HealthWatch({ detector, recorder: events }),
+    ).singleton(),
+    registry: asFunction(
+      ({ routers }: Cradle) => new SuspectRegistry(routers.self.id),
+    ).singleton(),
+    crashes: asFunction(
+      ({ registry, endpoints, events }: Cradle) =>
+        new CrashWatch({ registry, endpoints, recorder: events }),
+    ).singleton(),
+    prober: asClass(EndpointProber).singleton(),
+    directory: asClass(FleetDirectory).singleton(),
+    feed: asClass(VmListFeed).singleton(),
+    loadTopic: asFunction(newLoadTopic).singleton(),
+    membershipTopic: asClass(MembershipTopic).singleton(),
+    configurationTopic: asFunction(
+      ({ keeper }: Cradle) => new ConfigurationTopic({ keeper }),
+    ).singleton(),
+    scheduler: asFunction(newScheduler).singleton(),
+    peers: asFunction(newPeerNetwork).singleton(),
+    controlMeter: asClass(ControlMeter).singleton(),
+  });
+}
+
+function newRouterTable({ settings, identity, events }: Cradle): RouterTable {
+  const { id, zone, host, peer_port } = settings.router;
+  return new RouterTable({
+    self: {
+      id: routerId(id),
+      incarnation: incarnation(identity.incarnation),
+      zone: zoneId(zone),
+      address: { host, port: peer_port },
+    },
+    recorder: events,
+  });
+}
+
+/** Reads the cap of ejections anew at each use, as operators may change it. */
+function newDetector({ policy }: Cradle): AveragedHealthDetector {
+  return new AveragedHealthDetector({
+    ...defaultEjection,
+    get maxEjected() {
+      return policy.ejectionCap;
+    },
+  });
+}
+
+function newLoadTopic({ routers, loads, duties }: Cradle): LoadTopic {
+  return new LoadTopic({
+    self: routers.self.id,
+    view: loads,
+    watcher: endpoint => duties.ownerOf(`watch:${endpoint}`),
+    peers: () => routers.peers().length,
+  });
+}
+
+function newScheduler(cradle: Cradle): GossipScheduler {
+  const { random, settings, demands, registry } = cradle;
+  const { loadTopic, membershipTopic, configurationTopic } = cradle;
+  return new GossipScheduler({
+    topics: [
+      configurationTopic,
+      membershipTopic,
+      loadTopic,
+      new SuspectTopic(registry),
+      new DemandTopic(demands),
+    ],
+    random,
+    settings: {
+      ...DEFAULT_GOSSIP_SETTINGS,
+      bytesPerSecond: bytes(settings.control.bytes_per_second * GOSSIP_SHARE),
+    },
+  });
+}
+
+function newPeerNetwork(cradle: Cradle): PeerNetwork {
+  return new PeerNetwork({
+    secret: cradle.secrets.peerSecret,
+    routers: cradle.routers,
+    scheduler: cradle.scheduler,
+    keeper: cradle.keeper,
+    configurationTopic: cradle.configurationTopic,
+    clock: cradle.clock,
+    timers: cradle.timers,
+    random: cradle.random,
+  });
+}
--- /dev/null
+++ b/packages/router/src/composition/register-requests.ts
@@ -0,0 +1,111 @@
+/** Parts that carry requests between callers, decisions and endpoints. */
+import { asClass, asFunction } from 'awilix';
+import type { AwilixContainer } from 'awilix';
+
+import { OrderBook } from '@sesamegrade/core/orders/order-book';
+import { OrderRules } from '@sesamegrade/core/orders/order-rules';
+import { defaultOrderSettings } from '@sesamegrade/core/orders/order-settings';
+import { RequestFlow } from '@sesamegrade/core/requests/request-flow';
+import { milliseconds } from '@sesamegrade/core/types/units';
+import { CallerServer } from '../callers/caller-server';
+import { IntakeReader } from '../callers/intake';
+import { TeamKeys } from '../callers/team-keys';
+import { RequestDispatcher } from '../dispatch/request-dispatcher';
+import { AttemptRunner } from '../endpoints/attempt-runner';
+import { EndpointClient } from '../endpoints/endpoint-client';
+import { StreamRelay } from '../endpoints/stream-relay';
+import { StreamTags } from '../endpoints/stream-tags';
+import { WholeRelay } from '../endpoints/whole-relay';
+import { StoreOrderDesk } from '../orders/store-order-desk';
+import { RouterReadiness } from '../process/router-readiness';
+import type { Cradle } from './cradle';
+
+const PLACEMENT_WAIT = milliseconds(1500);
+
+export function registerRequests(container: AwilixContainer<Cradle>): void {
+  container.register({
+    flow: asFunction(newFlow).singleton(),
+    dispatcher: asFunction(
+      ({ flow, timers, counters }: Cradle) =>
+        new RequestDispatcher({ flow, timers, counter: counters }),
+    ).singleton(),
+    orderBook: asFunction(newOrderBook).singleton(),
+    orderDesk: asClass(StoreOrderDesk).singleton(),
+    client: asFunction(newClient).singleton(),
+    tags: asFunction(
+      ({ secrets }: Cradle) => new StreamTags({ secret: secrets.peerSecret }),
+    ).singleton(),
+    streamRelay: asClass(StreamRelay).singleton(),
+    wholeRelay: asFunction(newWholeRelay).singleton(),
+    runner: asFunction(newRunner).singleton(),
+    keys: asFunction(
+      ({ settings }: Cradle) => new TeamKeys(settings.team),
+    ).singleton(),
+    intake: asClass(IntakeReader).singleton(),
+    readiness: asClass(RouterReadiness).singleton(),
+    callerServer: asClass(CallerServer).singleton(),
+  });
+}
+
+/** Returns what makes ids of this process start unlike those of any other. */
+function startPrefix({ settings, identity }: Cradle): string {
+  return `${settings.router.id}.${identity.incarnation.toString(36)}`;
+}
+
+function newFlow(cradle: Cradle): RequestFlow {
+  const { admission, placing, retrying, events } = cradle;
+  return new RequestFlow({
+    admission,
+    placing,
+    retrying,
+    recorder: events,
+    placementWait: PLACEMENT_WAIT,
+    attemptPrefix: startPrefix(cradle),
+  });
+}
+
+function newOrderBook(cradle: Cradle): OrderBook {
+  const { routers, random, events } = cradle;
+  return new OrderBook({
+    router: routers.self.id,
+    tokenPrefix: startPrefix(cradle),
+    random,
+    recorder: events,
+    settings: defaultOrderSettings,
+    rules: new OrderRules(),
+  });
+}
+
+function newClient({ settings }: Cradle): EndpointClient {
+  const { limits } = settings;
+  return new EndpointClient({
+    connectTimeout: milliseconds(limits.connect_timeout_ms),
+    firstByteTimeout: milliseconds(limits.first_byte_timeout_ms),
+    stallTimeout: milliseconds(limits.stall_timeout_ms),
+  });
+}
+
+function newWholeRelay({ settings, orderDesk }: Cradle): WholeRelay {
+  return new WholeRelay({
+    answerBytes: settings.limits.answer_bytes,
+    onAnswer: ({ exchange }, answer) => {
+      void orderDesk.answered(exchange.request, answer);
+    },
+  });
+}
+
+function newRunner(cradle: Cradle): AttemptRunner {
+  const { client, directory, streamRelay, wholeRelay, timers } = cradle;
+  const { settings, dispatcher } = cradle;
+  return new AttemptRunner({
+    client,
+    directory,
+    streamRelay,
+    wholeRelay,
+    timers,
+    resumeGrace: milliseconds(settings.limits.resume_grace_ms),
+    post: message => {
+      dispatcher.post(message);
+    },
+  });
+}
--- a/packages/router/src/process/router-readiness.ts
+++ b/packages/router/src/process/router-readiness.ts
@@ -1,18 +1,26 @@
+import type { ConfigurationKeeper } from '@sesamegrade/core/configuration/configuration-keeper';
+import type { TimerService } from '@sesamegrade/core/time/timer-service';
 import { Readiness } from '../callers/caller-server';
 import type { VmListFeed } from '../fleet/vm-list-feed';
 
 export interface RouterReadinessOptions {
   readonly feed: VmListFeed;
+  readonly keeper: ConfigurationKeeper;
+  readonly timers: TimerService;
 }
 
-/** Ready once the fleet is known, until the router stops. */
+/** Ready once the fleet and the configuration are known, until the router stops. */
 export class RouterReadiness extends Readiness {
   readonly #feed: VmListFeed;
+  readonly #keeper: ConfigurationKeeper;
+  readonly #timers: TimerService;
   #stopping = false;
 
   constructor(options: RouterReadinessOptions) {
     super();
     this.#feed = options.feed;
+    this.#keeper = options.keeper;
+    this.#timers = options.timers;
   }
 
   /** Takes the router out of the balancer. */
@@ -28,6 +36,10 @@
     if (this.#stopping) {
       return 'stopping';
     }
-    return this.#feed.received ? 'ready' : 'waiting for the list of VMs';
+    if (!this.#feed.received) {
+      return 'waiting for the list of VMs';
+    }
+    const current = this.#keeper.isReady(this.#timers.now());
+    return current ? 'ready' : 'waiting for the configuration';
   }
 }
--- a/packages/router/src/testing/test-fleet.ts
+++ b/packages/router/src/testing/test-fleet.ts
@@ -1,6 +1,8 @@
 /** A small fleet of stand-ins and routers in one process, for tests. */
 import { EngineServer } from '@sesamegrade/stand-ins/engine/engine-server';
 import type { EngineBehaviour } from '@sesamegrade/stand-ins/engine/engine-options';
+import { freePort } from '@sesamegrade/stand-ins/http/free-port';
+import { Registration } from '@sesamegrade/stand-ins/http/registration';
 import { PlatformServer } from '@sesamegrade/stand-ins/platform/platform-server';
 import { ServiceServer } from '@sesamegrade/stand-ins/service/service-server';
 import { settingsSchema } from '@sesamegrade/settings/schema';
@@ -28,6 +30,8 @@
   readonly routers: RouterProcess[] = [];
   /** Base URLs of the routers, for callers. */
   readonly urls: string[] = [];
+  /** Base URLs of the routers, for operators. */
+  readonly operators: string[] = [];
   #service: ServiceServer | undefined;
 
   get service(): ServiceServer {
@@ -106,7 +110,7 @@
         id: `router-${index}`,
         zone: 'zone-a',
         caller_port: 0,
-        peer_port: 0,
+        peer_port: await freePort(),
         operator_port: 0,
       },
       platform: { url: platform, list_poll_ms: '50' },
@@ -123,9 +127,19 @@
       ...settings,
     });
     const secrets = { peerSecret: 'peer', operatorToken: 'operator' };
-    const identity = { incarnation: index, seed: index };
+    const identity = { incarnation: index, seed: index, program: 'test' };
     const router = new RouterProcess(composeRouter(checked, secrets, identity));
-    const { callers } = await router.start();
+    const { callers, peers, operators } = await router.start();
+    await new Registration(platform).register({
+      vm: `router-${index}`,
+      kind: 'router',
+      ...peers,
+      zone: 'zone-a',
+      state: 'live',
+      incarnation: index,
+      capacity: 0,
+    });
+    this.operators.push(`http://${operators.host}:${operators.port}`);
     const url = `http://${callers.host}:${callers.port}`;
     this.routers.push(router);
     this.urls.push(url);
