Keep engines in their planned state from the running router

Cause: leases, planner and reconciler existed as decisions only. Change: an engine group per section of engines, whose duty falls on one router by hashing and whose lease decides who acts; a shell carries leases to the table and orders to engines; the lease is given up at a planned stop; two settings that nothing honours are gone. Conclusion: orders run under a lease in the process; real processes with kills are next.

--- a/packages/core/src/configuration/setting.ts
+++ b/packages/core/src/configuration/setting.ts
@@ -88,29 +88,12 @@
     ['model'],
     'Version of the model’s weights.',
   ),
-  adapters: define(
-    names,
-    [],
-    ['model', 'engine'],
-    'Adapters loaded beside a model.',
-  ),
+  adapters: define(names, [], ['model'], 'Adapters loaded beside a model.'),
   engineRole: define(
     z.enum(['mixed', 'prefill', 'decode']),
     'mixed',
-    ['model', 'engine'],
-    'What an engine does for its model.',
-  ),
-  checksFencing: define(
-    z.boolean(),
-    true,
-    ['model', 'engine'],
-    'Whether engines refuse an order with an old fencing number.',
-  ),
-  leaseMs: define(
-    z.int().min(1000).max(3_600_000),
-    15_000,
     ['model'],
-    'Length of a lease, in milliseconds.',
+    'What an engine does for its model.',
   ),
   stopWaitMs: define(
     milliseconds,
--- a/packages/core/src/policies/fleet-policy.ts
+++ b/packages/core/src/policies/fleet-policy.ts
@@ -5,7 +5,8 @@
 import { unlimitedTeam, TeamPolicy } from '../limits/team-policy';
 import type { TeamLimits } from '../limits/team-policy';
 import type { Request, Target } from '../requests/types';
-import type { TeamId } from '../types/ids';
+import type { ModelPlan } from '../engine-orders/engine-planner';
+import type { ModelId, TeamId } from '../types/ids';
 import { milliseconds } from '../types/units';
 import type { Milliseconds } from '../types/units';
 
@@ -100,6 +101,25 @@
     return this.#keeper.settings.get('ejectionCap');
   }
 
+  /** What engines of a model should hold; undefined when nobody says how many. */
+  enginePlan(
+    model: ModelId,
+    baseline: number | undefined,
+  ): ModelPlan | undefined {
+    const engines = this.#set('wantedEngines', { model }) ?? baseline;
+    if (engines === undefined) {
+      return undefined;
+    }
+    const { settings } = this.#keeper;
+    return {
+      model,
+      engines,
+      version: settings.get('modelVersion', { model }),
+      adapters: settings.get('adapters', { model }),
+      role: settings.get('engineRole', { model }),
+    };
+  }
+
   #set<Name extends SettingName>(
     name: Name,
     subject: SettingSubject,
--- a/packages/router/src/composition/container.ts
+++ b/packages/router/src/composition/container.ts
@@ -17,6 +17,7 @@
 import type { Platform } from '../platform/platform';
 import { SystemTimerService } from '../process/system-timer-service';
 import type { Cradle, ProcessIdentity } from './cradle';
+import { registerEngineOrders } from './register-engine-orders';
 import { registerFleet } from './register-fleet';
 import { registerPolicies } from './register-policies';
 import { registerRequests } from './register-requests';
@@ -57,6 +58,7 @@
   registerFleet(container);
   registerPolicies(container);
   registerRequests(container);
+  registerEngineOrders(container);
   return container;
 }
 
--- /dev/null
+++ b/packages/router/src/composition/register-engine-orders.ts
@@ -0,0 +1,70 @@
+/** Parts that keep engines in their planned state. */
+import { asClass, asFunction } from 'awilix';
+import type { AwilixContainer } from 'awilix';
+
+import { EngineGroup } from '@sesamegrade/core/engine-orders/engine-group';
+import {
+  defaultEngineOrderSettings,
+  EngineReconciler,
+} from '@sesamegrade/core/engine-orders/engine-reconciler';
+import { LeaseKeeper } from '@sesamegrade/core/leases/lease-keeper';
+import { LeaseRules } from '@sesamegrade/core/leases/lease-rules';
+import { leaseId, modelId } from '@sesamegrade/core/types/ids';
+import type { ServiceSettings } from '@sesamegrade/settings/schema';
+import { EngineOrderDesk } from '../engine-orders/engine-order-desk';
+import type { Cradle } from './cradle';
+import { startPrefix } from './start-prefix';
+
+export function registerEngineOrders(container: AwilixContainer<Cradle>): void {
+  container.register({
+    leaseKeeper: asFunction(newLeaseKeeper).singleton(),
+    engineGroups: asFunction(newEngineGroups).singleton(),
+    engineOrderDesk: asClass(EngineOrderDesk).singleton(),
+  });
+}
+
+function newLeaseKeeper(cradle: Cradle): LeaseKeeper {
+  return new LeaseKeeper({
+    router: cradle.routers.self.id,
+    holder: startPrefix(cradle),
+    random: cradle.random,
+    recorder: cradle.events,
+    rules: new LeaseRules(),
+  });
+}
+
+/** Makes one group for each section of the settings that describes engines. */
+function newEngineGroups(cradle: Cradle): EngineGroup[] {
+  return Object.entries(cradle.settings.service)
+    .filter(([, service]) => service.kind === 'engine')
+    .map(([name, service]) => newEngineGroup(cradle, name, service));
+}
+
+function newEngineGroup(
+  cradle: Cradle,
+  name: string,
+  service: ServiceSettings,
+): EngineGroup {
+  const { random, events, leaseKeeper, endpoints, duties, policy } = cradle;
+  const lease = leaseId(`engines/${name}`);
+  const reconciler = new EngineReconciler({
+    lease,
+    keeper: leaseKeeper,
+    random,
+    recorder: events,
+    settings: {
+      ...defaultEngineOrderSettings,
+      enginesCheckFence: service.checks_fences,
+    },
+  });
+  return new EngineGroup({
+    lease,
+    models: (service.models ?? []).map(modelId),
+    wanted: service.engines_wanted,
+    endpoints,
+    duties,
+    keeper: leaseKeeper,
+    reconciler,
+    policy,
+  });
+}
--- a/packages/router/src/composition/register-requests.ts
+++ b/packages/router/src/composition/register-requests.ts
@@ -19,6 +19,7 @@
 import { StoreOrderDesk } from '../orders/store-order-desk';
 import { RouterReadiness } from '../process/router-readiness';
 import type { Cradle } from './cradle';
+import { startPrefix } from './start-prefix';
 
 const PLACEMENT_WAIT = milliseconds(1500);
 
@@ -47,11 +48,6 @@
   });
 }
 
-/** Returns what makes ids of this process start unlike those of any other. */
-function startPrefix({ settings, identity }: Cradle): string {
-  return `${settings.router.id}.${identity.incarnation.toString(36)}`;
-}
-
 function newFlow(cradle: Cradle): RequestFlow {
   const { admission, placing, retrying, events } = cradle;
   return new RequestFlow({
--- a/packages/router/src/operators/router-status.ts
+++ b/packages/router/src/operators/router-status.ts
@@ -25,6 +25,7 @@
   | 'detector'
   | 'pools'
   | 'policy'
+  | 'engineOrderDesk'
 >;
 
 const MS_PER_SECOND = 1000;
@@ -46,7 +47,7 @@
       configuration: this.#configuration(),
       routers: this.#routers(),
       endpoints: this.#endpoints(),
-      leases: [],
+      leases: this.#leases(),
       outcomes: this.#outcomes(),
       controlBytesPerSecond: Math.round(controlMeter.bytesPerSecond),
     };
@@ -134,6 +135,15 @@
     }
   }
 
+  #leases(): FleetStatus['leases'] {
+    const { engineOrderDesk, routers } = this.#parts;
+    return [...engineOrderDesk.held].map(([id, fence]) => ({
+      id,
+      holder: routers.self.id,
+      fence,
+    }));
+  }
+
   #outcomes(): FleetStatus['outcomes'] {
     const { accepted, finished, refused, outcomes } =
       this.#parts.counters.totals;
--- a/packages/router/src/process/router-process.ts
+++ b/packages/router/src/process/router-process.ts
@@ -31,7 +31,7 @@
 
   async start(): Promise<RouterAddresses> {
     const { dispatcher, runner, orderDesk, feed, prober } = this.#cradle;
-    const { store, controlMeter, callerServer } = this.#cradle;
+    const { store, controlMeter, callerServer, engineOrderDesk } = this.#cradle;
     this.#cancels.push(
       dispatcher.start(runner, orderDesk),
       orderDesk.start(),
@@ -39,6 +39,7 @@
       prober.start(),
       store.start(),
       controlMeter.start(),
+      engineOrderDesk.start(),
     );
     const peers = await this.#cradle.peers.start();
     const operators = await this.#cradle.operatorServer.listen();
@@ -60,6 +61,7 @@
     events.record('process-stopping', { router: settings.router.id });
     logger.info('router stopping', { inFlight: dispatcher.inFlight });
     callerServer.stopAccepting();
+    this.#cradle.engineOrderDesk.releaseAll();
     await this.#drained(policy.stopWait);
     const left = dispatcher.inFlight;
     await this.#storeSettled();
@@ -84,11 +86,12 @@
     return Promise.race([dispatcher.idle(), timeout]);
   }
 
-  /** Waits until the store has the last state of every order, for a while at most. */
+  /** Waits until the store has the last state of orders and leases, for a while at most. */
   async #storeSettled(): Promise<void> {
-    const { orderDesk, timers } = this.#cradle;
+    const { orderDesk, engineOrderDesk, timers } = this.#cradle;
+    const open = () => orderDesk.open + engineOrderDesk.open;
     const giveUpAt = timers.now() + STORE_WAIT;
-    while (orderDesk.open > 0 && timers.now() < giveUpAt) {
+    while (open() > 0 && timers.now() < giveUpAt) {
       await new Promise<void>(resolve => {
         timers.after(STORE_POLL, () => {
           resolve();
