Put configuration changes into the fault matrix

A change is accepted by one write, spreads by table and peers and may never be taken back; its faults were checked in one unit test with a small fake. Histories run three configuration keepers that tell each other whole versions or single changes, late, twice or not at all, and operators that race and send the same change again to another router. They check that no version steps back, none has two contents, none is accepted twice, and what operators are told.

--- a/packages/core/src/configuration/configuration-keeper.ts
+++ b/packages/core/src/configuration/configuration-keeper.ts
@@ -45,12 +45,15 @@
   | { readonly kind: 'behind'; readonly version: number }
   | { readonly kind: 'diverged'; readonly version: number };
 
-export type ConfigurationKeeperOptions = StoreScheduleOptions;
+export interface ConfigurationKeeperOptions extends StoreScheduleOptions {
+  /** The versions to start from; none when absent. */
+  readonly versions?: Versions;
+}
 
 export class ConfigurationKeeper {
   readonly #recorder: EventRecorder;
   readonly #schedule: StoreSchedule;
-  readonly #versions = new Versions();
+  readonly #versions: Versions;
   readonly #desk: ProposalDesk;
   readonly #readiness = new Readiness();
   readonly #listeners = new Set<(version: ConfigurationVersion) => void>();
@@ -62,7 +65,8 @@
   constructor(options: ConfigurationKeeperOptions) {
     this.#recorder = options.recorder;
     this.#schedule = new StoreSchedule(options);
-    const versions = this.#versions;
+    const versions = options.versions ?? new Versions();
+    this.#versions = versions;
     this.#desk = new ProposalDesk({ versions, recorder: options.recorder });
   }
 
--- a/packages/core/src/configuration/versions.ts
+++ b/packages/core/src/configuration/versions.ts
@@ -68,7 +68,7 @@
 
   /** Goes one version on by a change. */
   applyRecord(record: ConfigurationRecord): Adoption {
-    if (record.version <= this.#snapshot.version) {
+    if (!this.isNewer(record.version)) {
       return 'old';
     }
     if (record.version !== this.#snapshot.version + 1) {
@@ -85,7 +85,7 @@
 
   /** Takes over a whole version. */
   applySnapshot(snapshot: ConfigurationSnapshot): Adoption {
-    if (snapshot.version <= this.#snapshot.version) {
+    if (!this.isNewer(snapshot.version)) {
       return 'old';
     }
     this.#records = [];
@@ -93,6 +93,11 @@
     return 'applied';
   }
 
+  /** Whether a version may take the place of the one in force. */
+  protected isNewer(version: number): boolean {
+    return version > this.#snapshot.version;
+  }
+
   #adopt(snapshot: ConfigurationSnapshot): void {
     this.#snapshot = snapshot;
     this.#settings = new EffectiveSettings(snapshot.content);
--- a/packages/faults/src/matrix/scenarios.ts
+++ b/packages/faults/src/matrix/scenarios.ts
@@ -1,8 +1,13 @@
 /** Every scenario of the fault matrix. */
+import { ConfigurationScenario } from '../configuration/configuration-scenario';
 import { EngineOrderScenario } from '../engine-orders/engine-order-scenario';
 import { OrderScenario } from '../orders/order-scenario';
 import type { Scenario } from './scenario';
 
 export function scenarios(): Scenario[] {
-  return [new OrderScenario(), new EngineOrderScenario()];
+  return [
+    new OrderScenario(),
+    new EngineOrderScenario(),
+    new ConfigurationScenario(),
+  ];
 }
