--- a/packages/cli/src/launch/loopback-router-launcher.ts
+++ b/packages/cli/src/launch/loopback-router-launcher.ts
@@ -11,7 +11,9 @@
 import { RouterProcess } from '@sesamegrade/router/process/router-process';
 import { settingsSchema } from '@sesamegrade/settings/schema';
 import type { Settings } from '@sesamegrade/settings/schema';
+import { freePort } from '@sesamegrade/stand-ins/http/free-port';
 import { Registration } from '@sesamegrade/stand-ins/http/registration';
+import { VERSION } from '../version';
 
 const SECRET_BYTES = 16;
 const MAX_SEED = 2 ** 31;
@@ -29,19 +31,19 @@
     router: { readonly id: string; readonly zone: string },
   ): Promise<LaunchedRouter> {
     this.#incarnation += 1;
-    const settings = settingsOf(fleet, router);
+    const settings = settingsOf(fleet, router, await freePort());
     const container = composeRouter(settings, this.#secrets, {
       incarnation: this.#incarnation,
       seed: randomInt(MAX_SEED),
+      program: VERSION,
     });
     const process = new RouterProcess(container);
-    const { callers } = await process.start();
+    const { callers, peers, operators } = await process.start();
     const platform = new Registration(fleet.platform);
     await platform.register({
       vm: router.id,
       kind: 'router',
-      host: callers.host,
-      port: callers.port,
+      ...peers,
       zone: router.zone,
       state: 'live',
       incarnation: this.#incarnation,
@@ -51,6 +53,8 @@
     await untilReady(base);
     return {
       callers: base,
+      operators: `http://${operators.host}:${operators.port}`,
+      operatorToken: this.#secrets.operatorToken,
       stop: async () => {
         await platform.leave(router.id);
         await process.stop();
@@ -62,6 +66,7 @@
 function settingsOf(
   fleet: DemoFleet,
   router: { readonly id: string; readonly zone: string },
+  peerPort: number,
 ): Settings {
   const engines = { engines: { kind: 'engine', models: fleet.models.join() } };
   const services: Record<string, unknown> = {};
@@ -80,7 +85,7 @@
     router: {
       ...router,
       caller_port: 0,
-      peer_port: 0,
+      peer_port: peerPort,
       operator_port: 0,
     },
     platform: { url: fleet.platform },
--- a/packages/core/src/configuration/setting.ts
+++ b/packages/core/src/configuration/setting.ts
@@ -34,12 +34,6 @@
     ['model', 'service'],
     'Most load of one engine, as a multiple of the mean load.',
   ),
-  softBoundStart: define(
-    fraction,
-    0.85,
-    ['model', 'service'],
-    'Fraction of the bound from which an engine takes a falling share of its chats.',
-  ),
   skewWeight: define(
     fraction,
     0.5,
@@ -60,14 +54,14 @@
   ),
   retryFraction: define(
     fraction,
-    0.1,
-    ['service', 'model'],
+    0.08,
+    [],
     'Retries allowed, as a fraction of first attempts.',
   ),
   queueWaitMs: define(
     milliseconds,
     2000,
-    ['team', 'model', 'service'],
+    [],
     'Longest wait for capacity before a request is refused, in milliseconds.',
   ),
   requestTimeoutMs: define(
@@ -79,15 +73,9 @@
   ejectionCap: define(
     fraction,
     0.34,
-    ['model', 'service'],
+    [],
     'Fraction of the endpoints that may be ejected at once.',
   ),
-  suspectRefusalMs: define(
-    milliseconds,
-    600_000,
-    ['team'],
-    'Time for which content that crashed two endpoints is refused, in milliseconds.',
-  ),
   wantedEngines: define(
     z.int().min(0).max(10_000),
     1,
--- a/packages/router/src/process/router-process.ts
+++ b/packages/router/src/process/router-process.ts
@@ -4,11 +4,13 @@
 import type { Address } from '@sesamegrade/core/types/endpoint';
 import { milliseconds } from '@sesamegrade/core/types/units';
 import type { Milliseconds } from '@sesamegrade/core/types/units';
-import type { Cradle } from '../composition/container';
+import type { Cradle } from '../composition/cradle';
 
 /** Where a router can be reached. */
 export interface RouterAddresses {
   readonly callers: Address;
+  readonly peers: Address;
+  readonly operators: Address;
 }
 
 /** How a planned stop ended. */
@@ -28,33 +30,41 @@
   }
 
   async start(): Promise<RouterAddresses> {
-    const { dispatcher, runner, orderDesk, feed, callerServer } = this.#cradle;
+    const { dispatcher, runner, orderDesk, feed, prober } = this.#cradle;
+    const { store, controlMeter, callerServer } = this.#cradle;
     this.#cancels.push(
       dispatcher.start(runner, orderDesk),
       orderDesk.start(),
       feed.start(),
-      this.#cradle.prober.start(),
+      prober.start(),
+      store.start(),
+      controlMeter.start(),
     );
+    const peers = await this.#cradle.peers.start();
+    const operators = await this.#cradle.operatorServer.listen();
     const callers = await callerServer.start();
-    const { logger, recorder, settings } = this.#cradle;
-    recorder.record('process-started', { router: settings.router.id });
-    logger.info('router started', { callers });
-    return { callers };
+    const { logger, events, settings } = this.#cradle;
+    const addresses = { callers, peers, operators };
+    events.record('process-started', { router: settings.router.id });
+    logger.info('router started', addresses);
+    return addresses;
   }
 
   /** Finishes what is under way, then ends; a limit of 0 waits without end. */
   async stop(): Promise<StopResult> {
     const { readiness, callerServer, dispatcher, logger } = this.#cradle;
-    const { settings, recorder } = this.#cradle;
+    const { settings, events, routers, peers, policy } = this.#cradle;
     readiness.stop();
-    recorder.record('process-stopping', { router: settings.router.id });
+    routers.leave();
+    peers.flush();
+    events.record('process-stopping', { router: settings.router.id });
     logger.info('router stopping', { inFlight: dispatcher.inFlight });
     callerServer.stopAccepting();
-    const limit = milliseconds(settings.limits.stop_wait_ms);
-    await this.#drained(limit);
+    await this.#drained(policy.stopWait);
     const left = dispatcher.inFlight;
     await this.#storeSettled();
-    this.#close();
+    events.record('process-stopped', { router: settings.router.id });
+    await this.#close();
     logger.info('router stopped', { cutOff: left });
     return left === 0
       ? { kind: 'drained' }
@@ -87,12 +97,14 @@
     }
   }
 
-  #close(): void {
+  async #close(): Promise<void> {
     for (const cancel of this.#cancels) {
       cancel();
     }
     this.#cradle.callerServer.close();
-    void this.#cradle.client.close();
+    await this.#cradle.peers.stop();
+    await this.#cradle.operatorServer.close();
+    await this.#cradle.client.close();
     this.#cradle.statsd.close();
     this.#cradle.timers.stop();
   }
