Let the load's callers avoid a dead router and resend lost orders

A killed router stayed in the callers' choice, so 144 of 3112 requests ended as refused connections, which a balancer would not have sent.

--- a/packages/load/src/callers/chat-caller.ts
+++ b/packages/load/src/callers/chat-caller.ts
@@ -10,6 +10,7 @@
 import { AnswerStream } from './answer-stream';
 import type { AnswerTimes, CallResult } from './call-result';
 import { parseProblem } from './problem';
+import { wasUnsent } from './router-pool';
 import type { RouterPool } from './router-pool';
 
 const MAX_TRIES = 5;
@@ -56,19 +57,26 @@
     const stream = new AnswerStream(() => performance.now());
     let router: string | undefined;
     let detail = 'the connection broke';
+    let sent = 0;
     for (let tries = 1; tries <= MAX_TRIES && !signal.aborted; tries += 1) {
       router = this.#pool.pick(router);
       try {
         const answer = await this.#post(router, call, stream.lastId, signal);
+        sent += 1;
         if (answer.statusCode !== 200) {
-          return await refusal(answer, tries === 1, stream);
+          return await refusal(answer, sent === 1, stream);
         }
         await stream.read(answer.body);
         detail = 'the stream ended without its end mark';
       } catch (error) {
         detail = error instanceof Error ? error.message : String(error);
+        if (wasUnsent(error)) {
+          this.#pool.avoid(router);
+          continue;
+        }
+        sent += 1;
       }
-      const result = settled(stream, call, started, tries === 1);
+      const result = settled(stream, call, started, sent === 1);
       if (result) {
         return result;
       }
--- a/packages/load/src/callers/service-caller.ts
+++ b/packages/load/src/callers/service-caller.ts
@@ -8,9 +8,12 @@
 
 import type { CallResult } from './call-result';
 import { parseProblem } from './problem';
+import { wasUnsent } from './router-pool';
 import type { RouterPool } from './router-pool';
 
 const RESEND_PAUSE_MS = 20;
+const RETRY_PAUSE_MS = 200;
+const MAX_CONNECTS = 4;
 const MIN_ERROR_STATUS = 400;
 
 const answerSchema = z.looseObject({
@@ -48,13 +51,21 @@
     this.#patienceMs = patienceMs;
   }
 
-  /** Sends an order as often as it says and returns what each send got. */
+  /**
+   * Sends an order as often as it says, and once more with the same key when no
+   * answer came. Returns what each send got.
+   */
   async order(call: OrderCall): Promise<CallResult[]> {
     const sends = Array.from({ length: call.sends }, async (_, index) => {
       await sleep(index * RESEND_PAUSE_MS);
       return this.#sendOrder(call);
     });
-    return Promise.all(sends);
+    const results = await Promise.all(sends);
+    if (results.at(-1)?.kind === 'unknown') {
+      await sleep(RETRY_PAUSE_MS);
+      results.push(await this.#sendOrder(call));
+    }
+    return results;
   }
 
   lookup({ service, teamKey, path }: LookupCall): Promise<CallResult> {
@@ -87,20 +98,27 @@
     expected: Expectation,
     options: Pick<Dispatcher.RequestOptions, 'method' | 'headers' | 'body'>,
   ): Promise<CallResult> {
-    try {
-      const answer = await request(`${this.#pool.pick()}${path}`, {
-        ...options,
-        dispatcher: this.#pool.agent,
-        signal: AbortSignal.timeout(this.#patienceMs),
-      });
-      const text = await answer.body.text();
-      return answer.statusCode < MIN_ERROR_STATUS
-        ? checkServiceAnswer(text, expected)
-        : refusal(text, answer.statusCode);
-    } catch (error) {
-      const detail = error instanceof Error ? error.message : String(error);
-      return { kind: 'unknown', detail };
+    const signal = AbortSignal.timeout(this.#patienceMs);
+    let detail = 'no router takes a connection';
+    for (let connects = 0; connects < MAX_CONNECTS; connects += 1) {
+      const router = this.#pool.pick();
+      try {
+        const dispatcher = this.#pool.agent;
+        const send = { ...options, dispatcher, signal };
+        const answer = await request(`${router}${path}`, send);
+        const text = await answer.body.text();
+        return answer.statusCode < MIN_ERROR_STATUS
+          ? checkServiceAnswer(text, expected)
+          : refusal(text, answer.statusCode);
+      } catch (error) {
+        detail = error instanceof Error ? error.message : String(error);
+        if (!wasUnsent(error)) {
+          break;
+        }
+        this.#pool.avoid(router);
+      }
     }
+    return { kind: 'unknown', detail };
   }
 }
 
