--- a/packages/cli/src/commands/router.ts
+++ b/packages/cli/src/commands/router.ts
@@ -8,6 +8,7 @@
 import { loadSecrets, loadSettings } from '@sesamegrade/settings/load';
 import { formatFailure } from '@sesamegrade/settings/parse';
 import type { SettingsFailure } from '@sesamegrade/settings/types/settings-failure';
+import { VERSION } from '../version';
 import { Command, ExitCode } from './command';
 import type { ExitStatus } from './command';
 
@@ -50,6 +51,7 @@
   const container = composeRouter(settings.value, secrets.value, {
     incarnation: Date.now(),
     seed: randomInt(MAX_SEED),
+    program: VERSION,
   });
   const router = new RouterProcess(container);
   const addresses = await router.start();
--- /dev/null
+++ b/packages/router/src/composition/register-policies.ts
@@ -0,0 +1,136 @@
+/** Parts that decide on requests by the configuration in force. */
+import { asFunction } from 'awilix';
+import type { AwilixContainer } from 'awilix';
+
+import { defaultAdmission } from '@sesamegrade/core/limits/admission';
+import { unlimitedTeam } from '@sesamegrade/core/limits/team-policy';
+import type { TeamLimits } from '@sesamegrade/core/limits/team-policy';
+import { DEFAULT_TIMES } from '@sesamegrade/core/membership/member-table';
+import type { Placement } from '@sesamegrade/core/placement/placement';
+import { ReturningPlacement } from '@sesamegrade/core/placement/returning-placement';
+import { BoundedRetrying } from '@sesamegrade/core/policies/bounded-retrying';
+import { EndpointPlacing } from '@sesamegrade/core/policies/endpoint-placing';
+import { EndpointPools } from '@sesamegrade/core/policies/endpoint-pools';
+import { FleetPolicy } from '@sesamegrade/core/policies/fleet-policy';
+import { PoolAdmission } from '@sesamegrade/core/policies/pool-admission';
+import type { Request } from '@sesamegrade/core/requests/types';
+import { Backoff } from '@sesamegrade/core/retries/backoff';
+import {
+  defaultRetryBudget,
+  RetryBudget,
+} from '@sesamegrade/core/retries/retry-budget';
+import { defaultMaxAttempts } from '@sesamegrade/core/retries/retry-decision';
+import { teamId } from '@sesamegrade/core/types/ids';
+import type { TeamId } from '@sesamegrade/core/types/ids';
+import { milliseconds } from '@sesamegrade/core/types/units';
+import type { Settings } from '@sesamegrade/settings/schema';
+import type { Cradle } from './cradle';
+
+const MAX_RESUMPTIONS = 5;
+
+/** Weight of an even load against cache reuse. */
+const SKEW_WEIGHTS = { skew: 1, reuse: 0 } as const;
+
+export function registerPolicies(container: AwilixContainer<Cradle>): void {
+  container.register({
+    policy: asFunction(newPolicy).singleton(),
+    pools: asFunction(
+      ({ endpoints, loads, detector }: Cradle) =>
+        new EndpointPools({
+          endpoints,
+          loads,
+          ramp: DEFAULT_TIMES.ramp,
+          isEjected: endpoint => !detector.accepts(endpoint),
+        }),
+    ).singleton(),
+    admission: asFunction(newAdmission).singleton(),
+    placing: asFunction(newPlacing).singleton(),
+    retrying: asFunction(newRetrying).singleton(),
+  });
+}
+
+function newPolicy({ settings, keeper }: Cradle): FleetPolicy {
+  const { placement, limits } = settings;
+  return new FleetPolicy({
+    keeper,
+    baseline: {
+      teams: teamLimits(settings),
+      bound: placement.bound,
+      skewWeight: SKEW_WEIGHTS[placement.weighing],
+      requestTimeout: milliseconds(limits.request_timeout_ms),
+      stopWait: milliseconds(limits.stop_wait_ms),
+    },
+  });
+}
+
+function teamLimits({ team }: Settings): Map<TeamId, TeamLimits> {
+  const limits = new Map<TeamId, TeamLimits>();
+  for (const [id, { weight, max_in_flight }] of Object.entries(team)) {
+    const { requestsPerSecond } = unlimitedTeam;
+    limits.set(teamId(id), {
+      weight,
+      maxInFlight: max_in_flight,
+      requestsPerSecond,
+    });
+  }
+  return limits;
+}
+
+/** Reads the wait anew at each use, as operators may change it. */
+function newAdmission(cradle: Cradle): PoolAdmission {
+  const { pools, demands, policy, random } = cradle;
+  return new PoolAdmission({
+    pools,
+    demands,
+    policy,
+    random,
+    admission: {
+      ...defaultAdmission,
+      get maxWait() {
+        return policy.queueWait;
+      },
+    },
+  });
+}
+
+function newPlacing(cradle: Cradle): EndpointPlacing {
+  return new EndpointPlacing({
+    pools: cradle.pools,
+    placementFor: placements(cradle.policy),
+    loads: cradle.loads,
+    places: cradle.places,
+    endpoints: cradle.endpoints,
+    crashes: cradle.crashes,
+    suspects: cradle.registry,
+    observers: [cradle.healthWatch, cradle.crashes],
+  });
+}
+
+/** Keeps one placement for each bound and weight in use. */
+function placements(policy: FleetPolicy): (request: Request) => Placement {
+  const kept = new Map<string, Placement>();
+  return request => {
+    const bound = policy.bound(request.target);
+    const skewWeight = policy.skewWeight(request);
+    const key = `${bound} ${skewWeight}`;
+    const placement =
+      kept.get(key) ?? new ReturningPlacement({ bound, skewWeight });
+    kept.set(key, placement);
+    return placement;
+  };
+}
+
+/** Reads the fraction anew at each use, as operators may change it. */
+function newRetrying({ random, policy }: Cradle): BoundedRetrying {
+  return new BoundedRetrying({
+    budget: new RetryBudget({
+      ...defaultRetryBudget,
+      get fraction() {
+        return policy.retryFraction;
+      },
+    }),
+    backoff: new Backoff(random),
+    maxAttempts: defaultMaxAttempts,
+    maxResumptions: MAX_RESUMPTIONS,
+  });
+}
