--- a/scripts/build-binary.mjs
+++ b/scripts/build-binary.mjs
@@ -14,8 +14,11 @@
   target: 'node20',
   format: 'cjs',
   outfile: 'dist/sesamegrade.cjs',
-  // Optional native parts of libraries; each library runs without them.
-  external: ['unix-dgram', 'bufferutil', 'utf-8-validate'],
+  alias: {
+    'unix-dgram': './scripts/absent-module.cjs',
+    bufferutil: './scripts/absent-module.cjs',
+    'utf-8-validate': './scripts/absent-module.cjs',
+  },
   logLevel: 'error',
 });
 writeFileSync(
