--- a/packages/load/src/run/ledger.ts
+++ b/packages/load/src/run/ledger.ts
@@ -16,16 +16,22 @@
   readonly counts = new SecondCounts();
   readonly firstToken = new Latencies();
   readonly interToken = new Latencies();
-  readonly #examples: string[] = [];
+  readonly #examples = new Map<string, string>();
   #returning = 0;
   #promptTokens = 0;
   #cachedTokens = 0;
 
   /**
+   * @param name the request, for the examples of what went wrong
    * @param returning whether the request continues a chat that has an answer
    * @param at milliseconds from the start of the run
    */
-  record(result: CallResult, at: number, returning = false): void {
+  record(
+    name: string,
+    result: CallResult,
+    at: number,
+    returning = false,
+  ): void {
     this.counts.add('requests', at);
     this.counts.add(countName(result), at);
     switch (result.kind) {
@@ -38,7 +44,7 @@
       case 'unknown':
       case 'mixed':
       case 'cut-as-whole':
-        this.#addExample(`${result.kind}: ${result.detail}`);
+        this.#addExample(`${result.kind}: ${result.detail}`, name);
         break;
     }
   }
@@ -69,14 +75,16 @@
       },
       skew: observer.skew(),
       controlBytesPerSecond: observer.controlBytesPerSecond(),
-      examples: this.#examples,
+      examples: [...this.#examples].map(
+        ([example, name]) => `${name} ${example}`,
+      ),
     };
   }
 
-  #addExample(example: string): void {
-    const known = this.#examples.includes(example);
-    if (!known && this.#examples.length < MAX_EXAMPLES) {
-      this.#examples.push(example);
+  /** Keeps the first request of each kind of failure. */
+  #addExample(example: string, name: string): void {
+    if (!this.#examples.has(example) && this.#examples.size < MAX_EXAMPLES) {
+      this.#examples.set(example, name);
     }
   }
 
--- a/packages/load/src/run/load-run.ts
+++ b/packages/load/src/run/load-run.ts
@@ -134,7 +134,7 @@
     const call = { chat, messages, requestId, maxTokens };
     const returning = chat.turns > 0;
     const result = await this.#chatCaller.call(call);
-    this.ledger.record(result, at, returning);
+    this.ledger.record(requestId, result, at, returning);
     const hash = contentHash(chatBody(call));
     this.ledger.audit.note({ kind: 'chat', contentHash: hash }, result);
     if (result.kind === 'ok') {
@@ -153,7 +153,7 @@
       key,
       sends: resent ? 2 : 1,
     });
-    this.#recordAll(results, at);
+    this.#recordAll(key, results, at);
     this.ledger.audit.noteOrder(key, results);
   }
 
@@ -165,13 +165,13 @@
       teamKey: team.key,
       path,
     });
-    this.ledger.record(result, at);
+    this.ledger.record(name, result, at);
     this.ledger.audit.note({ kind: 'lookup', path }, result);
   }
 
-  #recordAll(results: readonly CallResult[], at: number): void {
+  #recordAll(name: string, results: readonly CallResult[], at: number): void {
     for (const result of results) {
-      this.ledger.record(result, at);
+      this.ledger.record(name, result, at);
     }
   }
 }
--- /dev/null
+++ b/packages/load/src/trial/child-vm.ts
@@ -0,0 +1,115 @@
+/** One process of a trial fleet, started from the program's source or binary. */
+import { spawn } from 'node:child_process';
+import type { ChildProcess } from 'node:child_process';
+import { once } from 'node:events';
+import { createInterface } from 'node:readline';
+
+import { z } from 'zod';
+
+const START_LIMIT_MS = 30_000;
+const STOP_LIMIT_MS = 20_000;
+
+const addressSchema = z.object({ host: z.string(), port: z.number() });
+
+/** The line that a stand-in or a router prints once it listens. */
+const announcementSchema = z.looseObject({
+  host: z.string().optional(),
+  port: z.number().optional(),
+  controlPort: z.number().optional(),
+  callers: addressSchema.optional(),
+  peers: addressSchema.optional(),
+  operators: addressSchema.optional(),
+});
+
+export type Announcement = z.infer<typeof announcementSchema>;
+
+/** How to start the program: the executable and what goes before its arguments. */
+export interface Program {
+  readonly file: string;
+  readonly args: readonly string[];
+}
+
+export class ChildVm {
+  readonly announcement: Announcement;
+  readonly #child: ChildProcess;
+  readonly #exit: Promise<number | undefined>;
+
+  private constructor(child: ChildProcess, announcement: Announcement) {
+    this.#child = child;
+    this.announcement = announcement;
+    this.#exit = exitOf(child);
+  }
+
+  /** Starts a process and resolves when it has told its address. */
+  static async start(
+    program: Program,
+    args: readonly string[],
+    environment: Readonly<Record<string, string>> = {},
+  ): Promise<ChildVm> {
+    const child = spawn(program.file, [...program.args, ...args], {
+      env: { ...process.env, ...environment },
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
+    let errors = '';
+    child.stderr.on('data', (chunk: Buffer) => {
+      errors = (errors + chunk.toString()).slice(-2000);
+    });
+    const failed = exitOf(child).then(() => undefined);
+    const line = await Promise.race([firstLine(child), failed]);
+    const announcement = announcementSchema.safeParse(parseLine(line));
+    if (!announcement.success) {
+      child.kill('SIGKILL');
+      throw new Error(`${args.join(' ')} did not start: ${errors}`);
+    }
+    return new ChildVm(child, announcement.data);
+  }
+
+  /** Whether the process still runs. */
+  get running(): boolean {
+    return this.#child.exitCode === null && this.#child.signalCode === null;
+  }
+
+  /** Sends SIGTERM, later SIGKILL; returns the exit code, undefined if killed. */
+  async stop(): Promise<number | undefined> {
+    const timer = setTimeout(() => this.#child.kill('SIGKILL'), STOP_LIMIT_MS);
+    this.#child.kill('SIGTERM');
+    try {
+      return await this.#exit;
+    } finally {
+      clearTimeout(timer);
+    }
+  }
+
+  /** Ends the process without warning. */
+  async kill(): Promise<void> {
+    this.#child.kill('SIGKILL');
+    await this.#exit;
+  }
+}
+
+async function exitOf(child: ChildProcess): Promise<number | undefined> {
+  const [code] = (await once(child, 'exit')) as [number | null];
+  return code ?? undefined;
+}
+
+async function firstLine(child: ChildProcess): Promise<string | undefined> {
+  if (!child.stdout) {
+    return undefined;
+  }
+  const lines = createInterface({ input: child.stdout });
+  const signal = AbortSignal.timeout(START_LIMIT_MS);
+  try {
+    const [line] = (await once(lines, 'line', { signal })) as [string];
+    return line;
+  } catch {
+    return undefined;
+  }
+}
+
+function parseLine(line: string | undefined): unknown {
+  try {
+    return JSON.parse(line ?? '') as unknown;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/load/src/trial/main.ts
@@ -0,0 +1,77 @@
+/** Entry point of `npm run trial`, which the one program does not contain. */
+import { writeFileSync } from 'node:fs';
+
+import { cac } from 'cac';
+import { z } from 'zod';
+
+import { renderReport } from '../report/html-report';
+import { closingLines, renderTable } from '../report/text-table';
+import type { Program } from './child-vm';
+import { RouterSettings } from './router-settings';
+import { runTrial } from './trial';
+import { TRIAL_FAULTS } from './trial-fault';
+
+const optionsSchema = z.object({
+  settings: z.string().default('deploy/sellada.ini'),
+  program: z.string().optional(),
+  seconds: z.coerce.number().positive().default(60),
+  seed: z.coerce.number().int().default(1),
+  chatsPerSecond: z.coerce.number().positive().default(40),
+  routers: z.coerce.number().int().min(1).default(3),
+  engines: z.coerce.number().int().min(1).default(6),
+  services: z.coerce.number().int().min(1).default(3),
+  faults: z.string().default('kill-router,cut-engine'),
+  report: z.string().optional(),
+});
+
+const SOURCE_PROGRAM: Program = {
+  file: process.execPath,
+  args: ['--import', 'tsx', 'packages/cli/src/main.ts'],
+};
+
+async function main(): Promise<number> {
+  const names = TRIAL_FAULTS.map(({ name }) => name).join(', ');
+  const cli = cac('trial');
+  cli
+    .option('--settings <file>', "A deployment's settings")
+    .option('--program <file>', 'Binary to run (default: from the source)')
+    .option('--seconds <seconds>', 'Length of the load (default 60)')
+    .option('--seed <number>', 'Seed (default 1)')
+    .option('--chats-per-second <rate>', 'Chat requests (default 40)')
+    .option('--routers <count>', 'Routers (default 3)')
+    .option('--engines <count>', 'Engines (default 6)')
+    .option('--services <count>', 'Services (default 3)')
+    .option('--faults <names>', `all, none or some of: ${names}`)
+    .option('--report <file>', 'Write a report page')
+    .help();
+  const { options: given } = cli.parse();
+  if (given.help === true) {
+    return 0;
+  }
+  const options = optionsSchema.parse(given);
+  const chosen = options.faults.split(',');
+  const { run, summary, failures } = await runTrial(
+    {
+      ...options,
+      program:
+        options.program === undefined
+          ? SOURCE_PROGRAM
+          : { file: options.program, args: [] },
+      settings: new RouterSettings(options.settings),
+      faults: TRIAL_FAULTS.filter(
+        ({ name }) => options.faults === 'all' || chosen.includes(name),
+      ),
+    },
+    line => process.stderr.write(`${line}\n`),
+  );
+  if (options.report !== undefined) {
+    writeFileSync(options.report, renderReport(run, summary));
+  }
+  process.stdout.write(`${renderTable(closingLines(summary))}\n`);
+  for (const line of [...failures, ...summary.examples]) {
+    process.stdout.write(`${line}\n`);
+  }
+  return failures.length === 0 ? 0 : 1;
+}
+
+process.exitCode = await main();
--- /dev/null
+++ b/packages/load/src/trial/router-settings.ts
@@ -0,0 +1,71 @@
+/** Settings of a trial's routers, made from a deployment's settings file. */
+import { createHash } from 'node:crypto';
+import { readFileSync } from 'node:fs';
+
+import { parse, stringify } from 'ini';
+
+import type { LoadTeam } from '../plan/load-plan';
+
+/** The sections that a trial reads or changes. */
+interface SettingsText {
+  router: Record<string, unknown>;
+  platform: Record<string, unknown>;
+  team: Record<string, { key_sha256: string; weight?: string | number }>;
+  service: Record<string, { kind: string; models?: string }>;
+}
+
+export class RouterSettings {
+  readonly #text: string;
+
+  /** @param file settings file of a deployment */
+  constructor(file: string) {
+    this.#text = readFileSync(file, 'utf8');
+  }
+
+  /** Teams of the deployment, with keys of the trial. */
+  teams(): LoadTeam[] {
+    return Object.entries(this.#parse().team).map(([team, { weight }]) => ({
+      team,
+      key: trialKey(team),
+      weight: Number(weight ?? 1),
+    }));
+  }
+
+  models(): string[] {
+    return Object.values(this.#parse().service).flatMap(({ models }) =>
+      models === undefined ? [] : models.split(',').map(name => name.trim()),
+    );
+  }
+
+  services(): string[] {
+    return Object.entries(this.#parse().service)
+      .filter(([, { kind }]) => kind === 'service')
+      .map(([name]) => name);
+  }
+
+  /** Returns the settings file of one router, which listens on free ports. */
+  file(id: string, platform: string): string {
+    const settings = this.#parse();
+    settings.router = {
+      ...settings.router,
+      id,
+      caller_port: 0,
+      peer_port: 0,
+      operator_port: 0,
+    };
+    settings.platform = { ...settings.platform, url: platform };
+    for (const [team, entry] of Object.entries(settings.team)) {
+      const hash = createHash('sha256').update(trialKey(team));
+      entry.key_sha256 = hash.digest('hex');
+    }
+    return stringify(settings);
+  }
+
+  #parse(): SettingsText {
+    return parse(this.#text) as unknown as SettingsText;
+  }
+}
+
+function trialKey(team: string): string {
+  return `trial-key-of-${team}`;
+}
--- /dev/null
+++ b/packages/load/src/trial/trial.ts
@@ -0,0 +1,76 @@
+/** Runs a load against a fleet of processes while faults come and go. */
+import type { LoadPlan } from '../plan/load-plan';
+import { LoadRun } from '../run/load-run';
+import { brokenPromises } from '../run/summary';
+import type { LoadSummary } from '../run/summary';
+import { ProcessFleet } from './process-fleet';
+import type { ProcessFleetOptions } from './process-fleet';
+import { bringAbout } from './trial-fault';
+import type { TrialFault } from './trial-fault';
+
+const MS_PER_SECOND = 1000;
+const ANSWER_TOKENS = 32;
+
+export interface TrialOptions extends ProcessFleetOptions {
+  readonly seconds: number;
+  readonly chatsPerSecond: number;
+  readonly faults: readonly TrialFault[];
+}
+
+export interface TrialResult {
+  readonly run: LoadRun;
+  readonly summary: LoadSummary;
+  /** Broken promises, failed faults and routers that did not stop as planned. */
+  readonly failures: readonly string[];
+}
+
+export async function runTrial(
+  options: TrialOptions,
+  say: (line: string) => void,
+): Promise<TrialResult> {
+  const fleet = new ProcessFleet(options);
+  try {
+    await fleet.start();
+    const run = new LoadRun(trialPlan(options), fleet.target());
+    const lengthMs = options.seconds * MS_PER_SECOND;
+    const faults = options.faults.map(fault =>
+      bringAbout(fault, fleet, lengthMs, say),
+    );
+    const [summary, ...outcomes] = await Promise.all([
+      run.run(),
+      ...faults.map(fault => fault.then(() => undefined, describeError)),
+    ]);
+    const unclean = await fleet.stop();
+    const failures = [
+      ...brokenPromises(summary),
+      ...outcomes.filter(outcome => outcome !== undefined),
+      ...unclean.map(id => `${id} did not exit with 0`),
+    ];
+    return { run, summary, failures };
+  } finally {
+    await fleet.stop();
+  }
+}
+
+function trialPlan(options: TrialOptions): LoadPlan {
+  const { settings, seed, seconds, chatsPerSecond } = options;
+  return {
+    seed,
+    seconds,
+    teams: settings.teams(),
+    models: settings.models(),
+    chatsPerSecond,
+    chatPopulation: Math.ceil(chatsPerSecond * 5),
+    returnPauseMs: 2000,
+    turnsPerChat: 8,
+    maxTokens: ANSWER_TOKENS,
+    services: settings.services(),
+    ordersPerSecond: chatsPerSecond / 4,
+    resends: 0.1,
+    lookupsPerSecond: 0,
+  };
+}
+
+function describeError(error: unknown): string {
+  return error instanceof Error ? error.message : String(error);
+}
