Measure the connections between routers and probe only silent ones

Links are looked at in turn, at most one probe a second goes to one that was silent, and three seconds without an answer break it. A test with a proxy that falls silent fails when the break is left out.

--- a/packages/cli/src/commands/commands.ts
+++ b/packages/cli/src/commands/commands.ts
@@ -7,6 +7,7 @@
 import { FaultsCommand } from './faults';
 import { LoadCommand } from './load';
 import { MeasureGossipCommand } from './measure-gossip';
+import { MeasurePeersCommand } from './measure-peers';
 import { MeasurePoliciesCommand } from './measure-policies';
 import { RouterCommand } from './router';
 import { StandInCommand } from './stand-in';
@@ -27,6 +28,7 @@
     new StandInCommand(),
     new FaultsCommand(),
     new MeasureGossipCommand(),
+    new MeasurePeersCommand(),
     new MeasurePoliciesCommand(),
   ];
 }
--- /dev/null
+++ b/packages/measure/src/gossip/busy-topic.ts
@@ -0,0 +1,24 @@
+import { GossipTopic } from '@sesamegrade/core/gossip/gossip-topic';
+import type { RouterId } from '@sesamegrade/core/types/ids';
+import type { Bytes } from '@sesamegrade/core/types/units';
+
+/** Bytes of load counts that every message to a peer carries. */
+const LOAD_ENTRY = 'x'.repeat(80);
+
+/** Stands in for load counts: always has something for everyone. */
+export class BusyTopic extends GossipTopic {
+  override readonly name = 'loads';
+  override readonly rank = 1;
+
+  override take(_peer: RouterId, budget: Bytes): readonly unknown[] {
+    return budget > LOAD_ENTRY.length + 4 ? [LOAD_ENTRY] : [];
+  }
+
+  override receive(): number {
+    return 0;
+  }
+
+  override forget(): void {
+    // Nothing is kept.
+  }
+}
--- a/packages/measure/src/gossip/spread-fleet.ts
+++ b/packages/measure/src/gossip/spread-fleet.ts
@@ -8,39 +8,17 @@
 import type { ConfigurationRecord } from '@sesamegrade/core/configuration/content';
 import { GossipScheduler } from '@sesamegrade/core/gossip/gossip-scheduler';
 import type { GossipMessage } from '@sesamegrade/core/gossip/gossip-scheduler';
-import { GossipTopic } from '@sesamegrade/core/gossip/gossip-topic';
 import { Random } from '@sesamegrade/core/random/random';
 import { ManualTimerService } from '@sesamegrade/core/time/manual-timer-service';
 import { SilentRecorder } from '@sesamegrade/core/timeline/event';
 import { routerId } from '@sesamegrade/core/types/ids';
 import type { RouterId } from '@sesamegrade/core/types/ids';
-import type { Bytes } from '@sesamegrade/core/types/units';
 import { milliseconds } from '@sesamegrade/core/types/units';
+import { BusyTopic } from './busy-topic';
 
 const ROUND = milliseconds(250);
 const SHORTEST_DELAY_MS = 1;
 const LONGEST_DELAY_MS = 40;
-/** Bytes of load counts that every message to a peer carries at least. */
-const LOAD_ENTRY = 'x'.repeat(80);
-
-/** Stands in for load counts: always has something for everyone. */
-class BusyTopic extends GossipTopic {
-  override readonly name = 'loads';
-  override readonly rank = 1;
-
-  override take(_peer: RouterId, budget: Bytes): readonly unknown[] {
-    return budget > LOAD_ENTRY.length + 4 ? [LOAD_ENTRY] : [];
-  }
-
-  override receive(): number {
-    return 0;
-  }
-
-  override forget(): void {
-    // Nothing is kept.
-  }
-}
-
 interface Router {
   readonly id: RouterId;
   readonly keeper: ConfigurationKeeper;
--- a/packages/router/src/peers/peer-network.test.ts
+++ b/packages/router/src/peers/peer-network.test.ts
@@ -1,3 +1,6 @@
+import { connect, createServer } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
+
 import { expect } from 'chai';
 import { WebSocket } from 'ws';
 
@@ -86,6 +89,31 @@
   }
 }
 
+/** Passes bytes on until it is told to be silent, as a stopped machine is. */
+async function silentProxy(target: Router) {
+  const sockets: Socket[] = [];
+  const server = createServer(inward => {
+    const outward = connect(target.bound.port, HOST);
+    for (const socket of [inward, outward]) {
+      socket.on('error', () => socket.destroy());
+      sockets.push(socket);
+    }
+    inward.pipe(outward).pipe(inward);
+  });
+  await new Promise<void>(resolve => server.listen(0, HOST, resolve));
+  const { port } = server.address() as AddressInfo;
+  return {
+    router: { ...target, bound: { host: HOST, port } },
+    silence: () => {
+      server.close();
+      sockets.forEach(socket => socket.unpipe().pause());
+    },
+    close: () => {
+      sockets.forEach(socket => socket.destroy());
+    },
+  };
+}
+
 describe('PeerNetwork', () => {
   const names = ['r1', 'r2', 'r3'];
 
@@ -137,6 +165,20 @@
     await stop([first, third]);
   });
 
+  it('notices a peer that went silent without closing its connection', async () => {
+    const [first, second] = [await routerOf('r1'), await routerOf('r2')];
+    const proxy = await silentProxy(second);
+    introduce([first, proxy.router]);
+    await until(() => first.network.connected.length === 1);
+    proxy.silence();
+    await until(
+      () => first.routers.get(second.id)?.unreachableSince !== undefined,
+    );
+    expect(first.network.connected).to.deep.equal([]);
+    proxy.close();
+    await stop([first, second]);
+  });
+
   it('lets in nobody without the secret', async () => {
     const first = await routerOf('r1');
     const stranger = await routerOf('r2', 'guessed');
--- a/packages/router/src/peers/peer-network.ts
+++ b/packages/router/src/peers/peer-network.ts
@@ -25,6 +25,8 @@
 const RECONCILE = seconds(1);
 /** Rounds of `RECONCILE` after which an unanswered probe breaks a link. */
 const PROBE_ROUNDS = 3;
+/** Links looked at per `RECONCILE`. */
+const LINKS_PER_LOOK = 16;
 
 export interface PeerNetworkOptions {
   readonly secret: string;
@@ -58,6 +60,8 @@
   readonly #server: PeerServer;
   readonly #links = new Map<RouterId, PeerLink>();
   readonly #cancels: Cancel[] = [];
+  /** What had been heard over a link when it was last looked at. */
+  readonly #heard = new WeakMap<PeerLink, number>();
   #probe: Probe | undefined;
 
   constructor(options: PeerNetworkOptions) {
@@ -219,29 +223,49 @@
     );
   }
 
-  /** Probes one link a second in turn, so that its cost does not grow with the fleet. */
+  /**
+   * Looks at some links in turn and probes the first that was silent since it
+   * was last looked at: at most one probe a second, whatever the fleet's size.
+   */
   #probeNext(): void {
-    const probed = this.#probe && this.#links.get(this.#probe.peer);
-    if (this.#probe && probed?.verified) {
-      const answered = probed.heard > this.#probe.heard;
-      this.#probe.rounds += 1;
-      if (!answered && this.#probe.rounds < PROBE_ROUNDS) {
+    if (this.#awaitsProbe()) {
+      return;
+    }
+    const looks = Math.min(LINKS_PER_LOOK, this.#links.size);
+    for (let look = 0; look < looks; look += 1) {
+      const [first] = this.#links;
+      if (first && this.#isSilent(...first)) {
+        const [peer, link] = first;
+        this.#probe = { peer, heard: link.heard, rounds: 0 };
+        link.probe();
         return;
       }
-      if (!answered) {
-        probed.reset();
-      }
     }
-    const [peer] = this.#links.keys();
-    const link = peer && this.#links.get(peer);
-    if (!peer || !link) {
+  }
+
+  /** Whether a probe's answer may still come; breaks the link when it is late. */
+  #awaitsProbe(): boolean {
+    const probe = this.#probe;
+    const link = probe && this.#links.get(probe.peer);
+    if (!probe || !link?.verified || link.heard > probe.heard) {
       this.#probe = undefined;
-      return;
+      return false;
+    }
+    probe.rounds += 1;
+    if (probe.rounds < PROBE_ROUNDS) {
+      return true;
     }
-    // The probed link goes to the end of the order.
+    this.#probe = undefined;
+    link.reset();
+    return false;
+  }
+
+  /** Moves a link to the end of the order; tells whether it was silent. */
+  #isSilent(peer: RouterId, link: PeerLink): boolean {
     this.#links.delete(peer);
     this.#links.set(peer, link);
-    this.#probe = { peer, heard: link.heard, rounds: 0 };
-    link.probe();
+    const silent = link.verified && this.#heard.get(link) === link.heard;
+    this.#heard.set(link, link.heard);
+    return silent;
   }
 }
