--- a/packages/core/src/configuration/effective-settings.ts
+++ b/packages/core/src/configuration/effective-settings.ts
@@ -46,8 +46,19 @@
     setting: Name,
     subject: SettingSubject = {},
   ): SettingValues[Name] {
-    const value = this.#lookUp(setting, subject);
-    return (value ?? SETTINGS[setting].builtIn) as SettingValues[Name];
+    return this.find(setting, subject) ?? this.#builtIn(setting);
+  }
+
+  /** Returns the value that operators set, if they did. */
+  find<Name extends SettingName>(
+    setting: Name,
+    subject: SettingSubject = {},
+  ): SettingValues[Name] | undefined {
+    return this.#lookUp(setting, subject) as SettingValues[Name] | undefined;
+  }
+
+  #builtIn<Name extends SettingName>(setting: Name): SettingValues[Name] {
+    return SETTINGS[setting].builtIn as SettingValues[Name];
   }
 
   #lookUp(setting: SettingName, subject: SettingSubject): unknown {
--- a/packages/core/src/policies/endpoint-placing.ts
+++ b/packages/core/src/policies/endpoint-placing.ts
@@ -22,7 +22,8 @@
 
 export interface EndpointPlacingOptions {
   readonly pools: EndpointPools;
-  readonly placement: Placement;
+  /** Way of placing under the configuration in force. */
+  readonly placementFor: (request: Request) => Placement;
   readonly loads: LoadView;
   readonly places: LastPlaces;
   readonly endpoints: EndpointTable;
@@ -124,7 +125,9 @@
       request.lastPlace,
       known,
     );
-    return this.#options.placement.place({ chat, lastPlace }, candidates, now);
+    return this.#options
+      .placementFor(request)
+      .place({ chat, lastPlace }, candidates, now);
   }
 }
 
--- a/packages/router/src/callers/intake.ts
+++ b/packages/router/src/callers/intake.ts
@@ -19,6 +19,8 @@
 import type { Result } from '@sesamegrade/core/types/result';
 import type { RefusalReason } from '@sesamegrade/core/types/refusal';
 import { addTime, milliseconds } from '@sesamegrade/core/types/units';
+import type { Milliseconds } from '@sesamegrade/core/types/units';
+import type { FleetPolicy } from '@sesamegrade/core/policies/fleet-policy';
 import type { Settings } from '@sesamegrade/settings/schema';
 import type { AnswerShape, OutgoingCall } from '../dispatch/exchange';
 import type { StreamTags } from '../endpoints/stream-tags';
@@ -46,6 +48,7 @@
   readonly settings: Settings;
   readonly timers: TimerService;
   readonly tags: StreamTags;
+  readonly policy: FleetPolicy;
 }
 
 const DEFAULT_PRIORITY = 0;
@@ -56,11 +59,13 @@
   readonly #settings: Settings;
   readonly #timers: TimerService;
   readonly #tags: StreamTags;
+  readonly #policy: FleetPolicy;
 
   constructor(options: IntakeOptions) {
     this.#settings = options.settings;
     this.#timers = options.timers;
     this.#tags = options.tags;
+    this.#policy = options.policy;
   }
 
   /** Models that the settings name, in order of name. */
@@ -171,12 +176,12 @@
       target,
       lastPlace: place === undefined ? undefined : endpointId(place),
       arrived,
-      deadline: addTime(arrived, this.#timeAllowed(received.message)),
+      deadline: addTime(arrived, this.#timeAllowed(received, target)),
     };
   }
 
-  #timeAllowed(message: IncomingMessage) {
-    const limit = this.#settings.limits.request_timeout_ms;
+  #timeAllowed({ message, team }: Received, target: Target): Milliseconds {
+    const limit = this.#policy.requestTimeout(target, team);
     const asked = headerOf(message, 'x-request-timeout-ms') ?? '';
     const allowed = DEADLINE.test(asked)
       ? Math.min(limit, Number(asked))
