Measure the relay and read responses without an async iterator

Cause: a profile at 200 streams showed, after the write system call, the async iterator, microtasks and stream plumbing of each chunk as the next cost of a relayed event. Change: measure-relay compares streams through a router with direct ones and reads the router's processor time from its status; the relay takes data events and pauses the response while the caller's socket is full.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -51,7 +51,12 @@
   {
     files: ['**/*.mjs'],
     languageOptions: {
-      globals: { console: 'readonly', process: 'readonly', URL: 'readonly' },
+      globals: {
+        console: 'readonly',
+        process: 'readonly',
+        URL: 'readonly',
+        fetch: 'readonly',
+      },
     },
   },
   {
--- a/packages/cli/src/commands/commands.ts
+++ b/packages/cli/src/commands/commands.ts
@@ -9,6 +9,7 @@
 import { MeasureGossipCommand } from './measure-gossip';
 import { MeasurePeersCommand } from './measure-peers';
 import { MeasurePoliciesCommand } from './measure-policies';
+import { MeasureRelayCommand } from './measure-relay';
 import { RouterCommand } from './router';
 import { StandInCommand } from './stand-in';
 import { StatusCommand } from './status';
@@ -27,6 +28,7 @@
     new LoadCommand(),
     new StandInCommand(),
     new FaultsCommand(),
+    new MeasureRelayCommand(),
     new MeasureGossipCommand(),
     new MeasurePeersCommand(),
     new MeasurePoliciesCommand(),
--- a/packages/cli/src/commands/operator-commands.test.ts
+++ b/packages/cli/src/commands/operator-commands.test.ts
@@ -24,6 +24,7 @@
     const load = { load: 3.2, bound: 5, capacity: 8, ejected: true };
     return {
       router: { ...router, ready: true, leaving: false, upSeconds: 1 },
+      process: { cpuSeconds: 1.5, memoryBytes: 2 ** 26 },
       configuration: { version: 4, storeUp: false, ignoredSettings: 0 },
       routers: [{ id: 'r2', zone: 'zone-b', phase: 'live', connected: true }],
       endpoints: [{ ...engine, ...load, phase: 'live', why: 'slow answers' }],
--- a/packages/load/src/measures/latencies.ts
+++ b/packages/load/src/measures/latencies.ts
@@ -14,7 +14,8 @@
   readonly p99: number;
 }
 
-function histogram(): Histogram {
+/** Makes a histogram of microseconds. */
+export function histogram(): Histogram {
   return build({
     lowestDiscernibleValue: 1,
     highestTrackableValue: LONGEST_MICROSECONDS,
@@ -23,7 +24,8 @@
   });
 }
 
-function percentiles(values: Histogram): Percentiles {
+/** Returns percentiles in milliseconds. */
+export function percentiles(values: Histogram): Percentiles {
   const at = (percentile: number) =>
     values.getValueAtPercentile(percentile) / MICROSECONDS_PER_MS;
   return { count: values.totalCount, p50: at(50), p95: at(95), p99: at(99) };
--- a/packages/router/src/callers/caller-answer.ts
+++ b/packages/router/src/callers/caller-answer.ts
@@ -59,15 +59,36 @@
     });
   }
 
-  /** Writes a part; resolves when more may be written. */
-  async write(part: string | Uint8Array): Promise<Writability> {
+  /** Writes a part; when the caller reads too slowly, `drained` tells when to go on. */
+  offer(part: string): Writability | 'full' {
     if (this.gone) {
       return 'gone';
     }
-    if (this.#response.write(part)) {
-      return 'open';
-    }
-    return this.#drained();
+    return this.#response.write(part) ? 'open' : 'full';
+  }
+
+  /** Resolves when more may be written, or when the caller is gone or has stalled. */
+  drained(): Promise<Writability> {
+    return new Promise(resolve => {
+      const settle = (writability: Writability) => {
+        cancel();
+        this.#response.off('drain', drain);
+        this.#response.off('close', close);
+        resolve(writability);
+      };
+      const drain = () => {
+        settle('open');
+      };
+      const close = () => {
+        settle('gone');
+      };
+      const cancel = this.#timers.after(this.#stallLimit, () => {
+        this.#response.destroy();
+        settle('gone');
+      });
+      this.#response.once('drain', drain);
+      this.#response.once('close', close);
+    });
   }
 
   /** Ends the answer and so says that it is whole. */
@@ -93,27 +114,4 @@
     this.begin(document.status, headers);
     this.#response.end(body);
   }
-
-  #drained(): Promise<Writability> {
-    return new Promise(resolve => {
-      const settle = (writability: Writability) => {
-        cancel();
-        this.#response.off('drain', drain);
-        this.#response.off('close', close);
-        resolve(writability);
-      };
-      const drain = () => {
-        settle('open');
-      };
-      const close = () => {
-        settle('gone');
-      };
-      const cancel = this.#timers.after(this.#stallLimit, () => {
-        this.#response.destroy();
-        settle('gone');
-      });
-      this.#response.once('drain', drain);
-      this.#response.once('close', close);
-    });
-  }
 }
--- a/packages/router/src/endpoints/stream-relay.ts
+++ b/packages/router/src/endpoints/stream-relay.ts
@@ -4,6 +4,7 @@
 
 import { eventIdPrefix } from '@sesamegrade/core/streams/event-id';
 import type { StreamOrder } from '@sesamegrade/core/streams/stream-order';
+import type { Writability } from '../callers/caller-answer';
 import type { StreamTags } from './stream-tags';
 import { breakageOf, Relay } from './relay';
 import type { RelayEnd, RelayTask } from './relay';
@@ -21,6 +22,8 @@
   resumable: true,
 } as const;
 
+const CALLER_LEFT = { kind: 'caller-left' } as const;
+
 export interface StreamRelayOptions {
   readonly tags: StreamTags;
 }
@@ -34,38 +37,63 @@
   }
 
   override async carry(task: RelayTask): Promise<RelayEnd> {
-    const { shape } = task.exchange;
+    const { shape, answer } = task.exchange;
     if (shape.kind !== 'stream') {
       return { kind: 'broken', breakage: 'reset', resumable: false };
     }
     const writer = new EventWriter(this.#prefixOf(task), shape.order);
+    const end = await this.#pump(task, writer);
+    if (end.kind !== 'finished') {
+      return end;
+    }
+    if (!shape.order.ended) {
+      return BROKEN;
+    }
+    answer.end();
+    return end;
+  }
+
+  /** Passes events on until the response ends, breaks or leaves out an event. */
+  #pump(task: RelayTask, writer: EventWriter): Promise<RelayEnd> {
+    const { body } = task.response;
+    const { answer } = task.exchange;
     const parser = createParser({
       onEvent: event => {
         writer.take(event);
       },
     });
     const decoder = new TextDecoder();
-    try {
-      for await (const chunk of task.response.body) {
-        parser.feed(decoder.decode(chunk as Uint8Array, { stream: true }));
-        if ((await this.#flush(task, writer)) === 'gone') {
-          return { kind: 'caller-left' };
-        }
-        if (writer.gap) {
-          return BROKEN;
+    return new Promise(resolve => {
+      body.on('data', (chunk: Uint8Array) => {
+        parser.feed(decoder.decode(chunk, { stream: true }));
+        const writability = this.#flush(task, writer);
+        if (writability === 'gone') {
+          resolve(CALLER_LEFT);
+        } else if (writer.gap) {
+          resolve(BROKEN);
+        } else if (writability === 'full') {
+          body.pause();
+          void answer.drained().then(drained => {
+            if (drained === 'gone') {
+              resolve(CALLER_LEFT);
+            }
+            body.resume();
+          });
         }
-      }
-    } catch (error) {
-      return { ...BROKEN, breakage: breakageOf(error) };
-    }
-    if (!shape.order.ended) {
-      return BROKEN;
-    }
-    task.exchange.answer.end();
-    return { kind: 'finished' };
+      });
+      body.once('end', () => {
+        resolve({ kind: 'finished' });
+      });
+      body.once('error', error => {
+        resolve({ ...BROKEN, breakage: breakageOf(error) });
+      });
+      body.once('close', () => {
+        resolve(BROKEN);
+      });
+    });
   }
 
-  async #flush(task: RelayTask, writer: EventWriter) {
+  #flush(task: RelayTask, writer: EventWriter): Writability | 'full' {
     const text = writer.drain();
     if (text === '') {
       return 'open';
@@ -78,7 +106,7 @@
       });
       task.onDelivered();
     }
-    return answer.write(text);
+    return answer.offer(text);
   }
 
   #prefixOf({ exchange, endpoint, attempt }: RelayTask): string {
--- a/packages/router/src/operators/operator-server.test.ts
+++ b/packages/router/src/operators/operator-server.test.ts
@@ -22,6 +22,7 @@
     const router = { id: 'r1', incarnation: 1, zone: 'a', program: '0' };
     return {
       router: { ...router, ready: true, leaving: false, upSeconds: 1 },
+      process: { cpuSeconds: 1.5, memoryBytes: 2 ** 26 },
       configuration: { version: 0, storeUp: true, ignoredSettings: 0 },
       routers: [],
       endpoints: [],
--- a/packages/router/src/operators/router-status.ts
+++ b/packages/router/src/operators/router-status.ts
@@ -29,6 +29,7 @@
 >;
 
 const MS_PER_SECOND = 1000;
+const MICROSECONDS_PER_SECOND = 1_000_000;
 
 export class RouterStatus extends StatusSource {
   readonly #parts: Parts;
@@ -44,6 +45,7 @@
     const { controlMeter } = this.#parts;
     return {
       router: this.#router(),
+      process: processCost(),
       configuration: this.#configuration(),
       routers: this.#routers(),
       endpoints: this.#endpoints(),
@@ -159,6 +161,14 @@
   }
 }
 
+function processCost(): FleetStatus['process'] {
+  const { user, system } = process.cpuUsage();
+  return {
+    cpuSeconds: (user + system) / MICROSECONDS_PER_SECOND,
+    memoryBytes: process.memoryUsage.rss(),
+  };
+}
+
 function servingText({ serving }: EndpointMember): string {
   return serving.kind === 'engine'
     ? serving.models.join(', ')
--- a/packages/router/src/operators/status.ts
+++ b/packages/router/src/operators/status.ts
@@ -14,6 +14,12 @@
     leaving: z.boolean(),
     upSeconds: z.number(),
   }),
+  process: z.object({
+    /** Processor time since the start, of user and system. */
+    cpuSeconds: z.number(),
+    /** Memory that the process has resident. */
+    memoryBytes: z.number(),
+  }),
   configuration: z.object({
     version: z.number(),
     storeUp: z.boolean(),
