Put streamed chats and leaving endpoints into the fault checks

The matrix lacked the chat, and nothing showed that the checks notice a forgotten departure. Histories of chats run two request flows over four streaming engines; callers go on at another router with what they have. They check that events come in order, once and only the caller's own, that not_run is true, and that nothing is held in the end.

--- a/packages/core/src/membership/endpoint-table.ts
+++ b/packages/core/src/membership/endpoint-table.ts
@@ -11,6 +11,7 @@
 } from '../types/ids';
 import type { EndpointId } from '../types/ids';
 import type { Instant } from '../types/units';
+import type { Departures } from './departures';
 import type { Member, Sighting } from './member';
 import { DEFAULT_TIMES, MemberTable } from './member-table';
 import type { MembershipTimes } from './member-table';
@@ -31,6 +32,8 @@
 export interface EndpointTableOptions {
   readonly recorder: EventRecorder;
   readonly times?: MembershipTimes;
+  /** Process starts known to have left; none when absent. */
+  readonly departures?: Departures<EndpointId>;
 }
 
 type EndpointVm = Exclude<ListedVm, { kind: 'router' }>;
@@ -63,7 +66,7 @@
   #now: Instant | undefined;
 
   constructor(options: EndpointTableOptions) {
-    super(options.times ?? DEFAULT_TIMES);
+    super(options.times ?? DEFAULT_TIMES, options.departures);
     this.#recorder = options.recorder;
   }
 
--- a/packages/core/src/membership/member-table.ts
+++ b/packages/core/src/membership/member-table.ts
@@ -53,14 +53,15 @@
   protected readonly times: MembershipTimes;
 
   readonly #damper = new FlapDamper<Id>();
-  readonly #departures = new Departures<Id>();
+  readonly #departures: Departures<Id>;
   /** Peers' word that a process start leaves which no list has shown yet. */
   readonly #unconfirmed = new Map<Id, Set<Incarnation>>();
   readonly #listeners = new Set<(change: MemberChange<Id>) => void>();
   #listed = false;
 
-  constructor(times: MembershipTimes) {
+  constructor(times: MembershipTimes, departures = new Departures<Id>()) {
     this.times = times;
+    this.#departures = departures;
   }
 
   /** Whether the platform's list has arrived at least once. */
--- a/packages/faults/src/matrix/scenarios.ts
+++ b/packages/faults/src/matrix/scenarios.ts
@@ -1,4 +1,5 @@
 /** Every scenario of the fault matrix. */
+import { ChatScenario } from '../chats/chat-scenario';
 import { ConfigurationScenario } from '../configuration/configuration-scenario';
 import { EngineOrderScenario } from '../engine-orders/engine-order-scenario';
 import { OrderScenario } from '../orders/order-scenario';
@@ -6,6 +7,7 @@
 
 export function scenarios(): Scenario[] {
   return [
+    new ChatScenario(),
     new OrderScenario(),
     new EngineOrderScenario(),
     new ConfigurationScenario(),
--- /dev/null
+++ b/packages/faults/src/membership/leaving-mutations.test.ts
@@ -0,0 +1,77 @@
+import { expect } from 'chai';
+
+import { Departures } from '@sesamegrade/core/membership/departures';
+import { EndpointTable } from '@sesamegrade/core/membership/endpoint-table';
+import { Random } from '@sesamegrade/core/random/random';
+import { SilentRecorder } from '@sesamegrade/core/timeline/event';
+import type { EndpointId } from '@sesamegrade/core/types/ids';
+import { endpointId, incarnation } from '@sesamegrade/core/types/ids';
+import type { VmEntry } from '@sesamegrade/core/types/platform';
+import { instant } from '@sesamegrade/core/types/units';
+
+const HISTORIES = 300;
+const STEPS = 30;
+const LONGEST_STEP_MS = 400_000;
+const engine = endpointId('engine-1');
+
+const listed: VmEntry = {
+  vm: engine,
+  kind: 'engine',
+  models: ['m'],
+  host: '127.0.0.1',
+  port: 9000,
+  zone: 'a',
+  state: 'live',
+  incarnation: 1,
+  capacity: 8,
+};
+
+class ForgetsDepartures extends Departures<EndpointId> {
+  override has(): boolean {
+    return false;
+  }
+}
+
+/** Histories in which an engine that left gets work again from stale lists. */
+function returns(newDepartures: () => Departures<EndpointId>): number {
+  let broken = 0;
+  for (let seed = 1; seed <= HISTORIES; seed += 1) {
+    broken += returnsInHistory(seed, newDepartures()) ? 1 : 0;
+  }
+  return broken;
+}
+
+function returnsInHistory(
+  seed: number,
+  departures: Departures<EndpointId>,
+): boolean {
+  const random = new Random(seed);
+  const recorder = new SilentRecorder();
+  const table = new EndpointTable({ recorder, departures });
+  let now = instant(0);
+  table.listArrived([listed], now);
+  table.markLeaving(engine, incarnation(1), 'announced', now);
+  for (let step = 0; step < STEPS; step += 1) {
+    now = instant(now + random.integer(0, LONGEST_STEP_MS));
+    const isListed = random.fraction() < 0.5;
+    table.listArrived(isListed ? [listed] : [], now);
+    if (random.fraction() < 0.3) {
+      table.evidence(engine, 'answered', now);
+    }
+    table.tick(instant(now + LONGEST_STEP_MS));
+    if ([...table.endpoints()].length > 0) {
+      return true;
+    }
+  }
+  return false;
+}
+
+describe('histories of leaving endpoints', () => {
+  it('never bring an endpoint that left back', () => {
+    expect(returns(() => new Departures())).to.equal(0);
+  });
+
+  it('show its return when departures are forgotten', () => {
+    expect(returns(() => new ForgetsDepartures())).to.be.greaterThan(0);
+  });
+});
