Measure ways of placing and tell loads to keepers

Which way of placing keeps both reuse and skew was a guess: add the seeded measurement of decisions, sesamegrade measure placement, with late views per router, churn and a surge. LoadKeepers names the routers that know an endpoint's load, PlacementDecision asks them near the bound, and LoadView carries reports on without counting twice.

--- a/packages/cli/src/commands/commands.ts
+++ b/packages/cli/src/commands/commands.ts
@@ -3,6 +3,7 @@
 import type { Command } from './command';
 import { DemoCommand } from './demo';
 import { LoadCommand } from './load';
+import { MeasureCommand } from './measure';
 import { MeasureGossipCommand } from './measure-gossip';
 import { MeasurePoliciesCommand } from './measure-policies';
 import { RouterCommand } from './router';
@@ -16,6 +17,7 @@
     new DemoCommand(new LoopbackRouterLauncher()),
     new LoadCommand(),
     new StandInCommand(),
+    new MeasureCommand(),
     new MeasureGossipCommand(),
     new MeasurePoliciesCommand(),
   ];
--- a/packages/core/src/loads/load-keeper.ts
+++ b/packages/core/src/loads/load-keeper.ts
@@ -1,12 +1,13 @@
 /**
- * The watcher's side of an exact load check: it counts what it admits, so that
+ * The keeper's side of an exact load check: it counts what it admits, so that
  * routers that ask at the same moment do not all see the same free place.
  */
 import type { EndpointId, RouterId } from '../types/ids';
 import type { Instant } from '../types/units';
+import type { LoadKeepers } from './load-keepers';
 import type { LoadView } from './load-view';
 
-/** Asked of an endpoint's watcher before a request is sent there. */
+/** Asked of an endpoint's first keeper before a request is sent there. */
 export interface LoadQuestion {
   readonly endpoint: EndpointId;
   /** The asking router's own requests in flight there, without the new one. */
@@ -21,13 +22,27 @@
   readonly admitted: boolean;
   /** Requests in flight at the endpoint, without the new one. */
   readonly load: number;
+  /** Requests in flight at the other endpoints whose load this router keeps. */
+  readonly others: readonly KeptLoad[];
 }
 
+export interface KeptLoad {
+  readonly endpoint: EndpointId;
+  readonly load: number;
+}
+
+/** An answer names at most this many other endpoints. */
+const maxOthers = 16;
+
 export class LoadKeeper {
+  readonly #self: RouterId;
   readonly #view: LoadView;
+  readonly #keepers: LoadKeepers;
 
-  constructor(view: LoadView) {
+  constructor(self: RouterId, view: LoadView, keepers: LoadKeepers) {
+    this.#self = self;
     this.#view = view;
+    this.#keepers = keepers;
   }
 
   /** Admits a request while the endpoint stays within the limit, and counts it. */
@@ -37,8 +52,22 @@
     const load = this.#view.estimate(endpoint, now);
     const admitted = load + 1 <= limit;
     if (admitted) {
-      this.#view.peerCount(peer, endpoint, count + 1, sequence + 1, now);
+      this.#view.admit(peer, endpoint, now);
+    }
+    return { admitted, load, others: this.#othersThan(endpoint, now) };
+  }
+
+  #othersThan(asked: EndpointId, now: Instant): KeptLoad[] {
+    const others: KeptLoad[] = [];
+    if (!this.#keepers.isSmall) {
+      return others;
+    }
+    for (const endpoint of this.#view.endpoints()) {
+      const kept = this.#keepers.of(endpoint).includes(this.#self);
+      if (kept && endpoint !== asked && others.length < maxOthers) {
+        others.push({ endpoint, load: this.#view.estimate(endpoint, now) });
+      }
     }
-    return { admitted, load };
+    return others;
   }
 }
--- a/packages/core/src/loads/load-topic.ts
+++ b/packages/core/src/loads/load-topic.ts
@@ -1,18 +1,29 @@
 /**
- * What routers tell each other about load: their own requests in flight, and in
- * a large fleet the totals that watchers add up.
+ * What routers tell each other about load: their own requests in flight to the
+ * endpoint's keepers, and the totals that keepers add up to everyone.
  */
 import murmurhash from 'murmurhash';
 import { z } from 'zod';
 
 import { GossipTopic } from '../gossip/gossip-topic';
 import type { EndpointId, RouterId } from '../types/ids';
-import type { Bytes, Instant } from '../types/units';
+import { elapsed, milliseconds } from '../types/units';
+import type { Bytes, Instant, Milliseconds } from '../types/units';
+import type { LoadKeepers } from './load-keepers';
 import type { LoadView } from './load-view';
 import { ToldNumbers } from './told-numbers';
 
-/** Number of peers up to which every router tells its counts to all of them. */
-const maxMeshPeers = 24;
+/** Bytes per second that totals may take over all peers where keepers answer for every endpoint. */
+const smallTotalsRate = 500;
+
+/** The same in a large fleet. */
+const largeTotalsRate = 1500;
+
+/** Bytes of a usual message with totals, its framing included. */
+const totalsMessageSize = 120;
+
+/** Shortest time between two messages with totals to one peer. */
+const minTotalsPeriod = milliseconds(500);
 
 /** Bytes of an entry beside its numbers: brackets, sequence number and commas. */
 const entryOverhead = 16;
@@ -32,11 +43,11 @@
   .tuple([z.union([z.int().nonnegative(), z.literal(totalsMark)])])
   .rest(z.union([z.string().max(maxKeyLength), z.int().nonnegative()]));
 
-/** A watcher tells a total that changed by this part of the endpoint's capacity. */
-const totalStep = 0.05;
+/** Multiple of the mean load from which endpoints are told about in a larger fleet. */
+const nearBound = 1.06;
 
-/** A watcher tells totals of endpoints whose load is this multiple of the mean or more. */
-const tellAboveMean = 1;
+/** A keeper tells a total that changed by this part of the endpoint's capacity. */
+const totalStep = 0.05;
 
 interface EndpointNumber {
   readonly endpoint: EndpointId;
@@ -45,13 +56,23 @@
   readonly pressure: number;
 }
 
+/** What a router could tell at one time, the fullest endpoint first. */
+interface Digest {
+  readonly at: Instant;
+  /** Own requests in flight, by the endpoint's keepers. */
+  readonly counts: ReadonlyMap<RouterId, readonly EndpointNumber[]>;
+  /** Loads of the endpoints of which this router is the first keeper. */
+  readonly totals: readonly EndpointNumber[];
+  /** Pressure from which an endpoint is told about. */
+  readonly tellFrom: number;
+}
+
 export interface LoadTopicOptions {
   readonly self: RouterId;
   readonly view: LoadView;
-  /** Returns the router that watches an endpoint. */
-  readonly watcher: (endpoint: EndpointId) => RouterId | undefined;
-  /** Returns the number of live peers. */
-  readonly peers: () => number;
+  readonly keepers: LoadKeepers;
+  /** Returns the live routers, this one included. */
+  readonly routers: () => readonly RouterId[];
 }
 
 /** Returns the short name of an endpoint in messages. */
@@ -87,10 +108,11 @@
 
 /**
  * Tells absolute counts with a sequence number, so that lost, doubled and
- * reordered messages heal. In a small fleet every peer is told; in a large one
- * only the watcher of the endpoint, which tells everyone the totals of endpoints
- * above the mean load. `forget` must be called for a peer that restarts, as its
- * sequence numbers start again.
+ * reordered messages heal. The keepers of an endpoint are told at once, everyone
+ * else hears totals from the first keeper, the less often the more peers there are. A
+ * large fleet tells only about endpoints above the mean load.
+ * `forget` must be called for a peer that restarts, as its sequence numbers start
+ * again.
  */
 export class LoadTopic extends GossipTopic {
   override readonly name = 'loads';
@@ -98,10 +120,12 @@
   readonly #options: LoadTopicOptions;
   readonly #counts = new ToldNumbers();
   readonly #totals = new ToldNumbers();
+  readonly #totalsToldAt = new Map<RouterId, Instant>();
   readonly #endpoints = new Map<string, EndpointId>();
   /** Whether the keys were rebuilt for the message at hand. */
   #keysAreFresh = false;
   #sequence = 0;
+  #digest: Digest | undefined;
 
   constructor(options: LoadTopicOptions) {
     super();
@@ -129,6 +153,7 @@
       entries.push([this.nextSequence(), ...pairsOf(counts)]);
     }
     if (totals.length > 0) {
+      this.#totalsToldAt.set(peer, now);
       entries.push([totalsMark, ...pairsOf(totals)]);
     }
     return entries;
@@ -152,63 +177,85 @@
   override forget(peer: RouterId): void {
     this.#counts.forget(peer);
     this.#totals.forget(peer);
+    this.#totalsToldAt.delete(peer);
     this.#options.view.forgetPeer(peer);
   }
 
   #dueCounts(peer: RouterId, now: Instant): EndpointNumber[] {
-    const { view, watcher } = this.#options;
-    const mesh = this.#isMesh();
-    const due: EndpointNumber[] = [];
-    for (const endpoint of view.endpoints()) {
-      const value = view.ownInFlight(endpoint);
-      const concerns = mesh || watcher(endpoint) === peer;
-      if (concerns && this.#counts.isDue(peer, endpoint, value, 1, now)) {
-        due.push({ endpoint, value, pressure: this.#pressure(endpoint, now) });
-      }
-    }
-    return fullestFirst(due);
+    const counts = this.#digestAt(now).counts.get(peer) ?? [];
+    return counts.filter(({ endpoint, value }) =>
+      this.#counts.isDue(peer, endpoint, value, 1, now),
+    );
   }
 
   #dueTotals(peer: RouterId, now: Instant): EndpointNumber[] {
-    if (this.#isMesh()) {
+    const { totals, tellFrom } = this.#digestAt(now);
+    const toldAt = this.#totalsToldAt.get(peer);
+    const early =
+      toldAt !== undefined && elapsed(toldAt, now) < this.#totalsPeriod();
+    if (totals.length === 0 || early) {
       return [];
     }
-    const { self, view, watcher } = this.#options;
-    const mean = this.#meanPressure(now);
-    const due: EndpointNumber[] = [];
-    for (const endpoint of view.endpoints()) {
-      if (watcher(endpoint) !== self) {
-        continue;
-      }
-      const value = Math.round(view.estimate(endpoint, now));
-      const step = Math.max(1, totalStep * view.capacity(endpoint));
-      const pressure = this.#pressure(endpoint, now);
-      const near = pressure >= tellAboveMean * mean;
-      if (near && this.#totals.isDue(peer, endpoint, value, step, now)) {
-        due.push({ endpoint, value, pressure });
+    return totals.filter(({ endpoint, value, pressure }) => {
+      const capacity = Math.max(1, this.#options.view.capacity(endpoint));
+      const told = this.#totals.last(peer, endpoint) ?? 0;
+      if (this.#options.keepers.of(endpoint).includes(peer)) {
+        return false;
       }
-    }
-    return fullestFirst(due);
-  }
-
-  #isMesh(): boolean {
-    return this.#options.peers() <= maxMeshPeers;
+      const near = Math.max(pressure, told / capacity) >= tellFrom;
+      const step = Math.max(1, totalStep * capacity);
+      return near && this.#totals.isDue(peer, endpoint, value, step, now);
+    });
   }
 
-  #pressure(endpoint: EndpointId, now: Instant): number {
-    const { view } = this.#options;
-    return view.estimate(endpoint, now) / Math.max(1, view.capacity(endpoint));
+  /** Returns what could be told at a time, worked out once for all peers. */
+  #digestAt(now: Instant): Digest {
+    if (this.#digest?.at !== now) {
+      this.#digest = this.#makeDigest(now);
+    }
+    return this.#digest;
   }
 
-  #meanPressure(now: Instant): number {
-    const { view } = this.#options;
-    let load = 0;
-    let capacity = 0;
+  #makeDigest(now: Instant): Digest {
+    const { self, view, keepers, routers } = this.#options;
+    keepers.update(routers(), [...view.endpoints()]);
+    const numbers: EndpointNumber[] = [];
     for (const endpoint of view.endpoints()) {
-      load += view.estimate(endpoint, now);
-      capacity += view.capacity(endpoint);
+      const value = view.estimate(endpoint, now);
+      const pressure = value / Math.max(1, view.capacity(endpoint));
+      numbers.push({ endpoint, value, pressure });
+    }
+    const sum = numbers.reduce((total, { pressure }) => total + pressure, 0);
+    const mean = sum / Math.max(1, numbers.length);
+    const tellFrom = keepers.isSmall ? 0 : nearBound * mean;
+    const counts = new Map<RouterId, EndpointNumber[]>();
+    const totals: EndpointNumber[] = [];
+    for (const number of fullestFirst(numbers)) {
+      const { endpoint, pressure } = number;
+      const [first, ...others] = keepers.of(endpoint);
+      if (first === self) {
+        totals.push({ ...number, value: Math.round(number.value) });
+      }
+      if (!first || pressure < tellFrom) {
+        continue;
+      }
+      const value = view.ownInFlight(endpoint);
+      for (const keeper of [first, ...others]) {
+        const list = counts.get(keeper) ?? [];
+        list.push({ endpoint, value, pressure });
+        counts.set(keeper, list);
+      }
     }
-    return load / Math.max(1, capacity);
+    return { at: now, counts, totals, tellFrom };
+  }
+
+  /** Returns the time between totals to one peer that keeps to the byte rate. */
+  #totalsPeriod(): Milliseconds {
+    const { keepers, routers } = this.#options;
+    const rate = keepers.isSmall ? smallTotalsRate : largeTotalsRate;
+    const round = routers().length * totalsMessageSize;
+    const period = milliseconds((round / rate) * 1000);
+    return period > minTotalsPeriod ? period : minTotalsPeriod;
   }
 
   #note(
--- a/packages/core/src/loads/load-view.test.ts
+++ b/packages/core/src/loads/load-view.test.ts
@@ -12,6 +12,7 @@
 const settings = {
   peerDelay: milliseconds(0),
   averaging: milliseconds(1000),
+  averagingUntold: milliseconds(1000),
   peerHorizon: milliseconds(15_000),
 };
 
--- a/packages/core/src/loads/load-view.ts
+++ b/packages/core/src/loads/load-view.ts
@@ -8,7 +8,7 @@
  * of a report is thus neither lost nor counted twice.
  */
 import type { EndpointId, RouterId } from '../types/ids';
-import { addTime, elapsed, milliseconds } from '../types/units';
+import { addTime, elapsed, instant, milliseconds } from '../types/units';
 import type { Instant, Milliseconds } from '../types/units';
 import { CountHistory } from './count-history';
 import { judgeReport, maxCapacityMultiple, maxReportAge } from './load-report';
@@ -17,21 +17,35 @@
 export interface LoadViewSettings {
   /** Typical age of peers' counts when they arrive. */
   readonly peerDelay: Milliseconds;
-  /** Time over which reports are averaged. */
+  /** Time over which reports are averaged where peers' counts are told. */
   readonly averaging: Milliseconds;
+  /** The same where only reports tell what peers do. */
+  readonly averagingUntold: Milliseconds;
   /** Peers' counts that were not repeated for this long are dropped. */
   readonly peerHorizon: Milliseconds;
 }
 
 export const defaultLoadViewSettings: LoadViewSettings = {
-  peerDelay: milliseconds(400),
-  averaging: milliseconds(1000),
+  peerDelay: milliseconds(100),
+  averaging: milliseconds(3000),
+  averagingUntold: milliseconds(100),
   peerHorizon: milliseconds(15_000),
 };
 
 /** Least part of a new report that enters the average. */
 const minReportGain = 0.2;
 
+/** Part of one report that enters the average over all endpoints. */
+const meanFillGain = 0.02;
+
+/** Time in which a joining endpoint is taken to reach the average load. */
+const fillTime = milliseconds(30_000);
+
+const longAgo = instant(Number.NEGATIVE_INFINITY);
+
+/** Without a newer report, requests of unknown origin are reckoned with this long. */
+const reportHorizon = milliseconds(30_000);
+
 /** The most requests that a peer may claim to have in flight, in multiples of capacity. */
 const maxPeerMultiple = maxCapacityMultiple;
 
@@ -44,10 +58,12 @@
 
 interface EndpointLoad {
   readonly capacity: number;
-  own: number;
+  readonly joinedAt: Instant;
+  /** This router's requests in flight. */
+  readonly own: CountHistory;
+  /** Requests in flight from its peers, as they were told. */
+  readonly told: CountHistory;
   readonly peers: Map<RouterId, PeerCount>;
-  /** Requests in flight from this router and its peers. */
-  readonly known: CountHistory;
   /** Average of reported load less known load; requests of unknown origin. */
   unknown: number;
   unknownAt: Instant | undefined;
@@ -61,20 +77,30 @@
 export class LoadView {
   readonly #settings: LoadViewSettings;
   readonly #endpoints = new Map<EndpointId, EndpointLoad>();
+  /** Average of reported load over capacity, for endpoints not heard of. */
+  #meanFill = 0;
 
   constructor(settings: LoadViewSettings = defaultLoadViewSettings) {
     this.#settings = settings;
   }
 
-  /** Starts to keep the load of an endpoint; a changed capacity is taken over. */
-  track(endpoint: EndpointId, capacity: number): void {
+  /**
+   * Starts to keep the load of an endpoint; a changed capacity is taken over.
+   * `joinedAt` keeps an endpoint that nobody told about from being taken for a
+   * loaded one.
+   */
+  track(
+    endpoint: EndpointId,
+    capacity: number,
+    joinedAt: Instant = longAgo,
+  ): void {
     const kept = this.#endpoints.get(endpoint);
     if (kept?.capacity === capacity) {
       return;
     }
     this.#endpoints.set(
       endpoint,
-      kept ? { ...kept, capacity } : this.#emptyLoad(capacity),
+      kept ? { ...kept, capacity } : this.#emptyLoad(capacity, joinedAt),
     );
   }
 
@@ -105,7 +131,12 @@
   }
 
   ownInFlight(endpoint: EndpointId): number {
-    return this.#endpoints.get(endpoint)?.own ?? 0;
+    return this.#endpoints.get(endpoint)?.own.value ?? 0;
+  }
+
+  /** Requests that peers told to have in flight at the endpoint. */
+  toldInFlight(endpoint: EndpointId): number {
+    return this.#endpoints.get(endpoint)?.told.value ?? 0;
   }
 
   /** Takes a report of an endpoint's load, or says why it is not believed. */
@@ -126,6 +157,7 @@
       load.pending.shift();
     }
     load.pending.push({ at: report.observedAt, load: verdict.load });
+    this.#averageFill(verdict.load / Math.max(1, load.capacity));
     this.#settle(load, now);
     return verdict;
   }
@@ -151,10 +183,24 @@
       return false;
     }
     load.peers.set(peer, { count, sequence, heardAt: now });
-    load.known.add(count - (kept?.count ?? 0), now);
+    if (kept) {
+      load.told.add(count - kept.count, now);
+    } else {
+      this.#takeOver(load, count);
+    }
     return true;
   }
 
+  /** Adds a request that a peer is about to send, until it tells its next count. */
+  admit(peer: RouterId, endpoint: EndpointId, now: Instant): void {
+    const load = this.#endpoints.get(endpoint);
+    const kept = load?.peers.get(peer);
+    if (load && kept) {
+      load.peers.set(peer, { ...kept, count: kept.count + 1 });
+      load.told.add(1, now);
+    }
+  }
+
   /** Drops the counts of a peer that left. */
   forgetPeer(peer: RouterId): void {
     for (const load of this.#endpoints.values()) {
@@ -183,19 +229,23 @@
       this.#settle(load, now);
     }
     const { unknownAt } = load;
-    const heard =
-      unknownAt !== undefined && elapsed(unknownAt, now) <= maxReportAge;
-    return load.known.value + (heard ? Math.max(0, load.unknown) : 0);
+    const known = load.own.value + load.told.value;
+    if (unknownAt !== undefined && elapsed(unknownAt, now) <= reportHorizon) {
+      return known + Math.max(0, load.unknown);
+    }
+    return load.peers.size > 0
+      ? known
+      : Math.max(known, this.#usualLoad(load, now));
   }
 
-  #emptyLoad(capacity: number): EndpointLoad {
+  #emptyLoad(capacity: number, joinedAt: Instant): EndpointLoad {
+    const span = milliseconds(maxReportAge + this.#settings.peerDelay);
     return {
       capacity,
-      own: 0,
+      joinedAt,
+      own: new CountHistory(span),
+      told: new CountHistory(span),
       peers: new Map(),
-      known: new CountHistory(
-        milliseconds(maxReportAge + this.#settings.peerDelay),
-      ),
       unknown: 0,
       unknownAt: undefined,
       pending: [],
@@ -203,36 +253,55 @@
   }
 
   #addOwn(endpoint: EndpointId, by: number, now: Instant): void {
-    const load = this.#endpoints.get(endpoint);
-    if (load) {
-      load.own += by;
-      load.known.add(by, now);
-    }
+    this.#endpoints.get(endpoint)?.own.add(by, now);
+  }
+
+  /**
+   * Moves a peer's first count from the requests of unknown origin, which
+   * reports have counted so far, to the told ones.
+   */
+  #takeOver(load: EndpointLoad, count: number): void {
+    load.told.shift(count);
+    load.unknown = Math.max(0, load.unknown - count);
   }
 
   #dropPeer(load: EndpointLoad, peer: RouterId): void {
     const kept = load.peers.get(peer);
     if (kept) {
       load.peers.delete(peer);
-      load.known.correct(-kept.count);
+      load.told.shift(-kept.count);
     }
   }
 
   /** Averages in the reports for whose time the peers' counts have arrived. */
   #settle(load: EndpointLoad, now: Instant): void {
+    const { peerDelay } = this.#settings;
+    const delay = load.peers.size > 0 ? peerDelay : milliseconds(0);
     for (
       let report = load.pending[0];
-      report && addTime(report.at, this.#settings.peerDelay) <= now;
+      report && addTime(report.at, delay) <= now;
       report = load.pending[0]
     ) {
       load.pending.shift();
-      const knownThen = load.known.valueAt(
-        addTime(report.at, this.#settings.peerDelay),
-      );
-      this.#average(load, report.load - knownThen, report.at);
+      const known =
+        load.own.valueAt(report.at) +
+        load.told.valueAt(addTime(report.at, delay));
+      this.#average(load, report.load - known, report.at);
     }
   }
 
+  /** Load of an endpoint of which nothing was heard: it is not near its bound. */
+  #usualLoad(load: EndpointLoad, now: Instant): number {
+    const age = Math.max(0, elapsed(load.joinedAt, now));
+    const ramp = Math.min(1, age / fillTime);
+    return this.#meanFill * load.capacity * ramp;
+  }
+
+  #averageFill(fill: number): void {
+    const gain = this.#meanFill === 0 ? 1 : meanFillGain;
+    this.#meanFill += gain * (Math.min(1, fill) - this.#meanFill);
+  }
+
   #average(load: EndpointLoad, unknown: number, at: Instant): void {
     if (load.unknownAt === undefined) {
       load.unknown = unknown;
@@ -240,10 +309,10 @@
       return;
     }
     const age = Math.max(0, elapsed(load.unknownAt, at));
-    const gain = Math.max(
-      minReportGain,
-      1 - Math.exp(-age / this.#settings.averaging),
-    );
+    const { averaging, averagingUntold } = this.#settings;
+    const told = load.peers.size > 0;
+    const span = told ? averaging : averagingUntold;
+    const gain = Math.max(told ? 0 : minReportGain, 1 - Math.exp(-age / span));
     load.unknown += gain * (unknown - load.unknown);
     load.unknownAt = at > load.unknownAt ? at : load.unknownAt;
   }
--- a/packages/core/src/loads/told-numbers.ts
+++ b/packages/core/src/loads/told-numbers.ts
@@ -34,6 +34,11 @@
     return changed || elapsed(told.at, now) >= repeatAfter;
   }
 
+  /** Returns the value that the peer was told last. */
+  last(peer: RouterId, endpoint: EndpointId): number | undefined {
+    return this.#told.get(peer)?.get(endpoint)?.value;
+  }
+
   note(
     peer: RouterId,
     endpoint: EndpointId,
--- a/packages/core/src/placement/returning-placement.ts
+++ b/packages/core/src/placement/returning-placement.ts
@@ -15,10 +15,10 @@
 }
 
 /** Part of the limit that a returning chat leaves free at `skewWeight` 1. */
-const maxReserve = 0.15;
+const maxReserve = 0.08;
 
 /** How many of its highest ranked endpoints a chat without a place chooses from. */
-const choices = 2;
+const choices = 3;
 
 interface Ranked {
   readonly candidate: Candidate;
@@ -27,8 +27,8 @@
 
 /**
  * Sends a chat back to its last place while that is below its bound. A chat
- * without a usable last place takes the less loaded of its two highest ranked
- * candidates, so that every router chooses from the same two.
+ * without a usable last place takes the less loaded of its highest ranked
+ * candidates, so that every router chooses from the same few.
  */
 export class ReturningPlacement extends Placement {
   readonly #settings: ReturningSettings;
@@ -56,8 +56,7 @@
 
   #takesBack(last: Candidate, limits: LoadBound): boolean {
     const reserve = maxReserve * this.#settings.skewWeight;
-    const limit = Math.ceil(limits.limit(last) * (1 - reserve));
-    return last.load + 1 <= limit;
+    return last.load + 1 <= limits.limit(last) * (1 - reserve);
   }
 
   #placeByRank(
--- /dev/null
+++ b/packages/measure/src/placement/fleet.ts
@@ -0,0 +1,79 @@
+/** The engines of a measurement and what happens to them. */
+import { Random } from '@sesamegrade/core/random/random';
+import { endpointId, zoneId } from '@sesamegrade/core/types/ids';
+import type { ZoneId } from '@sesamegrade/core/types/ids';
+import { EngineFake } from './engine-fake';
+import type { Scenario } from './scenario';
+
+/** Engines of the start joined this long before it, in seconds. */
+const longAgo = 1000;
+
+export class Fleet {
+  readonly #scenario: Scenario;
+  readonly #random: Random;
+  #engines: EngineFake[] = [];
+  #lost: EngineFake[] = [];
+  #made = 0;
+
+  constructor(scenario: Scenario) {
+    this.#scenario = scenario;
+    this.#random = new Random(scenario.seed + 1);
+    for (let index = 0; index < scenario.engines; index += 1) {
+      this.join(-longAgo);
+    }
+  }
+
+  get live(): readonly EngineFake[] {
+    return this.#engines;
+  }
+
+  /** Adds an engine with an empty cache. */
+  join(now: number): EngineFake {
+    const zone = zoneId(`zone-${this.#made % this.#scenario.zones}`);
+    this.#made += 1;
+    return this.#add(`engine-${this.#made}`, zone, now);
+  }
+
+  /** Brings back an engine that stopped, under its id and with an empty cache. */
+  rejoin(engine: EngineFake, now: number): EngineFake {
+    return this.#add(engine.id, engine.zone, now);
+  }
+
+  pick(): EngineFake {
+    return this.#random.pick(this.#engines);
+  }
+
+  stop(engine: EngineFake): void {
+    engine.stop();
+    this.#engines = this.#engines.filter(entry => entry !== engine);
+  }
+
+  /** Stops every engine of the first zone and returns them. */
+  loseZone(): EngineFake[] {
+    this.#lost = this.#engines.filter(({ zone }) => zone === 'zone-0');
+    for (const engine of this.#lost) {
+      this.stop(engine);
+    }
+    return this.#lost;
+  }
+
+  /** Brings back the engines of the lost zone. */
+  regainZone(now: number): EngineFake[] {
+    const lost = this.#lost;
+    this.#lost = [];
+    return lost.map(engine => this.rejoin(engine, now));
+  }
+
+  #add(id: string, zone: ZoneId, now: number): EngineFake {
+    const { capacity, keptContexts } = this.#scenario;
+    const engine = new EngineFake(
+      endpointId(id),
+      zone,
+      capacity,
+      keptContexts,
+      now,
+    );
+    this.#engines = [...this.#engines, engine];
+    return engine;
+  }
+}
--- /dev/null
+++ b/packages/measure/src/placement/router-fake.ts
@@ -0,0 +1,155 @@
+/** One router of a measurement, with the same load view and topic as the real one. */
+import type { LoadAnswer } from '@sesamegrade/core/loads/load-keeper';
+import { LoadKeeper } from '@sesamegrade/core/loads/load-keeper';
+import type { LoadKeepers } from '@sesamegrade/core/loads/load-keepers';
+import { LoadTopic } from '@sesamegrade/core/loads/load-topic';
+import { LoadView } from '@sesamegrade/core/loads/load-view';
+import type { Candidate } from '@sesamegrade/core/placement/candidate';
+import { joinWeight } from '@sesamegrade/core/placement/join-ramp';
+import { LastPlaces } from '@sesamegrade/core/placement/last-places';
+import type { EndpointId, RouterId } from '@sesamegrade/core/types/ids';
+import { instant, seconds } from '@sesamegrade/core/types/units';
+import type { EngineFake } from './engine-fake';
+import type { Knowledge } from './way';
+
+export interface RouterFakeOptions {
+  readonly id: RouterId;
+  readonly knowledge: Knowledge;
+  readonly lag: number;
+  /** Age of peers' counts that the load view reckons with, in seconds. */
+  readonly peerDelay: number;
+  readonly averaging: number;
+  readonly averagingUntold: number;
+  readonly routers: () => readonly RouterId[];
+  readonly keepers: LoadKeepers;
+}
+
+/** Converts seconds of a measurement to an instant of the core. */
+export function toInstant(seconds: number) {
+  return instant(seconds * 1000);
+}
+
+export class RouterFake {
+  readonly id: RouterId;
+  readonly view: LoadView;
+  readonly topic: LoadTopic;
+  readonly places = new LastPlaces();
+  readonly #options: RouterFakeOptions;
+  readonly #keeper: LoadKeeper;
+  readonly #engines = new Map<EndpointId, EngineFake>();
+
+  constructor(options: RouterFakeOptions) {
+    this.id = options.id;
+    this.#options = options;
+    this.view = new LoadView({
+      peerDelay: seconds(options.peerDelay),
+      averaging: seconds(options.averaging),
+      averagingUntold: seconds(options.averagingUntold),
+      peerHorizon: seconds(15),
+    });
+    this.#keeper = new LoadKeeper(options.id, this.view, options.keepers);
+    this.topic = new LoadTopic({
+      self: options.id,
+      view: this.view,
+      keepers: options.keepers,
+      routers: options.routers,
+    });
+  }
+
+  /** Learns that an engine is there. */
+  add(engine: EngineFake): void {
+    this.#engines.set(engine.id, engine);
+    this.view.track(engine.id, engine.capacity, toInstant(engine.joinedAt));
+  }
+
+  /** Learns that an engine is gone. */
+  remove(engine: EngineFake): void {
+    if (this.#engines.get(engine.id) === engine) {
+      this.#engines.delete(engine.id);
+      this.view.forget(engine.id);
+    }
+  }
+
+  engine(id: EndpointId): EngineFake | undefined {
+    return this.#engines.get(id);
+  }
+
+  knows(id: EndpointId): boolean {
+    return this.#engines.has(id);
+  }
+
+  engines(): Iterable<EngineFake> {
+    return this.#engines.values();
+  }
+
+  candidates(now: number, excluded: ReadonlySet<EndpointId>): Candidate[] {
+    const at = toInstant(now);
+    const found: Candidate[] = [];
+    for (const engine of this.#engines.values()) {
+      if (excluded.has(engine.id)) {
+        continue;
+      }
+      found.push({
+        id: engine.id,
+        zone: engine.zone,
+        load: this.#load(engine, now),
+        capacity: engine.capacity,
+        weight: joinWeight(toInstant(engine.joinedAt), at),
+      });
+    }
+    return found;
+  }
+
+  started(engine: EngineFake, now: number): void {
+    this.view.started(engine.id, toInstant(now));
+  }
+
+  finished(engine: EngineFake, now: number): void {
+    this.view.finished(engine.id, toInstant(now));
+  }
+
+  /** Reads the load that an engine states at a time. */
+  hear(
+    engine: EngineFake,
+    load: number,
+    observedAt: number,
+    now: number,
+  ): void {
+    this.view.report(
+      engine.id,
+      { running: load, waiting: 0, observedAt: toInstant(observedAt) },
+      toInstant(now),
+    );
+  }
+
+  /** Answers a peer's question as the watcher of the engine. */
+  answer(
+    peer: RouterFake,
+    endpoint: EndpointId,
+    limit: number,
+    now: number,
+  ): LoadAnswer {
+    return this.#keeper.ask(
+      peer.id,
+      {
+        endpoint,
+        count: peer.view.ownInFlight(endpoint),
+        sequence: peer.topic.nextSequence(),
+        limit,
+      },
+      toInstant(now),
+    );
+  }
+
+  #load(engine: EngineFake, now: number): number {
+    switch (this.#options.knowledge) {
+      case 'exact':
+        return engine.running;
+      case 'late':
+        return engine.loadAt(now - this.#options.lag);
+      case 'own':
+      case 'told':
+        return this.view.estimate(engine.id, toInstant(now));
+    }
+  }
+}
--- a/packages/router/src/composition/register-fleet.ts
+++ b/packages/router/src/composition/register-fleet.ts
@@ -11,6 +11,7 @@
 } from '@sesamegrade/core/gossip/gossip-scheduler';
 import { DemandTable } from '@sesamegrade/core/limits/demand-table';
 import { DemandTopic } from '@sesamegrade/core/limits/demand-topic';
+import { LoadKeepers } from '@sesamegrade/core/loads/load-keepers';
 import { LoadTopic } from '@sesamegrade/core/loads/load-topic';
 import { LoadView } from '@sesamegrade/core/loads/load-view';
 import { EndpointTable } from '@sesamegrade/core/membership/endpoint-table';
@@ -110,12 +111,12 @@
   });
 }
 
-function newLoadTopic({ routers, loads, duties }: Cradle): LoadTopic {
+function newLoadTopic({ routers, loads }: Cradle): LoadTopic {
   return new LoadTopic({
     self: routers.self.id,
     view: loads,
-    watcher: endpoint => duties.ownerOf(`watch:${endpoint}`),
-    peers: () => routers.peers().length,
+    keepers: new LoadKeepers(),
+    routers: () => [routers.self.id, ...routers.peers().map(({ id }) => id)],
   });
 }
 
