--- a/packages/cli/src/commands/commands.ts
+++ b/packages/cli/src/commands/commands.ts
@@ -6,7 +6,9 @@
 import { ExceptionsCommand } from './exceptions';
 import { FaultsCommand } from './faults';
 import { LoadCommand } from './load';
+import { MeasureCommand } from './measure';
 import { MeasureGossipCommand } from './measure-gossip';
+import { MeasurePeersCommand } from './measure-peers';
 import { MeasurePoliciesCommand } from './measure-policies';
 import { RouterCommand } from './router';
 import { StandInCommand } from './stand-in';
@@ -25,8 +27,10 @@
     new TimelineCommand(),
     new LoadCommand(),
     new StandInCommand(),
+    new MeasureCommand(),
     new FaultsCommand(),
     new MeasureGossipCommand(),
+    new MeasurePeersCommand(),
     new MeasurePoliciesCommand(),
   ];
 }
