--- a/packages/cli/src/commands/commands.ts
+++ b/packages/cli/src/commands/commands.ts
@@ -8,6 +8,7 @@
 import { LoadCommand } from './load';
 import { MeasureCommand } from './measure';
 import { MeasureGossipCommand } from './measure-gossip';
+import { MeasureOrdersCommand } from './measure-orders';
 import { MeasurePeersCommand } from './measure-peers';
 import { MeasurePoliciesCommand } from './measure-policies';
 import { RouterCommand } from './router';
@@ -30,6 +31,7 @@
     new MeasureCommand(),
     new FaultsCommand(),
     new MeasureGossipCommand(),
+    new MeasureOrdersCommand(),
     new MeasurePeersCommand(),
     new MeasurePoliciesCommand(),
   ];
--- /dev/null
+++ b/packages/measure/src/orders/recording.test.ts
@@ -0,0 +1,45 @@
+import { expect } from 'chai';
+
+import { Random } from '@sesamegrade/core/random/random';
+import { EventQueue } from '../placement/event-queue';
+import { KeeperRows, RowPerOrder, RowsInTransactions } from './recording';
+import type { Recording } from './recording';
+import { TableModel } from './table-model';
+
+const ORDERS = 100;
+
+/** Records orders that arrive together; returns rows written and claims confirmed. */
+function record(
+  make: (queue: EventQueue, table: TableModel) => Recording,
+): [number, number] {
+  const queue = new EventQueue();
+  const table = new TableModel(queue, new Random(1));
+  const recording = make(queue, table);
+  let confirmed = 0;
+  for (let order = 0; order < ORDERS; order += 1) {
+    recording.claim(0, order % 4, at => {
+      confirmed += 1;
+      recording.result(at, order % 4);
+    });
+  }
+  for (let event = queue.take(); event; event = queue.take()) {
+    event.run();
+  }
+  return [table.rows, confirmed];
+}
+
+describe('ways to record orders', () => {
+  it('save rows only where orders share a row', () => {
+    const alone = record((queue, table) => new RowPerOrder(queue, table));
+    expect(alone).to.deep.equal([2 * ORDERS, ORDERS]);
+    const grouped = record(
+      (queue, table) => new RowsInTransactions(queue, table),
+    );
+    expect(grouped).to.deep.equal([2 * ORDERS, ORDERS]);
+    const [rows, confirmed] = record(
+      (queue, table) => new KeeperRows(queue, table, 2),
+    );
+    expect(rows).to.be.below(ORDERS / 10);
+    expect(confirmed).to.equal(ORDERS);
+  });
+});
