--- a/packages/cli/src/commands/commands.ts
+++ b/packages/cli/src/commands/commands.ts
@@ -6,6 +6,7 @@
 import { ExceptionsCommand } from './exceptions';
 import { FaultsCommand } from './faults';
 import { LoadCommand } from './load';
+import { MeasureEventsCommand } from './measure-events';
 import { MeasureGossipCommand } from './measure-gossip';
 import { MeasurePeersCommand } from './measure-peers';
 import { MeasurePoliciesCommand } from './measure-policies';
@@ -27,6 +28,7 @@
     new LoadCommand(),
     new StandInCommand(),
     new FaultsCommand(),
+    new MeasureEventsCommand(),
     new MeasureGossipCommand(),
     new MeasurePeersCommand(),
     new MeasurePoliciesCommand(),
--- a/packages/core/src/duties/duty-roster.test.ts
+++ b/packages/core/src/duties/duty-roster.test.ts
@@ -64,4 +64,20 @@
       new Set(['r4']),
     );
   });
+
+  it('follows a listed leaving whatever number the router gives itself', () => {
+    const { routers, roster } = rosterOf('r1', ['r2']);
+    const line = { vm: 'r2', kind: 'router', host: '127.0.0.1', port: 7000 };
+    const list = (start: number, state: string) => {
+      const rest = { zone: 'a', capacity: 0, incarnation: start, state };
+      routers.listArrived([{ ...line, ...rest }], instant(2));
+      return new Set(DUTIES.map(duty => roster.ownerOf(duty))).size;
+    };
+    expect(list(7, 'live')).to.equal(2);
+    expect(list(7, 'leaving')).to.equal(1);
+    expect(list(7, 'live')).to.equal(1);
+    expect(list(6, 'live')).to.equal(1);
+    expect(list(8, 'live')).to.equal(2);
+    expect(routers.get(routerId('r2'))?.incarnation).to.equal(1);
+  });
 });
--- a/packages/core/src/membership/member-table.ts
+++ b/packages/core/src/membership/member-table.ts
@@ -166,6 +166,13 @@
     this.#admit(row, sighting, origin, now);
   }
 
+  /** Tells subscribers of a change. */
+  protected notify(change: MemberChange<Id>): void {
+    for (const listener of this.#listeners) {
+      listener(change);
+    }
+  }
+
   protected patch(id: Id, fields: Partial<Member<Id>>): void {
     this.table.patch(id, fields as Partial<Omit<Row, 'id'>>);
   }
@@ -301,9 +308,7 @@
   #announce(row: Row): void {
     this.changed(row);
     const { id, incarnation, phase, cause } = row;
-    for (const listener of this.#listeners) {
-      listener({ id, incarnation, phase, cause });
-    }
+    this.notify({ id, incarnation, phase, cause });
   }
 
   #keepUnconfirmed(id: Id, incarnation: Incarnation): void {
--- a/packages/core/src/membership/membership-topic.test.ts
+++ b/packages/core/src/membership/membership-topic.test.ts
@@ -36,7 +36,7 @@
     endpoints.listArrived(list, instant(0));
   }
   const topic = new MembershipTopic({ routers, endpoints });
-  return { id: self.id, routers, endpoints, topic };
+  return { id: self.id, self, routers, endpoints, topic };
 }
 
 type Router = ReturnType<typeof routerOf>;
@@ -51,12 +51,13 @@
 describe('MembershipTopic', () => {
   it('tells each peer once that an endpoint or a router leaves', () => {
     const [first, second] = [routerOf('r1', LIST), routerOf('r2', LIST)];
+    second.routers.connected(first.self, instant(0));
     first.endpoints.evidence(
       endpointId('e1'),
       'refused-as-leaving',
       instant(1),
     );
-    first.topic.announceLeaving();
+    first.routers.leave();
     expect(pass(first, second, 2)).to.equal(2);
     expect(second.endpoints.get(endpointId('e1'))?.phase).to.equal('leaving');
     expect(second.routers.get(first.id)?.cause).to.equal('announced');
--- a/packages/core/src/membership/membership-topic.ts
+++ b/packages/core/src/membership/membership-topic.ts
@@ -90,12 +90,6 @@
     });
   }
 
-  /** Tells peers that this router itself takes no new work. */
-  announceLeaving(): void {
-    const { id, incarnation: start } = this.#routers.self;
-    this.#rumors.add(`r ${id}`, ['l', 'r', id, start]);
-  }
-
   override urgentPeers(): readonly RouterId[] {
     return [...this.#owed.keys()];
   }
--- a/packages/core/src/membership/router-table.ts
+++ b/packages/core/src/membership/router-table.ts
@@ -1,4 +1,8 @@
-/** Routers of the fleet, this one among them. */
+/**
+ * Routers of the fleet, this one among them. A row's incarnation is the number
+ * that the router gives itself, and 0 until it has connected; the platform's
+ * list numbers VMs on its own.
+ */
 import type { EventRecorder } from '../timeline/event';
 import type { Address } from '../types/endpoint';
 import { incarnation, routerId, vmId, zoneId } from '../types/ids';
@@ -18,10 +22,21 @@
 export interface RouterFacts {
   /** Since when this router has failed to connect to it. */
   readonly unreachableSince?: Instant | undefined;
+  /** Whether the platform's list says that its VM leaves. */
+  readonly listedLeaving?: boolean;
 }
 
 export interface RouterMember extends Member<RouterId>, RouterFacts {}
 
+/** What the list last said of a VM; leaving is sticky per incarnation of the list. */
+interface Listing {
+  readonly incarnation: number;
+  readonly leaving: boolean;
+}
+
+/** Start number of a router that has not told its own. */
+const UNKNOWN_START = incarnation(0);
+
 /** What a router says of itself when it connects. */
 export interface RouterIdentity {
   readonly id: RouterId;
@@ -38,16 +53,20 @@
 
 type RouterVm = Extract<ListedVm, { kind: 'router' }>;
 
-/** Turns a line of the list into a statement about a router. */
-function sightRouter(vm: RouterVm): Sighting<RouterId, RouterFacts> {
+/** Turns a line about a router into a statement about one of its starts. */
+function sightRouter(
+  vm: RouterVm,
+  start: Incarnation,
+  facts: RouterFacts,
+): Sighting<RouterId, RouterFacts> {
   return {
     id: routerId(vm.vm),
     vm: vmId(vm.vm),
-    incarnation: incarnation(vm.incarnation),
+    incarnation: start,
     zone: zoneId(vm.zone),
     address: { host: vm.host, port: vm.port },
-    leaving: vm.state === 'leaving',
-    facts: {},
+    leaving: false,
+    facts,
   };
 }
 
@@ -64,6 +83,7 @@
 > {
   readonly self: RouterIdentity;
   readonly #recorder: EventRecorder;
+  readonly #listings = new Map<RouterId, Listing>();
   #leaving = false;
   #revision = 0;
 
@@ -90,16 +110,19 @@
     this.counters.contradictory += contradictory;
     const routers = vms
       .filter(vm => vm.kind === 'router')
-      .map(sightRouter)
-      .filter(sighting => sighting.id !== this.self.id);
-    this.takeList(routers, now);
+      .filter(vm => vm.vm !== this.self.id);
+    this.takeList(
+      routers.map(vm => this.#sightListed(vm)),
+      now,
+    );
+    this.#revision += 1;
   }
 
   /** Merges what a peer knows about another router. */
   peerTold(vm: RouterVm, now: Instant): void {
-    const sighting = sightRouter(vm);
-    if (sighting.id !== this.self.id) {
-      this.observe(sighting, 'peer', now);
+    if (vm.vm !== this.self.id) {
+      const start = incarnation(vm.incarnation);
+      this.observe(sightRouter(vm, start, {}), 'peer', now);
     }
   }
 
@@ -133,6 +156,9 @@
   leave(): void {
     this.#leaving = true;
     this.#revision += 1;
+    const { id, incarnation: start } = this.self;
+    const change = { id, incarnation: start, cause: 'announced' } as const;
+    this.notify({ ...change, phase: 'leaving' });
   }
 
   /** Other routers that messages can go to. */
@@ -158,8 +184,8 @@
     return { ...member, ...facts };
   }
 
-  protected override refresh(): void {
-    // The list says nothing of a router that may change while it runs.
+  protected override refresh(row: RouterMember, facts: RouterFacts): void {
+    this.table.patch(row.id, facts);
   }
 
   protected override changed(row: RouterMember): void {
@@ -174,8 +200,26 @@
     );
   }
 
+  #sightListed(vm: RouterVm): Sighting<RouterId, RouterFacts> {
+    const id = routerId(vm.vm);
+    const known = this.#listings.get(id);
+    const said = vm.state === 'leaving';
+    const { incarnation: number } = vm;
+    let listing: Listing = { incarnation: number, leaving: said };
+    if (known && number < known.incarnation) {
+      this.counters.stale += 1;
+      listing = known;
+    } else if (known?.incarnation === number) {
+      listing = { ...known, leaving: known.leaving || said };
+    }
+    this.#listings.set(id, listing);
+    const start = this.table.get(id)?.incarnation ?? UNKNOWN_START;
+    return sightRouter(vm, start, { listedLeaving: listing.leaving });
+  }
+
   #mayHoldDuties(row: RouterMember, now: Instant): boolean {
-    if (row.phase === 'leaving' || row.phase === 'gone') {
+    const leaves = row.phase === 'leaving' || row.listedLeaving === true;
+    if (leaves || row.phase === 'gone') {
       return false;
     }
     const { unreachableSince } = row;
--- a/packages/router/src/peers/peer-network.test.ts
+++ b/packages/router/src/peers/peer-network.test.ts
@@ -42,7 +42,7 @@
   const bound = await network.start();
   // The identity that peers are told holds the port that was picked.
   Object.assign(address, bound);
-  return { id, routers, keeper, membership, network, timers, bound, name };
+  return { id, routers, keeper, network, timers, address, bound, name };
 }
 
 type Router = Awaited<ReturnType<typeof routerOf>>;
@@ -102,6 +102,8 @@
   });
   await new Promise<void>(resolve => server.listen(0, HOST, resolve));
   const { port } = server.address() as AddressInfo;
+  // Peers reach the router through the proxy, and are told so.
+  target.address.port = port;
   return {
     router: { ...target, bound: { host: HOST, port } },
     silence: () => {
@@ -154,7 +156,6 @@
       fleet.every(({ network }) => network.connected.length === 2),
     );
     third.routers.leave();
-    third.membership.announceLeaving();
     third.network.flush();
     await until(() => first.routers.get(third.id)?.phase === 'leaving');
     expect(first.routers.live(first.timers.now())).to.not.include(third.id);
