--- a/packages/cli/src/commands/commands.ts
+++ b/packages/cli/src/commands/commands.ts
@@ -7,6 +7,7 @@
 import { FaultsCommand } from './faults';
 import { LoadCommand } from './load';
 import { MeasureEventsCommand } from './measure-events';
+import { MeasureCommand } from './measure';
 import { MeasureGossipCommand } from './measure-gossip';
 import { MeasurePeersCommand } from './measure-peers';
 import { MeasurePoliciesCommand } from './measure-policies';
@@ -27,6 +28,7 @@
     new TimelineCommand(),
     new LoadCommand(),
     new StandInCommand(),
+    new MeasureCommand(),
     new FaultsCommand(),
     new MeasureEventsCommand(),
     new MeasureGossipCommand(),
