--- a/packages/cli/src/commands/commands.ts
+++ b/packages/cli/src/commands/commands.ts
@@ -6,6 +6,7 @@
 import { ExceptionsCommand } from './exceptions';
 import { FaultsCommand } from './faults';
 import { LoadCommand } from './load';
+import { MeasureEventsCommand } from './measure-events';
 import { MeasureCommand } from './measure';
 import { MeasureGossipCommand } from './measure-gossip';
 import { MeasureOrdersCommand } from './measure-orders';
@@ -30,6 +31,7 @@
     new StandInCommand(),
     new MeasureCommand(),
     new FaultsCommand(),
+    new MeasureEventsCommand(),
     new MeasureGossipCommand(),
     new MeasureOrdersCommand(),
     new MeasurePeersCommand(),
