--- a/packages/cli/src/commands/commands.ts
+++ b/packages/cli/src/commands/commands.ts
@@ -6,7 +6,10 @@
 import { ExceptionsCommand } from './exceptions';
 import { FaultsCommand } from './faults';
 import { LoadCommand } from './load';
+import { MeasureEventsCommand } from './measure-events';
+import { MeasureCommand } from './measure';
 import { MeasureGossipCommand } from './measure-gossip';
+import { MeasureOrdersCommand } from './measure-orders';
 import { MeasurePeersCommand } from './measure-peers';
 import { MeasurePoliciesCommand } from './measure-policies';
 import { MeasureRelayCommand } from './measure-relay';
@@ -27,9 +30,12 @@
     new TimelineCommand(),
     new LoadCommand(),
     new StandInCommand(),
+    new MeasureCommand(),
     new FaultsCommand(),
     new MeasureRelayCommand(),
+    new MeasureEventsCommand(),
     new MeasureGossipCommand(),
+    new MeasureOrdersCommand(),
     new MeasurePeersCommand(),
     new MeasurePoliciesCommand(),
   ];
