Measure brown-outs, poison requests and outlier detectors

Cause: the retry budget, the suspects and the detectors had no figures. Change: three more experiments of measure-policies.

--- a/packages/cli/src/commands/measure-policies.ts
+++ b/packages/cli/src/commands/measure-policies.ts
@@ -3,6 +3,9 @@
 import { z } from 'zod';
 
 import { measureFairness } from '@sesamegrade/measure/fairness/fairness';
+import { measureBrownOut } from '@sesamegrade/measure/brown-out/brown-out';
+import { measureOutliers } from '@sesamegrade/measure/outliers/outliers';
+import { measurePoison } from '@sesamegrade/measure/poison/poison';
 import { formatRows } from '@sesamegrade/measure/report/figures';
 import type { FigureRow } from '@sesamegrade/measure/report/figures';
 import { Command, ExitCode } from './command';
@@ -10,6 +13,9 @@
 
 const experiments: Readonly<Record<string, (seed: number) => FigureRow[]>> = {
   fairness: measureFairness,
+  'brown-out': measureBrownOut,
+  poison: measurePoison,
+  outliers: measureOutliers,
 };
 
 const optionsSchema = z.object({
--- a/packages/core/src/poison/keeper-choice.ts
+++ b/packages/core/src/poison/keeper-choice.ts
@@ -20,6 +20,8 @@
   #routers: readonly RouterId[];
   #former: FormerSet[] = [];
   #started = false;
+  /** Rows are replaced when they change, so a row's keeper may be kept. */
+  #chosen = new WeakMap<Suspect, RouterId>();
 
   constructor(self: RouterId) {
     this.#self = self;
@@ -41,12 +43,20 @@
     this.#former.push({ routers: before, endedAt: now });
     this.#former = this.#former.slice(-maxFormerSets);
     this.#routers = next;
+    this.#chosen = new WeakMap();
     this.#started = true;
   }
 
   /** All suspects of one crash have the same keeper. */
   keeperOf(row: Suspect): RouterId | undefined {
-    return choose(row, this.#routers);
+    let keeper = this.#chosen.get(row);
+    if (keeper === undefined) {
+      keeper = choose(row, this.#routers);
+      if (keeper !== undefined) {
+        this.#chosen.set(row, keeper);
+      }
+    }
+    return keeper;
   }
 
   /**
@@ -54,7 +64,7 @@
    * another router granted before has run out.
    */
   mayGrant(row: Suspect, now: Instant): boolean {
-    if (choose(row, this.#routers) !== this.#self) {
+    if (this.keeperOf(row) !== this.#self) {
       return false;
     }
     return this.#former.every(
--- a/packages/core/src/poison/suspect-registry.ts
+++ b/packages/core/src/poison/suspect-registry.ts
@@ -8,10 +8,11 @@
 } from '../types/ids';
 import type { RefusalReason } from '../types/refusal';
 import { elapsed, seconds } from '../types/units';
-import type { Instant, milliseconds } from '../types/units';
+import type { Instant, Milliseconds } from '../types/units';
 import { KeeperChoice } from './keeper-choice';
+import { RunningContent } from './running-content';
 import { crashOf, suspectVersion, suspicion } from './suspect';
-import type { CrashId, Suspect } from './suspect';
+import type { Suspect } from './suspect';
 import { SuspectDelivery } from './suspect-delivery';
 import { maxCandidates, suspectMessage } from './suspect-message';
 import type { SuspectMessage } from './suspect-message';
@@ -21,7 +22,7 @@
 
 export type SuspectDecision =
   | { readonly kind: 'run' }
-  /** Run it on this endpoint only, the one where least would be lost. */
+  /** Run it on this endpoint only; the trial is held for a few seconds until it is sent. */
   | { readonly kind: 'run-isolated'; readonly endpoint: EndpointId }
   /** Ask again on the next tick; from `until` on it is refused. */
   | { readonly kind: 'hold'; readonly until: Instant }
@@ -38,12 +39,6 @@
 const retryCondemnedAfter = seconds(600);
 const housekeepingPeriod = seconds(60);
 
-interface RunningAttempt {
-  readonly id: Fingerprint;
-  readonly endpoint: EndpointId;
-  readonly crash: CrashId;
-}
-
 /**
  * What ran where an endpoint crashed becomes a suspect at every router. A
  * suspect is run again only as a trial that its keeper grants, the router to
@@ -55,7 +50,7 @@
   readonly #delivery = new SuspectDelivery();
   readonly #keeper = new TrialKeeper();
   readonly #seeker = new TrialSeeker();
-  readonly #attempts = new Map<AttemptId, RunningAttempt>();
+  readonly #running = new RunningContent();
   /** Suspects of which this router is the witness and tells every peer. */
   readonly #witnessed = new Map<Fingerprint, Instant>();
   readonly #choice: KeeperChoice;
@@ -130,8 +125,7 @@
     endpoint: EndpointId,
     incarnation: Incarnation,
   ): void {
-    const crash = crashOf(endpoint, incarnation);
-    this.#attempts.set(attempt, { id, endpoint, crash });
+    this.#running.start(attempt, id, endpoint, incarnation);
     this.#seeker.sent(id);
   }
 
@@ -141,11 +135,10 @@
    * a suspect was cleared.
    */
   ended(attempt: AttemptId, end: AttemptEnd, now: Instant): boolean {
-    const running = this.#attempts.get(attempt);
+    const running = this.#running.end(attempt);
     if (!running) {
       return false;
     }
-    this.#attempts.delete(attempt);
     const { id } = running;
     const cleared = end === 'finished' && this.#table.clear(id, now);
     if (cleared) {
@@ -174,13 +167,10 @@
     now: Instant,
   ): Fingerprint[] {
     const crash = crashOf(endpoint, incarnation);
-    const marked = new Set(this.#keeper.triedOn(endpoint));
-    for (const [attempt, running] of this.#attempts) {
-      if (running.crash === crash) {
-        this.#attempts.delete(attempt);
-        marked.add(running.id);
-      }
-    }
+    const marked = new Set([
+      ...this.#keeper.triedOn(endpoint),
+      ...this.#running.interrupt(crash),
+    ]);
     for (const id of marked) {
       this.#table.crashed(id, crash, now);
       this.#witnessed.set(id, now);
@@ -214,7 +204,7 @@
   ): SuspectMessage[] {
     const taken = this.#delivery.takeOutbox(peer, fits);
     for (const row of this.#table.rows()) {
-      if (!this.#tells(row) || !this.#delivery.isDue(peer, row, now)) {
+      if (!this.#delivery.isDue(peer, row, now) || !this.#tells(row)) {
         continue;
       }
       const message = suspectMessage(row, now);
@@ -267,26 +257,26 @@
       this.#seeker.abandon(id);
       return refuse(retryTrialAfter);
     }
-    const hold: SuspectDecision = { kind: 'hold', until };
+    const reserved = this.#seeker.reserved(id);
+    if (reserved !== undefined) {
+      return { kind: 'run-isolated', endpoint: reserved };
+    }
     const underWay = this.#seeker.endpointOf(id) !== undefined;
-    if (underWay || this.#isRunning(id) || !this.mayAnswer(id, now)) {
-      return hold;
+    if (
+      underWay ||
+      this.#running.endpointsOf(id).length > 0 ||
+      !this.mayAnswer(id, now)
+    ) {
+      return { kind: 'hold', until };
     }
     if (this.#seeker.askIsDue(id, now)) {
       const endpoints = candidates.slice(0, maxCandidates);
       this.#toKeeper({ kind: 'ask', id, endpoints }, now);
     }
     const endpoint = this.#seeker.begin(id, now);
-    return endpoint === undefined ? hold : { kind: 'run-isolated', endpoint };
-  }
-
-  #isRunning(id: Fingerprint): boolean {
-    for (const running of this.#attempts.values()) {
-      if (running.id === id) {
-        return true;
-      }
-    }
-    return false;
+    return endpoint === undefined
+      ? { kind: 'hold', until }
+      : { kind: 'run-isolated', endpoint };
   }
 
   #receiveSuspect(
@@ -314,11 +304,8 @@
 
   /** Tells the keeper of runs that began before this router was warned. */
   #tellRuns(id: Fingerprint, now: Instant): void {
-    for (const running of this.#attempts.values()) {
-      if (running.id === id) {
-        const { endpoint } = running;
-        this.#toKeeper({ kind: 'running', id, endpoint }, now);
-      }
+    for (const endpoint of this.#running.endpointsOf(id)) {
+      this.#toKeeper({ kind: 'running', id, endpoint }, now);
     }
   }
 
@@ -392,6 +379,6 @@
 
 type KeeperMessage = SuspectMessage & { kind: 'ask' | 'running' | 'ended' };
 
-function refuse(retryAfter: ReturnType<typeof milliseconds>): SuspectDecision {
+function refuse(retryAfter: Milliseconds): SuspectDecision {
   return { kind: 'refuse', reason: { kind: 'poison-suspect', retryAfter } };
 }
--- a/packages/core/src/poison/trial-seeker.ts
+++ b/packages/core/src/poison/trial-seeker.ts
@@ -49,6 +49,12 @@
     return this.#trials.get(id)?.endpoint;
   }
 
+  /** The endpoint of a trial that has not been sent yet. */
+  reserved(id: Fingerprint): EndpointId | undefined {
+    const trial = this.#trials.get(id);
+    return trial?.begun === false ? trial.endpoint : undefined;
+  }
+
   endpoints(): EndpointId[] {
     return [...this.#trials.values()].map(trial => trial.endpoint);
   }
--- /dev/null
+++ b/packages/measure/src/poison/poison.ts
@@ -0,0 +1,67 @@
+/** Endpoints lost to one poison request, over many seeds. */
+import { quantile, rounded } from '../report/figures';
+import type { FigureRow } from '../report/figures';
+import { PoisonRun } from './poison-run';
+import type { PoisonResult } from './poison-run';
+import { duration, routerCount } from './scenario';
+import type { CallerHabit, Protection } from './scenario';
+
+const runsPerRow = 20;
+const habits: readonly CallerHabit[] = [
+  'patient',
+  'impatient',
+  'copies',
+  'router-lost',
+];
+const protections: readonly Protection[] = ['none', 'own-evidence', 'shared'];
+
+function summarise(
+  protection: Protection,
+  habit: CallerHabit,
+  results: readonly PoisonResult[],
+): FigureRow {
+  const lost = results.map(result => result.enginesLost);
+  const sum = (pick: (result: PoisonResult) => number) =>
+    results.reduce((total, result) => total + pick(result), 0);
+  const cleared = results.flatMap(result => result.clearTimes);
+  const protectedRun = protection !== 'none';
+  return {
+    caller: habit,
+    protection,
+    'engines lost mean': rounded(mean(lost)),
+    'engines lost max': Math.max(...lost),
+    'runs above 2': lost.filter(count => count > 2).length,
+    interrupted: sum(result => result.interrupted),
+    'innocent failed': sum(result => result.innocentFailed),
+    'cleared p50 s': protectedRun
+      ? rounded(quantile(cleared, 0.5) / 1000)
+      : '-',
+    'cleared p99 s': protectedRun
+      ? rounded(quantile(cleared, 0.99) / 1000)
+      : '-',
+    'not cleared': protectedRun ? sum(result => result.notCleared) : '-',
+    'bytes/s per router': rounded(
+      sum(result => result.bytes) /
+        results.length /
+        routerCount /
+        (duration / 1000),
+    ),
+  };
+}
+
+function mean(values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0) / values.length;
+}
+
+export function measurePoison(seed: number): FigureRow[] {
+  const rows: FigureRow[] = [];
+  for (const habit of habits) {
+    for (const protection of protections) {
+      const results = Array.from({ length: runsPerRow }, (_, index) =>
+        new PoisonRun({ protection, habit, seed: seed * 1000 + index }).run(),
+      );
+      rows.push(summarise(protection, habit, results));
+    }
+  }
+  return rows;
+}
