--- a/packages/cli/src/commands/commands.ts
+++ b/packages/cli/src/commands/commands.ts
@@ -1,19 +1,36 @@
+import { LoopbackRouterLauncher } from '../launch/loopback-router-launcher';
 import { CheckCommand } from './check';
 import type { Command } from './command';
+import { DefaultsCommand } from './defaults';
+import { DemoCommand } from './demo';
+import { ExceptionsCommand } from './exceptions';
+import { FaultsCommand } from './faults';
 import { LoadCommand } from './load';
+import { MeasureCommand } from './measure';
 import { MeasureGossipCommand } from './measure-gossip';
+import { MeasurePeersCommand } from './measure-peers';
 import { MeasurePoliciesCommand } from './measure-policies';
 import { RouterCommand } from './router';
 import { StandInCommand } from './stand-in';
+import { StatusCommand } from './status';
+import { TimelineCommand } from './timeline';
 
 /** Every command, in the order in which the help lists them. */
 export function commands(): Command[] {
   return [
     new RouterCommand(),
     new CheckCommand(),
+    new DemoCommand(new LoopbackRouterLauncher()),
+    new StatusCommand(),
+    new DefaultsCommand(),
+    new ExceptionsCommand(),
+    new TimelineCommand(),
     new LoadCommand(),
     new StandInCommand(),
+    new MeasureCommand(),
+    new FaultsCommand(),
     new MeasureGossipCommand(),
+    new MeasurePeersCommand(),
     new MeasurePoliciesCommand(),
   ];
 }
--- a/packages/core/src/configuration/setting.ts
+++ b/packages/core/src/configuration/setting.ts
@@ -34,12 +34,6 @@
     ['model', 'service'],
     'Most load of one engine, as a multiple of the mean load.',
   ),
-  softBoundStart: define(
-    fraction,
-    0.85,
-    ['model', 'service'],
-    'Fraction of the bound from which an engine takes a falling share of its chats.',
-  ),
   skewWeight: define(
     fraction,
     0.5,
@@ -60,14 +54,14 @@
   ),
   retryFraction: define(
     fraction,
-    0.1,
-    ['service', 'model'],
+    0.08,
+    [],
     'Retries allowed, as a fraction of first attempts.',
   ),
   queueWaitMs: define(
     milliseconds,
     2000,
-    ['team', 'model', 'service'],
+    [],
     'Longest wait for capacity before a request is refused, in milliseconds.',
   ),
   requestTimeoutMs: define(
@@ -79,15 +73,9 @@
   ejectionCap: define(
     fraction,
     0.34,
-    ['model', 'service'],
+    [],
     'Fraction of the endpoints that may be ejected at once.',
   ),
-  suspectRefusalMs: define(
-    milliseconds,
-    600_000,
-    ['team'],
-    'Time for which content that crashed two endpoints is refused, in milliseconds.',
-  ),
   wantedEngines: define(
     z.int().min(0).max(10_000),
     1,
@@ -100,29 +88,12 @@
     ['model'],
     'Version of the model’s weights.',
   ),
-  adapters: define(
-    names,
-    [],
-    ['model', 'engine'],
-    'Adapters loaded beside a model.',
-  ),
+  adapters: define(names, [], ['model'], 'Adapters loaded beside a model.'),
   engineRole: define(
     z.enum(['mixed', 'prefill', 'decode']),
     'mixed',
-    ['model', 'engine'],
-    'What an engine does for its model.',
-  ),
-  checksFencing: define(
-    z.boolean(),
-    true,
-    ['model', 'engine'],
-    'Whether engines refuse an order with an old fencing number.',
-  ),
-  leaseMs: define(
-    z.int().min(1000).max(3_600_000),
-    15_000,
     ['model'],
-    'Length of a lease, in milliseconds.',
+    'What an engine does for its model.',
   ),
   stopWaitMs: define(
     milliseconds,
