Measure slopes and keep placement and the list of VMs within the budget

Cause: slopes showed that one placement at 3,500 engines went through all of them, that the owner of each watch was hashed over all routers at every lookup, and that the whole list of VMs was read every second. Change: members are grouped by pool, owners of duties are kept while the live routers stay the same, the list is read with If-None-Match; the subcommand slopes fits the costs.

--- a/packages/cli/src/commands/commands.ts
+++ b/packages/cli/src/commands/commands.ts
@@ -14,6 +14,7 @@
 import { MeasurePoliciesCommand } from './measure-policies';
 import { MeasureRelayCommand } from './measure-relay';
 import { RouterCommand } from './router';
+import { SlopesCommand } from './slopes';
 import { StandInCommand } from './stand-in';
 import { StatusCommand } from './status';
 import { TimelineCommand } from './timeline';
@@ -32,6 +33,7 @@
     new StandInCommand(),
     new MeasureCommand(),
     new FaultsCommand(),
+    new SlopesCommand(),
     new MeasureRelayCommand(),
     new MeasureEventsCommand(),
     new MeasureGossipCommand(),
--- a/packages/core/src/duties/duty-roster.ts
+++ b/packages/core/src/duties/duty-roster.ts
@@ -2,6 +2,7 @@
 import { topMember } from '../hashing/rendezvous';
 import type { RouterTable } from '../membership/router-table';
 import type { RouterId } from '../types/ids';
+import { elapsed, milliseconds } from '../types/units';
 import type { Instant } from '../types/units';
 
 export interface DutyRosterOptions {
@@ -9,9 +10,17 @@
   readonly now: () => Instant;
 }
 
+/** Who is live is looked up again after this time, or when a router changes. */
+const LIVE_PERIOD = milliseconds(100);
+
 export class DutyRoster {
   readonly #routers: RouterTable;
   readonly #now: () => Instant;
+  /** Owners among the live routers; dropped when those change. */
+  readonly #owners = new Map<string, RouterId>();
+  #live: readonly RouterId[] = [];
+  #revision: number | undefined;
+  #lookedUpAt: Instant | undefined;
 
   constructor(options: DutyRosterOptions) {
     this.#routers = options.routers;
@@ -23,8 +32,14 @@
    * that leaves holds none, unless no other is live.
    */
   ownerOf(duty: string): RouterId {
-    const { self } = this.#routers;
-    return topMember(duty, this.#routers.live(this.#now())) ?? self.id;
+    this.#lookUp();
+    const kept = this.#owners.get(duty);
+    if (kept !== undefined) {
+      return kept;
+    }
+    const owner = topMember(duty, this.#live) ?? this.#routers.self.id;
+    this.#owners.set(duty, owner);
+    return owner;
   }
 
   /** Whether the duty falls on this router. */
@@ -35,7 +50,8 @@
   /** Returns the first few routers for a duty that more than one holds. */
   ownersOf(duty: string, count: number): RouterId[] {
     const owners: RouterId[] = [];
-    const left = new Set(this.#routers.live(this.#now()));
+    this.#lookUp();
+    const left = new Set(this.#live);
     while (owners.length < count) {
       const owner = topMember(duty, left);
       if (owner === undefined) {
@@ -46,4 +62,26 @@
     }
     return owners;
   }
+
+  #lookUp(): void {
+    const now = this.#now();
+    const { revision } = this.#routers;
+    const fresh =
+      revision === this.#revision &&
+      this.#lookedUpAt !== undefined &&
+      elapsed(this.#lookedUpAt, now) < LIVE_PERIOD;
+    if (fresh) {
+      return;
+    }
+    this.#revision = revision;
+    this.#lookedUpAt = now;
+    const live = this.#routers.live(now);
+    const same =
+      live.length === this.#live.length &&
+      live.every((id, index) => id === this.#live[index]);
+    if (!same) {
+      this.#live = live;
+      this.#owners.clear();
+    }
+  }
 }
--- a/packages/core/src/policies/endpoint-pools.ts
+++ b/packages/core/src/policies/endpoint-pools.ts
@@ -9,7 +9,8 @@
 import type { Candidate } from '../placement/candidate';
 import { joinWeight } from '../placement/join-ramp';
 import type { Target } from '../requests/types';
-import type { EndpointId } from '../types/ids';
+import type { EndpointId, ModelId, ServiceId } from '../types/ids';
+import { elapsed, milliseconds } from '../types/units';
 import type { Instant, Milliseconds } from '../types/units';
 
 export interface EndpointPoolsOptions {
@@ -24,20 +25,28 @@
 /** Returns the pool whose endpoints can stand in for each other. */
 export function poolOf(target: Target): PoolId {
   return target.kind === 'chat'
-    ? poolId(`model/${target.model}`)
-    : poolId(`service/${target.service}`);
+    ? modelPool(target.model)
+    : servicePool(target.service);
 }
 
+/** Members are grouped anew after this time, or when one changes its phase. */
+const GROUPING_PERIOD = milliseconds(1000);
+
 export class EndpointPools {
   readonly #options: EndpointPoolsOptions;
+  readonly #members = new Map<PoolId, EndpointMember[]>();
+  #groupedAt: Instant | undefined;
 
   constructor(options: EndpointPoolsOptions) {
     this.#options = options;
+    options.endpoints.subscribe(() => {
+      this.#groupedAt = undefined;
+    });
   }
 
   /** Endpoints that may run the target, with their estimated load. */
   candidates(target: Target, now: Instant): Candidate[] {
-    const suited = [...this.#suited(target)];
+    const suited = this.#suited(target, now);
     const fit = suited.filter(row => !this.#options.isEjected(row.id, now));
     const rows = fit.length > 0 ? fit : suited;
     const weights = rows.map(row => this.#weight(row, now));
@@ -62,10 +71,24 @@
     return { slots, free };
   }
 
-  *#suited(target: Target): Generator<EndpointMember> {
+  #suited(target: Target, now: Instant): readonly EndpointMember[] {
+    const grouped =
+      this.#groupedAt !== undefined &&
+      elapsed(this.#groupedAt, now) < GROUPING_PERIOD;
+    if (!grouped) {
+      this.#group(now);
+    }
+    return this.#members.get(poolOf(target)) ?? [];
+  }
+
+  #group(now: Instant): void {
+    this.#members.clear();
+    this.#groupedAt = now;
     for (const row of this.#options.endpoints.endpoints()) {
-      if (serves(row, target)) {
-        yield row;
+      for (const pool of poolsOf(row)) {
+        const members = this.#members.get(pool) ?? [];
+        members.push(row);
+        this.#members.set(pool, members);
       }
     }
   }
@@ -75,9 +98,17 @@
   }
 }
 
-function serves({ serving }: EndpointMember, target: Target): boolean {
-  if (target.kind === 'chat') {
-    return serving.kind === 'engine' && serving.models.includes(target.model);
-  }
-  return serving.kind === 'service' && serving.service === target.service;
+/** Returns the pools whose requests an endpoint can run. */
+function poolsOf({ serving }: EndpointMember): PoolId[] {
+  return serving.kind === 'engine'
+    ? serving.models.map(modelPool)
+    : [servicePool(serving.service)];
+}
+
+function modelPool(model: ModelId): PoolId {
+  return poolId(`model/${model}`);
+}
+
+function servicePool(service: ServiceId): PoolId {
+  return poolId(`service/${service}`);
 }
--- /dev/null
+++ b/packages/measure/src/slopes/fleet-parts.ts
@@ -0,0 +1,73 @@
+/** Parts of a router filled to a size, for slopes. */
+import { LoadView } from '@sesamegrade/core/loads/load-view';
+import { EndpointTable } from '@sesamegrade/core/membership/endpoint-table';
+import { RouterTable } from '@sesamegrade/core/membership/router-table';
+import { SilentRecorder } from '@sesamegrade/core/timeline/event';
+import { incarnation, routerId, zoneId } from '@sesamegrade/core/types/ids';
+import type { VmEntry } from '@sesamegrade/core/types/platform';
+import { instant } from '@sesamegrade/core/types/units';
+
+const ZONES = 7;
+export const MODELS = 30;
+const ENGINE_CAPACITY = 16;
+export const NOW = instant(60_000);
+
+/** The list's lines of a number of engines, spread over zones and models. */
+export function engineLines(count: number): VmEntry[] {
+  return Array.from({ length: count }, (_, index) => ({
+    vm: `engine-${index}`,
+    kind: 'engine',
+    models: [`model-${index % MODELS}`],
+    host: '10.0.0.1',
+    port: 8000,
+    zone: `zone-${index % ZONES}`,
+    state: 'live',
+    incarnation: 1,
+    capacity: ENGINE_CAPACITY,
+  }));
+}
+
+export function routerLines(count: number): VmEntry[] {
+  return Array.from({ length: count }, (_, index) => ({
+    vm: `router-${index}`,
+    kind: 'router',
+    host: '10.0.0.1',
+    port: 8000,
+    zone: `zone-${index % ZONES}`,
+    state: 'live',
+    incarnation: 1,
+    capacity: 0,
+  }));
+}
+
+/** A table of endpoints that all have work to do. */
+export function endpointTable(count: number): EndpointTable {
+  const table = new EndpointTable({ recorder: new SilentRecorder() });
+  table.listArrived(engineLines(count), instant(0));
+  table.tick(NOW);
+  return table;
+}
+
+export function routerTable(count: number): RouterTable {
+  const table = new RouterTable({
+    self: {
+      id: routerId('router-self'),
+      incarnation: incarnation(1),
+      zone: zoneId('zone-0'),
+      address: { host: '10.0.0.1', port: 8000 },
+    },
+    recorder: new SilentRecorder(),
+  });
+  table.listArrived(routerLines(count), instant(0));
+  table.tick(NOW);
+  return table;
+}
+
+/** A view of load that follows every endpoint of a table. */
+export function loadView(table: EndpointTable): LoadView {
+  const view = new LoadView();
+  for (const { id, capacity } of table.rows()) {
+    view.track(id, capacity);
+  }
+  return view;
+}
--- /dev/null
+++ b/packages/measure/src/slopes/slope.test.ts
@@ -0,0 +1,36 @@
+import { expect } from 'chai';
+
+import { fitLine, measureSlope, Slope } from './slope';
+
+class Linear extends Slope {
+  override readonly name = 'a cost';
+  override readonly unit = 'us';
+  override readonly role = 'entry';
+  override readonly sizes = [1, 2, 3];
+  override readonly target = 10;
+
+  override measure(size: number, seed: number): number {
+    return 5 + size * seed;
+  }
+}
+
+describe('slopes', () => {
+  it('fit a line through their points', () => {
+    const points = [
+      [1, 7],
+      [2, 9],
+      [4, 13],
+    ] as const;
+    const { perItem, fixed } = fitLine(points);
+    expect(perItem).to.be.closeTo(2, 1e-9);
+    expect(fixed).to.be.closeTo(5, 1e-9);
+  });
+
+  it('give the median, the spread and the cost at the target', () => {
+    const result = measureSlope(new Linear(), 3, 2);
+    expect(result.perItem).to.be.closeTo(3, 1e-9);
+    expect(result.spread[0]).to.be.closeTo(2, 1e-9);
+    expect(result.spread[1]).to.be.closeTo(4, 1e-9);
+    expect(result.atTarget).to.be.closeTo(35, 1e-9);
+  });
+});
--- /dev/null
+++ b/packages/measure/src/slopes/time-slopes.ts
@@ -0,0 +1,170 @@
+/** Processor time of a router's decisions and of its upkeep. */
+import type { ConfigurationContent } from '@sesamegrade/core/configuration/content';
+import { EffectiveSettings } from '@sesamegrade/core/configuration/effective-settings';
+import { DutyRoster } from '@sesamegrade/core/duties/duty-roster';
+import { DemandTable } from '@sesamegrade/core/limits/demand-table';
+import { GossipedShares } from '@sesamegrade/core/limits/gossiped-shares';
+import { poolId } from '@sesamegrade/core/limits/pool';
+import { FixedTeamPolicy } from '@sesamegrade/core/limits/team-policy';
+import { ReturningPlacement } from '@sesamegrade/core/placement/returning-placement';
+import { EndpointPools } from '@sesamegrade/core/policies/endpoint-pools';
+import {
+  chatId,
+  endpointId,
+  modelId,
+  routerId,
+  teamId,
+} from '@sesamegrade/core/types/ids';
+import { instant, seconds } from '@sesamegrade/core/types/units';
+import {
+  endpointTable,
+  engineLines,
+  loadView,
+  MODELS,
+  NOW,
+  routerTable,
+} from './fleet-parts';
+import { microseconds } from './meters';
+import { Slope } from './slope';
+
+abstract class TimeSlope extends Slope {
+  override readonly unit: string = 'us';
+  protected readonly rounds: number = 200;
+
+  override measure(size: number): number {
+    return microseconds(this.rounds, this.prepare(size));
+  }
+
+  /** Returns what is timed. */
+  protected abstract prepare(size: number): () => void;
+}
+
+class PlacementTime extends TimeSlope {
+  override readonly name = 'one placement, per engine of the fleet';
+  override readonly role = 'entry';
+  override readonly sizes = [60, 290, 1000, 3500];
+  override readonly target = 3500;
+
+  protected override prepare(size: number): () => void {
+    const endpoints = endpointTable(size);
+    const pools = new EndpointPools({
+      endpoints,
+      loads: loadView(endpoints),
+      ramp: seconds(30),
+      isEjected: () => false,
+    });
+    const placement = new ReturningPlacement({ bound: 1.25, skewWeight: 1 });
+    let next = 0;
+    return () => {
+      next += 1;
+      const chat = chatId(`chat-${next}`);
+      const model = modelId(`model-${next % MODELS}`);
+      const target = { kind: 'chat', model, chat } as const;
+      placement.place({ chat }, pools.candidates(target, NOW));
+    };
+  }
+}
+
+class ListTime extends TimeSlope {
+  override readonly name = "taking over the platform's list, per VM";
+  override readonly role = 'entry';
+  override readonly sizes = [60, 290, 1000, 3500];
+  override readonly target = 4750;
+  protected override readonly rounds = 20;
+
+  protected override prepare(size: number): () => void {
+    const table = endpointTable(size);
+    const lines = engineLines(size);
+    let now = NOW + 1;
+    return () => {
+      now += 1;
+      table.listArrived(lines, instant(now));
+      table.tick(instant(now));
+    };
+  }
+}
+
+class DutyTime extends TimeSlope {
+  override readonly name = 'looking up the owner of 3,500 duties, per router';
+  override readonly role = 'engine watcher';
+  override readonly sizes = [17, 120, 370];
+  override readonly target = 370;
+  protected override readonly rounds = 10;
+
+  protected override prepare(size: number): () => void {
+    const roster = new DutyRoster({
+      routers: routerTable(size),
+      now: () => NOW,
+    });
+    return () => {
+      for (let index = 0; index < 3500; index += 1) {
+        roster.ownerOf(`watch:${endpointId(`engine-${index}`)}`);
+      }
+    };
+  }
+}
+
+class ShareTime extends TimeSlope {
+  override readonly name = 'working out the shares of a pool, per team';
+  override readonly role = 'entry';
+  override readonly sizes = [10, 100, 760];
+  override readonly target = 760;
+  protected override readonly rounds = 20;
+
+  protected override prepare(size: number): () => void {
+    const table = new DemandTable();
+    const pool = poolId('model/model-0');
+    for (let index = 0; index < size; index += 1) {
+      const peer = routerId(`router-${index % 370}`);
+      const team = teamId(`team-${index}`);
+      table.put(peer, { pool, team, slots: 2, at: NOW });
+    }
+    const shares = new GossipedShares(
+      pool,
+      table,
+      new FixedTeamPolicy(new Map()),
+    );
+    let slots = 1;
+    return () => {
+      slots += 1;
+      shares.capacityChanged(slots);
+      shares.standing(teamId('team-0'), NOW);
+    };
+  }
+}
+
+class ConfigurationTime extends TimeSlope {
+  override readonly name = 'applying a configuration, per exception';
+  override readonly role = 'configuration spreader';
+  override readonly sizes = [10, 100, 1000];
+  override readonly target = 1000;
+  protected override readonly rounds = 20;
+
+  protected override prepare(size: number): () => void {
+    const content: ConfigurationContent = {
+      defaults: { loadBound: 1.25 },
+      exceptions: Array.from({ length: size }, (_, index) => ({
+        id: `exception-${index}`,
+        scope: { kind: 'team', name: `team-${index}` },
+        setting: 'teamWeight',
+        value: 2,
+        reason: 'a contract that grants more',
+        who: 'operator',
+        when: 1,
+      })),
+    };
+    return () => {
+      new EffectiveSettings(content).get('teamWeight', { team: 'team-1' });
+    };
+  }
+}
+
+export function timeSlopes(): Slope[] {
+  return [
+    new PlacementTime(),
+    new ListTime(),
+    new DutyTime(),
+    new ShareTime(),
+    new ConfigurationTime(),
+  ];
+}
--- a/packages/router/src/platform/http-platform.test.ts
+++ b/packages/router/src/platform/http-platform.test.ts
@@ -50,6 +50,20 @@
     }
   });
 
+  it('asks for the list of VMs only when it changed', async () => {
+    const asked: (string | undefined)[] = [];
+    await serve((request, response) => {
+      const tag = request.headers['if-none-match'];
+      asked.push(tag);
+      response.statusCode = tag === '"one"' ? 304 : 200;
+      response.setHeader('ETag', '"one"');
+      response.end(tag === '"one"' ? undefined : '{"vms":[]}');
+    });
+    expect(await platform.vms()).to.deep.equal({ kind: 'vms', vms: [] });
+    expect(await platform.vms()).to.deep.equal({ kind: 'unchanged' });
+    expect(asked).to.deep.equal([undefined, '"one"']);
+  });
+
   it('sends a condition and tells a commit from a conflict', async () => {
     const seen: string[] = [];
     await serve((request, response) => {
--- a/packages/router/src/platform/http-platform.ts
+++ b/packages/router/src/platform/http-platform.ts
@@ -48,6 +48,7 @@
 
 const OK = 200;
 const NO_CONTENT = 204;
+const NOT_MODIFIED = 304;
 const NOT_FOUND = 404;
 const CONFLICT = 409;
 const PRECONDITION_FAILED = 412;
@@ -57,6 +58,8 @@
 export class HttpPlatform extends Platform {
   readonly #pool: Pool;
   readonly #options: HttpPlatformOptions;
+  /** Tag of the list of VMs that was read last. */
+  #listTag = '';
 
   constructor(options: HttpPlatformOptions) {
     super();
@@ -116,12 +119,21 @@
   }
 
   async vms(): Promise<VmListAnswer> {
-    const answer = await this.#get('/vms');
+    const known =
+      this.#listTag === '' ? {} : { 'if-none-match': this.#listTag };
+    const answer = await this.#get('/vms', known);
     if (answer.kind !== 'answered') {
       return readFailure(answer);
     }
+    if (answer.status === NOT_MODIFIED) {
+      return { kind: 'unchanged' };
+    }
     const list = parseBody(answer, vmListSchema);
-    return list ? { kind: 'vms', vms: list.vms } : { kind: 'unavailable' };
+    if (!list) {
+      return { kind: 'unavailable' };
+    }
+    this.#listTag = answer.tag;
+    return { kind: 'vms', vms: list.vms };
   }
 
   async readObject(key: string): Promise<ObjectReadAnswer> {
@@ -217,10 +229,14 @@
       : { kind: 'unknown' };
   }
 
-  #get(path: string): Promise<Exchange> {
+  #get(
+    path: string,
+    headers: Readonly<Record<string, string>> = {},
+  ): Promise<Exchange> {
     return this.#exchange({
       method: 'GET',
       path,
+      headers,
       timeout: this.#options.timeout,
     });
   }
--- a/packages/router/src/platform/platform.ts
+++ b/packages/router/src/platform/platform.ts
@@ -34,6 +34,8 @@
 
 export type VmListAnswer =
   | { readonly kind: 'vms'; readonly vms: readonly VmEntry[] }
+  /** The same list as this client read last. */
+  | { readonly kind: 'unchanged' }
   | RateLimitedAnswer
   | UnavailableAnswer;
 
--- a/packages/stand-ins/src/platform/platform-server.ts
+++ b/packages/stand-ins/src/platform/platform-server.ts
@@ -146,7 +146,7 @@
         break;
       case 'vms':
         this.#counters.vmLists += 1;
-        await this.#answer(response, 200, { vms: this.#vms.list(this.#now()) });
+        await this.#serveList(request, response);
         break;
       case 'weights':
         await this.#loadWeights(response);
@@ -331,16 +331,35 @@
     await this.#answer(response, status, value, headers);
   }
 
+  /** Answers 304 to a reader that has the present list already. */
+  async #serveList(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const list = { vms: this.#vms.list(this.#now()) };
+    const tag = etag(Buffer.from(JSON.stringify(list)));
+    if (request.headers['if-none-match'] === tag) {
+      await this.#delay();
+      response.writeHead(304, { ETag: tag }).end();
+      return;
+    }
+    await this.#answer(response, 200, list, { ETag: tag });
+  }
+
   async #answer(
     response: ServerResponse,
     status: number,
     value: unknown,
     headers: Readonly<Record<string, string>> = {},
   ): Promise<void> {
+    await this.#delay();
+    sendJson(response, status, value, headers);
+  }
+
+  async #delay(): Promise<void> {
     if (this.#faults.answerDelayMs !== undefined) {
       await sleep(this.#faults.answerDelayMs);
     }
-    sendJson(response, status, value, headers);
   }
 
   async #control(
