Leave the word at an order's deadline to its record

The request flow and the order book both end a call at its deadline, and the flow ticks first: a second caller that waited for an earlier call with its key was told not_run, although that call may have run. The flow now leaves a request that waits for its record to the record, which knows whether another claim was seen; without its word within 500 ms after the deadline it says unknown. The matrix shows engine orders apart for engines that check the fencing number and engines that ignore it.

--- a/packages/core/src/requests/request-flow.test.ts
+++ b/packages/core/src/requests/request-flow.test.ts
@@ -356,4 +356,51 @@
       { seed: 11, numRuns: 400 },
     );
   });
+
+  it('leaves the word at the deadline to the record of an order', () => {
+    const flow = new RequestFlow({
+      admission: new RandomAdmission(new Random(4)),
+      placing: new RandomPlacing(new Random(4)),
+      retrying: new BoundedRetry(),
+      placementWait: milliseconds(20),
+      attemptPrefix: 'r',
+    });
+    const call = (name: string): Request => ({
+      id: requestId(name),
+      team: teamId('t'),
+      target: {
+        kind: 'call',
+        service: serviceId('s'),
+        repeatable: false,
+        key: idempotencyKey('k'),
+      },
+      fingerprint: fingerprint('f'),
+      priority: 0,
+      lastPlace: undefined,
+      arrived: instant(0),
+      deadline: instant(100),
+    });
+    for (const name of ['a', 'b']) {
+      const begun = flow.handle(
+        { kind: 'arrived', request: call(name) },
+        instant(0),
+      );
+      expect(begun.map(command => command.kind)).to.deep.equal(['record']);
+    }
+    expect(flow.tick(instant(110))).to.deep.equal([]);
+    const [told] = flow.handle(
+      {
+        kind: 'not-recorded',
+        request: requestId('a'),
+        reason: { kind: 'order-unsettled' },
+        inDoubt: true,
+      },
+      instant(110),
+    );
+    expect(told?.kind === 'refuse' && told.refusal.outcome).to.equal('unknown');
+    const [silent] = flow.tick(instant(700));
+    expect(silent?.kind === 'refuse' && silent.refusal.outcome).to.equal(
+      'unknown',
+    );
+  });
 });
--- a/packages/core/src/requests/request-flow.ts
+++ b/packages/core/src/requests/request-flow.ts
@@ -51,6 +51,8 @@
 >;
 
 const IMMEDIATELY = milliseconds(0);
+/** Time after the deadline in which the order's record has the first word. */
+const RECORD_GRACE = milliseconds(500);
 
 /** State machine of all requests of one router. */
 export class RequestFlow {
@@ -431,6 +433,9 @@
 
   #tickRow(row: RequestRow, now: Instant): RequestCommand[] {
     const { state } = row;
+    if (state.kind === 'waiting' && state.on === 'record') {
+      return this.#tickRecording(row, now);
+    }
     if (now >= row.request.deadline) {
       return this.#expire(row, now);
     }
@@ -444,6 +449,17 @@
     return due ? this.#place(row, now) : [];
   }
 
+  /**
+   * The order's record ends the wait at the deadline, as it alone knows whether
+   * an earlier call with the key may have run; without its word that is unknown.
+   */
+  #tickRecording(row: RequestRow, now: Instant): RequestCommand[] {
+    const latest = addTime(row.request.deadline, RECORD_GRACE);
+    return now < latest
+      ? []
+      : this.#expire(this.#ledger.update(row, { exposed: true }), now);
+  }
+
   #expire(row: RequestRow, now: Instant): RequestCommand[] {
     const cancel = this.#cancelAttempt(row, now);
     const refusal = this.#ledger.refuse(
--- a/packages/faults/src/engine-orders/engine-order-scenario.ts
+++ b/packages/faults/src/engine-orders/engine-order-scenario.ts
@@ -8,8 +8,18 @@
 import { EngineOrderWorld } from './engine-order-world';
 
 export class EngineOrderScenario extends Scenario<EngineOrderStep> {
-  override readonly name = 'engine order';
+  override readonly name: string;
   override readonly steps = ENGINE_ORDER_STEPS;
+  readonly #enginesCheckFence: boolean;
+
+  /** Engines either check the fencing number or ignore it. */
+  constructor(enginesCheckFence: boolean) {
+    super();
+    this.#enginesCheckFence = enginesCheckFence;
+    this.name = enginesCheckFence
+      ? 'engine order, number checked'
+      : 'engine order, number ignored';
+  }
 
   override exemption(fault: Fault, step: EngineOrderStep): string | undefined {
     return isExchangeFault(fault) && step === 'load'
@@ -29,6 +39,7 @@
     seed: number,
     plan: readonly Injection<EngineOrderStep>[],
   ): HistoryReport {
-    return new EngineOrderWorld({ seed, plan }).run();
+    const enginesCheckFence = this.#enginesCheckFence;
+    return new EngineOrderWorld({ seed, plan, enginesCheckFence }).run();
   }
 }
--- a/packages/faults/src/engine-orders/engine-order-world.ts
+++ b/packages/faults/src/engine-orders/engine-order-world.ts
@@ -37,6 +37,8 @@
   readonly seed: number;
   readonly plan: readonly Injection<EngineOrderStep>[];
   readonly rules?: LeaseRules;
+  /** Whether engines refuse old numbers; by the seed when absent. */
+  readonly enginesCheckFence?: boolean;
 }
 
 export interface EngineOrderHistoryReport {
@@ -79,7 +81,8 @@
   constructor(options: EngineOrderHistoryOptions) {
     this.random = new Random(options.seed);
     this.rules = options.rules ?? new LeaseRules();
-    this.enginesCheckFence = this.random.fraction() < 0.5;
+    const isEven = this.random.fraction() < 0.5;
+    this.enginesCheckFence = options.enginesCheckFence ?? isEven;
     this.store = new FaultyStore(this.schedule, this.random);
     this.#injector = new Injector(options.plan);
     for (let index = 1; index <= ENGINES; index += 1) {
--- a/packages/faults/src/matrix/scenarios.ts
+++ b/packages/faults/src/matrix/scenarios.ts
@@ -9,7 +9,8 @@
   return [
     new ChatScenario(),
     new OrderScenario(),
-    new EngineOrderScenario(),
+    new EngineOrderScenario(true),
+    new EngineOrderScenario(false),
     new ConfigurationScenario(),
   ];
 }
