Answer for every endpoint from three keepers and age untold loads

With one keeper an engine, a router's view of the total load was 9 % off, which moved every limit. Three keepers now know all loads of a small fleet and answer for all at once; an old report gives way to the average load; a candidate at or below the mean is always admitted, as fractional estimates had closed all of them. Counts of a large fleet are not told any more: they cost 9 KB/s a router at 120. The region's size is not solved.

--- a/packages/core/src/loads/load-keeper.ts
+++ b/packages/core/src/loads/load-keeper.ts
@@ -48,12 +48,18 @@
   /** Admits a request while the endpoint stays within the limit, and counts it. */
   ask(peer: RouterId, question: LoadQuestion, now: Instant): LoadAnswer {
     const { endpoint, count, sequence, limit } = question;
-    this.#view.peerCount(peer, endpoint, count, sequence, now);
+    const small = this.#keepers.isSmall;
+    if (small) {
+      this.#view.peerCount(peer, endpoint, count, sequence, now);
+    }
     const load = this.#view.estimate(endpoint, now);
-    const admitted = load + 1 <= limit;
-    if (admitted) {
+    const admitted = Math.round(load) + 1 <= limit;
+    if (admitted && small) {
       this.#view.admit(peer, endpoint, now);
     }
+    if (admitted && !small) {
+      this.#view.admitUntold(endpoint, now);
+    }
     return { admitted, load, others: this.#othersThan(endpoint, now) };
   }
 
--- a/packages/core/src/loads/load-keepers.ts
+++ b/packages/core/src/loads/load-keepers.ts
@@ -41,10 +41,9 @@
 
   /** Takes the live routers, this one included, and the endpoints. */
   update(routers: readonly RouterId[], endpoints: readonly EndpointId[]): void {
-    const same =
-      sameMembers(this.#routers, routers) &&
-      sameMembers(this.#endpoints, endpoints);
-    if (same) {
+    const sameRouters = sameMembers(this.#routers, routers);
+    const spread = !this.isSmall || sameMembers(this.#endpoints, endpoints);
+    if (sameRouters && spread) {
       return;
     }
     this.#routers = [...routers];
--- a/packages/core/src/loads/load-topic.ts
+++ b/packages/core/src/loads/load-topic.ts
@@ -110,7 +110,8 @@
  * Tells absolute counts with a sequence number, so that lost, doubled and
  * reordered messages heal. The keepers of an endpoint are told at once, everyone
  * else hears totals from the first keeper, the less often the more peers there are. A
- * large fleet tells only about endpoints above the mean load.
+ * large fleet tells no counts, as keepers hear loads from the endpoints, and totals
+ * only of endpoints above the mean load.
  * `forget` must be called for a peer that restarts, as its sequence numbers start
  * again.
  */
@@ -236,7 +237,7 @@
       if (first === self) {
         totals.push({ ...number, value: Math.round(number.value) });
       }
-      if (!first || pressure < tellFrom) {
+      if (!first || !keepers.isSmall) {
         continue;
       }
       const value = view.ownInFlight(endpoint);
@@ -303,6 +304,7 @@
         endpoint,
         { running: value, waiting: 0, observedAt: now },
         now,
+        true,
       );
       return;
     }
--- a/packages/core/src/loads/load-view.test.ts
+++ b/packages/core/src/loads/load-view.test.ts
@@ -13,6 +13,7 @@
   peerDelay: milliseconds(0),
   averaging: milliseconds(1000),
   averagingUntold: milliseconds(1000),
+  reportDecay: milliseconds(Number.POSITIVE_INFINITY),
   peerHorizon: milliseconds(15_000),
 };
 
--- a/packages/core/src/loads/load-view.ts
+++ b/packages/core/src/loads/load-view.ts
@@ -21,6 +21,8 @@
   readonly averaging: Milliseconds;
   /** The same where only reports tell what peers do. */
   readonly averagingUntold: Milliseconds;
+  /** Time over which an old report gives way to the average load of endpoints. */
+  readonly reportDecay: Milliseconds;
   /** Peers' counts that were not repeated for this long are dropped. */
   readonly peerHorizon: Milliseconds;
 }
@@ -29,6 +31,7 @@
   peerDelay: milliseconds(100),
   averaging: milliseconds(3000),
   averagingUntold: milliseconds(100),
+  reportDecay: milliseconds(5000),
   peerHorizon: milliseconds(15_000),
 };
 
@@ -139,11 +142,16 @@
     return this.#endpoints.get(endpoint)?.told.value ?? 0;
   }
 
-  /** Takes a report of an endpoint's load, or says why it is not believed. */
+  /**
+   * Takes a report of an endpoint's load, or says why it is not believed. A
+   * `selected` one came because the endpoint is loaded; it says nothing about
+   * the average load.
+   */
   report(
     endpoint: EndpointId,
     report: LoadReport,
     now: Instant,
+    selected = false,
   ): ReportVerdict {
     const load = this.#endpoints.get(endpoint);
     if (!load) {
@@ -157,7 +165,9 @@
       load.pending.shift();
     }
     load.pending.push({ at: report.observedAt, load: verdict.load });
-    this.#averageFill(verdict.load / Math.max(1, load.capacity));
+    if (!selected) {
+      this.#averageFill(verdict.load / Math.max(1, load.capacity));
+    }
     this.#settle(load, now);
     return verdict;
   }
@@ -201,6 +211,11 @@
     }
   }
 
+  /** Adds a request of a peer that tells no counts; reports take it over. */
+  admitUntold(endpoint: EndpointId, now: Instant): void {
+    this.#endpoints.get(endpoint)?.told.add(1, now);
+  }
+
   /** Drops the counts of a peer that left. */
   forgetPeer(peer: RouterId): void {
     for (const load of this.#endpoints.values()) {
@@ -228,14 +243,30 @@
     if (load.pending.length > 0) {
       this.#settle(load, now);
     }
-    const { unknownAt } = load;
-    const known = load.own.value + load.told.value;
-    if (unknownAt !== undefined && elapsed(unknownAt, now) <= reportHorizon) {
-      return known + Math.max(0, load.unknown);
-    }
     return load.peers.size > 0
-      ? known
-      : Math.max(known, this.#usualLoad(load, now));
+      ? this.#toldEstimate(load, now)
+      : this.#untoldEstimate(load, now);
+  }
+
+  /** Where peers tell their counts, a report can add to them but not take away. */
+  #toldEstimate(load: EndpointLoad, now: Instant): number {
+    const { own, told, unknown, unknownAt } = load;
+    const heard =
+      unknownAt !== undefined && elapsed(unknownAt, now) <= reportHorizon;
+    return own.value + told.value + (heard ? Math.max(0, unknown) : 0);
+  }
+
+  /** Where peers tell nothing, the last report counts the less the older it is. */
+  #untoldEstimate(load: EndpointLoad, now: Instant): number {
+    const { own, told, unknown, unknownAt } = load;
+    const usual = Math.max(own.value, this.#usualLoad(load, now));
+    if (unknownAt === undefined) {
+      return usual;
+    }
+    const reported = own.value + Math.max(0, told.value + unknown);
+    const age = Math.max(0, elapsed(unknownAt, now));
+    const weight = Math.exp(-age / this.#settings.reportDecay);
+    return Math.max(own.value, usual + weight * (reported - usual));
   }
 
   #emptyLoad(capacity: number, joinedAt: Instant): EndpointLoad {
--- a/packages/core/src/placement/load-bound.ts
+++ b/packages/core/src/placement/load-bound.ts
@@ -21,6 +21,7 @@
  */
 export class LoadBound {
   readonly #limitPerShare: number;
+  readonly #meanPerShare: number;
 
   constructor(bound: number, candidates: readonly Candidate[]) {
     let total = 1;
@@ -34,6 +35,7 @@
     const byMean = capacity > 0 ? (bound * total) / capacity : 0;
     const byRoom =
       shares > 0 ? (Math.min(bound, minSpare) * total) / shares : 0;
+    this.#meanPerShare = capacity > 0 ? (total - 1) / capacity : 0;
     this.#limitPerShare = Math.max(byMean, byRoom);
   }
 
@@ -43,9 +45,18 @@
     return Math.min(limit, candidate.capacity);
   }
 
-  /** Tells whether the candidate may take one more request. */
+  /**
+   * Tells whether the candidate may take one more request. One whose load is not
+   * above the mean may always, so that fractional estimates of small loads never
+   * close every candidate.
+   */
   admits(candidate: Candidate): boolean {
-    return candidate.load + 1 <= this.limit(candidate);
+    const { load, capacity } = candidate;
+    if (load + 1 <= this.limit(candidate)) {
+      return true;
+    }
+    const room = Math.floor(load) + 1 <= capacity;
+    return room && load <= this.#meanPerShare * shareOf(candidate);
   }
 
   /** Returns the candidate's load as a fraction of its limit; infinite without a limit. */
--- a/packages/core/src/placement/placement.test.ts
+++ b/packages/core/src/placement/placement.test.ts
@@ -78,6 +78,13 @@
     ]);
   });
 
+  it('is not saturated by small fractional estimates', () => {
+    const candidates = candidatesOf([1.2, 1.2, 1.2, 1.2, 1.2, 1.2]);
+    const way: Placement = new ReturningPlacement({ bound, skewWeight: 0 });
+    const choice = way.place({ chat: chatId('chat-1') }, candidates, now);
+    expect(choice.kind).to.equal('endpoint');
+  });
+
   it('goes back to the last place, and leaves it earlier when skew weighs more', () => {
     const candidates = candidatesOf([12, 10, 10, 10, 10, 10]);
     const request = {
--- a/packages/measure/src/placement/measurement.ts
+++ b/packages/measure/src/placement/measurement.ts
@@ -17,6 +17,7 @@
   tellBudget: 1200,
   averaging: 3,
   averagingUntold: 0.1,
+  reportDecay: 5,
 };
 
 /** Seeds of successive runs differ by this much, so that none shares a generator. */
--- a/packages/measure/src/placement/peer-traffic.ts
+++ b/packages/measure/src/placement/peer-traffic.ts
@@ -18,6 +18,8 @@
   readonly averaging: number;
   /** The same without told counts. */
   readonly averagingUntold: number;
+  /** Time over which an old report gives way to the average load, in seconds. */
+  readonly reportDecay: number;
 }
 
 export class PeerTraffic {
--- a/packages/measure/src/placement/router-fake.ts
+++ b/packages/measure/src/placement/router-fake.ts
@@ -1,7 +1,7 @@
 /** One router of a measurement, with the same load view and topic as the real one. */
 import type { LoadAnswer } from '@sesamegrade/core/loads/load-keeper';
 import { LoadKeeper } from '@sesamegrade/core/loads/load-keeper';
-import type { LoadKeepers } from '@sesamegrade/core/loads/load-keepers';
+import { LoadKeepers } from '@sesamegrade/core/loads/load-keepers';
 import { LoadTopic } from '@sesamegrade/core/loads/load-topic';
 import { LoadView } from '@sesamegrade/core/loads/load-view';
 import type { Candidate } from '@sesamegrade/core/placement/candidate';
@@ -20,8 +20,10 @@
   readonly peerDelay: number;
   readonly averaging: number;
   readonly averagingUntold: number;
+  readonly reportDecay: number;
   readonly routers: () => readonly RouterId[];
-  readonly keepers: LoadKeepers;
+  /** Number of keepers in a small fleet; all routers when undefined. */
+  readonly sharing: number | undefined;
 }
 
 /** Converts seconds of a measurement to an instant of the core. */
@@ -34,6 +36,7 @@
   readonly view: LoadView;
   readonly topic: LoadTopic;
   readonly places = new LastPlaces();
+  readonly keepers: LoadKeepers;
   readonly #options: RouterFakeOptions;
   readonly #keeper: LoadKeeper;
   readonly #engines = new Map<EndpointId, EngineFake>();
@@ -45,13 +48,15 @@
       peerDelay: seconds(options.peerDelay),
       averaging: seconds(options.averaging),
       averagingUntold: seconds(options.averagingUntold),
+      reportDecay: seconds(options.reportDecay),
       peerHorizon: seconds(15),
     });
-    this.#keeper = new LoadKeeper(options.id, this.view, options.keepers);
+    this.keepers = new LoadKeepers(options.sharing);
+    this.#keeper = new LoadKeeper(options.id, this.view, this.keepers);
     this.topic = new LoadTopic({
       self: options.id,
       view: this.view,
-      keepers: options.keepers,
+      keepers: this.keepers,
       routers: options.routers,
     });
   }
@@ -114,11 +119,13 @@
     load: number,
     observedAt: number,
     now: number,
+    selected = false,
   ): void {
     this.view.report(
       engine.id,
       { running: load, waiting: 0, observedAt: toInstant(observedAt) },
       toInstant(now),
+      selected,
     );
   }
 
