--- a/packages/core/src/membership/member-table.ts
+++ b/packages/core/src/membership/member-table.ts
@@ -53,14 +53,15 @@
   protected readonly times: MembershipTimes;
 
   readonly #damper = new FlapDamper<Id>();
-  readonly #departures = new Departures<Id>();
+  readonly #departures: Departures<Id>;
   /** Peers' word that a process start leaves which no list has shown yet. */
   readonly #unconfirmed = new Map<Id, Set<Incarnation>>();
   readonly #listeners = new Set<(change: MemberChange<Id>) => void>();
   #listed = false;
 
-  constructor(times: MembershipTimes) {
+  constructor(times: MembershipTimes, departures = new Departures<Id>()) {
     this.times = times;
+    this.#departures = departures;
   }
 
   /** Whether the platform's list has arrived at least once. */
@@ -166,6 +167,13 @@
     this.#admit(row, sighting, origin, now);
   }
 
+  /** Tells subscribers of a change. */
+  protected notify(change: MemberChange<Id>): void {
+    for (const listener of this.#listeners) {
+      listener(change);
+    }
+  }
+
   protected patch(id: Id, fields: Partial<Member<Id>>): void {
     this.table.patch(id, fields as Partial<Omit<Row, 'id'>>);
   }
@@ -301,9 +309,7 @@
   #announce(row: Row): void {
     this.changed(row);
     const { id, incarnation, phase, cause } = row;
-    for (const listener of this.#listeners) {
-      listener({ id, incarnation, phase, cause });
-    }
+    this.notify({ id, incarnation, phase, cause });
   }
 
   #keepUnconfirmed(id: Id, incarnation: Incarnation): void {
