--- a/packages/measure/src/placement/event-queue.ts
+++ b/packages/measure/src/placement/event-queue.ts
@@ -10,6 +10,11 @@
   readonly #heap: (TimedEvent & { readonly order: number })[] = [];
   #inserted = 0;
 
+  /** Time of the earliest event; undefined when there is none. */
+  get nextAt(): number | undefined {
+    return this.#heap[0]?.at;
+  }
+
   add(at: number, run: () => void): void {
     const event = { at, run, order: this.#inserted };
     this.#inserted += 1;
