--- a/packages/cli/src/commands/stand-in.ts
+++ b/packages/cli/src/commands/stand-in.ts
@@ -39,6 +39,7 @@
   capacity: number.int().optional(),
   waitingLimit: number.int().optional(),
   tokensPerSecond: number.optional(),
+  batchSlowdown: number.optional(),
   cacheTokens: number.int().optional(),
   metricsLagMs: number.optional(),
   checkFence: z.boolean().default(true),
@@ -190,6 +191,7 @@
       .option('--capacity <count>', 'engine, service: requests at once')
       .option('--waiting-limit <count>', 'engine: requests that may wait')
       .option('--tokens-per-second <rate>', 'engine: rate of one request')
+      .option('--batch-slowdown <part>', 'engine: longer step per request')
       .option('--cache-tokens <count>', 'engine: size of the prefix cache')
       .option('--metrics-lag-ms <ms>', 'engine: how late its metrics are')
       .option('--no-check-fence', 'engine: take orders with a lower fence')
--- a/packages/load/src/trial/child-vm.ts
+++ b/packages/load/src/trial/child-vm.ts
@@ -2,10 +2,12 @@
 import { spawn } from 'node:child_process';
 import type { ChildProcess } from 'node:child_process';
 import { once } from 'node:events';
+import { readFileSync } from 'node:fs';
 import { createInterface } from 'node:readline';
 
 import { z } from 'zod';
 
+const CLOCK_TICKS_PER_SECOND = 100;
 const START_LIMIT_MS = 30_000;
 const STOP_LIMIT_MS = 20_000;
 
@@ -29,6 +31,12 @@
   readonly args: readonly string[];
 }
 
+/** Runs the program from its source; the working directory is the repository. */
+export const sourceProgram: Program = {
+  file: process.execPath,
+  args: ['--import', 'tsx', 'packages/cli/src/main.ts'],
+};
+
 export class ChildVm {
   readonly announcement: Announcement;
   readonly #child: ChildProcess;
@@ -69,6 +77,14 @@
     return this.#child.exitCode === null && this.#child.signalCode === null;
   }
 
+  /** Processor time used since the start, in seconds; reads /proc, so Linux only. */
+  cpuSeconds(): number {
+    const stat = readFileSync(`/proc/${this.#child.pid ?? 0}/stat`, 'utf8');
+    // The name in parentheses may hold blanks; user and system time follow it.
+    const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
+    return (Number(fields[11]) + Number(fields[12])) / CLOCK_TICKS_PER_SECOND;
+  }
+
   /** Sends SIGTERM, later SIGKILL; returns the exit code, undefined if killed. */
   async stop(): Promise<number | undefined> {
     const timer = setTimeout(() => this.#child.kill('SIGKILL'), STOP_LIMIT_MS);
--- a/packages/load/src/trial/main.ts
+++ b/packages/load/src/trial/main.ts
@@ -6,7 +6,7 @@
 
 import { renderReport } from '../report/html-report';
 import { closingLines, renderTable } from '../report/text-table';
-import type { Program } from './child-vm';
+import { sourceProgram } from './child-vm';
 import { RouterSettings } from './router-settings';
 import { runTrial } from './trial';
 import { TRIAL_FAULTS } from './trial-fault';
@@ -24,11 +24,6 @@
   report: z.string().optional(),
 });
 
-const SOURCE_PROGRAM: Program = {
-  file: process.execPath,
-  args: ['--import', 'tsx', 'packages/cli/src/main.ts'],
-};
-
 async function main(): Promise<number> {
   const names = TRIAL_FAULTS.map(({ name }) => name).join(', ');
   const cli = cac('trial');
@@ -53,9 +48,10 @@
   const { run, summary, failures } = await runTrial(
     {
       ...options,
+      proxies: true,
       program:
         options.program === undefined
-          ? SOURCE_PROGRAM
+          ? sourceProgram
           : { file: options.program, args: [] },
       settings: new RouterSettings(options.settings),
       faults: TRIAL_FAULTS.filter(
--- a/packages/load/src/trial/process-fleet.ts
+++ b/packages/load/src/trial/process-fleet.ts
@@ -22,12 +22,16 @@
   readonly engines: number;
   readonly services: number;
   readonly seed: number;
+  /** Whether a fault proxy stands before each endpoint. */
+  readonly proxies: boolean;
+  /** Further flags of the engines, by name. */
+  readonly engineFlags?: Readonly<Record<string, string | number>>;
 }
 
-/** An engine or a service and the proxy through which routers reach it. */
+/** An engine or a service and the proxy, if any, through which routers reach it. */
 interface ProxiedEndpoint {
   readonly endpoint: ChildVm;
-  readonly proxy: ChildVm;
+  readonly proxy: ChildVm | undefined;
 }
 
 export class ProcessFleet {
@@ -54,6 +58,7 @@
     const engineFlags = {
       models,
       'tokens-per-second': ENGINE_TOKENS_PER_SECOND,
+      ...this.#options.engineFlags,
     };
     await Promise.all([
       ...names('engine', engines).map(vm =>
@@ -120,6 +125,16 @@
     return this.#routers.get(id)?.stop();
   }
 
+  /** Base URL of an endpoint, past its proxy. */
+  endpoint(vm: string): string {
+    return url(this.#endpoints.get(vm)?.endpoint.announcement.port);
+  }
+
+  /** Processor seconds that a router has used. */
+  routerCpuSeconds(id: string): number {
+    return this.#routers.get(id)?.cpuSeconds() ?? 0;
+  }
+
   /** Sets the fault of the proxy before an endpoint; an empty one clears it. */
   async setProxyFault(vm: string, fault: object): Promise<void> {
     const proxy = this.#endpoints.get(vm)?.proxy;
@@ -128,8 +143,7 @@
 
   /** Sets faults of an endpoint, past its proxy. */
   async controlEndpoint(vm: string, change: object): Promise<void> {
-    const endpoint = this.#endpoints.get(vm)?.endpoint;
-    await post(`${url(endpoint?.announcement.port)}/control`, change);
+    await post(`${this.endpoint(vm)}/control`, change);
   }
 
   async setPlatformFaults(faults: object): Promise<void> {
@@ -148,7 +162,8 @@
     );
     const endpoints = [...this.#endpoints.values()];
     await Promise.all(endpoints.map(({ endpoint }) => endpoint.stop()));
-    await Promise.all(endpoints.map(({ proxy }) => proxy.stop()));
+    const proxies = endpoints.flatMap(({ proxy }) => (proxy ? [proxy] : []));
+    await Promise.all(proxies.map(proxy => proxy.stop()));
     await this.#platform?.stop();
     rmSync(this.#folder, { recursive: true, force: true });
     return failed;
@@ -159,19 +174,19 @@
     vm: string,
     extra: Readonly<Record<string, string | number>>,
   ): Promise<void> {
+    const common = { vm, platform: this.platform, ...extra };
+    if (!this.#options.proxies) {
+      const endpoint = await this.#spawn(['stand-in', role, ...flags(common)]);
+      this.#endpoints.set(vm, { endpoint, proxy: undefined });
+      return;
+    }
     // The proxy's target must be known first, so the endpoint registers last.
     const port = await freePort();
-    const proxy = await this.#spawn([
-      'stand-in',
-      'fault-proxy',
-      ...flags({ target: `${HOST}:${port}` }),
-    ]);
+    const target = flags({ target: `${HOST}:${port}` });
+    const proxy = await this.#spawn(['stand-in', 'fault-proxy', ...target]);
     const advertise = `${HOST}:${proxy.announcement.port ?? 0}`;
-    const endpoint = await this.#spawn([
-      'stand-in',
-      role,
-      ...flags({ port, vm, advertise, platform: this.platform, ...extra }),
-    ]);
+    const proxied = flags({ ...common, port, advertise });
+    const endpoint = await this.#spawn(['stand-in', role, ...proxied]);
     this.#endpoints.set(vm, { endpoint, proxy });
   }
 
--- /dev/null
+++ b/packages/load/src/trial/relay-cost-main.ts
@@ -0,0 +1,62 @@
+/** Entry point of `npm run relay-cost`. */
+import { cac } from 'cac';
+import { z } from 'zod';
+
+import { delayLines, renderTable } from '../report/text-table';
+import type { LoadSummary } from '../run/summary';
+import { sourceProgram } from './child-vm';
+import { measureRelayCost } from './relay-cost';
+import { RouterSettings } from './router-settings';
+
+/** An engine that is never the bottleneck. */
+const ENGINE_FLAGS = {
+  'tokens-per-second': 100,
+  'batch-slowdown': 0,
+  capacity: 1000,
+};
+
+const optionsSchema = z.object({
+  settings: z.string().default('deploy/sellada.ini'),
+  seconds: z.coerce.number().positive().default(20),
+  seed: z.coerce.number().int().default(1),
+  chatsPerSecond: z.coerce.number().positive().default(5),
+  answerTokens: z.coerce.number().int().min(2).default(100),
+});
+
+function print(title: string, summary: LoadSummary): void {
+  const lines = [
+    { label: 'ok / requests', value: `${summary.ok} / ${summary.requests}` },
+    ...delayLines(summary),
+  ];
+  process.stdout.write(`${title}\n${renderTable(lines)}\n\n`);
+}
+
+const cli = cac('relay-cost');
+cli
+  .option('--settings <file>', "A deployment's settings")
+  .option('--seconds <seconds>', 'Length (default 20)')
+  .option('--seed <number>', 'Seed (default 1)')
+  .option('--chats-per-second <rate>', 'Requests on each way (default 5)')
+  .option('--answer-tokens <count>', 'Tokens of an answer (default 100)')
+  .help();
+const { options: given } = cli.parse();
+if (given.help !== true) {
+  const options = optionsSchema.parse(given);
+  const cost = await measureRelayCost({
+    ...options,
+    program: sourceProgram,
+    settings: new RouterSettings(options.settings),
+    routers: 1,
+    engines: 1,
+    services: 0,
+    proxies: false,
+    engineFlags: ENGINE_FLAGS,
+  });
+  print('direct', cost.direct);
+  print('through a router', cost.relayed);
+  const { relayedTokens, routerCpuSeconds } = cost;
+  const perSecond = Math.round(relayedTokens / routerCpuSeconds);
+  process.stdout.write(
+    `${relayedTokens} tokens in ${routerCpuSeconds.toFixed(2)} s of the router's processor time: ${perSecond} tokens a second and core\n`,
+  );
+}
