Show unreachable routers on the time line and every router's version

In a run of three real routers with one killed, its death showed on no time line, and status gave a question mark for the version of every other router. The new test fails when the record is not kept (events repeat each tick).

--- a/packages/core/src/duties/duty-roster.test.ts
+++ b/packages/core/src/duties/duty-roster.test.ts
@@ -1,7 +1,8 @@
 import { expect } from 'chai';
 
 import { RouterTable } from '../membership/router-table';
-import { SilentRecorder } from '../timeline/event';
+import { EventBuffer } from '../timeline/event-buffer';
+import { HybridClock } from '../timeline/hybrid-clock';
 import { incarnation, routerId, zoneId } from '../types/ids';
 import { instant } from '../types/units';
 import { DutyRoster } from './duty-roster';
@@ -18,7 +19,8 @@
 }
 
 function rosterOf(self: string, others: readonly string[]) {
-  const recorder = new SilentRecorder();
+  const clock = new HybridClock(() => 0);
+  const recorder = new EventBuffer({ process: self, incarnation: 1, clock });
   const routers = new RouterTable({ self: identity(self), recorder });
   for (const other of others) {
     routers.connected(identity(other), instant(0));
@@ -26,6 +28,10 @@
   let now = instant(0);
   return {
     routers,
+    events: () =>
+      recorder.after(0).events.map(({ kind, links, detail }) => {
+        return `${kind} ${links.router} ${detail?.cause}`.trim();
+      }),
     roster: new DutyRoster({ routers, now: () => now }),
     wait: (until: number) => (now = instant(until)),
   };
@@ -80,4 +86,20 @@
     expect(list(8, 'live')).to.equal(2);
     expect(routers.get(routerId('r2'))?.incarnation).to.equal(1);
   });
+
+  it('records once that a router became unreachable, and its return', () => {
+    const { routers, events } = rosterOf('r1', ['r2']);
+    routers.disconnected(routerId('r2'), instant(1));
+    for (const now of [10, 2000, 4000, 5000]) {
+      routers.tick(instant(now));
+    }
+    routers.connected(identity('r2'), instant(6000));
+    routers.connected(identity('r2'), instant(6001));
+    routers.tick(instant(9000));
+    expect(events()).to.deep.equal([
+      'router-joined r2',
+      'router-gone r2 unreachable',
+      'router-joined r2',
+    ]);
+  });
 });
--- a/packages/core/src/membership/router-table.ts
+++ b/packages/core/src/membership/router-table.ts
@@ -22,6 +22,8 @@
 export interface RouterFacts {
   /** Since when this router has failed to connect to it. */
   readonly unreachableSince?: Instant | undefined;
+  /** Whether its being unreachable is on the time line. */
+  readonly recordedAsUnreachable?: boolean;
   /** Whether the platform's list says that its VM leaves. */
   readonly listedLeaving?: boolean;
 }
@@ -132,9 +134,14 @@
       return;
     }
     this.observe(sightIdentity(identity), 'direct', now);
+    const row = this.table.get(identity.id);
+    if (row?.recordedAsUnreachable) {
+      this.changed(row);
+    }
     this.table.patch(identity.id, {
       answeredAt: now,
       unreachableSince: undefined,
+      recordedAsUnreachable: false,
     });
     this.#revision += 1;
   }
@@ -177,6 +184,18 @@
     return live;
   }
 
+  override tick(now: Instant): void {
+    super.tick(now);
+    for (const row of this.table.rows()) {
+      if (!row.recordedAsUnreachable && isUnreachable(row, now)) {
+        this.table.patch(row.id, { recordedAsUnreachable: true });
+        this.#revision += 1;
+        const detail = { incarnation: row.incarnation, cause: 'unreachable' };
+        this.#recorder.record('router-gone', { router: row.id }, detail);
+      }
+    }
+  }
+
   protected override build(
     member: Member<RouterId>,
     facts: RouterFacts,
@@ -222,10 +241,14 @@
     if (leaves || row.phase === 'gone') {
       return false;
     }
-    const { unreachableSince } = row;
-    return (
-      unreachableSince === undefined ||
-      elapsed(unreachableSince, now) < UNREACHABLE_AFTER
-    );
+    return !isUnreachable(row, now);
   }
 }
+
+function isUnreachable(row: RouterMember, now: Instant): boolean {
+  const { unreachableSince } = row;
+  return (
+    unreachableSince !== undefined &&
+    elapsed(unreachableSince, now) >= UNREACHABLE_AFTER
+  );
+}
--- a/packages/router/src/operators/router-status.ts
+++ b/packages/router/src/operators/router-status.ts
@@ -18,6 +18,7 @@
   | 'endpoints'
   | 'peers'
   | 'keeper'
+  | 'configurationTopic'
   | 'readiness'
   | 'counters'
   | 'controlMeter'
@@ -78,14 +79,19 @@
   }
 
   #routers(): FleetStatus['routers'] {
-    const { routers, peers } = this.#parts;
+    const { routers, peers, configurationTopic } = this.#parts;
     const connected = new Set(peers.connected);
-    return routers.peers().map(row => ({
-      id: row.id,
-      zone: row.zone,
-      phase: row.phase,
-      connected: connected.has(row.id),
-    }));
+    const versions = configurationTopic.versions();
+    return routers.peers().map(row => {
+      const version = versions.get(row.id);
+      return {
+        id: row.id,
+        zone: row.zone,
+        phase: row.phase,
+        connected: connected.has(row.id),
+        ...(version === undefined ? {} : { configuration: version }),
+      };
+    });
   }
 
   #endpoints(): FleetStatus['endpoints'] {
