End quietly when a reader closes the pipe

status | head ended in a stack trace, because a closed pipe was an unhandled error of stdout; the program now ignores EPIPE and nothing else. A router that announced its leaving is no longer recorded as unreachable on top of that, seen 3 s after the announcement in a run of three real routers. The membership and duty tests pass as before.

--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -51,4 +51,11 @@
   }
 }
 
+// A reader such as `head` may close the pipe before everything is written.
+process.stdout.on('error', (error: NodeJS.ErrnoException) => {
+  if (error.code !== 'EPIPE') {
+    throw error;
+  }
+});
+
 main(commands());
--- a/packages/core/src/membership/router-table.ts
+++ b/packages/core/src/membership/router-table.ts
@@ -187,7 +187,8 @@
   override tick(now: Instant): void {
     super.tick(now);
     for (const row of this.table.rows()) {
-      if (!row.recordedAsUnreachable && isUnreachable(row, now)) {
+      const works = row.phase === 'joining' || row.phase === 'live';
+      if (works && !row.recordedAsUnreachable && isUnreachable(row, now)) {
         this.table.patch(row.id, { recordedAsUnreachable: true });
         this.#revision += 1;
         const detail = { incarnation: row.incarnation, cause: 'unreachable' };
