--- a/packages/cli/src/commands/commands.ts
+++ b/packages/cli/src/commands/commands.ts
@@ -9,8 +9,10 @@
 import { MeasureEventsCommand } from './measure-events';
 import { MeasureCommand } from './measure';
 import { MeasureGossipCommand } from './measure-gossip';
+import { MeasureOrdersCommand } from './measure-orders';
 import { MeasurePeersCommand } from './measure-peers';
 import { MeasurePoliciesCommand } from './measure-policies';
+import { MeasureRelayCommand } from './measure-relay';
 import { RouterCommand } from './router';
 import { StandInCommand } from './stand-in';
 import { StatusCommand } from './status';
@@ -30,8 +32,10 @@
     new StandInCommand(),
     new MeasureCommand(),
     new FaultsCommand(),
+    new MeasureRelayCommand(),
     new MeasureEventsCommand(),
     new MeasureGossipCommand(),
+    new MeasureOrdersCommand(),
     new MeasurePeersCommand(),
     new MeasurePoliciesCommand(),
   ];
