--- a/packages/router/src/operators/router-status.ts
+++ b/packages/router/src/operators/router-status.ts
@@ -18,6 +18,7 @@
   | 'endpoints'
   | 'peers'
   | 'keeper'
+  | 'configurationTopic'
   | 'readiness'
   | 'counters'
   | 'controlMeter'
@@ -29,6 +30,7 @@
 >;
 
 const MS_PER_SECOND = 1000;
+const MICROSECONDS_PER_SECOND = 1_000_000;
 
 export class RouterStatus extends StatusSource {
   readonly #parts: Parts;
@@ -44,6 +46,7 @@
     const { controlMeter } = this.#parts;
     return {
       router: this.#router(),
+      process: processCost(),
       configuration: this.#configuration(),
       routers: this.#routers(),
       endpoints: this.#endpoints(),
@@ -78,14 +81,19 @@
   }
 
   #routers(): FleetStatus['routers'] {
-    const { routers, peers } = this.#parts;
+    const { routers, peers, configurationTopic } = this.#parts;
     const connected = new Set(peers.connected);
-    return routers.peers().map(row => ({
-      id: row.id,
-      zone: row.zone,
-      phase: row.phase,
-      connected: connected.has(row.id),
-    }));
+    const versions = configurationTopic.versions();
+    return routers.peers().map(row => {
+      const version = versions.get(row.id);
+      return {
+        id: row.id,
+        zone: row.zone,
+        phase: row.phase,
+        connected: connected.has(row.id),
+        ...(version === undefined ? {} : { configuration: version }),
+      };
+    });
   }
 
   #endpoints(): FleetStatus['endpoints'] {
@@ -159,6 +167,14 @@
   }
 }
 
+function processCost(): FleetStatus['process'] {
+  const { user, system } = process.cpuUsage();
+  return {
+    cpuSeconds: (user + system) / MICROSECONDS_PER_SECOND,
+    memoryBytes: process.memoryUsage.rss(),
+  };
+}
+
 function servingText({ serving }: EndpointMember): string {
   return serving.kind === 'engine'
     ? serving.models.join(', ')
