--- a/packages/cli/src/commands/commands.ts
+++ b/packages/cli/src/commands/commands.ts
@@ -12,6 +12,7 @@
 import { MeasureOrdersCommand } from './measure-orders';
 import { MeasurePeersCommand } from './measure-peers';
 import { MeasurePoliciesCommand } from './measure-policies';
+import { MeasureRelayCommand } from './measure-relay';
 import { RouterCommand } from './router';
 import { StandInCommand } from './stand-in';
 import { StatusCommand } from './status';
@@ -31,6 +32,7 @@
     new StandInCommand(),
     new MeasureCommand(),
     new FaultsCommand(),
+    new MeasureRelayCommand(),
     new MeasureEventsCommand(),
     new MeasureGossipCommand(),
     new MeasureOrdersCommand(),
--- a/packages/core/src/poison/suspect-registry.test.ts
+++ b/packages/core/src/poison/suspect-registry.test.ts
@@ -14,6 +14,7 @@
 import type { SuspectDecision } from './suspect-registry';
 import { SuspectTable, maxSuspects } from './suspect-table';
 import { SuspectTopic } from './suspect-topic';
+import { longestHold } from './trial-seeker';
 
 const engines = ['e1', 'e2', 'e3', 'e4'].map(endpointId);
 const [e1, e2, e3] = [engines[0]!, engines[1]!, engines[2]!];
@@ -82,12 +83,22 @@
     const decisions = [decide(), decide(innocent)];
     fleet.exchange();
     decisions.push(decide(), decide(innocent));
-    const isolated = (all: SuspectDecision[]) =>
-      all.filter(({ kind }) => kind === 'run-isolated');
-    const tried = isolated([...decisions[0]!, ...decisions[2]!]);
-    const other = isolated([...decisions[1]!, ...decisions[3]!]);
-    expect([tried.length, other.length]).to.deep.equal([1, 1]);
-    expect(tried[0]).not.to.deep.equal(other[0]);
+    const isolated = (rounds: SuspectDecision[][]) =>
+      rounds.flatMap(all =>
+        all.flatMap((decision, router) =>
+          decision.kind === 'run-isolated'
+            ? [`${router} ${decision.endpoint}`]
+            : [],
+        ),
+      );
+    const tried = new Set(isolated([decisions[0]!, decisions[2]!]));
+    const other = new Set(isolated([decisions[1]!, decisions[3]!]));
+    expect([tried.size, other.size]).to.deep.equal([1, 1]);
+    const [router, endpoint] = [...tried].join().split(' ');
+    expect([...other].join()).not.to.include(endpoint);
+    const holder = fleet.router(Number(router));
+    holder.started(attemptId('t'), poison, endpointId(endpoint!), first);
+    expect(holder.decide(poison, [e2, e3], start).kind).to.equal('hold');
   });
 
   it('condemns at the second crash and clears what ran to its end', () => {
@@ -121,8 +132,12 @@
     const apart = fleet.registries.find(
       router => router.decide(poison, [e2], start).kind === 'hold',
     )!;
-    expect(apart.decide(poison, [e2], instant(19_999)).kind).to.equal('hold');
-    expect(apart.decide(poison, [e2], instant(20_000)).kind).to.equal('refuse');
+    expect(apart.decide(poison, [e2], instant(longestHold - 1)).kind).to.equal(
+      'hold',
+    );
+    expect(apart.decide(poison, [e2], instant(longestHold)).kind).to.equal(
+      'refuse',
+    );
   });
 
   it('refuses malformed messages and is not steered by any value', () => {
