Condemn a suspect only for an endpoint it was sent to

Change: the keeper counts a trial as run once the router says that it was sent, which it does with its next tick; a test covers it.

--- a/packages/core/src/poison/suspect-registry.test.ts
+++ b/packages/core/src/poison/suspect-registry.test.ts
@@ -14,6 +14,7 @@
 import type { SuspectDecision } from './suspect-registry';
 import { SuspectTable, maxSuspects } from './suspect-table';
 import { SuspectTopic } from './suspect-topic';
+import { TrialKeeper } from './trial-keeper';
 import { longestHold } from './trial-seeker';
 
 const engines = ['e1', 'e2', 'e3', 'e4'].map(endpointId);
@@ -183,6 +184,17 @@
   });
 });
 
+describe('TrialKeeper', () => {
+  it('counts a trial as run on an endpoint only once it was sent there', () => {
+    const keeper = new TrialKeeper();
+    const router = routerId('r1');
+    expect(keeper.grant(innocent, router, [e1], start)).to.equal(e1);
+    expect(keeper.triedOn(e1)).to.deep.equal([]);
+    keeper.running(innocent, router, e1, start);
+    expect(keeper.triedOn(e1)).to.deep.equal([innocent]);
+  });
+});
+
 describe('SuspectTable', () => {
   it('reaches the same rows in whatever order changes arrive', () => {
     const ids = ['a', 'b', 'c', 'd'].map(crashId);
--- a/packages/core/src/poison/trial-keeper.ts
+++ b/packages/core/src/poison/trial-keeper.ts
@@ -15,6 +15,8 @@
   readonly router: RouterId;
   readonly endpoint: EndpointId;
   readonly until: Instant;
+  /** True once the router said that it sent the suspect there. */
+  readonly running: boolean;
 }
 
 export class TrialKeeper {
@@ -43,7 +45,8 @@
     if (endpoint === undefined || this.#trials.size >= maxTrials) {
       return undefined;
     }
-    this.running(suspect, router, endpoint, now);
+    const until = addTime(now, trialLength);
+    this.#trials.set(suspect, { router, endpoint, until, running: false });
     return endpoint;
   }
 
@@ -58,15 +61,15 @@
     const known = current ?? this.#trials.size < maxTrials;
     if (known && (!current || current.router === router)) {
       const until = addTime(now, trialLength);
-      this.#trials.set(suspect, { router, endpoint, until });
+      this.#trials.set(suspect, { router, endpoint, until, running: true });
     }
   }
 
-  /** The suspects on trial on an endpoint. */
+  /** The suspects that run on trial on an endpoint; a grant alone is no run. */
   triedOn(endpoint: EndpointId): Fingerprint[] {
     const suspects: Fingerprint[] = [];
     for (const [suspect, trial] of this.#trials) {
-      if (trial.endpoint === endpoint) {
+      if (trial.running && trial.endpoint === endpoint) {
         suspects.push(suspect);
       }
     }
--- a/packages/core/src/poison/trial-seeker.ts
+++ b/packages/core/src/poison/trial-seeker.ts
@@ -1,6 +1,12 @@
 /** One router's side of trials: what it asked for, was granted and runs. */
 import type { EndpointId, Fingerprint } from '../types/ids';
-import { addTime, elapsed, milliseconds, seconds } from '../types/units';
+import {
+  addTime,
+  elapsed,
+  instant,
+  milliseconds,
+  seconds,
+} from '../types/units';
 import type { Instant, Milliseconds } from '../types/units';
 
 /** An unanswered request for a trial is sent again after this. */
@@ -118,6 +124,8 @@
     const trial = this.#trials.get(id);
     if (trial) {
       trial.begun = true;
+      // Makes the next tick tell the keeper.
+      trial.renewedAt = instant(trial.since - renewalPeriod);
     }
   }
 
