Tell the end of every attempt, also when its endpoint is unknown

Change: the attempt is open before anything can fail. Conclusion: such a caller is told stream-gone.

--- a/packages/router/src/callers/caller-server.test.ts
+++ b/packages/router/src/callers/caller-server.test.ts
@@ -2,8 +2,16 @@
 
 import { expect } from 'chai';
 
+import { eventIdPrefix } from '@sesamegrade/core/streams/event-id';
+import { attemptId, endpointId, teamId } from '@sesamegrade/core/types/ids';
 import { expectedTokens } from '@sesamegrade/stand-ins/engine/expected-answer';
-import { TEST_KEY, TEST_MODEL, TestFleet } from '../testing/test-fleet';
+import { StreamTags } from '../endpoints/stream-tags';
+import {
+  TEST_KEY,
+  TEST_MODEL,
+  TEST_PEER_SECRET,
+  TestFleet,
+} from '../testing/test-fleet';
 
 interface Problem {
   readonly type: string;
@@ -99,6 +107,20 @@
     expect(problem.outcome).to.equal('unknown');
   });
 
+  it('says at once that a stream at an endpoint unknown here is gone', async () => {
+    const endpoint = endpointId('engine-9');
+    const attempt = attemptId('router-1.1.1');
+    const tags = new StreamTags({ secret: TEST_PEER_SECRET });
+    const tag = tags.tagOf(teamId('acme'), endpoint, attempt);
+    const answer = await fleet.chat(
+      0,
+      { ...BODY, stream: true },
+      { 'last-event-id': `${eventIdPrefix(endpoint, attempt, tag)}1` },
+    );
+    const problem = (await answer.json()) as Problem;
+    expect(problem.type).to.match(/:stream-gone$/u);
+  });
+
   it('answers a repeated order from its record and runs it once', async () => {
     const order = { product: 'sealant', batch: 7 };
     const headers = { 'idempotency-key': '"order-1"' };
--- a/packages/router/src/endpoints/attempt-runner.ts
+++ b/packages/router/src/endpoints/attempt-runner.ts
@@ -101,13 +101,14 @@
   }
 
   async #request(task: AttemptTask, call: OutgoingCall) {
+    // An attempt is open before anything can fail, or its end would go untold.
+    const controller = new AbortController();
+    this.#open.set(task.attempt, controller);
     const address = this.#options.directory.addressOf(task.endpoint);
     if (address === undefined) {
       const failure: SendFailure = { kind: 'not-sent' };
       return { kind: 'failed', failure } as const;
     }
-    const controller = new AbortController();
-    this.#open.set(task.attempt, controller);
     return this.#options.client.send(address, call, controller.signal);
   }
 
--- a/packages/router/src/platform/http-platform.ts
+++ b/packages/router/src/platform/http-platform.ts
@@ -119,8 +119,10 @@
   }
 
   async vms(): Promise<VmListAnswer> {
-    const known =
-      this.#listTag === '' ? {} : { 'if-none-match': this.#listTag };
+    const known: Record<string, string> = {};
+    if (this.#listTag !== '') {
+      known['if-none-match'] = this.#listTag;
+    }
     const answer = await this.#get('/vms', known);
     if (answer.kind !== 'answered') {
       return readFailure(answer);
--- a/packages/router/src/testing/test-fleet.ts
+++ b/packages/router/src/testing/test-fleet.ts
@@ -11,6 +11,7 @@
 import { RouterProcess } from '../process/router-process';
 
 export const TEST_KEY = 'test-key';
+export const TEST_PEER_SECRET = 'peer';
 export const TEST_MODEL = 'drafting';
 export const TEST_SERVICE = 'registry';
 
@@ -126,7 +127,7 @@
       },
       ...settings,
     });
-    const secrets = { peerSecret: 'peer', operatorToken: 'operator' };
+    const secrets = { peerSecret: TEST_PEER_SECRET, operatorToken: 'operator' };
     const identity = { incarnation: index, seed: index, program: 'test' };
     const router = new RouterProcess(composeRouter(checked, secrets, identity));
     const { callers, peers, operators } = await router.start();
