Test that reports which are not counts are refused by name

Loosening the check of counts by hand left every test green. Adds a test of the verdicts for negative, fractional, NaN and huge loads. With the check loosened it fails, with the check in place it passes; loosened sequence numbers, bounds and small loads were each caught by a test before. No change of behaviour.

--- a/packages/core/src/loads/load-view.test.ts
+++ b/packages/core/src/loads/load-view.test.ts
@@ -86,6 +86,17 @@
     );
   });
 
+  it('refuses reports that are not counts or above what an engine can hold', () => {
+    const view = trackedView();
+    const now = instant(100);
+    const kinds = [-1, 0.5, Number.NaN, 1e308, 41].map(
+      running =>
+        view.report(engine, { running, waiting: 0, observedAt: now }, now).kind,
+    );
+    const refused = ['not-a-count', 'not-a-count', 'not-a-count'];
+    expect(kinds).to.eql([...refused, 'not-a-count', 'above-capacity']);
+  });
+
   it('refuses reports from the future and peers that claim too much', () => {
     const view = trackedView();
     const future = { running: 9, waiting: 0, observedAt: instant(101) };
