Show the health watch signs of life of long answers

Cause: only the first part of an answer was told, so a stream of more than 5 s counted as silence once others answered, and a healthy engine could be ejected for long answers. Change: a stream that goes on is told every second; answers in one piece are not watched for silence. Conclusion: silence is judged only where life would show.

--- a/packages/core/src/policies/health-watch.ts
+++ b/packages/core/src/policies/health-watch.ts
@@ -7,7 +7,7 @@
 import { AttemptObserver } from '../requests/steps';
 import type { AttemptEnding, AttemptFacts } from '../requests/steps';
 import type { EventRecorder } from '../timeline/event';
-import type { AttemptId } from '../types/ids';
+import type { AttemptId, EndpointId } from '../types/ids';
 import { elapsed, milliseconds } from '../types/units';
 import type { Instant } from '../types/units';
 
@@ -17,6 +17,9 @@
 }
 
 interface Progress {
+  readonly endpoint: EndpointId;
+  /** Whether the answer shows signs of life before its end. */
+  readonly streamed: boolean;
   readonly startedAt: Instant;
   readonly firstAt: Instant | undefined;
 }
@@ -32,15 +35,22 @@
     this.#recorder = options.recorder;
   }
 
-  override started({ attempt, endpoint }: AttemptFacts, now: Instant): void {
-    this.#attempts.set(attempt, { startedAt: now, firstAt: undefined });
+  override started(facts: AttemptFacts, now: Instant): void {
+    const { attempt, endpoint, request } = facts;
+    this.#attempts.set(attempt, {
+      endpoint,
+      streamed: request.streamed,
+      startedAt: now,
+      firstAt: undefined,
+    });
     this.#detector.started(endpoint, attempt, now);
   }
 
   override progressed({ attempt, endpoint }: AttemptFacts, now: Instant): void {
     const progress = this.#attempts.get(attempt);
     if (progress) {
-      this.#attempts.set(attempt, { ...progress, firstAt: now });
+      const firstAt = progress.firstAt ?? now;
+      this.#attempts.set(attempt, { ...progress, firstAt });
     }
     this.#detector.progressed(endpoint, attempt, now);
   }
@@ -61,6 +71,12 @@
 
   /** Ends ejections and counts attempts that are overdue. */
   tick(now: Instant): void {
+    for (const [attempt, { endpoint, streamed }] of this.#attempts) {
+      if (!streamed) {
+        // An answer in one piece may take long; its silence says nothing.
+        this.#detector.progressed(endpoint, attempt, now);
+      }
+    }
     this.#tell(this.#detector.tick(now));
   }
 
--- a/packages/core/src/requests/request-flow.test.ts
+++ b/packages/core/src/requests/request-flow.test.ts
@@ -204,6 +204,7 @@
       fingerprint: fingerprint(id),
       priority: 0,
       lastPlace: undefined,
+      streamed: true,
       arrived: this.#now,
       deadline: instant(this.#now + this.#random.integer(20, 400)),
     };
@@ -377,6 +378,7 @@
       fingerprint: fingerprint('f'),
       priority: 0,
       lastPlace: undefined,
+      streamed: true,
       arrived: instant(0),
       deadline: instant(100),
     });
--- a/packages/core/src/requests/types.ts
+++ b/packages/core/src/requests/types.ts
@@ -31,6 +31,8 @@
   readonly team: TeamId;
   readonly target: Target;
   readonly fingerprint: Fingerprint;
+  /** Whether the answer comes event by event. */
+  readonly streamed: boolean;
   /** Lower runs first. */
   readonly priority: number;
   /** Place that the caller says it was served from last; a preference only. */
@@ -120,7 +122,7 @@
       readonly request: RequestId;
       readonly attempt: AttemptId;
     }
-  /** The first part of the answer went to the caller. */
+  /** A part of the answer went to the caller; told at the first and now and then. */
   | {
       readonly kind: 'delivered';
       readonly request: RequestId;
--- a/packages/faults/src/chats/chat-world.ts
+++ b/packages/faults/src/chats/chat-world.ts
@@ -176,6 +176,7 @@
       fingerprint: fingerprint(id),
       priority: 0,
       lastPlace: undefined,
+      streamed: true,
       arrived: now,
       deadline: addTime(now, PATIENCE),
     };
--- a/packages/router/src/callers/intake.ts
+++ b/packages/router/src/callers/intake.ts
@@ -99,14 +99,15 @@
       model: modelId(chat.model),
       chat: chatOf(team, named, chat),
     };
+    const streamed = chat.stream === true;
     const request = this.#request(received, target, {
+      streamed,
       priority: chat.priority ?? DEFAULT_PRIORITY,
       fingerprint: fingerprintOf(team, chat.model, chat),
     });
-    const shape: AnswerShape =
-      chat.stream === true
-        ? { kind: 'stream', order: new StreamOrder(position.value?.event ?? 0) }
-        : { kind: 'whole' };
+    const shape: AnswerShape = streamed
+      ? { kind: 'stream', order: new StreamOrder(position.value?.event ?? 0) }
+      : { kind: 'whole' };
     const call = {
       method: 'POST',
       path: '/v1/chat/completions',
@@ -145,6 +146,7 @@
     const method = message.method ?? 'GET';
     const content = [method, path, body.toString('base64')];
     const request = this.#request(received, target, {
+      streamed: false,
       priority: DEFAULT_PRIORITY,
       fingerprint: fingerprintOf(team, name, content),
     });
@@ -165,7 +167,7 @@
   #request(
     received: Received,
     target: Target,
-    fields: Pick<Request, 'priority' | 'fingerprint'>,
+    fields: Pick<Request, 'streamed' | 'priority' | 'fingerprint'>,
   ): Request {
     const arrived = this.#timers.now();
     const place = headerOf(received.message, 'x-chat-place');
--- a/packages/router/src/endpoints/attempt-runner.ts
+++ b/packages/router/src/endpoints/attempt-runner.ts
@@ -3,7 +3,8 @@
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
 import type { Address } from '@sesamegrade/core/types/endpoint';
 import type { AttemptId, EndpointId } from '@sesamegrade/core/types/ids';
-import type { Milliseconds } from '@sesamegrade/core/types/units';
+import { elapsed, milliseconds } from '@sesamegrade/core/types/units';
+import type { Instant, Milliseconds } from '@sesamegrade/core/types/units';
 import type { Exchange, OutgoingCall } from '../dispatch/exchange';
 import type {
   EndpointClient,
@@ -168,19 +169,31 @@
     response: EndpointResponse,
     relay: Relay,
   ): Promise<void> {
-    const { exchange, attempt } = task;
-    const request = exchange.request.id;
     const end = await relay.carry({
       ...task,
       response,
-      onDelivered: () => {
-        this.#options.post({ kind: 'delivered', request, attempt });
-      },
+      onDelivered: this.#progressTeller(task),
     });
     response.body.destroy();
     this.#relayEnded(task, end);
   }
 
+  /** Tells the flow of the first part at once, and of later ones now and then. */
+  #progressTeller({ exchange, attempt }: AttemptTask): () => void {
+    const { timers, post } = this.#options;
+    const request = exchange.request.id;
+    let toldAt: Instant | undefined;
+    return () => {
+      const now = timers.now();
+      const due =
+        toldAt === undefined || elapsed(toldAt, now) >= PROGRESS_PERIOD;
+      if (due) {
+        toldAt = now;
+        post({ kind: 'delivered', request, attempt });
+      }
+    };
+  }
+
   #relayEnded(task: AttemptTask, end: RelayEnd): void {
     const { exchange, attempt } = task;
     const request = exchange.request.id;
@@ -246,6 +259,7 @@
 }
 
 const CANCEL_TIMEOUT_MS = 5000;
+const PROGRESS_PERIOD = milliseconds(1000);
 
 function eventsOf({ shape }: Exchange): number {
   return shape.kind === 'stream' ? shape.order.last : 0;
--- a/packages/router/src/endpoints/relay.ts
+++ b/packages/router/src/endpoints/relay.ts
@@ -21,7 +21,7 @@
   readonly attempt: AttemptId;
   readonly endpoint: EndpointId;
   readonly response: EndpointResponse;
-  /** Called when the first part of the answer goes to the caller. */
+  /** Called when a part of the answer goes to the caller. */
   readonly onDelivered: () => void;
 }
 
--- a/packages/router/src/endpoints/stream-relay.ts
+++ b/packages/router/src/endpoints/stream-relay.ts
@@ -104,8 +104,8 @@
         ...STREAM_HEADERS,
         'x-chat-place': task.endpoint,
       });
-      task.onDelivered();
     }
+    task.onDelivered();
     return answer.offer(text);
   }
 
