--- a/packages/cli/src/launch/loopback-router-launcher.ts
+++ b/packages/cli/src/launch/loopback-router-launcher.ts
@@ -89,6 +89,7 @@
       operator_port: 0,
     },
     platform: { url: fleet.platform },
+    limits: { drain_notice_ms: 0 },
     log: { level: 'error' },
     service: { ...engines, ...services },
     team: teams,
--- a/packages/measure/src/slopes/time-slopes.ts
+++ b/packages/measure/src/slopes/time-slopes.ts
@@ -6,6 +6,7 @@
 import { GossipedShares } from '@sesamegrade/core/limits/gossiped-shares';
 import { poolId } from '@sesamegrade/core/limits/pool';
 import { FixedTeamPolicy } from '@sesamegrade/core/limits/team-policy';
+import { AveragedHealthDetector } from '@sesamegrade/core/outliers/averaged-health-detector';
 import { ReturningPlacement } from '@sesamegrade/core/placement/returning-placement';
 import { EndpointPools } from '@sesamegrade/core/policies/endpoint-pools';
 import {
@@ -84,6 +85,30 @@
   }
 }
 
+class UpkeepTime extends TimeSlope {
+  override readonly name = 'upkeep of members, loads and health, per endpoint';
+  override readonly role = 'entry';
+  override readonly sizes = [60, 290, 1000, 3500];
+  override readonly target = 4380;
+  protected override readonly rounds = 20;
+
+  protected override prepare(size: number): () => void {
+    const table = endpointTable(size);
+    const loads = loadView(table);
+    const detector = new AveragedHealthDetector();
+    return () => {
+      table.tick(NOW);
+      for (const { id, capacity } of table.rows()) {
+        loads.track(id, capacity);
+      }
+      const works = [...table.endpoints()].map(row => row.id);
+      detector.endpointsChanged(works, NOW);
+      detector.tick(NOW);
+      loads.expire(NOW);
+    };
+  }
+}
+
 class DutyTime extends TimeSlope {
   override readonly name = 'looking up the owner of 3,500 duties, per router';
   override readonly role = 'engine watcher';
@@ -163,6 +188,7 @@
   return [
     new PlacementTime(),
     new ListTime(),
+    new UpkeepTime(),
     new DutyTime(),
     new ShareTime(),
     new ConfigurationTime(),
--- a/packages/router/src/fleet/vm-list-feed.ts
+++ b/packages/router/src/fleet/vm-list-feed.ts
@@ -25,7 +25,10 @@
   readonly registry: SuspectRegistry;
 }
 
-const TICK_PERIOD = milliseconds(100);
+/** Judges attempts and suspects; costs what is under way. */
+const JUDGE_PERIOD = milliseconds(100);
+/** Goes through every member of the fleet. */
+const UPKEEP_PERIOD = milliseconds(1000);
 
 export class VmListFeed {
   readonly #options: VmListFeedOptions;
@@ -53,8 +56,12 @@
       timers.every(poll, () => {
         void this.#read();
       }),
-      timers.every(TICK_PERIOD, now => {
-        this.#tick(now);
+      timers.every(JUDGE_PERIOD, now => {
+        this.#options.healthWatch.tick(now);
+        this.#options.registry.tick(now);
+      }),
+      timers.every(UPKEEP_PERIOD, now => {
+        this.#keepUp(now);
       }),
     ];
     void this.#read();
@@ -79,12 +86,11 @@
     this.#options.routers.listArrived(answer.vms, now);
     this.#options.endpoints.listArrived(answer.vms, now);
     this.#received = true;
-    this.#tick(now);
+    this.#keepUp(now);
   }
 
-  #tick(now: Instant): void {
-    const { endpoints, routers, loads, detector, healthWatch, registry } =
-      this.#options;
+  #keepUp(now: Instant): void {
+    const { endpoints, routers, loads, detector, registry } = this.#options;
     routers.tick(now);
     endpoints.tick(now);
     for (const row of endpoints.rows()) {
@@ -96,9 +102,7 @@
     }
     const works = [...endpoints.endpoints()].map(row => row.id);
     detector.endpointsChanged(works, now);
-    healthWatch.tick(now);
     registry.routersChanged(routers.live(now), now);
-    registry.tick(now);
     loads.expire(now);
   }
 }
--- a/packages/router/src/process/router-process.ts
+++ b/packages/router/src/process/router-process.ts
@@ -60,8 +60,9 @@
     peers.flush();
     events.record('process-stopping', { router: settings.router.id });
     logger.info('router stopping', { inFlight: dispatcher.inFlight });
-    callerServer.stopAccepting();
     this.#cradle.engineOrderDesk.releaseAll();
+    await this.#pause(milliseconds(settings.limits.drain_notice_ms));
+    callerServer.stopAccepting();
     await this.#drained(policy.stopWait);
     const left = dispatcher.inFlight;
     await this.#storeSettled();
@@ -74,16 +75,19 @@
   }
 
   #drained(limit: Milliseconds): Promise<void> {
-    const { dispatcher, timers } = this.#cradle;
+    const { dispatcher } = this.#cradle;
     if (limit === 0) {
       return dispatcher.idle();
     }
-    const timeout = new Promise<void>(resolve => {
-      timers.after(limit, () => {
+    return Promise.race([dispatcher.idle(), this.#pause(limit)]);
+  }
+
+  #pause(length: Milliseconds): Promise<void> {
+    return new Promise(resolve => {
+      this.#cradle.timers.after(length, () => {
         resolve();
       });
     });
-    return Promise.race([dispatcher.idle(), timeout]);
   }
 
   /** Waits until the store has the last state of orders and leases, for a while at most. */
@@ -92,11 +96,7 @@
     const open = () => orderDesk.open + engineOrderDesk.open;
     const giveUpAt = timers.now() + STORE_WAIT;
     while (open() > 0 && timers.now() < giveUpAt) {
-      await new Promise<void>(resolve => {
-        timers.after(STORE_POLL, () => {
-          resolve();
-        });
-      });
+      await this.#pause(STORE_POLL);
     }
   }
 
--- a/packages/router/src/testing/test-fleet.ts
+++ b/packages/router/src/testing/test-fleet.ts
@@ -126,6 +126,7 @@
         },
       },
       ...settings,
+      limits: { drain_notice_ms: '0', ...settings.limits },
     });
     const secrets = { peerSecret: TEST_PEER_SECRET, operatorToken: 'operator' };
     const identity = { incarnation: index, seed: index, program: 'test' };
--- a/packages/settings/src/schema.ts
+++ b/packages/settings/src/schema.ts
@@ -105,6 +105,15 @@
     .max(MAX_TIME_MS)
     .default(2000)
     .describe('time a stream outlives its caller, so that it can be resumed'),
+  drain_notice_ms: z.coerce
+    .number()
+    .int()
+    .min(0)
+    .max(MAX_TIME_MS)
+    .default(3000)
+    .describe(
+      'time at a planned stop in which the router still takes connections while the balancer learns that it is not ready',
+    ),
   stop_wait_ms: z.coerce
     .number()
     .int()
@@ -178,13 +187,17 @@
     .describe('models served, comma-separated; engines only'),
   repeatable: flag
     .default(true)
-    .describe('whether a call may be sent twice; plain services only'),
+    .describe(
+      'whether a call may be sent twice, true unless set; plain services only',
+    ),
   not_run_statuses: statusList
     .default([])
     .describe('statuses by which an endpoint says that it ran nothing'),
   checks_fences: flag
     .default(true)
-    .describe('whether engines refuse orders with an old fencing number'),
+    .describe(
+      'whether engines refuse orders with an old fencing number, true unless set',
+    ),
   engines_wanted: z.coerce
     .number()
     .int()
--- /dev/null
+++ b/scripts/write-settings-page.mjs
@@ -0,0 +1,6 @@
+// Writes docs/SETTINGS.md from the schema of the settings.
+import { writeFileSync } from 'node:fs';
+
+import { settingsPage } from '../packages/settings/src/reference-page.ts';
+
+writeFileSync(new URL('../docs/SETTINGS.md', import.meta.url), settingsPage());
