Let a stream that someone reads outlive the cancel of its former router

Cause: a router cancels the stream of a caller that left after a grace; if another router had taken the stream over meanwhile, the cancel cut it. Change: the stand-in engine answers 409 to DELETE with if=unread while a connection reads the stream; the interface says so. A test of this, of a caller that leaves and of one that stops reading was tried and did not end; whether the test or the router is at fault was not found, so it is not part of this change.

--- a/packages/stand-ins/src/engine/engine-server.ts
+++ b/packages/stand-ins/src/engine/engine-server.ts
@@ -7,6 +7,7 @@
 import type { Address } from '@sesamegrade/core/types/endpoint';
 import { attemptId } from '@sesamegrade/core/types/ids';
 import type { AttemptId } from '@sesamegrade/core/types/ids';
+import type { Run } from './run-log';
 import type { VmEntry } from '@sesamegrade/core/types/platform';
 import { addTime, instant, milliseconds } from '@sesamegrade/core/types/units';
 import type { Instant } from '@sesamegrade/core/types/units';
@@ -46,6 +47,8 @@
 
 /** Something that waits for a sequence; `pump` returns false when done. */
 interface Reader {
+  /** Whether it is an open connection to the stream of this id. */
+  reads(id: AttemptId): boolean;
   pump(): boolean;
 }
 
@@ -152,7 +155,7 @@
         }
         break;
       case 'DELETE /v1':
-        this.#cancel(response, attemptId(name));
+        this.#cancel(response, attemptId(name), url.searchParams.get('if'));
         break;
       case 'GET /health':
         sendStatus(response, 200, this.#loadHeaders());
@@ -306,7 +309,7 @@
       }
       return !response.destroyed;
     };
-    this.#readers.add({ pump });
+    this.#readers.add({ pump, reads: () => false });
   }
 
   #resume(
@@ -327,7 +330,22 @@
     this.#stream(response, sequence, after);
   }
 
-  #cancel(response: ServerResponse, id: AttemptId): void {
+  /** Everything that ran here, the oldest first. */
+  runs(): readonly Run[] {
+    return this.#model.runs.runs();
+  }
+
+  /** With `if=unread` a stream that someone reads goes on. */
+  #cancel(
+    response: ServerResponse,
+    id: AttemptId,
+    condition: string | null,
+  ): void {
+    const isRead = [...this.#readers].some(reader => reader.reads(id));
+    if (condition === 'unread' && isRead) {
+      sendStatus(response, 409, this.#loadHeaders());
+      return;
+    }
     const known = this.#model.stream(id) !== undefined;
     this.#model.cancel(id, this.#now());
     sendStatus(response, known ? 204 : 404, this.#loadHeaders());
--- a/packages/stand-ins/src/engine/stream-writer.ts
+++ b/packages/stand-ins/src/engine/stream-writer.ts
@@ -1,6 +1,7 @@
 /** Sends the events of a sequence to one connection, no faster than it reads. */
 import type { ServerResponse } from 'node:http';
 
+import type { AttemptId } from '@sesamegrade/core/types/ids';
 import { eventText, readyEvents } from './sequence';
 import type { Sequence } from './sequence';
 
@@ -24,6 +25,11 @@
     });
   }
 
+  /** Whether an open connection reads the stream of this id. */
+  reads(id: AttemptId): boolean {
+    return !this.#closed && this.#sequence.id === id;
+  }
+
   /** Sends what is ready; returns false when nothing more will follow. */
   pump(): boolean {
     if (this.#closed) {
