Test that a caller's leaving ends its stream at the engine

Cause: cancelling on a caller's disconnect was built and not shown. Change: a test with a stream that is left after its first events, which looks at the engine's own record for a bounded time. Conclusion: the engine stops working for callers that are gone.

--- a/packages/router/src/callers/caller-server.test.ts
+++ b/packages/router/src/callers/caller-server.test.ts
@@ -136,6 +136,15 @@
     expect(problem.outcome).to.equal('not_run');
   });
 
+  it('ends the stream of a caller that left, after the grace', async () => {
+    const controller = new AbortController();
+    const body = { ...BODY, max_tokens: 1000, stream: true };
+    const answer = await fleet.chat(0, body, {}, controller.signal);
+    await answer.body?.getReader().read();
+    controller.abort();
+    expect(await cancelledSoon(fleet)).to.equal(true);
+  });
+
   const bad: readonly [string, number, string, RequestInit][] = [
     ['malformed JSON', 400, 'malformed-request', { body: '{"model":' }],
     ['wrong types', 400, 'malformed-request', { body: '{"model":7}' }],
@@ -204,6 +213,18 @@
   });
 });
 
+/** Resolves to whether an engine records a cancelled run within some looks. */
+async function cancelledSoon(fleet: TestFleet): Promise<boolean> {
+  for (let look = 0; look < 100; look += 1) {
+    const runs = fleet.engines.flatMap(engine => engine.runs());
+    if (runs.some(run => run.end === 'cancelled')) {
+      return true;
+    }
+    await new Promise(resolve => setTimeout(resolve, 20));
+  }
+  return false;
+}
+
 /** Sends bytes, ends the connection and returns what came back. */
 function sendRaw(port: number, text: string): Promise<string> {
   return new Promise(resolve => {
