Let one piece of code serve twin loops of topics and commands

Cause: the configuration and membership topics checked entries in the same loop, and defaults show and exceptions list printed answers in the same way. Change: receiveEntries in core/gossip and reportAnswer beside the operators' options; behaviour is unchanged. Conclusion: the worlds of the fault checks and two measurement files still repeat setup.

--- a/packages/cli/src/commands/defaults.ts
+++ b/packages/cli/src/commands/defaults.ts
@@ -11,8 +11,8 @@
   checkOptions,
   clientFor,
   complain,
-  print,
   reportChange,
+  reportAnswer,
   reportFailure,
   withChangeOptions,
 } from './operator-options';
@@ -55,15 +55,8 @@
   client: OperatorClient,
   options: ChangeOptions,
 ): Promise<ExitStatus> {
-  const defaults = await client.defaults();
-  if (!defaults.ok) {
-    return reportFailure(defaults.failure);
-  }
-  const lines = options.json
-    ? [JSON.stringify(defaults.value)]
-    : describeDefaults(defaults.value);
-  lines.forEach(print);
-  return ExitCode.success;
+  const answer = await client.defaults();
+  return reportAnswer(answer, options.json, describeDefaults);
 }
 
 async function set(
--- a/packages/cli/src/commands/exceptions.ts
+++ b/packages/cli/src/commands/exceptions.ts
@@ -13,8 +13,8 @@
   checkOptions,
   clientFor,
   complain,
-  print,
   reportChange,
+  reportAnswer,
   reportFailure,
   withChangeOptions,
 } from './operator-options';
@@ -48,15 +48,8 @@
   client: OperatorClient,
   options: ExceptionsOptions,
 ): Promise<ExitStatus> {
-  const exceptions = await client.exceptions();
-  if (!exceptions.ok) {
-    return reportFailure(exceptions.failure);
-  }
-  const lines = options.json
-    ? [JSON.stringify(exceptions.value)]
-    : describeExceptions(exceptions.value);
-  lines.forEach(print);
-  return ExitCode.success;
+  const answer = await client.exceptions();
+  return reportAnswer(answer, options.json, describeExceptions);
 }
 
 async function add(
--- a/packages/cli/src/commands/operator-options.ts
+++ b/packages/cli/src/commands/operator-options.ts
@@ -2,6 +2,7 @@
 import type { Command as CacCommand } from 'cac';
 import { z } from 'zod';
 
+import type { Result } from '@sesamegrade/core/types/result';
 import type { ChangeAnswer } from '@sesamegrade/router/operators/operator-answers';
 import { OperatorClient } from '@sesamegrade/router/operators/operator-client';
 import type {
@@ -100,6 +101,21 @@
 }
 
 /** Says why a call failed and returns the exit status for it. */
+/** Prints what a router answered, as JSON or as lines, or why it did not. */
+export function reportAnswer<Answer>(
+  answer: Result<Answer, OperatorFailure>,
+  json: boolean,
+  describe: (answer: Answer) => readonly string[],
+): ExitStatus {
+  if (!answer.ok) {
+    return reportFailure(answer.failure);
+  }
+  const { value } = answer;
+  const lines = json ? [JSON.stringify(value)] : describe(value);
+  lines.forEach(print);
+  return ExitCode.success;
+}
+
 export function reportFailure(failure: OperatorFailure): ExitStatus {
   switch (failure.kind) {
     case 'unreachable':
--- a/packages/core/src/membership/membership-topic.ts
+++ b/packages/core/src/membership/membership-topic.ts
@@ -4,6 +4,7 @@
  */
 import { z } from 'zod';
 
+import { receiveEntries } from '../gossip/receive-entries';
 import { GossipTopic } from '../gossip/gossip-topic';
 import { jsonSize } from '../gossip/json-size';
 import { RumorBoard } from '../gossip/rumor-board';
@@ -120,16 +121,9 @@
     entries: readonly unknown[],
     now: Instant,
   ): number {
-    let refused = 0;
-    for (const entry of entries) {
-      const parsed = entrySchema.safeParse(entry);
-      if (!parsed.success) {
-        refused += 1;
-        continue;
-      }
-      this.#receive(peer, parsed.data, now);
-    }
-    return refused;
+    return receiveEntries(entries, entrySchema, entry => {
+      this.#receive(peer, entry, now);
+    });
   }
 
   override forget(peer: RouterId): void {
