Serve the deployments' platform with a new path from callers to endpoints

Cause: nothing in the repository spoke the platform's protocol. Added: core decisions without network (routes, keys, endpoint directory, engine placement, next step after an attempt, event splitting), the gateway package as their shell, the platform folder as the adapter, a settings template, a bundle under target/. Ruled out: extending the chat interface's dispatcher, whose request row assumes our own bodies and store records.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -4,7 +4,7 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  { ignores: ['dist/', 'node_modules/'] },
+  { ignores: ['dist/', 'target/', 'node_modules/'] },
   eslint.configs.recommended,
   {
     files: ['**/*.ts'],
--- /dev/null
+++ b/packages/core/src/endpoints/endpoint-directory.ts
@@ -0,0 +1,146 @@
+/**
+ * The endpoints that may be used. An endpoint that is leaving stays so until it
+ * starts anew. Entries that vanish while the store was away may only have
+ * lapsed, so they stay in use for a short time after its return.
+ */
+import type { EndpointId, ServiceId } from '../types/ids';
+import { addTime, elapsed, milliseconds } from '../types/units';
+import type { Instant, Milliseconds } from '../types/units';
+import type { EndpointChange, EndpointEntry } from './serving-endpoint';
+
+/** Time after the store's return within which a live endpoint's entry is back. */
+const LAPSE_TIME: Milliseconds = milliseconds(1800);
+/** Time after an outage in which a vanished entry counts as lapsed. */
+const OUTAGE_MEMORY: Milliseconds = milliseconds(2500);
+
+interface Row {
+  readonly entry: EndpointEntry;
+  readonly leaving: boolean;
+  /** When the endpoint goes unless its entry comes back. */
+  readonly lapsesAt: Instant | undefined;
+}
+
+export type DirectoryEvent =
+  | { readonly kind: 'joined'; readonly entry: EndpointEntry }
+  | { readonly kind: 'restarted'; readonly entry: EndpointEntry }
+  | { readonly kind: 'leaving'; readonly id: EndpointId }
+  | { readonly kind: 'lapsed'; readonly id: EndpointId }
+  | { readonly kind: 'gone'; readonly id: EndpointId };
+
+export class EndpointDirectory {
+  readonly #rows = new Map<EndpointId, Row>();
+  #outageUntil: Instant | undefined;
+  #loaded = false;
+
+  /** Whether the whole list was read at least once. */
+  get loaded(): boolean {
+    return this.#loaded;
+  }
+
+  get size(): number {
+    return this.#rows.size;
+  }
+
+  get(id: EndpointId): EndpointEntry | undefined {
+    return this.#rows.get(id)?.entry;
+  }
+
+  /** Whether new requests may go to an endpoint. */
+  isUsable(id: EndpointId): boolean {
+    const row = this.#rows.get(id);
+    return row !== undefined && !row.leaving;
+  }
+
+  /** Endpoints of a service that take new requests. */
+  usable(service: ServiceId): EndpointEntry[] {
+    const found: EndpointEntry[] = [];
+    for (const { entry, leaving } of this.#rows.values()) {
+      if (entry.service === service && !leaving) {
+        found.push(entry);
+      }
+    }
+    return found;
+  }
+
+  all(): EndpointEntry[] {
+    return [...this.#rows.values()].map(row => row.entry);
+  }
+
+  /** Notes that the store answered again after it could not be reached. */
+  storeReturned(now: Instant): void {
+    this.#outageUntil = addTime(now, OUTAGE_MEMORY);
+    for (const [id, row] of this.#rows) {
+      if (row.lapsesAt !== undefined) {
+        this.#rows.set(id, { ...row, lapsesAt: addTime(now, LAPSE_TIME) });
+      }
+    }
+  }
+
+  /** Takes the whole list; what it does not name has vanished. */
+  replace(entries: readonly EndpointEntry[], now: Instant): DirectoryEvent[] {
+    this.#loaded = true;
+    const named = new Set(entries.map(entry => entry.id));
+    const events: DirectoryEvent[] = [];
+    for (const id of [...this.#rows.keys()]) {
+      if (!named.has(id)) {
+        events.push(...this.apply({ id, entry: undefined }, now));
+      }
+    }
+    for (const entry of entries) {
+      events.push(...this.apply({ id: entry.id, entry }, now));
+    }
+    return events;
+  }
+
+  /** Takes one change of the list. */
+  apply({ id, entry }: EndpointChange, now: Instant): DirectoryEvent[] {
+    const known = this.#rows.get(id);
+    if (!entry) {
+      return known ? this.#vanished(id, known, now) : [];
+    }
+    const restarted = known !== undefined && isNewStart(known.entry, entry);
+    const leaving = entry.leaving || (!restarted && (known?.leaving ?? false));
+    this.#rows.set(id, { entry, leaving, lapsesAt: undefined });
+    if (!known) {
+      return [{ kind: 'joined', entry }];
+    }
+    if (restarted) {
+      return [{ kind: 'restarted', entry }];
+    }
+    return leaving && !known.leaving ? [{ kind: 'leaving', id }] : [];
+  }
+
+  /** Drops endpoints whose lapsed entries did not come back in time. */
+  tick(now: Instant): DirectoryEvent[] {
+    const events: DirectoryEvent[] = [];
+    for (const [id, row] of this.#rows) {
+      if (row.lapsesAt !== undefined && elapsed(row.lapsesAt, now) >= 0) {
+        this.#rows.delete(id);
+        events.push({ kind: 'gone', id });
+      }
+    }
+    return events;
+  }
+
+  #vanished(id: EndpointId, row: Row, now: Instant): DirectoryEvent[] {
+    const inOutage =
+      this.#outageUntil !== undefined && elapsed(now, this.#outageUntil) > 0;
+    if (!inOutage || row.leaving) {
+      this.#rows.delete(id);
+      return [{ kind: 'gone', id }];
+    }
+    if (row.lapsesAt !== undefined) {
+      return [];
+    }
+    this.#rows.set(id, { ...row, lapsesAt: addTime(now, LAPSE_TIME) });
+    return [{ kind: 'lapsed', id }];
+  }
+}
+
+function isNewStart(known: EndpointEntry, entry: EndpointEntry): boolean {
+  return (
+    known.startedAt !== undefined &&
+    entry.startedAt !== undefined &&
+    entry.startedAt > known.startedAt
+  );
+}
--- /dev/null
+++ b/packages/core/src/forwarding/endpoint-choice.ts
@@ -0,0 +1,149 @@
+/** Chooses the endpoint of a request from what a router knows of the fleet. */
+import type { EndpointDirectory } from '../endpoints/endpoint-directory';
+import type { EndpointEntry } from '../endpoints/serving-endpoint';
+import { chooseServiceEndpoint } from '../endpoints/service-placement';
+import { EnginePlacement } from '../engines/engine-placement';
+import type { EngineReason } from '../engines/engine-placement';
+import type { LoadEstimate } from '../engines/load-estimate';
+import type { PartLocations } from '../engines/part-locations';
+import type { AveragedHealthDetector } from '../outliers/averaged-health-detector';
+import type { Prompt } from '../prompts/prompt-chain';
+import type { Random } from '../random/random';
+import type { EndpointId, ServiceId, ZoneId } from '../types/ids';
+import type { Instant } from '../types/units';
+
+export interface ChoiceQuery {
+  readonly service: ServiceId;
+  readonly prompt: Prompt | undefined;
+  /** Endpoints that this request was at. */
+  readonly tried: ReadonlySet<EndpointId>;
+  readonly repeatable: boolean;
+}
+
+/** Why an endpoint was chosen. */
+export type ChoiceReason = EngineReason | 'least-loaded' | 'last-resort';
+
+export type EndpointChoice =
+  | {
+      readonly kind: 'endpoint';
+      readonly entry: EndpointEntry;
+      readonly reason: ChoiceReason;
+      /** Requests of the whole fleet at the endpoint, as thought. */
+      readonly load: number;
+      /** Prompt tokens that the engine has to read, as thought. */
+      readonly missing: number;
+    }
+  | { readonly kind: 'none'; readonly known: number };
+
+export interface EndpointChooserParts {
+  readonly directory: EndpointDirectory;
+  readonly loads: LoadEstimate;
+  readonly locations: PartLocations;
+  readonly health: AveragedHealthDetector;
+  readonly random: Random;
+  readonly zone: ZoneId;
+}
+
+/** Health below the best one's at which calls that may not be repeated go elsewhere. */
+const HEALTH_MARGIN = 0.25;
+/** Health that counts as half speed at a plain service. */
+const LEAST_SPEED = 0.1;
+
+export class EndpointChooser {
+  readonly #parts: EndpointChooserParts;
+  readonly #placement: EnginePlacement;
+
+  constructor(
+    parts: EndpointChooserParts,
+    placement: EnginePlacement = new EnginePlacement(),
+  ) {
+    this.#parts = parts;
+    this.#placement = placement;
+  }
+
+  choose(query: ChoiceQuery, now: Instant): EndpointChoice {
+    const known = this.#parts.directory.usable(query.service);
+    const untried = known.filter(({ id }) => !query.tried.has(id));
+    const healthy = untried.filter(({ id }) => this.#parts.health.accepts(id));
+    const isLastResort = healthy.length === 0;
+    const pool = isLastResort ? untried : healthy;
+    const first = pool[0];
+    if (!first) {
+      return { kind: 'none', known: known.length };
+    }
+    const safe = query.repeatable ? pool : this.#healthiest(pool);
+    const choice = query.prompt
+      ? this.#chooseEngine(query.prompt, safe, now)
+      : this.#chooseEndpoint(safe, now);
+    return isLastResort ? { ...choice, reason: 'last-resort' } : choice;
+  }
+
+  /** Endpoints of a service that a request has not been at. */
+  untried(service: ServiceId, tried: ReadonlySet<EndpointId>): number {
+    return this.#parts.directory
+      .usable(service)
+      .filter(({ id }) => !tried.has(id)).length;
+  }
+
+  #healthiest(pool: readonly EndpointEntry[]): readonly EndpointEntry[] {
+    const { health } = this.#parts;
+    const best = Math.max(...pool.map(({ id }) => health.health(id)));
+    return pool.filter(({ id }) => health.health(id) >= best - HEALTH_MARGIN);
+  }
+
+  #chooseEngine(
+    prompt: Prompt,
+    pool: readonly EndpointEntry[],
+    now: Instant,
+  ): Extract<EndpointChoice, { kind: 'endpoint' }> {
+    const { loads, locations } = this.#parts;
+    const candidates = pool.map(({ id, slots }) => ({
+      id,
+      slots,
+      load: loads.total(id, now),
+    }));
+    const choice = this.#placement.choose(prompt, candidates, (part, engine) =>
+      locations.holds(part, engine),
+    );
+    const entry = pool.find(({ id }) => id === choice?.id) ?? first(pool);
+    return {
+      kind: 'endpoint',
+      entry,
+      reason: choice?.reason ?? 'spilled',
+      load: choice?.load ?? 0,
+      missing: choice?.missing ?? 0,
+    };
+  }
+
+  #chooseEndpoint(
+    pool: readonly EndpointEntry[],
+    now: Instant,
+  ): Extract<EndpointChoice, { kind: 'endpoint' }> {
+    const { loads, health, random, zone } = this.#parts;
+    const candidates = pool.map(entry => ({
+      id: entry.id,
+      slots: entry.slots,
+      load: loads.total(entry.id, now),
+      near: entry.zone === zone,
+      speed: Math.max(LEAST_SPEED, health.health(entry.id)),
+    }));
+    const id = chooseServiceEndpoint(candidates, () => random.fraction());
+    const entry = pool.find(other => other.id === id) ?? first(pool);
+    return {
+      kind: 'endpoint',
+      entry,
+      reason: 'least-loaded',
+      load: loads.total(entry.id, now),
+      missing: 0,
+    };
+  }
+}
+
+/** Callers make sure that the list is not empty. */
+function first(pool: readonly EndpointEntry[]): EndpointEntry {
+  const [entry] = pool;
+  if (!entry) {
+    throw new RangeError('there is no endpoint to choose from');
+  }
+  return entry;
+}
--- /dev/null
+++ b/packages/core/src/forwarding/fleet-knowledge.ts
@@ -0,0 +1,173 @@
+/** What a router learns of endpoints from its own attempts, and what its peers are told of it. */
+import type { EndpointEntry } from '../endpoints/serving-endpoint';
+import type { LoadEstimate } from '../engines/load-estimate';
+import type { PartLocations } from '../engines/part-locations';
+import type { AveragedHealthDetector } from '../outliers/averaged-health-detector';
+import type { Evidence } from '../outliers/evidence';
+import type { StandingChange } from '../outliers/outlier-detector';
+import { sharedParts } from '../prompts/prompt-chain';
+import type { Prompt } from '../prompts/prompt-chain';
+import { RetryBudget } from '../retries/retry-budget';
+import type { RetryBudgetOptions } from '../retries/retry-budget';
+import { attemptId } from '../types/ids';
+import type {
+  AttemptId,
+  EndpointId,
+  PromptPartId,
+  ServiceId,
+} from '../types/ids';
+import type { Instant, Milliseconds } from '../types/units';
+import type { AttemptEnd } from './attempt-end';
+
+/** Requests at an endpoint, as it says itself. */
+export interface ReportedLoad {
+  readonly running: number;
+  readonly waiting: number;
+}
+
+/** Told of what is worth telling peers. */
+export abstract class KnowledgeListener {
+  abstract loadChanged(endpoint: EndpointId, own: number): void;
+  abstract partRead(part: PromptPartId, engine: EndpointId): void;
+  abstract standingChanged(change: StandingChange): void;
+}
+
+export interface FleetKnowledgeParts {
+  readonly loads: LoadEstimate;
+  readonly locations: PartLocations;
+  readonly health: AveragedHealthDetector;
+  /** Repeats that this router may send, out of the fleet's. */
+  readonly repeatBudget: RetryBudgetOptions;
+  readonly now: () => Instant;
+}
+
+const SERVER_FAILURE = 500;
+
+export class FleetKnowledge {
+  readonly #parts: FleetKnowledgeParts;
+  readonly #budgets = new Map<ServiceId, RetryBudget>();
+  readonly #signs = new Map<EndpointId, Instant>();
+  readonly #attempts = new Map<EndpointId, AttemptId[]>();
+  #listener: KnowledgeListener | undefined;
+  #nextAttempt = 0;
+
+  constructor(parts: FleetKnowledgeParts) {
+    this.#parts = parts;
+  }
+
+  listen(listener: KnowledgeListener): void {
+    this.#listener = listener;
+  }
+
+  requestStarted(service: ServiceId): void {
+    this.#budget(service).requestStarted(this.#parts.now());
+  }
+
+  /** Takes one repeat from the budget of a service; false when none is left. */
+  takeRepeat(service: ServiceId): boolean {
+    return this.#budget(service).take(this.#parts.now());
+  }
+
+  attemptStarted(endpoint: EndpointId, prompt: Prompt | undefined): void {
+    const { loads, locations, health, now } = this.#parts;
+    loads.started(endpoint);
+    this.#nextAttempt += 1;
+    const attempt = attemptId(String(this.#nextAttempt));
+    const open = this.#attempts.get(endpoint) ?? [];
+    open.push(attempt);
+    this.#attempts.set(endpoint, open);
+    health.started(endpoint, attempt, now());
+    this.#listener?.loadChanged(endpoint, loads.own(endpoint));
+    for (const { id } of prompt ? sharedParts(prompt) : []) {
+      if (locations.add(id, endpoint)) {
+        this.#listener?.partRead(id, endpoint);
+      }
+    }
+  }
+
+  attemptEnded(
+    endpoint: EndpointId,
+    end: AttemptEnd,
+    firstToken: Milliseconds,
+    reported: ReportedLoad | undefined,
+    now: Instant,
+  ): void {
+    const { loads, health } = this.#parts;
+    loads.ended(endpoint);
+    if (reported) {
+      loads.reported(endpoint, reported.running + reported.waiting, now);
+    }
+    this.#listener?.loadChanged(endpoint, loads.own(endpoint));
+    const attempt = this.#attempts.get(endpoint)?.shift();
+    if (!attempt) {
+      return;
+    }
+    const evidence = evidenceOf(end, firstToken);
+    for (const change of health.ended(endpoint, attempt, evidence, now)) {
+      this.#listener?.standingChanged(change);
+    }
+  }
+
+  /** Notes that an endpoint said anything at all. */
+  signOfLife(endpoint: EndpointId, now: Instant): void {
+    this.#signs.set(endpoint, now);
+  }
+
+  lastSign(endpoint: EndpointId): Instant | undefined {
+    return this.#signs.get(endpoint);
+  }
+
+  /** Takes the endpoints that the directory names. */
+  endpointsChanged(entries: readonly EndpointEntry[], now: Instant): void {
+    this.#parts.health.endpointsChanged(
+      entries.map(({ id }) => id),
+      now,
+    );
+  }
+
+  /** Forgets an endpoint that is gone or started anew. */
+  forget(endpoint: EndpointId): void {
+    this.#parts.loads.forget(endpoint);
+    this.#parts.locations.forgetEngine(endpoint);
+    this.#signs.delete(endpoint);
+  }
+
+  tick(now: Instant): void {
+    for (const change of this.#parts.health.tick(now)) {
+      this.#listener?.standingChanged(change);
+    }
+  }
+
+  #budget(service: ServiceId): RetryBudget {
+    let budget = this.#budgets.get(service);
+    if (!budget) {
+      budget = new RetryBudget(this.#parts.repeatBudget);
+      this.#budgets.set(service, budget);
+    }
+    return budget;
+  }
+}
+
+/** Returns what an attempt's end says of its endpoint; undefined when nothing. */
+function evidenceOf(
+  end: AttemptEnd,
+  firstToken: Milliseconds,
+): Evidence | undefined {
+  switch (end.kind) {
+    case 'answered':
+    case 'delivered':
+      return end.status >= SERVER_FAILURE
+        ? { kind: 'error' }
+        : { kind: 'answered', firstToken };
+    case 'not-connected':
+      return { kind: 'connection-refused' };
+    case 'broken':
+      return { kind: 'error' };
+    case 'silent':
+      return { kind: 'overdue' };
+    case 'declined':
+    case 'expired':
+    case 'caller-left':
+      return undefined;
+  }
+}
--- a/packages/core/src/types/ids.ts
+++ b/packages/core/src/types/ids.ts
@@ -29,6 +29,10 @@
 export type LeaseId = Branded<string, 'LeaseId'>;
 /** Monotonic number that orders the holders of one lease. */
 export type FencingNumber = Branded<number, 'FencingNumber'>;
+/** One route of the configuration. */
+export type RouteId = Branded<string, 'RouteId'>;
+/** One part of prompts that requests may share. */
+export type PromptPartId = Branded<string, 'PromptPartId'>;
 /** Version of the accepted configuration; only ever rises. */
 export type ConfigurationVersion = Branded<number, 'ConfigurationVersion'>;
 /** One proposed configuration change, the same over resends. */
@@ -50,6 +54,8 @@
 export const fingerprint = (value: string) => value as Fingerprint;
 export const leaseId = (value: string) => value as LeaseId;
 export const fencingNumber = (value: number) => value as FencingNumber;
+export const routeId = (value: string) => value as RouteId;
+export const promptPartId = (value: string) => value as PromptPartId;
 export const configurationVersion = (value: number) =>
   value as ConfigurationVersion;
 export const changeId = (value: string) => value as ChangeId;
--- /dev/null
+++ b/packages/gateway/src/callers/caller-server.ts
@@ -0,0 +1,126 @@
+/** Accepts callers. */
+import { createServer } from 'node:http';
+import type { Server } from 'node:http';
+import type { Socket } from 'node:net';
+
+import Koa from 'koa';
+
+import type { Address } from '@sesamegrade/core/types/endpoint';
+import type { CallerLimits } from '@sesamegrade/core/routes/fleet-configuration';
+import type { Forwarder } from '../forwarding/forwarder';
+import type { DecisionLog } from '../logs/decision-log';
+import { CallerExchange } from './caller-exchange';
+
+/** Room for a head above the deployments' limit of 16 KiB, so that the limit in force decides. */
+const MAX_HEAD_BYTES = 32_768;
+/** Margin over the callers' idle time, so that a caller gives a connection up before the router does. */
+const IDLE_MARGIN_MS = 2000;
+const DEFAULT_IDLE_MS = 30_000;
+/** Longest time in which a whole request may arrive. */
+const REQUEST_TIME_MS = 30_000;
+const BACKLOG = 1024;
+
+export interface CallerServerParts {
+  readonly forwarder: Forwarder;
+  readonly log: DecisionLog;
+}
+
+export class CallerServer {
+  readonly #parts: CallerServerParts;
+  readonly #server: Server;
+  readonly #sockets = new Set<Socket>();
+  #closing = false;
+  #accepted = 0;
+
+  constructor(parts: CallerServerParts) {
+    this.#parts = parts;
+    const app = new Koa();
+    app.use(async context => {
+      // The exchange answers by itself, byte for byte.
+      context.respond = false;
+      await this.#serve(context.req, context.res);
+    });
+    app.on('error', (error: unknown) => {
+      parts.log.write('request-error', { error: String(error) });
+    });
+    this.#server = createServer(
+      {
+        maxHeaderSize: MAX_HEAD_BYTES,
+        requestTimeout: REQUEST_TIME_MS,
+        keepAliveTimeout: DEFAULT_IDLE_MS,
+        noDelay: true,
+      },
+      app.callback(),
+    );
+    this.#server.on('connection', socket => {
+      this.#accepted += 1;
+      this.#sockets.add(socket);
+      socket.once('close', () => {
+        this.#sockets.delete(socket);
+      });
+    });
+  }
+
+  /** Connections of callers. */
+  get connections(): number {
+    return this.#sockets.size;
+  }
+
+  get accepted(): number {
+    return this.#accepted;
+  }
+
+  async listen({ host, port }: Address): Promise<Address> {
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once('error', reject);
+      this.#server.listen({ host, port, backlog: BACKLOG }, () => {
+        this.#server.off('error', reject);
+        resolve();
+      });
+    });
+    const bound = this.#server.address();
+    return {
+      host,
+      port: typeof bound === 'object' && bound ? bound.port : port,
+    };
+  }
+
+  /** Takes the configuration's bounds on callers' connections. */
+  applyLimits(limits: CallerLimits): void {
+    this.#server.keepAliveTimeout = limits.idleTime + IDLE_MARGIN_MS;
+    this.#server.headersTimeout = limits.headerTime;
+  }
+
+  /** Asks callers, with each answer from now on, to come back elsewhere. */
+  beginClosing(): void {
+    this.#closing = true;
+  }
+
+  /** Ends connections on which no request is under way. */
+  closeIdle(): void {
+    this.#server.closeIdleConnections();
+  }
+
+  close(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
+  async #serve(
+    request: ConstructorParameters<typeof CallerExchange>[0],
+    response: ConstructorParameters<typeof CallerExchange>[1],
+  ): Promise<void> {
+    const exchange = new CallerExchange(request, response, () => this.#closing);
+    try {
+      await this.#parts.forwarder.serve(exchange);
+    } catch (error) {
+      this.#parts.log.write('request-error', {
+        error:
+          error instanceof Error
+            ? (error.stack ?? error.message)
+            : String(error),
+      });
+      exchange.cut();
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/composition/gateway-container.ts
@@ -0,0 +1,175 @@
+/** Builds the parts of a router on the platform. */
+import {
+  asClass,
+  asFunction,
+  asValue,
+  createContainer,
+  InjectionMode,
+} from 'awilix';
+import type { AwilixContainer } from 'awilix';
+import winston from 'winston';
+
+import { EndpointDirectory } from '@sesamegrade/core/endpoints/endpoint-directory';
+import { LoadEstimate } from '@sesamegrade/core/engines/load-estimate';
+import { PartLocations } from '@sesamegrade/core/engines/part-locations';
+import { EndpointChooser } from '@sesamegrade/core/forwarding/endpoint-choice';
+import { FleetKnowledge } from '@sesamegrade/core/forwarding/fleet-knowledge';
+import { AveragedHealthDetector } from '@sesamegrade/core/outliers/averaged-health-detector';
+import { defaultEjection } from '@sesamegrade/core/outliers/outlier-detector';
+import { Random } from '@sesamegrade/core/random/random';
+import { RouteTable } from '@sesamegrade/core/routes/route-table';
+import type { TimerService } from '@sesamegrade/core/time/timer-service';
+import { zoneId } from '@sesamegrade/core/types/ids';
+import { seconds } from '@sesamegrade/core/types/units';
+import { SystemTimerService } from '@sesamegrade/router/process/system-timer-service';
+import type { GatewaySettings } from '@sesamegrade/settings/gateway-schema';
+import { CallerServer } from '../callers/caller-server';
+import type { CallerProtocol } from '../callers/caller-protocol';
+import { ChannelPool } from '../endpoints/channel-pool';
+import type { EndpointProtocol } from '../endpoints/endpoint-protocol';
+import { Forwarder } from '../forwarding/forwarder';
+import { DecisionLog } from '../logs/decision-log';
+import { GatewayMetrics } from '../metrics/gateway-metrics';
+import { GatewayProcess } from '../process/gateway-process';
+import type { DeploymentCodec } from '../store/deployment-codec';
+import type { FeedSource } from '../store/feed-source';
+import { FleetMirror } from '../store/fleet-mirror';
+import type { RowTable } from '../store/row-table';
+
+/** What the deployment's adapter provides. */
+export interface Deployment {
+  readonly callerProtocol: CallerProtocol;
+  readonly endpointProtocol: EndpointProtocol;
+  readonly codec: DeploymentCodec;
+  readonly configurationFeed: FeedSource;
+  readonly endpointFeed: FeedSource;
+  readonly routerRows: RowTable;
+}
+
+export interface GatewayCradle extends Deployment {
+  readonly settings: GatewaySettings;
+  readonly logger: winston.Logger;
+  readonly timers: TimerService;
+  readonly random: Random;
+  readonly log: DecisionLog;
+  readonly gatewayMetrics: GatewayMetrics;
+  readonly routes: RouteTable;
+  readonly directory: EndpointDirectory;
+  readonly loads: LoadEstimate;
+  readonly locations: PartLocations;
+  readonly health: AveragedHealthDetector;
+  readonly knowledge: FleetKnowledge;
+  readonly chooser: EndpointChooser;
+  readonly pool: ChannelPool;
+  readonly forwarder: Forwarder;
+  readonly callerServer: CallerServer;
+  readonly mirror: FleetMirror;
+  readonly gateway: GatewayProcess;
+}
+
+/** Routers that share the fleet's budget of repeats; a router that knows no peers counts on this many. */
+const EXPECTED_ROUTERS = 20;
+/** Share of the fleet's budget that routers use, as their windows do not line up. */
+const BUDGET_SHARE = 0.8;
+const MAX_SEED = 0x7fffffff;
+
+export function composeGateway(
+  settings: GatewaySettings,
+  deployment: Deployment,
+): AwilixContainer<GatewayCradle> {
+  const container = createContainer<GatewayCradle>({
+    injectionMode: InjectionMode.PROXY,
+    strict: true,
+  });
+  container.register({
+    settings: asValue(settings),
+    callerProtocol: asValue(deployment.callerProtocol),
+    endpointProtocol: asValue(deployment.endpointProtocol),
+    codec: asValue(deployment.codec),
+    configurationFeed: asValue(deployment.configurationFeed),
+    endpointFeed: asValue(deployment.endpointFeed),
+    routerRows: asValue(deployment.routerRows),
+    logger: asFunction(newLogger).singleton(),
+    timers: asFunction(() => new SystemTimerService()).singleton(),
+    random: asFunction(
+      () => new Random(Math.floor(Math.random() * MAX_SEED)),
+    ).singleton(),
+    log: asFunction(
+      ({ logger, timers }: GatewayCradle) => new DecisionLog({ logger, timers }),
+    ).singleton(),
+    gatewayMetrics: asFunction(() => new GatewayMetrics()).singleton(),
+    routes: asFunction(() => new RouteTable()).singleton(),
+    directory: asFunction(() => new EndpointDirectory()).singleton(),
+    loads: asFunction(() => new LoadEstimate()).singleton(),
+    locations: asFunction(() => new PartLocations()).singleton(),
+    health: asFunction(newHealth).singleton(),
+    knowledge: asFunction(newKnowledge).singleton(),
+    chooser: asFunction(newChooser).singleton(),
+    pool: asFunction(() => new ChannelPool()).singleton(),
+    forwarder: asClass(Forwarder).singleton(),
+    callerServer: asClass(CallerServer).singleton(),
+    mirror: asClass(FleetMirror).singleton(),
+    gateway: asClass(GatewayProcess).singleton(),
+  });
+  return container;
+}
+
+function newLogger({ settings }: GatewayCradle): winston.Logger {
+  return winston.createLogger({
+    level: settings.log.level,
+    defaultMeta: { router: settings.router.id },
+    format: winston.format.json(),
+    transports: [new winston.transports.Stream({ stream: process.stdout })],
+  });
+}
+
+/** Short periods: an endpoint that is back after a crash is missed by its callers. */
+function newHealth(): AveragedHealthDetector {
+  return new AveragedHealthDetector({
+    ...defaultEjection,
+    maxEjected: 0.5,
+    basePeriod: seconds(1.5),
+    maxPeriod: seconds(8),
+    forgiveness: seconds(10),
+  });
+}
+
+function newKnowledge({
+  loads,
+  locations,
+  health,
+  settings,
+  timers,
+}: GatewayCradle): FleetKnowledge {
+  const { ratio, slack, window_seconds: window } = settings.retries;
+  return new FleetKnowledge({
+    loads,
+    locations,
+    health,
+    repeatBudget: {
+      fraction: ratio * BUDGET_SHARE,
+      floor: (slack * BUDGET_SHARE) / EXPECTED_ROUTERS,
+      window,
+    },
+    now: () => timers.now(),
+  });
+}
+
+function newChooser({
+  directory,
+  loads,
+  locations,
+  health,
+  random,
+  settings,
+}: GatewayCradle): EndpointChooser {
+  const zone = zoneId(settings.router.zone);
+  return new EndpointChooser({
+    directory,
+    loads,
+    locations,
+    health,
+    random,
+    zone,
+  });
+}
--- /dev/null
+++ b/packages/gateway/src/endpoints/channel-pool.ts
@@ -0,0 +1,83 @@
+/** Connections to endpoints, kept for the next request. */
+import type { EndpointEntry } from '@sesamegrade/core/endpoints/serving-endpoint';
+import type { EndpointId } from '@sesamegrade/core/types/ids';
+import { milliseconds } from '@sesamegrade/core/types/units';
+import type { Instant, Milliseconds } from '@sesamegrade/core/types/units';
+import { EndpointChannel } from './endpoint-channel';
+
+/** Unused connections kept for one endpoint. */
+const MAX_IDLE = 16;
+/** Unused time after which no connection is used again, whatever the endpoint says. */
+const LONGEST_IDLE: Milliseconds = milliseconds(20_000);
+/**
+ * The same for calls that may not be sent again: a connection that the endpoint
+ * closes as the call goes out loses the call.
+ */
+const LONGEST_IDLE_ONCE: Milliseconds = milliseconds(1500);
+
+export class ChannelPool {
+  readonly #idle = new Map<EndpointId, EndpointChannel[]>();
+  #opened = 0;
+
+  /** Connections opened since the start. */
+  get opened(): number {
+    return this.#opened;
+  }
+
+  /** Returns the connection that was unused longest, as a late answer would have shown on it, or a new one. */
+  take(
+    entry: EndpointEntry,
+    repeatable: boolean,
+    now: Instant,
+  ): EndpointChannel {
+    const longest = repeatable ? LONGEST_IDLE : LONGEST_IDLE_ONCE;
+    const idle = this.#idle.get(entry.id) ?? [];
+    for (let at = 0; at < idle.length; at += 1) {
+      const channel = idle[at];
+      if (channel?.isFresh(now, longest)) {
+        idle.splice(at, 1);
+        return channel;
+      }
+    }
+    this.#opened += 1;
+    return new EndpointChannel(entry.address, closed => {
+      this.#drop(entry.id, closed);
+    });
+  }
+
+  /** Keeps a connection whose exchange ended whole. */
+  give(endpoint: EndpointId, channel: EndpointChannel): void {
+    if (channel.closed) {
+      return;
+    }
+    const idle = this.#idle.get(endpoint) ?? [];
+    if (idle.length >= MAX_IDLE) {
+      channel.destroy();
+      return;
+    }
+    idle.push(channel);
+    this.#idle.set(endpoint, idle);
+  }
+
+  /** Ends unused connections to an endpoint that is gone. */
+  forget(endpoint: EndpointId): void {
+    for (const channel of this.#idle.get(endpoint) ?? []) {
+      channel.destroy();
+    }
+    this.#idle.delete(endpoint);
+  }
+
+  close(): void {
+    for (const endpoint of [...this.#idle.keys()]) {
+      this.forget(endpoint);
+    }
+  }
+
+  #drop(endpoint: EndpointId, closed: EndpointChannel): void {
+    const idle = this.#idle.get(endpoint);
+    const at = idle?.indexOf(closed) ?? -1;
+    if (at >= 0) {
+      idle?.splice(at, 1);
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/endpoints/endpoint-protocol.ts
@@ -0,0 +1,52 @@
+/** How endpoints speak; an adapter names the headers and bodies. */
+import type { EndpointId, TeamId } from '@sesamegrade/core/types/ids';
+import type { Milliseconds } from '@sesamegrade/core/types/units';
+import type { CallerHead, HeaderList } from '../callers/caller-protocol';
+
+/** What the router adds to a request it forwards. */
+export interface ForwardMarks {
+  /** The instance that is meant; another one at the address declines. */
+  readonly endpoint: EndpointId;
+  readonly remaining: Milliseconds;
+  readonly team: TeamId | undefined;
+  /** Number of the event after which a stream goes on. */
+  readonly lastEvent: number | undefined;
+  /** Urgency at an engine, where 0 is first. */
+  readonly urgency: number | undefined;
+}
+
+/** What an endpoint says of its load. */
+export interface ToldLoad {
+  readonly running: number;
+  readonly waiting: number;
+  readonly slots: number;
+}
+
+/** The head of an endpoint's answer. */
+export interface AnswerHead {
+  readonly status: number;
+  /** What the caller is given, without those of the connection and the length. */
+  readonly headers: HeaderList;
+  /** The request that the answer names. */
+  readonly requestId: string | undefined;
+  /** Whether the answer bears the endpoint's receipt. */
+  readonly hasReceipt: boolean;
+  /** Whether the endpoint states that it ran nothing. */
+  readonly notRun: boolean;
+  /** Whether the body has an encoding that nobody asked for. */
+  readonly isEncoded: boolean;
+  readonly load: ToldLoad | undefined;
+  /** Announced length of the body in bytes. */
+  readonly length: number | undefined;
+  /** Whether the body's end shows only in the end of the connection. */
+  readonly isUnframed: boolean;
+  /** Time for which the endpoint keeps the connection unused. */
+  readonly keepTime: Milliseconds | undefined;
+}
+
+export abstract class EndpointProtocol {
+  /** Returns the headers of a forwarded request, without those of the body. */
+  abstract requestHeaders(head: CallerHead, marks: ForwardMarks): string[];
+
+  abstract readAnswer(status: number, headers: HeaderList): AnswerHead;
+}
--- /dev/null
+++ b/packages/gateway/src/process/gateway-process.ts
@@ -0,0 +1,170 @@
+/** Starts a router on the platform, keeps its view of the fleet and stops it. */
+import type {
+  EndpointDirectory,
+  DirectoryEvent,
+} from '@sesamegrade/core/endpoints/endpoint-directory';
+import type { FleetKnowledge } from '@sesamegrade/core/forwarding/fleet-knowledge';
+import type { RouteTable } from '@sesamegrade/core/routes/route-table';
+import type { TimerService } from '@sesamegrade/core/time/timer-service';
+import { milliseconds } from '@sesamegrade/core/types/units';
+import type { Milliseconds } from '@sesamegrade/core/types/units';
+import type { GatewaySettings } from '@sesamegrade/settings/gateway-schema';
+import type { CallerServer } from '../callers/caller-server';
+import type { ChannelPool } from '../endpoints/channel-pool';
+import type { Forwarder } from '../forwarding/forwarder';
+import type { DecisionLog } from '../logs/decision-log';
+import type { GatewayMetrics } from '../metrics/gateway-metrics';
+import type { FleetMirror } from '../store/fleet-mirror';
+import { StopPlan } from './stop-plan';
+import { UpkeepServer } from './upkeep-server';
+
+const TICK: Milliseconds = milliseconds(100);
+
+export interface GatewayProcessParts {
+  readonly settings: GatewaySettings;
+  readonly timers: TimerService;
+  readonly routes: RouteTable;
+  readonly directory: EndpointDirectory;
+  readonly knowledge: FleetKnowledge;
+  readonly forwarder: Forwarder;
+  readonly callerServer: CallerServer;
+  readonly mirror: FleetMirror;
+  readonly pool: ChannelPool;
+  readonly log: DecisionLog;
+  readonly gatewayMetrics: GatewayMetrics;
+}
+
+export class GatewayProcess {
+  readonly #parts: GatewayProcessParts;
+  readonly #upkeep: UpkeepServer;
+  readonly #metrics: UpkeepServer;
+  #stopping: StopPlan | undefined;
+
+  constructor(parts: GatewayProcessParts) {
+    this.#parts = parts;
+    this.#upkeep = new UpkeepServer({
+      [parts.settings.router.ready_path]: () =>
+        this.isReady
+          ? { status: 200, body: 'ready' }
+          : { status: 503, body: 'not ready' },
+    });
+    this.#metrics = new UpkeepServer({
+      '/metrics': async () => ({
+        status: 200,
+        body: await parts.gatewayMetrics.text(),
+      }),
+    });
+    this.#registerGauges();
+  }
+
+  /** Whether routes and endpoints are known and the router is not stopping. */
+  get isReady(): boolean {
+    const { routes, directory } = this.#parts;
+    return (
+      this.#stopping === undefined &&
+      routes.version !== undefined &&
+      directory.loaded
+    );
+  }
+
+  async start(): Promise<void> {
+    const { settings, callerServer, mirror, timers, log } = this.#parts;
+    const { router } = settings;
+    mirror.start();
+    await callerServer.listen(router.callers);
+    await this.#upkeep.listen(router.ready);
+    await this.#metrics.listen({
+      host: router.callers.host,
+      port: router.metrics_port,
+    });
+    timers.every(TICK, now => {
+      const { directory, knowledge } = this.#parts;
+      this.#directoryChanged(directory.tick(now));
+      knowledge.tick(now);
+    });
+    mirror.onDirectoryChange(events => {
+      this.#directoryChanged(events);
+    });
+    log.write('start', { router: router.id, zone: router.zone });
+  }
+
+  /** Stops taking work, lets what runs end, and returns when nothing is left or the time is up. */
+  async stop(): Promise<void> {
+    if (this.#stopping) {
+      return;
+    }
+    const { settings, timers, callerServer, forwarder, log } = this.#parts;
+    log.write('stop-begun', { running: forwarder.running });
+    this.#stopping = new StopPlan(settings.stop.grace_seconds, timers.now());
+    callerServer.beginClosing();
+    await this.#stopping.wait(
+      timers,
+      () => forwarder.running,
+      () => {
+        callerServer.closeIdle();
+      },
+    );
+    log.write('stop', { running: forwarder.running });
+    callerServer.close();
+    this.#upkeep.close();
+    this.#metrics.close();
+    this.#parts.mirror.stop();
+    this.#parts.pool.close();
+  }
+
+  #directoryChanged(events: readonly DirectoryEvent[]): void {
+    const { pool, knowledge, log, directory, timers } = this.#parts;
+    if (events.length === 0) {
+      return;
+    }
+    knowledge.endpointsChanged(directory.all(), timers.now());
+    for (const event of events) {
+      log.write('endpoint', { ...event });
+      if (event.kind === 'gone') {
+        pool.forget(event.id);
+        knowledge.forget(event.id);
+      } else if (event.kind === 'restarted') {
+        pool.forget(event.entry.id);
+        knowledge.forget(event.entry.id);
+      }
+    }
+  }
+
+  #registerGauges(): void {
+    const {
+      gatewayMetrics,
+      forwarder,
+      callerServer,
+      routes,
+      log,
+      pool,
+      directory,
+    } = this.#parts;
+    gatewayMetrics.gauge(
+      'requests_running',
+      'Requests under way.',
+      () => forwarder.running,
+    );
+    gatewayMetrics.gauge(
+      'caller_connections',
+      'Connections of callers.',
+      () => callerServer.connections,
+    );
+    gatewayMetrics.gauge(
+      'configuration_version',
+      'Version in force.',
+      () => routes.version ?? 0,
+    );
+    gatewayMetrics.gauge(
+      'log_lines_dropped',
+      'Log lines not written.',
+      () => log.dropped,
+    );
+    gatewayMetrics.gauge(
+      'channels_opened',
+      'Connections opened to endpoints.',
+      () => pool.opened,
+    );
+    gatewayMetrics.gauge('endpoints', 'Endpoints known.', () => directory.size);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/store/feed-follower.ts
@@ -0,0 +1,148 @@
+/** Reads a table once and then follows its changes, through outages and lost history. */
+import type { Random } from '@sesamegrade/core/random/random';
+import type { TimerService } from '@sesamegrade/core/time/timer-service';
+import { milliseconds } from '@sesamegrade/core/types/units';
+import type { Milliseconds } from '@sesamegrade/core/types/units';
+import type { DecisionLog } from '../logs/decision-log';
+import type {
+  FeedPage,
+  FeedSource,
+  Revision,
+  StoreFailure,
+} from './feed-source';
+
+const FIRST_RETRY: Milliseconds = milliseconds(150);
+/** Under the time in which a return of the store must be noticed. */
+const LONGEST_RETRY: Milliseconds = milliseconds(900);
+
+export interface FeedListener {
+  /** All rows as of one moment. */
+  snapshot(page: FeedPage): void;
+  /** Rows that changed since the last page. */
+  changes(page: FeedPage): void;
+  /** The store answered after it had failed to. */
+  returned(): void;
+  /** The store failed to answer. */
+  lost(): void;
+}
+
+export interface FeedFollowerOptions {
+  readonly source: FeedSource;
+  readonly listener: FeedListener;
+  readonly timers: TimerService;
+  readonly random: Random;
+  readonly log: DecisionLog;
+}
+
+export class FeedFollower {
+  readonly #options: FeedFollowerOptions;
+  #revision: Revision | undefined;
+  #stopped = false;
+  #failures = 0;
+  #wake: (() => void) | undefined;
+
+  constructor(options: FeedFollowerOptions) {
+    this.#options = options;
+  }
+
+  /** Whether the last answer of the store was one. */
+  get isHealthy(): boolean {
+    return this.#failures === 0 && this.#revision !== undefined;
+  }
+
+  start(): void {
+    void this.#run();
+  }
+
+  stop(): void {
+    this.#stopped = true;
+    this.#wake?.();
+  }
+
+  /** Ends the pause before the next try, as the store is known to answer. */
+  hurry(): void {
+    this.#wake?.();
+  }
+
+  async #run(): Promise<void> {
+    while (!this.#stopped) {
+      const failure = await this.#step();
+      if (failure) {
+        await this.#failed(failure);
+      }
+    }
+  }
+
+  async #step(): Promise<StoreFailure | undefined> {
+    const { source, listener } = this.#options;
+    const after = this.#revision;
+    const result =
+      after === undefined
+        ? await source.readAll()
+        : await source.readChanges(after);
+    if (this.#isStopped()) {
+      return undefined;
+    }
+    if (!result.ok) {
+      return result.failure;
+    }
+    this.#answered();
+    const page = result.value;
+    this.#revision = page.revision;
+    if (after === undefined) {
+      listener.snapshot(page);
+    } else {
+      listener.changes(page);
+    }
+    return undefined;
+  }
+
+  #isStopped(): boolean {
+    return this.#stopped;
+  }
+
+  #answered(): void {
+    const { source, listener, log } = this.#options;
+    if (this.#failures > 0) {
+      log.write('dependency-regained', {
+        dependency: source.name,
+        failures: this.#failures,
+      });
+      this.#failures = 0;
+      listener.returned();
+    }
+  }
+
+  async #failed(failure: StoreFailure): Promise<void> {
+    const { source, listener, log } = this.#options;
+    if (failure.kind === 'history-lost' || failure.kind === 'malformed') {
+      log.write('feed-restart', { feed: source.name, failure });
+      this.#revision = undefined;
+      if (failure.kind === 'history-lost') {
+        return;
+      }
+    }
+    if (this.#failures === 0) {
+      log.write('dependency-lost', { dependency: source.name, failure });
+    }
+    this.#failures += 1;
+    listener.lost();
+    await this.#pause();
+  }
+
+  #pause(): Promise<void> {
+    const { timers, random } = this.#options;
+    const doublings = Math.min(this.#failures - 1, 4);
+    const ceiling = Math.min(LONGEST_RETRY, FIRST_RETRY * 2 ** doublings);
+    const delay = milliseconds(ceiling * (0.5 + random.fraction() / 2));
+    return new Promise(resolve => {
+      const cancel = timers.after(delay, () => {
+        resolve();
+      });
+      this.#wake = () => {
+        cancel();
+        resolve();
+      };
+    });
+  }
+}
--- a/packages/settings/src/parse.ts
+++ b/packages/settings/src/parse.ts
@@ -15,12 +15,25 @@
   file: string,
   text: string,
 ): Result<Settings, readonly SettingsFailure[]> {
-  const parsed = settingsSchema.safeParse(plainObject(parse(text)));
-  if (!parsed.success) {
-    return fail(parsed.error.issues.flatMap(issue => describe(file, issue)));
+  const parsed = parseIni(settingsSchema, file, text);
+  if (!parsed.ok) {
+    return parsed;
   }
-  const faults = checkServices(file, parsed.data);
-  return faults.length > 0 ? fail(faults) : succeed(parsed.data);
+  const settings = parsed.value;
+  const faults = checkServices(file, settings);
+  return faults.length > 0 ? fail(faults) : succeed(settings);
+}
+
+/** Parses INI text against a schema; on failure lists every fault. */
+export function parseIni<Schema extends z.ZodType>(
+  schema: Schema,
+  file: string,
+  text: string,
+): Result<z.output<Schema>, readonly SettingsFailure[]> {
+  const parsed = schema.safeParse(plainObject(parse(text)));
+  return parsed.success
+    ? succeed(parsed.data)
+    : fail(parsed.error.issues.flatMap(issue => describe(file, issue)));
 }
 
 /** Formats one fault as a line for a person. */
--- a/scripts/build-binary.mjs
+++ b/scripts/build-binary.mjs
@@ -4,22 +4,15 @@
 
 import { build } from 'esbuild';
 
+import { bundleOptions } from './bundle-options.mjs';
+
 const FUSE = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
 
 mkdirSync('dist', { recursive: true });
 await build({
+  ...bundleOptions,
   entryPoints: ['packages/cli/src/main.ts'],
-  bundle: true,
-  platform: 'node',
-  target: 'node20',
-  format: 'cjs',
   outfile: 'dist/sesamegrade.cjs',
-  alias: {
-    'unix-dgram': './scripts/absent-module.cjs',
-    bufferutil: './scripts/absent-module.cjs',
-    'utf-8-validate': './scripts/absent-module.cjs',
-  },
-  logLevel: 'error',
 });
 writeFileSync(
   'dist/sea.json',
--- /dev/null
+++ b/scripts/bundle-options.mjs
@@ -0,0 +1,13 @@
+// What every bundle of the program has in common.
+export const bundleOptions = {
+  bundle: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'cjs',
+  alias: {
+    'unix-dgram': './scripts/absent-module.cjs',
+    bufferutil: './scripts/absent-module.cjs',
+    'utf-8-validate': './scripts/absent-module.cjs',
+  },
+  logLevel: 'error',
+};
