Let routers on the platform tell each other loads, parts and versions

Ruled out: hashing alone (spills by late loads remain), reports of engines (priced as probes). The tRPC links of our own interface carry the news; rows in the store name the routers.

--- a/packages/cli/src/platform-router.ts
+++ b/packages/cli/src/platform-router.ts
@@ -26,6 +26,7 @@
   const { gateway } = composeGateway(
     settings,
     connectPlatform(settings.store),
+    process.env[settings.peers.secret_env] ?? '',
   ).cradle;
   process.once('SIGTERM', () => {
     void gateway.stop().then(() => {
--- a/packages/core/src/forwarding/fleet-knowledge.ts
+++ b/packages/core/src/forwarding/fleet-knowledge.ts
@@ -26,10 +26,10 @@
 }
 
 /** Told of what is worth telling peers. */
-export abstract class KnowledgeListener {
-  abstract loadChanged(endpoint: EndpointId, own: number): void;
-  abstract partRead(part: PromptPartId, engine: EndpointId): void;
-  abstract standingChanged(change: StandingChange): void;
+export interface KnowledgeListener {
+  loadChanged(endpoint: EndpointId, own: number): void;
+  partRead(part: PromptPartId, engine: EndpointId): void;
+  standingChanged(change: StandingChange): void;
 }
 
 export interface FleetKnowledgeParts {
--- a/packages/gateway/src/composition/gateway-container.ts
+++ b/packages/gateway/src/composition/gateway-container.ts
@@ -16,6 +16,7 @@
 import { FleetKnowledge } from '@sesamegrade/core/forwarding/fleet-knowledge';
 import { AveragedHealthDetector } from '@sesamegrade/core/outliers/averaged-health-detector';
 import { defaultEjection } from '@sesamegrade/core/outliers/outlier-detector';
+import { PeerNews } from '@sesamegrade/core/peers/peer-news';
 import { Random } from '@sesamegrade/core/random/random';
 import { RouteTable } from '@sesamegrade/core/routes/route-table';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
@@ -30,6 +31,7 @@
 import { Forwarder } from '../forwarding/forwarder';
 import { DecisionLog } from '../logs/decision-log';
 import { GatewayMetrics } from '../metrics/gateway-metrics';
+import { PeerMesh } from '../peers/peer-mesh';
 import { GatewayProcess } from '../process/gateway-process';
 import type { DeploymentCodec } from '../store/deployment-codec';
 import type { FeedSource } from '../store/feed-source';
@@ -64,6 +66,9 @@
   readonly forwarder: Forwarder;
   readonly callerServer: CallerServer;
   readonly mirror: FleetMirror;
+  readonly peerSecret: string;
+  readonly peerNews: PeerNews;
+  readonly peerMesh: PeerMesh;
   readonly gateway: GatewayProcess;
 }
 
@@ -76,6 +81,7 @@
 export function composeGateway(
   settings: GatewaySettings,
   deployment: Deployment,
+  peerSecret: string,
 ): AwilixContainer<GatewayCradle> {
   const container = createContainer<GatewayCradle>({
     injectionMode: InjectionMode.PROXY,
@@ -83,6 +89,7 @@
   });
   container.register({
     settings: asValue(settings),
+    peerSecret: asValue(peerSecret),
     callerProtocol: asValue(deployment.callerProtocol),
     endpointProtocol: asValue(deployment.endpointProtocol),
     codec: asValue(deployment.codec),
@@ -95,7 +102,8 @@
       () => new Random(Math.floor(Math.random() * MAX_SEED)),
     ).singleton(),
     log: asFunction(
-      ({ logger, timers }: GatewayCradle) => new DecisionLog({ logger, timers }),
+      ({ logger, timers }: GatewayCradle) =>
+        new DecisionLog({ logger, timers }),
     ).singleton(),
     gatewayMetrics: asFunction(() => new GatewayMetrics()).singleton(),
     routes: asFunction(() => new RouteTable()).singleton(),
@@ -109,6 +117,11 @@
     forwarder: asClass(Forwarder).singleton(),
     callerServer: asClass(CallerServer).singleton(),
     mirror: asClass(FleetMirror).singleton(),
+    peerNews: asFunction(
+      ({ loads, locations }: GatewayCradle) =>
+        new PeerNews({ loads, locations }),
+    ).singleton(),
+    peerMesh: asClass(PeerMesh).singleton(),
     gateway: asClass(GatewayProcess).singleton(),
   });
   return container;
--- /dev/null
+++ b/packages/gateway/src/peers/peer-mesh.ts
@@ -0,0 +1,358 @@
+/** Connects this router to the others and exchanges news with them. */
+import { z } from 'zod';
+
+import type { EndpointDirectory } from '@sesamegrade/core/endpoints/endpoint-directory';
+import type { LoadEstimate } from '@sesamegrade/core/engines/load-estimate';
+import type { RouterIdentity } from '@sesamegrade/core/membership/router-table';
+import type { PeerNews } from '@sesamegrade/core/peers/peer-news';
+import type { Random } from '@sesamegrade/core/random/random';
+import type { RouteTable } from '@sesamegrade/core/routes/route-table';
+import type { TimerService } from '@sesamegrade/core/time/timer-service';
+import { HybridClock } from '@sesamegrade/core/timeline/hybrid-clock';
+import { incarnation, routerId, zoneId } from '@sesamegrade/core/types/ids';
+import type { RouterId } from '@sesamegrade/core/types/ids';
+import { elapsed, milliseconds, seconds } from '@sesamegrade/core/types/units';
+import type { Instant, Milliseconds } from '@sesamegrade/core/types/units';
+import { PeerLink } from '@sesamegrade/router/peers/peer-link';
+import type { GossipFrame } from '@sesamegrade/router/peers/peer-message';
+import {
+  identitySchema,
+  tellIdentity,
+} from '@sesamegrade/router/peers/peer-message';
+import { PeerProof } from '@sesamegrade/router/peers/peer-proof';
+import { PeerServer } from '@sesamegrade/router/peers/peer-server';
+import { SocketMeter } from '@sesamegrade/router/peers/socket-meter';
+import type { GatewaySettings } from '@sesamegrade/settings/gateway-schema';
+import type { DecisionLog } from '../logs/decision-log';
+import type { FleetMirror } from '../store/fleet-mirror';
+import type { RowTable } from '../store/row-table';
+
+/** Loads change with each request; a placement sees them at most this late. */
+const NEWS_PERIOD: Milliseconds = milliseconds(100);
+/** A peer without news says at least that it is there. */
+const SIGN_PERIOD: Milliseconds = seconds(1);
+/** Silence after which a connection is taken for dead and made anew. */
+const SILENCE_LIMIT: Milliseconds = milliseconds(2500);
+/** Time without a connection after which a router is forgotten. */
+const FORGET_AFTER: Milliseconds = seconds(60);
+/** Time between tries to read the list of routers. */
+const LIST_RETRY: Milliseconds = seconds(1);
+/** Second reading of the list, for routers that wrote their row at the same moment. */
+const LIST_AGAIN: Milliseconds = milliseconds(1500);
+
+const snapshotSchema = z.object({
+  version: z.number(),
+  raw: z.instanceof(Uint8Array),
+});
+
+interface Peer {
+  readonly identity: RouterIdentity;
+  readonly link: PeerLink;
+  heardAt: Instant;
+  connected: boolean;
+}
+
+export interface PeerMeshParts {
+  readonly settings: GatewaySettings;
+  readonly peerSecret: string;
+  readonly routerRows: RowTable;
+  readonly peerNews: PeerNews;
+  readonly loads: LoadEstimate;
+  readonly directory: EndpointDirectory;
+  readonly routes: RouteTable;
+  readonly mirror: FleetMirror;
+  readonly timers: TimerService;
+  readonly random: Random;
+  readonly log: DecisionLog;
+}
+
+export class PeerMesh {
+  readonly #parts: PeerMeshParts;
+  readonly #self: RouterIdentity;
+  readonly #clock: HybridClock;
+  readonly #meter = new SocketMeter();
+  readonly #proof: PeerProof;
+  readonly #server: PeerServer;
+  readonly #peers = new Map<RouterId, Peer>();
+  readonly #subscribers = new Set<RouterId>();
+  #signedAt: Instant | undefined;
+  #fetching = false;
+  #stopped = false;
+
+  constructor(parts: PeerMeshParts) {
+    this.#parts = parts;
+    const { settings, timers, peerSecret } = parts;
+    const wallTime = () => timers.wallTime();
+    this.#self = {
+      id: routerId(settings.router.id),
+      incarnation: incarnation(Math.floor(wallTime())),
+      zone: zoneId(settings.router.zone),
+      address: settings.router.peers,
+    };
+    this.#clock = new HybridClock(wallTime);
+    this.#proof = new PeerProof({
+      self: this.#self,
+      secret: peerSecret,
+      wallTime,
+    });
+    this.#server = new PeerServer({
+      self: this.#self,
+      proof: this.#proof,
+      meter: this.#meter,
+      timers,
+      snapshot: () => ({
+        version: parts.routes.version ?? 0,
+        raw: parts.mirror.rawConfiguration ?? new Uint8Array(0),
+      }),
+      listener: {
+        subscribed: identity => {
+          this.#subscribed(identity);
+        },
+        unsubscribed: peer => {
+          this.#subscribers.delete(peer);
+        },
+      },
+    });
+  }
+
+  /** Routers that news come from. */
+  get connected(): number {
+    return [...this.#peers.values()].filter(peer => peer.connected).length;
+  }
+
+  /** Bytes on all connections between routers, in both directions. */
+  get bytes(): number {
+    const { read, written } = this.#meter.total();
+    return read + written;
+  }
+
+  async start(): Promise<void> {
+    const { timers } = this.#parts;
+    await this.#server.listen(this.#self.address);
+    timers.every(NEWS_PERIOD, now => {
+      this.#tellNews(now);
+    });
+    timers.every(SIGN_PERIOD, now => {
+      this.#inspect(now);
+    });
+    void this.#join();
+  }
+
+  async stop(): Promise<void> {
+    this.#stopped = true;
+    await Promise.all(
+      [...this.#peers.values()].map(({ link }) => link.close()),
+    );
+    await this.#server.close();
+  }
+
+  /** Writes this router's row and connects to those of the others. */
+  async #join(): Promise<void> {
+    const { routerRows, timers } = this.#parts;
+    while (!this.#isStopped()) {
+      const rows = await routerRows.readAll();
+      if (rows.ok) {
+        const hasOwn = rows.value.rows.some(row => this.#takeRow(row.value));
+        const written = hasOwn || (await this.#writeRow());
+        if (written) {
+          break;
+        }
+      }
+      await pause(timers, LIST_RETRY);
+    }
+    await pause(timers, LIST_AGAIN);
+    const again = await routerRows.readAll();
+    for (const row of again.ok ? again.value.rows : []) {
+      this.#takeRow(row.value);
+    }
+  }
+
+  #isStopped(): boolean {
+    return this.#stopped;
+  }
+
+  async #writeRow(): Promise<boolean> {
+    const row = JSON.stringify(tellIdentity({ ...this.#self }));
+    const written = await this.#parts.routerRows.put(
+      this.#self.id,
+      new TextEncoder().encode(row),
+    );
+    return written.ok;
+  }
+
+  /** Connects to the router that a row names; true when it names this one at its address. */
+  #takeRow(value: Uint8Array | undefined): boolean {
+    const identity = value && readIdentity(value);
+    if (!identity) {
+      return false;
+    }
+    if (identity.id === this.#self.id) {
+      return sameAddress(identity, this.#self);
+    }
+    this.#connect(identity);
+    return false;
+  }
+
+  #subscribed(identity: RouterIdentity): void {
+    const { peerNews, directory } = this.#parts;
+    this.#subscribers.add(identity.id);
+    this.#connect(identity);
+    const endpoints = directory.all().map(({ id }) => id);
+    this.#send(identity.id, peerNews.wholeState(endpoints));
+  }
+
+  #connect(identity: RouterIdentity): void {
+    const known = this.#peers.get(identity.id);
+    if (known && sameAddress(known.identity, identity)) {
+      return;
+    }
+    if (known) {
+      void known.link.close();
+    }
+    const { timers, random, log } = this.#parts;
+    const link = new PeerLink({
+      peer: identity.id,
+      address: identity.address,
+      proof: this.#proof,
+      meter: this.#meter,
+      random,
+      listener: {
+        connected: () => {
+          this.#linkChanged(identity.id, true);
+        },
+        disconnected: () => {
+          this.#linkChanged(identity.id, false);
+        },
+        gossip: (peer, frame) => {
+          this.#received(peer, frame);
+        },
+        malformed: peer => {
+          log.write('peer-malformed', { peer });
+        },
+      },
+    });
+    this.#peers.set(identity.id, {
+      identity,
+      link,
+      heardAt: timers.now(),
+      connected: false,
+    });
+  }
+
+  #linkChanged(id: RouterId, connected: boolean): void {
+    const peer = this.#peers.get(id);
+    if (!peer || peer.connected === connected) {
+      return;
+    }
+    const { log, loads, timers } = this.#parts;
+    peer.connected = connected;
+    peer.heardAt = timers.now();
+    if (!connected) {
+      loads.forgetPeer(id);
+    }
+    log.write(connected ? 'peer-connected' : 'peer-lost', { peer: id });
+  }
+
+  #received(id: RouterId, frame: GossipFrame): void {
+    const { peerNews, timers, log } = this.#parts;
+    const now = timers.now();
+    this.#clock.receive(frame.h);
+    const peer = this.#peers.get(id);
+    if (peer) {
+      peer.heardAt = now;
+    }
+    const { version, malformed } = peerNews.receive(id, frame.t, now);
+    if (malformed > 0) {
+      log.write('peer-malformed', { peer: id, entries: malformed });
+    }
+    if (peer && version !== undefined && this.#isNewer(version)) {
+      void this.#fetch(peer);
+    }
+  }
+
+  #isNewer(version: number): boolean {
+    const own = this.#parts.routes.version;
+    return own === undefined || version > own;
+  }
+
+  /** Takes a newer configuration from a peer, as the store's own news may be late. */
+  async #fetch(peer: Peer): Promise<void> {
+    if (this.#fetching) {
+      return;
+    }
+    this.#fetching = true;
+    const { mirror, log } = this.#parts;
+    try {
+      const read = snapshotSchema.safeParse(
+        await peer.link.fetchConfiguration(),
+      );
+      if (read.success && this.#isNewer(read.data.version)) {
+        mirror.takeConfiguration(read.data.raw, 'peer');
+      }
+    } catch (error) {
+      log.write('peer-fetch-failed', {
+        peer: peer.identity.id,
+        error: String(error),
+      });
+    } finally {
+      this.#fetching = false;
+    }
+  }
+
+  #tellNews(now: Instant): void {
+    const changes = this.#parts.peerNews.takeChanges();
+    const isSignDue =
+      this.#signedAt === undefined ||
+      elapsed(this.#signedAt, now) >= SIGN_PERIOD;
+    if (!changes && !isSignDue) {
+      return;
+    }
+    this.#signedAt = now;
+    for (const peer of this.#subscribers) {
+      this.#send(peer, changes ?? {});
+    }
+  }
+
+  #send(peer: RouterId, topics: GossipFrame['t']): void {
+    this.#server.send(peer, { h: this.#clock.next(), t: topics });
+  }
+
+  /** Renews silent connections and forgets routers that stay away. */
+  #inspect(now: Instant): void {
+    for (const [id, peer] of this.#peers) {
+      const silence = elapsed(peer.heardAt, now);
+      if (peer.connected && silence > SILENCE_LIMIT) {
+        peer.link.reset();
+      } else if (!peer.connected && silence > FORGET_AFTER) {
+        this.#peers.delete(id);
+        void peer.link.close();
+      }
+    }
+  }
+}
+
+function sameAddress(left: RouterIdentity, right: RouterIdentity): boolean {
+  return (
+    left.address.host === right.address.host &&
+    left.address.port === right.address.port
+  );
+}
+
+function readIdentity(value: Uint8Array): RouterIdentity | undefined {
+  try {
+    const text = new TextDecoder().decode(value);
+    const read = identitySchema.safeParse(JSON.parse(text));
+    return read.success ? read.data : undefined;
+  } catch {
+    // Not JSON: a row of another writer, which names no router.
+    return undefined;
+  }
+}
+
+function pause(timers: TimerService, length: Milliseconds): Promise<void> {
+  return new Promise(resolve => {
+    timers.after(length, () => {
+      resolve();
+    });
+  });
+}
--- a/packages/gateway/src/process/gateway-process.ts
+++ b/packages/gateway/src/process/gateway-process.ts
@@ -4,6 +4,7 @@
   DirectoryEvent,
 } from '@sesamegrade/core/endpoints/endpoint-directory';
 import type { FleetKnowledge } from '@sesamegrade/core/forwarding/fleet-knowledge';
+import type { PeerNews } from '@sesamegrade/core/peers/peer-news';
 import type { RouteTable } from '@sesamegrade/core/routes/route-table';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
 import { milliseconds } from '@sesamegrade/core/types/units';
@@ -14,6 +15,7 @@
 import type { Forwarder } from '../forwarding/forwarder';
 import type { DecisionLog } from '../logs/decision-log';
 import type { GatewayMetrics } from '../metrics/gateway-metrics';
+import type { PeerMesh } from '../peers/peer-mesh';
 import type { FleetMirror } from '../store/fleet-mirror';
 import { StopPlan } from './stop-plan';
 import { UpkeepServer } from './upkeep-server';
@@ -29,6 +31,8 @@
   readonly forwarder: Forwarder;
   readonly callerServer: CallerServer;
   readonly mirror: FleetMirror;
+  readonly peerNews: PeerNews;
+  readonly peerMesh: PeerMesh;
   readonly pool: ChannelPool;
   readonly log: DecisionLog;
   readonly gatewayMetrics: GatewayMetrics;
@@ -68,9 +72,12 @@
   }
 
   async start(): Promise<void> {
-    const { settings, callerServer, mirror, timers, log } = this.#parts;
+    const { settings, callerServer, mirror, peerMesh, timers, log } =
+      this.#parts;
     const { router } = settings;
+    this.#tellPeers();
     mirror.start();
+    await peerMesh.start();
     await callerServer.listen(router.callers);
     await this.#upkeep.listen(router.ready);
     await this.#metrics.listen({
@@ -109,9 +116,30 @@
     this.#upkeep.close();
     this.#metrics.close();
     this.#parts.mirror.stop();
+    await this.#parts.peerMesh.stop();
     this.#parts.pool.close();
   }
 
+  /** Passes on what this router learns that is worth telling peers. */
+  #tellPeers(): void {
+    const { knowledge, peerNews, mirror, log } = this.#parts;
+    knowledge.listen({
+      loadChanged: (endpoint, own) => {
+        peerNews.loadChanged(endpoint, own);
+      },
+      partRead: (part, engine) => {
+        peerNews.partRead(part, engine);
+      },
+      standingChanged: change => {
+        log.write('endpoint-standing', { ...change });
+      },
+    });
+    mirror.onConfiguration(({ version, limits }) => {
+      peerNews.versionChanged(version);
+      this.#parts.callerServer.applyLimits(limits);
+    });
+  }
+
   #directoryChanged(events: readonly DirectoryEvent[]): void {
     const { pool, knowledge, log, directory, timers } = this.#parts;
     if (events.length === 0) {
@@ -165,6 +193,16 @@
       'Connections opened to endpoints.',
       () => pool.opened,
     );
+    gatewayMetrics.gauge(
+      'peers_connected',
+      'Routers that news come from.',
+      () => this.#parts.peerMesh.connected,
+    );
+    gatewayMetrics.gauge(
+      'peer_bytes',
+      'Bytes exchanged with routers.',
+      () => this.#parts.peerMesh.bytes,
+    );
     gatewayMetrics.gauge('endpoints', 'Endpoints known.', () => directory.size);
   }
 }
--- a/packages/router/src/peers/peer-routes.ts
+++ b/packages/router/src/peers/peer-routes.ts
@@ -1,7 +1,6 @@
 /** The procedures that routers offer each other. */
 import { initTRPC } from '@trpc/server';
 
-import type { ConfigurationSnapshot } from '@sesamegrade/core/configuration/rows';
 import type { PeerFeed } from './peer-feed';
 import type { ProvenPeer } from './peer-proof';
 
@@ -18,7 +17,8 @@
 export interface PeerHost {
   openFeed(context: PeerContext): PeerFeed;
   closeFeed(context: PeerContext, feed: PeerFeed): void;
-  snapshot(): ConfigurationSnapshot;
+  /** The whole configuration, as its receiver understands it. */
+  snapshot(): unknown;
 }
 
 /** Builds the procedures: a feed of gossip and the whole configuration. */
--- a/packages/router/src/peers/peer-server.ts
+++ b/packages/router/src/peers/peer-server.ts
@@ -8,7 +8,6 @@
 import { WebSocketServer } from 'ws';
 import type { WebSocket } from 'ws';
 
-import type { ConfigurationSnapshot } from '@sesamegrade/core/configuration/rows';
 import type { RouterIdentity } from '@sesamegrade/core/membership/router-table';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
 import type { Address } from '@sesamegrade/core/types/endpoint';
@@ -40,7 +39,7 @@
   readonly proof: PeerProof;
   readonly meter: SocketMeter;
   readonly timers: TimerService;
-  readonly snapshot: () => ConfigurationSnapshot;
+  readonly snapshot: () => unknown;
   readonly listener: PeerServerListener;
 }
 
