--- /dev/null
+++ b/packages/core/src/endpoints/endpoint-directory.test.ts
@@ -0,0 +1,75 @@
+import { expect } from 'chai';
+
+import { endpointId, serviceId, zoneId } from '../types/ids';
+import { instant, milliseconds } from '../types/units';
+import { EndpointDirectory } from './endpoint-directory';
+import type { EndpointEntry } from './serving-endpoint';
+
+const service = serviceId('s');
+const id = endpointId('e');
+
+const entry = (fields: Partial<EndpointEntry> = {}): EndpointEntry => ({
+  id,
+  service,
+  address: { host: '10.0.0.1', port: 1 },
+  zone: zoneId('z'),
+  slots: 4,
+  leaving: false,
+  warmUp: milliseconds(0),
+  startedAt: 100,
+  ...fields,
+});
+
+describe('EndpointDirectory', () => {
+  it('keeps an endpoint leaving until it starts anew', () => {
+    const directory = new EndpointDirectory();
+    directory.replace([entry()], instant(0));
+    directory.apply({ id, entry: entry({ leaving: true }) }, instant(1));
+    directory.apply({ id, entry: entry() }, instant(2));
+    expect(directory.usable(service)).to.deep.equal([]);
+    const events = directory.apply(
+      { id, entry: entry({ startedAt: 200 }) },
+      instant(3),
+    );
+    expect(events.map(({ kind }) => kind)).to.deep.equal(['restarted']);
+    expect(directory.isUsable(id)).to.equal(true);
+  });
+
+  it('drops an endpoint at once when its entry vanishes while the store is well', () => {
+    const directory = new EndpointDirectory();
+    directory.replace([entry()], instant(0));
+    directory.apply({ id, entry: undefined }, instant(10));
+    expect(directory.isUsable(id)).to.equal(false);
+  });
+
+  it('keeps an entry that lapsed in an outage for less than two seconds after its return', () => {
+    const directory = new EndpointDirectory();
+    directory.replace([entry()], instant(0));
+    directory.storeReturned(instant(10_000));
+    directory.replace([], instant(10_010));
+    expect(directory.isUsable(id)).to.equal(true);
+    directory.tick(instant(11_500));
+    expect(directory.isUsable(id)).to.equal(true);
+    const events = directory.tick(instant(12_000));
+    expect(events).to.deep.equal([{ kind: 'gone', id }]);
+    expect(directory.isUsable(id)).to.equal(false);
+  });
+
+  it('takes a lapsed entry back when it returns', () => {
+    const directory = new EndpointDirectory();
+    directory.replace([entry()], instant(0));
+    directory.storeReturned(instant(10_000));
+    directory.apply({ id, entry: undefined }, instant(10_010));
+    directory.apply({ id, entry: entry() }, instant(11_000));
+    expect(directory.tick(instant(20_000))).to.deep.equal([]);
+    expect(directory.isUsable(id)).to.equal(true);
+  });
+
+  it('does not keep an endpoint that was leaving before its entry vanished', () => {
+    const directory = new EndpointDirectory();
+    directory.replace([entry({ leaving: true })], instant(0));
+    directory.storeReturned(instant(10_000));
+    directory.apply({ id, entry: undefined }, instant(10_010));
+    expect(directory.size).to.equal(0);
+  });
+});
--- a/packages/core/src/time/timer-service.ts
+++ b/packages/core/src/time/timer-service.ts
@@ -33,6 +33,11 @@
     return this.#subscribe(delay, undefined, listener);
   }
 
+  /** Wakes nobody any more. */
+  stop(): void {
+    this.#subscriptions.clear();
+  }
+
   /** Runs every listener that is due, in order of due time. */
   protected runDue(now: Instant): void {
     const due = [...this.#subscriptions].filter(entry => entry.due <= now);
--- a/packages/gateway/src/callers/caller-server.ts
+++ b/packages/gateway/src/callers/caller-server.ts
@@ -43,6 +43,7 @@
     app.on('error', (error: unknown) => {
       parts.log.write('request-error', { error: String(error) });
     });
+    const handle = app.callback();
     this.#server = createServer(
       {
         maxHeaderSize: MAX_HEAD_BYTES,
@@ -50,7 +51,9 @@
         keepAliveTimeout: DEFAULT_IDLE_MS,
         noDelay: true,
       },
-      app.callback(),
+      (request, response) => {
+        void handle(request, response);
+      },
     );
     this.#server.on('connection', socket => {
       this.#accepted += 1;
--- a/packages/gateway/src/composition/gateway-container.ts
+++ b/packages/gateway/src/composition/gateway-container.ts
@@ -7,7 +7,7 @@
   InjectionMode,
 } from 'awilix';
 import type { AwilixContainer } from 'awilix';
-import winston from 'winston';
+import type { Logger } from 'winston';
 
 import { EndpointDirectory } from '@sesamegrade/core/endpoints/endpoint-directory';
 import { LoadEstimate } from '@sesamegrade/core/engines/load-estimate';
@@ -22,6 +22,7 @@
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
 import { zoneId } from '@sesamegrade/core/types/ids';
 import { seconds } from '@sesamegrade/core/types/units';
+import { openLogger } from '@sesamegrade/router/logs/logger';
 import { SystemTimerService } from '@sesamegrade/router/process/system-timer-service';
 import type { GatewaySettings } from '@sesamegrade/settings/gateway-schema';
 import { CallerServer } from '../callers/caller-server';
@@ -50,7 +51,7 @@
 
 export interface GatewayCradle extends Deployment {
   readonly settings: GatewaySettings;
-  readonly logger: winston.Logger;
+  readonly logger: Logger;
   readonly timers: TimerService;
   readonly random: Random;
   readonly log: DecisionLog;
@@ -127,12 +128,12 @@
   return container;
 }
 
-function newLogger({ settings }: GatewayCradle): winston.Logger {
-  return winston.createLogger({
+function newLogger({ settings }: GatewayCradle): Logger {
+  return openLogger({
     level: settings.log.level,
-    defaultMeta: { router: settings.router.id },
-    format: winston.format.json(),
-    transports: [new winston.transports.Stream({ stream: process.stdout })],
+    fields: { router: settings.router.id },
+    stream: process.stdout,
+    timestamps: true,
   });
 }
 
--- a/packages/gateway/src/endpoints/endpoint-channel.ts
+++ b/packages/gateway/src/endpoints/endpoint-channel.ts
@@ -105,7 +105,7 @@
     let wasSent = false;
     this.#client.dispatch(
       {
-        method: request.method as Dispatcher.HttpMethod,
+        method: request.method,
         path: request.target,
         headers: [...request.headers],
         body: request.body ?? null,
--- a/packages/gateway/src/process/gateway-process.ts
+++ b/packages/gateway/src/process/gateway-process.ts
@@ -112,12 +112,19 @@
       },
     );
     log.write('stop', { running: forwarder.running });
+    await this.kill();
+  }
+
+  /** Ends every connection at once. */
+  async kill(): Promise<void> {
+    const { callerServer, mirror, peerMesh, pool, timers } = this.#parts;
     callerServer.close();
     this.#upkeep.close();
     this.#metrics.close();
-    this.#parts.mirror.stop();
-    await this.#parts.peerMesh.stop();
-    this.#parts.pool.close();
+    mirror.stop();
+    pool.close();
+    await peerMesh.stop();
+    timers.stop();
   }
 
   /** Passes on what this router learns that is worth telling peers. */
--- a/packages/gateway/src/process/upkeep-server.ts
+++ b/packages/gateway/src/process/upkeep-server.ts
@@ -31,7 +31,10 @@
       });
     }
     app.use(router.routes());
-    this.#server = createServer(app.callback());
+    const handle = app.callback();
+    this.#server = createServer((request, response) => {
+      void handle(request, response);
+    });
   }
 
   async listen({ host, port }: Address): Promise<void> {
--- a/packages/router/src/logs/logger.ts
+++ b/packages/router/src/logs/logger.ts
@@ -1,18 +1,37 @@
-/** Structured log lines, written only when a state changes. */
+/** Structured log lines as JSON. */
 import winston from 'winston';
 import type { Logger } from 'winston';
 
 import type { Settings } from '@sesamegrade/settings/schema';
 
+export interface LoggerOptions {
+  readonly level: string;
+  /** Fields of every line. */
+  readonly fields: Readonly<Record<string, string>>;
+  readonly stream: NodeJS.WritableStream;
+  /** Whether each line names the time of day. */
+  readonly timestamps: boolean;
+}
+
+/** Makes a logger that writes JSON lines to a stream. */
+export function openLogger(options: LoggerOptions): Logger {
+  const json = winston.format.json();
+  const logger = winston.createLogger({
+    level: options.level,
+    defaultMeta: options.fields,
+    format: options.timestamps
+      ? winston.format.combine(winston.format.timestamp(), json)
+      : json,
+  });
+  return logger.add(new winston.transports.Stream({ stream: options.stream }));
+}
+
 /** Makes a logger that writes JSON lines to standard error. */
 export function createLogger({ router, log }: Settings): Logger {
-  const logger = winston.createLogger({
+  return openLogger({
     level: log.level,
-    defaultMeta: { router: router.id, zone: router.zone },
-    format: winston.format.combine(
-      winston.format.timestamp(),
-      winston.format.json(),
-    ),
+    fields: { router: router.id, zone: router.zone },
+    stream: process.stderr,
+    timestamps: true,
   });
-  return logger.add(new winston.transports.Stream({ stream: process.stderr }));
 }
--- a/packages/router/src/process/system-timer-service.ts
+++ b/packages/router/src/process/system-timer-service.ts
@@ -17,7 +17,8 @@
   }
 
   /** Wakes nobody any more, so that the process can end. */
-  stop(): void {
+  override stop(): void {
+    super.stop();
     this.#stopped = true;
     clearTimeout(this.#timeout);
   }
