Pass unframed answers on unframed, learn how long channels are kept

Now such an answer ends as it came, with its connection; keep times are learned from endpoints that close; health is judged per service; loads are told every 250 ms, parts and versions within 50 ms.

--- a/packages/cli/src/platform-router.ts
+++ b/packages/cli/src/platform-router.ts
@@ -29,7 +29,7 @@
     process.env[settings.peers.secret_env] ?? '',
   ).cradle;
   process.once('SIGTERM', () => {
-    void gateway.stop().then(() => {
+    void gateway.stop().finally(() => {
       process.exit(0);
     });
   });
--- a/packages/core/src/forwarding/endpoint-choice.ts
+++ b/packages/core/src/forwarding/endpoint-choice.ts
@@ -6,7 +6,7 @@
 import type { EngineReason } from '../engines/engine-placement';
 import type { LoadEstimate } from '../engines/load-estimate';
 import type { PartLocations } from '../engines/part-locations';
-import type { AveragedHealthDetector } from '../outliers/averaged-health-detector';
+import type { ServiceHealth } from '../outliers/service-health';
 import { sharedParts } from '../prompts/prompt-chain';
 import type { Prompt } from '../prompts/prompt-chain';
 import type { Random } from '../random/random';
@@ -42,7 +42,7 @@
   readonly directory: EndpointDirectory;
   readonly loads: LoadEstimate;
   readonly locations: PartLocations;
-  readonly health: AveragedHealthDetector;
+  readonly health: ServiceHealth;
   readonly random: Random;
   readonly zone: ZoneId;
 }
--- a/packages/core/src/forwarding/fleet-knowledge.ts
+++ b/packages/core/src/forwarding/fleet-knowledge.ts
@@ -2,7 +2,7 @@
 import type { EndpointEntry } from '../endpoints/serving-endpoint';
 import type { LoadEstimate } from '../engines/load-estimate';
 import type { PartLocations, PartState } from '../engines/part-locations';
-import type { AveragedHealthDetector } from '../outliers/averaged-health-detector';
+import type { ServiceHealth } from '../outliers/service-health';
 import type { Evidence } from '../outliers/evidence';
 import type { StandingChange } from '../outliers/outlier-detector';
 import { sharedParts } from '../prompts/prompt-chain';
@@ -35,7 +35,7 @@
 export interface FleetKnowledgeParts {
   readonly loads: LoadEstimate;
   readonly locations: PartLocations;
-  readonly health: AveragedHealthDetector;
+  readonly health: ServiceHealth;
   /** Repeats that this router may send, out of the fleet's. */
   readonly repeatBudget: RetryBudgetOptions;
   readonly now: () => Instant;
@@ -120,10 +120,7 @@
 
   /** Takes the endpoints that the directory names. */
   endpointsChanged(entries: readonly EndpointEntry[], now: Instant): void {
-    this.#parts.health.endpointsChanged(
-      entries.map(({ id }) => id),
-      now,
-    );
+    this.#parts.health.endpointsChanged(entries, now);
   }
 
   /** Forgets an endpoint that is gone or started anew. */
--- a/packages/core/src/peers/peer-news.ts
+++ b/packages/core/src/peers/peer-news.ts
@@ -51,6 +51,11 @@
     this.#parts = parts;
   }
 
+  /** Whether there is news that should not wait for the next round. */
+  get isUrgent(): boolean {
+    return this.#newParts.length > 0 || this.#versionChanged;
+  }
+
   loadChanged(endpoint: EndpointId, own: number): void {
     this.#loads.set(endpoint, own);
   }
--- a/packages/gateway/src/callers/caller-exchange.ts
+++ b/packages/gateway/src/callers/caller-exchange.ts
@@ -115,6 +115,22 @@
     this.#answer(status, headers, body, false, length);
   }
 
+  /**
+   * Answers with a body that ended with its connection. It ends the same way
+   * here, as a length would vouch for an end that nobody announced.
+   */
+  answerUnframed(status: number, headers: HeaderList, body: Buffer): void {
+    if (this.#left || this.#begun) {
+      return;
+    }
+    this.#begun = true;
+    this.#finished = true;
+    this.#response.removeHeader('transfer-encoding');
+    this.#response.shouldKeepAlive = false;
+    this.#response.writeHead(status, [...headers, 'connection', 'close']);
+    this.#response.end(body);
+  }
+
   /** Begins an answer whose length is not known. */
   begin(status: number, headers: HeaderList): void {
     if (this.#left || this.#begun) {
--- a/packages/gateway/src/composition/gateway-container.ts
+++ b/packages/gateway/src/composition/gateway-container.ts
@@ -14,7 +14,7 @@
 import { PartLocations } from '@sesamegrade/core/engines/part-locations';
 import { EndpointChooser } from '@sesamegrade/core/forwarding/endpoint-choice';
 import { FleetKnowledge } from '@sesamegrade/core/forwarding/fleet-knowledge';
-import { AveragedHealthDetector } from '@sesamegrade/core/outliers/averaged-health-detector';
+import { ServiceHealth } from '@sesamegrade/core/outliers/service-health';
 import { defaultEjection } from '@sesamegrade/core/outliers/outlier-detector';
 import { PeerNews } from '@sesamegrade/core/peers/peer-news';
 import { Random } from '@sesamegrade/core/random/random';
@@ -60,7 +60,7 @@
   readonly directory: EndpointDirectory;
   readonly loads: LoadEstimate;
   readonly locations: PartLocations;
-  readonly health: AveragedHealthDetector;
+  readonly health: ServiceHealth;
   readonly knowledge: FleetKnowledge;
   readonly chooser: EndpointChooser;
   readonly pool: ChannelPool;
@@ -114,7 +114,9 @@
     health: asFunction(newHealth).singleton(),
     knowledge: asFunction(newKnowledge).singleton(),
     chooser: asFunction(newChooser).singleton(),
-    pool: asFunction(() => new ChannelPool()).singleton(),
+    pool: asFunction(
+      ({ timers }: GatewayCradle) => new ChannelPool(() => timers.now()),
+    ).singleton(),
     forwarder: asClass(Forwarder).singleton(),
     callerServer: asClass(CallerServer).singleton(),
     mirror: asClass(FleetMirror).singleton(),
@@ -138,8 +140,8 @@
 }
 
 /** Short periods: an endpoint that is back after a crash is missed by its callers. */
-function newHealth(): AveragedHealthDetector {
-  return new AveragedHealthDetector({
+function newHealth(): ServiceHealth {
+  return new ServiceHealth({
     ...defaultEjection,
     maxEjected: 0.5,
     basePeriod: seconds(1.5),
--- a/packages/gateway/src/endpoints/attempt.ts
+++ b/packages/gateway/src/endpoints/attempt.ts
@@ -6,7 +6,7 @@
   AttemptEnd,
 } from '@sesamegrade/core/forwarding/attempt-end';
 import type { RequestId } from '@sesamegrade/core/types/ids';
-import type { Instant } from '@sesamegrade/core/types/units';
+import type { Instant, Milliseconds } from '@sesamegrade/core/types/units';
 import type { ChannelPool } from './channel-pool';
 import type {
   ChannelEnd,
@@ -50,6 +50,7 @@
   readonly #options: AttemptOptions;
   readonly #channel: EndpointChannel;
   readonly #isNewChannel: boolean;
+  readonly #idleTime: Milliseconds | undefined;
   #resolve: (end: AttemptEnd) => void = () => undefined;
   #settled = false;
   #sent = false;
@@ -63,7 +64,8 @@
     this.done = new Promise(resolve => {
       this.#resolve = resolve;
     });
-    this.#channel = pool.take(entry, repeatable, options.now());
+    this.#channel = pool.take(entry, repeatable);
+    this.#idleTime = this.#channel.idleTime(options.now());
     this.#isNewChannel = this.#channel.exchanges === 0;
     this.#channel.send(request, {
       sent: () => {
@@ -92,6 +94,11 @@
     return this.#isNewChannel;
   }
 
+  /** How long the connection had not been used; undefined for a new one. */
+  get idleTime(): Milliseconds | undefined {
+    return this.#idleTime;
+  }
+
   get answerHead(): AnswerHead | undefined {
     return this.#head;
   }
@@ -156,6 +163,10 @@
     }
     const head = this.#head;
     if (end.kind === 'broken' || !head) {
+      if (!head && this.#idleTime !== undefined) {
+        const { pool, entry } = this.#options;
+        pool.brokeAfter(entry.service, this.#idleTime);
+      }
       this.#channel.destroy();
       this.#settle({ kind: 'broken', breakage: breakageOf(end) });
       return;
--- a/packages/gateway/src/endpoints/endpoint-channel.ts
+++ b/packages/gateway/src/endpoints/endpoint-channel.ts
@@ -16,7 +16,7 @@
 const KEEP_MARGIN_MS = 300;
 const LONGEST_KEPT_MS = 60_000;
 /** Unused time after which a connection is not trusted when the endpoint names no limit. */
-const UNTOLD_KEEP_TIME = milliseconds(3000);
+const UNTOLD_KEEP_TIME = milliseconds(30_000);
 /** Part of the endpoint's limit up to which an unused connection is trusted. */
 const KEEP_SHARE = 0.7;
 
@@ -84,6 +84,11 @@
     return this.#exchanges;
   }
 
+  /** Time since the last exchange ended; undefined before the first one's end. */
+  idleTime(now: Instant): Milliseconds | undefined {
+    return this.#usedAt === undefined ? undefined : elapsed(this.#usedAt, now);
+  }
+
   /** Whether an unused connection is likely to be still open at the other end. */
   isFresh(now: Instant, longest: Milliseconds): boolean {
     if (this.#closed || !this.#connected || this.#usedAt === undefined) {
--- a/packages/gateway/src/forwarding/answer-relay.ts
+++ b/packages/gateway/src/forwarding/answer-relay.ts
@@ -16,6 +16,8 @@
   readonly headers: HeaderList;
   readonly body: Buffer;
   readonly length: number;
+  /** Whether the end of the body showed only in the end of the connection. */
+  readonly isUnframed: boolean;
 }
 
 export interface RelayOptions {
@@ -135,6 +137,7 @@
       headers: head.headers,
       body,
       length,
+      isUnframed: head.isUnframed,
     });
     return { kind: 'answered', status: head.status };
   }
--- a/packages/gateway/src/forwarding/forwarder.ts
+++ b/packages/gateway/src/forwarding/forwarder.ts
@@ -381,6 +381,8 @@
       fetchFrom: choice.fetchFrom?.id,
       subject: journey.head.prompt && subjectPart(journey.head.prompt)?.id,
       newChannel: attempt.isNewChannel,
+      idle: attempt.idleTime,
+      keep: attempt.answerHead?.keepTime,
       end,
       took: Math.round(took),
       events: relay.events,
@@ -423,7 +425,12 @@
       });
       return;
     }
-    journey.exchange.answer(held.status, held.headers, held.body, held.length);
+    const { status, headers, body, length } = held;
+    if (held.isUnframed && body.length > 0) {
+      journey.exchange.answerUnframed(status, headers, body);
+      return;
+    }
+    journey.exchange.answer(status, headers, body, length);
   }
 
   #giveUp(
--- a/packages/gateway/src/peers/peer-mesh.ts
+++ b/packages/gateway/src/peers/peer-mesh.ts
@@ -28,7 +28,9 @@
 import type { RowTable } from '../store/row-table';
 
 /** Loads change with each request; a placement sees them at most this late. */
-const NEWS_PERIOD: Milliseconds = milliseconds(100);
+const NEWS_PERIOD: Milliseconds = milliseconds(250);
+/** News of new parts and versions, which are rare, are looked for this often. */
+const URGENT_PERIOD: Milliseconds = milliseconds(50);
 /** A peer without news says at least that it is there. */
 const SIGN_PERIOD: Milliseconds = seconds(1);
 /** Silence after which a connection is taken for dead and made anew. */
@@ -132,6 +134,11 @@
     timers.every(NEWS_PERIOD, now => {
       this.#tellNews(now);
     });
+    timers.every(URGENT_PERIOD, now => {
+      if (this.#parts.peerNews.isUrgent) {
+        this.#tellNews(now);
+      }
+    });
     timers.every(SIGN_PERIOD, now => {
       this.#inspect(now);
     });
--- a/packages/gateway/src/process/gateway-process.ts
+++ b/packages/gateway/src/process/gateway-process.ts
@@ -112,7 +112,7 @@
       },
     );
     log.write('stop', { running: forwarder.running });
-    await this.kill();
+    callerServer.close();
   }
 
   /** Ends every connection at once. */
