Pass routers' news on through two relays, and accept callers before loading

Now all routers connect to the first two of a rendezvous order that answer, and those pass on counts with their origin; the loader listens before it loads the bundle; a request that comes before the first configuration waits up to 0.6 s for it. Ruled out: UDP to all (lost news have no second chance), a table in the store (its calls are priced).

--- a/packages/cli/src/platform-router.ts
+++ b/packages/cli/src/platform-router.ts
@@ -9,7 +9,7 @@
 const EXIT_SETTINGS = 2;
 
 async function run(): Promise<void> {
-  const file = process.env.SESAMEGRADE_CONFIG ?? process.argv[2] ?? '';
+  const file = process.env.SESAMEGRADE_CONFIG ?? '';
   const parsed = parseIni(
     gatewaySettingsSchema,
     file,
--- a/packages/core/src/endpoints/endpoint-directory.ts
+++ b/packages/core/src/endpoints/endpoint-directory.ts
@@ -9,7 +9,7 @@
 import type { EndpointChange, EndpointEntry } from './serving-endpoint';
 
 /** Time after the store's return within which a live endpoint's entry is back. */
-const LAPSE_TIME: Milliseconds = milliseconds(1800);
+const LAPSE_TIME: Milliseconds = milliseconds(1600);
 /** Time after an outage in which a vanished entry counts as lapsed. */
 const OUTAGE_MEMORY: Milliseconds = milliseconds(2500);
 
--- a/packages/core/src/engines/load-estimate.ts
+++ b/packages/core/src/engines/load-estimate.ts
@@ -64,15 +64,33 @@
     this.#peers.set(peer, counts);
   }
 
-  /** Notes that a peer was heard of, so that its counts still hold. */
-  peerHeard(peer: RouterId, now: Instant): void {
-    for (const count of this.#peers.get(peer)?.values() ?? []) {
-      count.at = now;
+  /** Notes that those who tell peers' counts were heard of, so that these still hold. */
+  peersHeard(now: Instant): void {
+    for (const counts of this.#peers.values()) {
+      for (const count of counts.values()) {
+        count.at = now;
+      }
     }
   }
 
-  forgetPeer(peer: RouterId): void {
+  /** Forgets a peer that is gone; returns the endpoints at which it had requests. */
+  forgetPeer(peer: RouterId): EndpointId[] {
+    const counts = this.#peers.get(peer);
     this.#peers.delete(peer);
+    return [...(counts ?? [])]
+      .filter(([, { value }]) => value > 0)
+      .map(([endpoint]) => endpoint);
+  }
+
+  /** Every count of every peer, for a router that has just connected. */
+  *peerCounts(): Generator<[RouterId, EndpointId, number]> {
+    for (const [peer, counts] of this.#peers) {
+      for (const [endpoint, { value }] of counts) {
+        if (value > 0) {
+          yield [peer, endpoint, value];
+        }
+      }
+    }
   }
 
   /** Forgets an endpoint that is gone or started anew. */
--- a/packages/core/src/peers/peer-news.ts
+++ b/packages/core/src/peers/peer-news.ts
@@ -1,21 +1,24 @@
 /**
  * What a router tells its peers, collected between messages, and what it takes
- * in from them: requests at endpoints, parts that engines read, rows of
- * endpoints and the version of the configuration in force.
+ * in from them: requests at endpoints, parts that engines read, and the version
+ * of the configuration in force. A relay passes on what it hears.
  */
 import { z } from 'zod';
 
 import type { LoadEstimate } from '../engines/load-estimate';
 import type { PartLocations, PartState } from '../engines/part-locations';
 import type { TopicEntries } from '../gossip/gossip-scheduler';
-import { endpointId, promptPartId } from '../types/ids';
+import { endpointId, promptPartId, routerId } from '../types/ids';
 import type { EndpointId, PromptPartId, RouterId } from '../types/ids';
 import type { Instant } from '../types/units';
 
 const name = z.string().min(1).max(200);
+const count = z.int().min(0).max(100_000);
 
 /** Requests that the sender has at an endpoint. */
-const loadSchema = z.tuple([name, z.int().min(0).max(100_000)]);
+const loadSchema = z.tuple([name, count]);
+/** Requests that another router has at an endpoint, as it told the sender. */
+const relayedSchema = z.tuple([name, name, count]);
 /** A part of prompts, an engine, and whether the engine has read it. */
 const partSchema = z.tuple([name, name, z.enum(['reading', 'held'])]);
 /** Version of the configuration in force at the sender. */
@@ -23,11 +26,13 @@
 
 export const NewsTopic = {
   loads: 'l',
+  relayed: 'r',
   parts: 'p',
   version: 'c',
 } as const;
 
 export interface PeerNewsParts {
+  readonly self: RouterId;
   readonly loads: LoadEstimate;
   readonly locations: PartLocations;
 }
@@ -40,17 +45,30 @@
   readonly malformed: number;
 }
 
+type PartEntry = readonly [PromptPartId, EndpointId, PartState];
+type RelayedEntry = readonly [RouterId, EndpointId, number];
+
 export class PeerNews {
   readonly #parts: PeerNewsParts;
   readonly #loads = new Map<EndpointId, number>();
-  readonly #newParts: (readonly [PromptPartId, EndpointId, PartState])[] = [];
+  readonly #relayed = new Map<string, RelayedEntry>();
+  readonly #newParts: PartEntry[] = [];
   #version: number | undefined;
   #versionChanged = false;
+  #isRelay = false;
 
   constructor(parts: PeerNewsParts) {
     this.#parts = parts;
   }
 
+  /** Whether this router passes on what it hears. */
+  set isRelay(isRelay: boolean) {
+    this.#isRelay = isRelay;
+    if (!isRelay) {
+      this.#relayed.clear();
+    }
+  }
+
   /** Whether there is news that should not wait for the next round. */
   get isUrgent(): boolean {
     return this.#newParts.length > 0 || this.#versionChanged;
@@ -69,6 +87,13 @@
     this.#versionChanged = true;
   }
 
+  /** Forgets what a peer told that is gone, here and at those who hear of it from here. */
+  peerGone(peer: RouterId): void {
+    for (const endpoint of this.#parts.loads.forgetPeer(peer)) {
+      this.#relay(peer, endpoint, 0);
+    }
+  }
+
   /** Returns what changed since the last call; undefined when nothing did. */
   takeChanges(): TopicEntries | undefined {
     const topics: Record<string, readonly unknown[]> = {};
@@ -76,6 +101,10 @@
       topics[NewsTopic.loads] = [...this.#loads];
       this.#loads.clear();
     }
+    if (this.#relayed.size > 0) {
+      topics[NewsTopic.relayed] = [...this.#relayed.values()];
+      this.#relayed.clear();
+    }
     if (this.#newParts.length > 0) {
       topics[NewsTopic.parts] = this.#newParts.splice(0);
     }
@@ -91,9 +120,10 @@
     const { loads, locations } = this.#parts;
     const own = endpoints
       .map(id => [id, loads.own(id)] as const)
-      .filter(([, count]) => count > 0);
+      .filter(([, requests]) => requests > 0);
     return {
       [NewsTopic.loads]: own,
+      [NewsTopic.relayed]: this.#isRelay ? [...loads.peerCounts()] : [],
       [NewsTopic.parts]: [...locations.pairs()],
       ...(this.#version === undefined
         ? {}
@@ -102,35 +132,65 @@
   }
 
   receive(peer: RouterId, topics: TopicEntries, now: Instant): ReceivedNews {
-    const { loads, locations } = this.#parts;
-    loads.peerHeard(peer, now);
+    this.#parts.loads.peersHeard(now);
     let malformed = 0;
     let version: number | undefined;
-    for (const entry of topics[NewsTopic.loads] ?? []) {
-      const read = loadSchema.safeParse(entry);
-      if (read.success) {
-        loads.peerTold(peer, endpointId(read.data[0]), read.data[1], now);
-      } else {
-        malformed += 1;
-      }
+    malformed += eachEntry(topics[NewsTopic.loads], loadSchema, entry => {
+      this.#told(peer, endpointId(entry[0]), entry[1], now);
+      this.#relay(peer, endpointId(entry[0]), entry[1]);
+    });
+    malformed += eachEntry(topics[NewsTopic.relayed], relayedSchema, entry => {
+      this.#told(routerId(entry[0]), endpointId(entry[1]), entry[2], now);
+    });
+    malformed += eachEntry(topics[NewsTopic.parts], partSchema, entry => {
+      this.#partTold(promptPartId(entry[0]), endpointId(entry[1]), entry[2]);
+    });
+    malformed += eachEntry(topics[NewsTopic.version], versionSchema, entry => {
+      version = Math.max(version ?? 0, entry[0]);
+    });
+    return { version, malformed };
+  }
+
+  #told(
+    origin: RouterId,
+    endpoint: EndpointId,
+    requests: number,
+    now: Instant,
+  ): void {
+    if (origin !== this.#parts.self) {
+      this.#parts.loads.peerTold(origin, endpoint, requests, now);
     }
-    for (const entry of topics[NewsTopic.parts] ?? []) {
-      const read = partSchema.safeParse(entry);
-      if (read.success) {
-        const [part, engine, state] = read.data;
-        locations.add(promptPartId(part), endpointId(engine), state);
-      } else {
-        malformed += 1;
-      }
+  }
+
+  #relay(origin: RouterId, endpoint: EndpointId, requests: number): void {
+    if (this.#isRelay) {
+      const key = `${origin}\n${endpoint}`;
+      this.#relayed.set(key, [origin, endpoint, requests]);
+    }
+  }
+
+  #partTold(part: PromptPartId, engine: EndpointId, state: PartState): void {
+    const isNews = this.#parts.locations.add(part, engine, state);
+    if (isNews && this.#isRelay) {
+      this.#newParts.push([part, engine, state]);
     }
-    for (const entry of topics[NewsTopic.version] ?? []) {
-      const read = versionSchema.safeParse(entry);
-      if (read.success) {
-        version = Math.max(version ?? 0, read.data[0]);
-      } else {
-        malformed += 1;
-      }
+  }
+}
+
+/** Hands each valid entry to a function; returns how many were not valid. */
+function eachEntry<Schema extends z.ZodType>(
+  entries: readonly unknown[] | undefined,
+  schema: Schema,
+  take: (entry: z.output<Schema>) => void,
+): number {
+  let malformed = 0;
+  for (const entry of entries ?? []) {
+    const read = schema.safeParse(entry);
+    if (read.success) {
+      take(read.data);
+    } else {
+      malformed += 1;
     }
-    return { version, malformed };
   }
+  return malformed;
 }
--- /dev/null
+++ b/packages/core/src/peers/relay-choice.ts
@@ -0,0 +1,55 @@
+/**
+ * Chooses the few routers that pass on news, alike on every router that knows
+ * the same ones: a mesh of all would cost each router a message per peer.
+ */
+import { rankMembers } from '../hashing/rendezvous';
+import type { RouterId } from '../types/ids';
+
+/** Relays that a router hears at the same time; one may be gone unnoticed for a second. */
+const HEARD_RELAYS = 2;
+/** Routers tried at once that are not heard yet; so many rarely are down together. */
+const MAX_UNHEARD = 6;
+const RELAY_KEY = 'relay';
+
+export interface RelayView {
+  readonly self: RouterId;
+  /** All routers that are known, this one included. */
+  readonly known: readonly RouterId[];
+  /** Routers that this one hears now. */
+  readonly connected: ReadonlySet<RouterId>;
+}
+
+export interface RelayChoice {
+  /** Routers to connect to: down the ranks until enough of them are heard. */
+  readonly links: readonly RouterId[];
+  /** Whether others may hear of the fleet through this router. */
+  readonly isRelay: boolean;
+}
+
+export function chooseRelays({
+  self,
+  known,
+  connected,
+}: RelayView): RelayChoice {
+  const links: RouterId[] = [];
+  let heard = 0;
+  let unheard = 0;
+  let isRelay = false;
+  for (const router of rankMembers(RELAY_KEY, known)) {
+    if (heard >= HEARD_RELAYS || unheard >= MAX_UNHEARD) {
+      break;
+    }
+    if (router === self) {
+      isRelay = true;
+      heard += 1;
+      continue;
+    }
+    links.push(router);
+    if (connected.has(router)) {
+      heard += 1;
+    } else {
+      unheard += 1;
+    }
+  }
+  return { links, isRelay };
+}
--- a/packages/gateway/src/callers/caller-server.ts
+++ b/packages/gateway/src/callers/caller-server.ts
@@ -10,6 +10,7 @@
 import type { Forwarder } from '../forwarding/forwarder';
 import type { DecisionLog } from '../logs/decision-log';
 import { CallerExchange } from './caller-exchange';
+import { adoptEarlyListener } from './early-listener';
 
 /** Room for a head above the deployments' limit of 16 KiB, so that the limit in force decides. */
 const MAX_HEAD_BYTES = 32_768;
@@ -74,6 +75,9 @@
   }
 
   async listen({ host, port }: Address): Promise<Address> {
+    if (adoptEarlyListener(this.#server, { host, port })) {
+      return { host, port };
+    }
     await new Promise<void>((resolve, reject) => {
       this.#server.once('error', reject);
       this.#server.listen({ host, port, backlog: BACKLOG }, () => {
--- a/packages/gateway/src/composition/gateway-container.ts
+++ b/packages/gateway/src/composition/gateway-container.ts
@@ -20,7 +20,7 @@
 import { Random } from '@sesamegrade/core/random/random';
 import { RouteTable } from '@sesamegrade/core/routes/route-table';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
-import { zoneId } from '@sesamegrade/core/types/ids';
+import { routerId, zoneId } from '@sesamegrade/core/types/ids';
 import { seconds } from '@sesamegrade/core/types/units';
 import { openLogger } from '@sesamegrade/router/logs/logger';
 import { SystemTimerService } from '@sesamegrade/router/process/system-timer-service';
@@ -37,6 +37,7 @@
 import type { DeploymentCodec } from '../store/deployment-codec';
 import type { FeedSource } from '../store/feed-source';
 import { FleetMirror } from '../store/fleet-mirror';
+import { FleetReadiness } from '../store/fleet-readiness';
 import type { RowTable } from '../store/row-table';
 
 /** What the deployment's adapter provides. */
@@ -67,6 +68,7 @@
   readonly forwarder: Forwarder;
   readonly callerServer: CallerServer;
   readonly mirror: FleetMirror;
+  readonly fleetReadiness: FleetReadiness;
   readonly peerSecret: string;
   readonly peerNews: PeerNews;
   readonly peerMesh: PeerMesh;
@@ -119,10 +121,15 @@
     ).singleton(),
     forwarder: asClass(Forwarder).singleton(),
     callerServer: asClass(CallerServer).singleton(),
+    fleetReadiness: asClass(FleetReadiness).singleton(),
     mirror: asClass(FleetMirror).singleton(),
     peerNews: asFunction(
-      ({ loads, locations }: GatewayCradle) =>
-        new PeerNews({ loads, locations }),
+      ({ loads, locations, settings }: GatewayCradle) =>
+        new PeerNews({
+          self: routerId(settings.router.id),
+          loads,
+          locations,
+        }),
     ).singleton(),
     peerMesh: asClass(PeerMesh).singleton(),
     gateway: asClass(GatewayProcess).singleton(),
--- a/packages/gateway/src/forwarding/forwarder.ts
+++ b/packages/gateway/src/forwarding/forwarder.ts
@@ -30,6 +30,7 @@
 import type { ChannelPool } from '../endpoints/channel-pool';
 import type { EndpointProtocol } from '../endpoints/endpoint-protocol';
 import type { DecisionLog } from '../logs/decision-log';
+import type { FleetReadiness } from '../store/fleet-readiness';
 import type { GatewayMetrics } from '../metrics/gateway-metrics';
 import { AnswerRelay } from './answer-relay';
 
@@ -47,6 +48,10 @@
 const FIRST_EVENT_SILENCE = milliseconds(1500);
 const EVENT_SILENCE = milliseconds(900);
 
+/** Longest wait for the first configuration, and its share of the caller's patience. */
+const LONGEST_START_WAIT = milliseconds(600);
+const START_WAIT_SHARE = 0.25;
+
 type ForwardDecision = Extract<RouteDecision, { kind: 'forward' }>;
 
 export interface ForwarderParts {
@@ -56,6 +61,7 @@
   readonly pool: ChannelPool;
   readonly callerProtocol: CallerProtocol;
   readonly endpointProtocol: EndpointProtocol;
+  readonly fleetReadiness: FleetReadiness;
   readonly timers: TimerService;
   readonly random: Random;
   readonly log: DecisionLog;
@@ -122,6 +128,7 @@
       this.#refuse(exchange, head, { kind: 'body-too-large' }, true);
       return;
     }
+    await this.#awaitFirstConfiguration(head);
     const decision = routes.decide(
       { host: head.host, path: head.path, key: head.key },
       timers.now(),
@@ -134,6 +141,17 @@
     await this.#forward(exchange, head, decision, body.body, arrived);
   }
 
+  /** A router that has just started knows its routes within milliseconds; a refusal would cost more. */
+  async #awaitFirstConfiguration(head: CallerHead): Promise<void> {
+    const { timers, fleetReadiness } = this.#parts;
+    if (fleetReadiness.isReached) {
+      return;
+    }
+    const patience = head.patience ?? LONGEST_START_WAIT;
+    const wait = Math.min(LONGEST_START_WAIT, patience * START_WAIT_SHARE);
+    await fleetReadiness.wait(timers, milliseconds(wait));
+  }
+
   #routeRefusal(
     decision: Exclude<RouteDecision, ForwardDecision>,
     head: CallerHead,
--- a/packages/gateway/src/peers/peer-mesh.ts
+++ b/packages/gateway/src/peers/peer-mesh.ts
@@ -2,8 +2,8 @@
 import { z } from 'zod';
 
 import type { EndpointDirectory } from '@sesamegrade/core/endpoints/endpoint-directory';
-import type { LoadEstimate } from '@sesamegrade/core/engines/load-estimate';
 import type { RouterIdentity } from '@sesamegrade/core/membership/router-table';
+import { chooseRelays } from '@sesamegrade/core/peers/relay-choice';
 import type { PeerNews } from '@sesamegrade/core/peers/peer-news';
 import type { Random } from '@sesamegrade/core/random/random';
 import type { RouteTable } from '@sesamegrade/core/routes/route-table';
@@ -27,10 +27,10 @@
 import type { FleetMirror } from '../store/fleet-mirror';
 import type { RowTable } from '../store/row-table';
 
-/** Loads change with each request; a placement sees them at most this late. */
-const NEWS_PERIOD: Milliseconds = milliseconds(250);
-/** News of new parts and versions, which are rare, are looked for this often. */
-const URGENT_PERIOD: Milliseconds = milliseconds(50);
+/** Loads change with each request; over a relay a placement sees them at most twice this late. */
+const NEWS_PERIOD: Milliseconds = milliseconds(200);
+/** News of new parts and versions wait this long for others of their kind. */
+const URGENT_DELAY: Milliseconds = milliseconds(25);
 /** A peer without news says at least that it is there. */
 const SIGN_PERIOD: Milliseconds = seconds(1);
 /** Silence after which a connection is taken for dead and made anew. */
@@ -47,6 +47,11 @@
   raw: z.instanceof(Uint8Array),
 });
 
+interface KnownRouter {
+  readonly identity: RouterIdentity;
+  confirmedAt: Instant;
+}
+
 interface Peer {
   readonly identity: RouterIdentity;
   readonly link: PeerLink;
@@ -59,7 +64,6 @@
   readonly peerSecret: string;
   readonly routerRows: RowTable;
   readonly peerNews: PeerNews;
-  readonly loads: LoadEstimate;
   readonly directory: EndpointDirectory;
   readonly routes: RouteTable;
   readonly mirror: FleetMirror;
@@ -77,6 +81,9 @@
   readonly #server: PeerServer;
   readonly #peers = new Map<RouterId, Peer>();
   readonly #subscribers = new Set<RouterId>();
+  /** Routers that exist, as far as this one knows, and when that was confirmed. */
+  readonly #known = new Map<RouterId, KnownRouter>();
+  #isUrgentDue = false;
   #signedAt: Instant | undefined;
   #fetching = false;
   #stopped = false;
@@ -112,6 +119,7 @@
         },
         unsubscribed: peer => {
           this.#subscribers.delete(peer);
+          this.#arrange();
         },
       },
     });
@@ -134,11 +142,6 @@
     timers.every(NEWS_PERIOD, now => {
       this.#tellNews(now);
     });
-    timers.every(URGENT_PERIOD, now => {
-      if (this.#parts.peerNews.isUrgent) {
-        this.#tellNews(now);
-      }
-    });
     timers.every(SIGN_PERIOD, now => {
       this.#inspect(now);
     });
@@ -196,18 +199,54 @@
     if (identity.id === this.#self.id) {
       return sameAddress(identity, this.#self);
     }
-    this.#connect(identity);
+    this.#learn(identity);
     return false;
   }
 
   #subscribed(identity: RouterIdentity): void {
     const { peerNews, directory } = this.#parts;
     this.#subscribers.add(identity.id);
+    this.#learn(identity);
+    // News flow along subscriptions, so whoever hears this router is heard as well.
     this.#connect(identity);
     const endpoints = directory.all().map(({ id }) => id);
     this.#send(identity.id, peerNews.wholeState(endpoints));
   }
 
+  #learn(identity: RouterIdentity): void {
+    const confirmedAt = this.#parts.timers.now();
+    this.#known.set(identity.id, { identity, confirmedAt });
+    this.#arrange();
+  }
+
+  /** Connects to the relays and drops connections that serve nobody. */
+  #arrange(): void {
+    const connected = new Set(
+      [...this.#peers.values()]
+        .filter(peer => peer.connected)
+        .map(({ identity }) => identity.id),
+    );
+    const { links, isRelay } = chooseRelays({
+      self: this.#self.id,
+      known: [this.#self.id, ...this.#known.keys()],
+      connected,
+    });
+    this.#parts.peerNews.isRelay = isRelay;
+    const wanted = new Set([...links, ...this.#subscribers]);
+    for (const id of links) {
+      const router = this.#known.get(id);
+      if (router) {
+        this.#connect(router.identity);
+      }
+    }
+    for (const [id, peer] of this.#peers) {
+      if (!wanted.has(id)) {
+        this.#peers.delete(id);
+        void peer.link.close();
+      }
+    }
+  }
+
   #connect(identity: RouterIdentity): void {
     const known = this.#peers.get(identity.id);
     if (known && sameAddress(known.identity, identity)) {
@@ -251,13 +290,14 @@
     if (!peer || peer.connected === connected) {
       return;
     }
-    const { log, loads, timers } = this.#parts;
+    const { log, peerNews, timers } = this.#parts;
     peer.connected = connected;
     peer.heardAt = timers.now();
     if (!connected) {
-      loads.forgetPeer(id);
+      peerNews.peerGone(id);
     }
     log.write(connected ? 'peer-connected' : 'peer-lost', { peer: id });
+    this.#arrange();
   }
 
   #received(id: RouterId, frame: GossipFrame): void {
@@ -272,6 +312,9 @@
     if (malformed > 0) {
       log.write('peer-malformed', { peer: id, entries: malformed });
     }
+    if (peerNews.isUrgent) {
+      this.hurry();
+    }
     if (peer && version !== undefined && this.#isNewer(version)) {
       void this.#fetch(peer);
     }
@@ -306,6 +349,18 @@
     }
   }
 
+  /** Tells urgent news shortly, with those that come meanwhile. */
+  hurry(): void {
+    if (this.#isUrgentDue) {
+      return;
+    }
+    this.#isUrgentDue = true;
+    this.#parts.timers.after(URGENT_DELAY, now => {
+      this.#isUrgentDue = false;
+      this.#tellNews(now);
+    });
+  }
+
   #tellNews(now: Instant): void {
     const changes = this.#parts.peerNews.takeChanges();
     const isSignDue =
@@ -328,13 +383,20 @@
   #inspect(now: Instant): void {
     for (const [id, peer] of this.#peers) {
       const silence = elapsed(peer.heardAt, now);
+      const router = this.#known.get(id);
       if (peer.connected && silence > SILENCE_LIMIT) {
         peer.link.reset();
-      } else if (!peer.connected && silence > FORGET_AFTER) {
-        this.#peers.delete(id);
-        void peer.link.close();
+      } else if (peer.connected && router) {
+        router.confirmedAt = now;
+      }
+    }
+    for (const [id, { confirmedAt }] of this.#known) {
+      const isTried = this.#peers.has(id);
+      if (isTried && elapsed(confirmedAt, now) > FORGET_AFTER) {
+        this.#known.delete(id);
       }
     }
+    this.#arrange();
   }
 }
 
--- a/packages/gateway/src/process/gateway-process.ts
+++ b/packages/gateway/src/process/gateway-process.ts
@@ -17,10 +17,12 @@
 import type { GatewayMetrics } from '../metrics/gateway-metrics';
 import type { PeerMesh } from '../peers/peer-mesh';
 import type { FleetMirror } from '../store/fleet-mirror';
+import type { FleetReadiness } from '../store/fleet-readiness';
 import { StopPlan } from './stop-plan';
 import { UpkeepServer } from './upkeep-server';
 
-const TICK: Milliseconds = milliseconds(100);
+/** Lapsed entries and ejections end within this of their time. */
+const TICK: Milliseconds = milliseconds(250);
 
 export interface GatewayProcessParts {
   readonly settings: GatewaySettings;
@@ -31,6 +33,7 @@
   readonly forwarder: Forwarder;
   readonly callerServer: CallerServer;
   readonly mirror: FleetMirror;
+  readonly fleetReadiness: FleetReadiness;
   readonly peerNews: PeerNews;
   readonly peerMesh: PeerMesh;
   readonly pool: ChannelPool;
@@ -63,12 +66,7 @@
 
   /** Whether routes and endpoints are known and the router is not stopping. */
   get isReady(): boolean {
-    const { routes, directory } = this.#parts;
-    return (
-      this.#stopping === undefined &&
-      routes.version !== undefined &&
-      directory.loaded
-    );
+    return this.#stopping === undefined && this.#parts.fleetReadiness.isReached;
   }
 
   async start(): Promise<void> {
@@ -77,8 +75,8 @@
     const { router } = settings;
     this.#tellPeers();
     mirror.start();
-    await peerMesh.start();
     await callerServer.listen(router.callers);
+    await peerMesh.start();
     await this.#upkeep.listen(router.ready);
     await this.#metrics.listen({
       host: router.callers.host,
@@ -129,13 +127,14 @@
 
   /** Passes on what this router learns that is worth telling peers. */
   #tellPeers(): void {
-    const { knowledge, peerNews, mirror, log } = this.#parts;
+    const { knowledge, peerNews, peerMesh, mirror, log } = this.#parts;
     knowledge.listen({
       loadChanged: (endpoint, own) => {
         peerNews.loadChanged(endpoint, own);
       },
       partChanged: (part, engine, state) => {
         peerNews.partChanged(part, engine, state);
+        peerMesh.hurry();
       },
       standingChanged: change => {
         log.write('endpoint-standing', { ...change });
@@ -143,6 +142,7 @@
     });
     mirror.onConfiguration(({ version, limits }) => {
       peerNews.versionChanged(version);
+      peerMesh.hurry();
       this.#parts.callerServer.applyLimits(limits);
     });
   }
--- a/packages/gateway/src/store/fleet-mirror.ts
+++ b/packages/gateway/src/store/fleet-mirror.ts
@@ -15,6 +15,7 @@
 import type { DecisionLog } from '../logs/decision-log';
 import type { DeploymentCodec } from './deployment-codec';
 import { FeedFollower } from './feed-follower';
+import type { FleetReadiness } from './fleet-readiness';
 import type { FeedPage, FeedRow, FeedSource } from './feed-source';
 
 export interface FleetMirrorParts {
@@ -23,6 +24,7 @@
   readonly codec: DeploymentCodec;
   readonly routes: RouteTable;
   readonly directory: EndpointDirectory;
+  readonly fleetReadiness: FleetReadiness;
   readonly timers: TimerService;
   readonly random: Random;
   readonly log: DecisionLog;
@@ -138,6 +140,7 @@
       teams: decoded.value.teams.length,
     });
     this.#configurationListener(decoded.value);
+    this.#parts.fleetReadiness.changed();
   }
 
   #configurationRows({ rows }: FeedPage): void {
@@ -158,6 +161,7 @@
       .map(row => this.#entryOf(row))
       .filter((entry): entry is EndpointEntry => entry !== undefined);
     this.#directoryListener(directory.replace(entries, timers.now()));
+    this.#parts.fleetReadiness.changed();
   }
 
   #changeEndpoints({ rows }: FeedPage): void {
