--- a/packages/core/src/forwarding/fleet-knowledge.ts
+++ b/packages/core/src/forwarding/fleet-knowledge.ts
@@ -86,6 +86,11 @@
     this.#partsAt(endpoint, prompt, 'held');
   }
 
+  /** Notes that an engine says it holds a part. */
+  partHeld(engine: EndpointId, part: PromptPartId): void {
+    this.#partAt(engine, part, 'held');
+  }
+
   attemptEnded(
     endpoint: EndpointId,
     end: AttemptEnd,
@@ -142,9 +147,13 @@
     state: PartState,
   ): void {
     for (const { id } of prompt ? sharedParts(prompt) : []) {
-      if (this.#parts.locations.add(id, engine, state)) {
-        this.#listener?.partChanged(id, engine, state);
-      }
+      this.#partAt(engine, id, state);
+    }
+  }
+
+  #partAt(engine: EndpointId, part: PromptPartId, state: PartState): void {
+    if (this.#parts.locations.add(part, engine, state)) {
+      this.#listener?.partChanged(part, engine, state);
     }
   }
 
--- a/packages/core/src/peers/peer-news.ts
+++ b/packages/core/src/peers/peer-news.ts
@@ -62,6 +62,10 @@
   }
 
   /** Whether this router passes on what it hears. */
+  get isRelay(): boolean {
+    return this.#isRelay;
+  }
+
   set isRelay(isRelay: boolean) {
     this.#isRelay = isRelay;
     if (!isRelay) {
--- a/packages/gateway/src/composition/gateway-container.ts
+++ b/packages/gateway/src/composition/gateway-container.ts
@@ -27,6 +27,7 @@
 import type { GatewaySettings } from '@sesamegrade/settings/gateway-schema';
 import { CallerServer } from '../callers/caller-server';
 import type { CallerProtocol } from '../callers/caller-protocol';
+import { CacheSurvey } from '../endpoints/cache-survey';
 import { ChannelPool } from '../endpoints/channel-pool';
 import type { EndpointProtocol } from '../endpoints/endpoint-protocol';
 import { Forwarder } from '../forwarding/forwarder';
@@ -72,6 +73,7 @@
   readonly peerSecret: string;
   readonly peerNews: PeerNews;
   readonly peerMesh: PeerMesh;
+  readonly cacheSurvey: CacheSurvey;
   readonly gateway: GatewayProcess;
 }
 
@@ -132,6 +134,7 @@
         }),
     ).singleton(),
     peerMesh: asClass(PeerMesh).singleton(),
+    cacheSurvey: asClass(CacheSurvey).singleton(),
     gateway: asClass(GatewayProcess).singleton(),
   });
   return container;
--- a/packages/gateway/src/endpoints/endpoint-protocol.ts
+++ b/packages/gateway/src/endpoints/endpoint-protocol.ts
@@ -1,7 +1,13 @@
 /** How endpoints speak; an adapter names the headers and bodies. */
 import type { Address } from '@sesamegrade/core/types/endpoint';
-import type { EndpointId, TeamId } from '@sesamegrade/core/types/ids';
+import type {
+  EndpointId,
+  PromptPartId,
+  TeamId,
+} from '@sesamegrade/core/types/ids';
 import type { Milliseconds } from '@sesamegrade/core/types/units';
+import type { Result } from '@sesamegrade/core/types/result';
+import type { DecodeFailure } from '../store/deployment-codec';
 import type { CallerHead, HeaderList } from '../callers/caller-protocol';
 
 /** What the router adds to a request it forwards. */
@@ -52,4 +58,12 @@
   abstract requestHeaders(head: CallerHead, marks: ForwardMarks): string[];
 
   abstract readAnswer(status: number, headers: HeaderList): AnswerHead;
+
+  /** Path of an engine's list of the prompt parts that it holds. */
+  abstract readonly cacheListTarget: string;
+
+  /** Reads the parts from an engine's list. */
+  abstract readCacheList(
+    body: Uint8Array,
+  ): Result<PromptPartId[], DecodeFailure>;
 }
--- a/packages/gateway/src/process/gateway-process.ts
+++ b/packages/gateway/src/process/gateway-process.ts
@@ -11,6 +11,7 @@
 import type { Milliseconds } from '@sesamegrade/core/types/units';
 import type { GatewaySettings } from '@sesamegrade/settings/gateway-schema';
 import type { CallerServer } from '../callers/caller-server';
+import type { CacheSurvey } from '../endpoints/cache-survey';
 import type { ChannelPool } from '../endpoints/channel-pool';
 import type { Forwarder } from '../forwarding/forwarder';
 import type { DecisionLog } from '../logs/decision-log';
@@ -24,7 +25,11 @@
 /** Lapsed entries and ejections end within this of their time. */
 const TICK: Milliseconds = milliseconds(250);
 
+/** Time from the start after which the relays are known and the endpoints read. */
+const SURVEY_DELAY: Milliseconds = milliseconds(500);
+
 export interface GatewayProcessParts {
+  readonly cacheSurvey: CacheSurvey;
   readonly settings: GatewaySettings;
   readonly timers: TimerService;
   readonly routes: RouteTable;
@@ -90,6 +95,9 @@
     mirror.onDirectoryChange(events => {
       this.#directoryChanged(events);
     });
+    timers.after(SURVEY_DELAY, () => {
+      this.#surveyCaches();
+    });
     log.write('start', { router: router.id, zone: router.zone });
   }
 
@@ -125,6 +133,14 @@
     timers.stop();
   }
 
+  /** One of the few relays asks, and the others hear of it. */
+  #surveyCaches(): void {
+    const { settings, peerNews, cacheSurvey } = this.#parts;
+    if (peerNews.isRelay && !settings.router.first_start) {
+      void cacheSurvey.run();
+    }
+  }
+
   /** Passes on what this router learns that is worth telling peers. */
   #tellPeers(): void {
     const { knowledge, peerNews, peerMesh, mirror, log } = this.#parts;
--- a/packages/stand-ins/src/deployment/deployment-documents.ts
+++ b/packages/stand-ins/src/deployment/deployment-documents.ts
@@ -68,6 +68,12 @@
     services: [
       { name: 'registry', healthPath: '/health', maxConns: 100 },
       { name: 'other', healthPath: '/health', maxConns: 100 },
+      {
+        name: 'drafting',
+        healthPath: '/health',
+        maxConns: 100,
+        engine: { slots: 8, kvCapacity: 100_000, most: 2, backups: true },
+      },
     ],
     limits: {
       maxHeaderBytes: 16_384,
