Refuse long answers in the second half of a stop

Kept connections went on to carry requests until the grace was over. Ruled out: serving what is predicted to end in time; the prediction would have to hold for every endpoint's speed.

--- a/packages/gateway/src/composition/gateway-container.ts
+++ b/packages/gateway/src/composition/gateway-container.ts
@@ -35,6 +35,7 @@
 import { GatewayMetrics } from '../metrics/gateway-metrics';
 import { PeerMesh } from '../peers/peer-mesh';
 import { GatewayProcess } from '../process/gateway-process';
+import { StopPlan } from '../process/stop-plan';
 import type { DeploymentCodec } from '../store/deployment-codec';
 import type { FeedSource } from '../store/feed-source';
 import { FleetMirror } from '../store/fleet-mirror';
@@ -67,6 +68,7 @@
   readonly chooser: EndpointChooser;
   readonly pool: ChannelPool;
   readonly forwarder: Forwarder;
+  readonly stopPlan: StopPlan;
   readonly callerServer: CallerServer;
   readonly mirror: FleetMirror;
   readonly fleetReadiness: FleetReadiness;
@@ -121,6 +123,7 @@
     pool: asFunction(
       ({ timers }: GatewayCradle) => new ChannelPool(() => timers.now()),
     ).singleton(),
+    stopPlan: asValue(new StopPlan(settings.stop.grace_seconds)),
     forwarder: asClass(Forwarder).singleton(),
     callerServer: asClass(CallerServer).singleton(),
     fleetReadiness: asClass(FleetReadiness).singleton(),
--- a/packages/gateway/src/forwarding/forwarder.ts
+++ b/packages/gateway/src/forwarding/forwarder.ts
@@ -30,6 +30,7 @@
 import type { ChannelPool } from '../endpoints/channel-pool';
 import type { EndpointProtocol } from '../endpoints/endpoint-protocol';
 import type { DecisionLog } from '../logs/decision-log';
+import type { StopPlan } from '../process/stop-plan';
 import type { FleetReadiness } from '../store/fleet-readiness';
 import type { GatewayMetrics } from '../metrics/gateway-metrics';
 import { AnswerRelay } from './answer-relay';
@@ -62,6 +63,7 @@
   readonly callerProtocol: CallerProtocol;
   readonly endpointProtocol: EndpointProtocol;
   readonly fleetReadiness: FleetReadiness;
+  readonly stopPlan: StopPlan;
   readonly timers: TimerService;
   readonly random: Random;
   readonly log: DecisionLog;
@@ -138,6 +140,11 @@
       this.#refuse(exchange, head, this.#routeRefusal(decision, head));
       return;
     }
+    if (!this.#parts.stopPlan.admits(decision.route.answer, timers.now())) {
+      const left = head.patience ?? decision.route.timeout;
+      this.#refuse(exchange, head, this.#notRun('stopping', left), true);
+      return;
+    }
     await this.#forward(exchange, head, decision, body.body, arrived);
   }
 
--- a/packages/gateway/src/process/gateway-process.ts
+++ b/packages/gateway/src/process/gateway-process.ts
@@ -19,7 +19,7 @@
 import type { PeerMesh } from '../peers/peer-mesh';
 import type { FleetMirror } from '../store/fleet-mirror';
 import type { FleetReadiness } from '../store/fleet-readiness';
-import { StopPlan } from './stop-plan';
+import type { StopPlan } from './stop-plan';
 import { UpkeepServer } from './upkeep-server';
 
 /** Lapsed entries and ejections end within this of their time. */
@@ -36,6 +36,7 @@
   readonly directory: EndpointDirectory;
   readonly knowledge: FleetKnowledge;
   readonly forwarder: Forwarder;
+  readonly stopPlan: StopPlan;
   readonly callerServer: CallerServer;
   readonly mirror: FleetMirror;
   readonly fleetReadiness: FleetReadiness;
@@ -50,7 +51,6 @@
   readonly #parts: GatewayProcessParts;
   readonly #upkeep: UpkeepServer;
   readonly #metrics: UpkeepServer;
-  #stopping: StopPlan | undefined;
 
   constructor(parts: GatewayProcessParts) {
     this.#parts = parts;
@@ -71,7 +71,8 @@
 
   /** Whether routes and endpoints are known and the router is not stopping. */
   get isReady(): boolean {
-    return this.#stopping === undefined && this.#parts.fleetReadiness.isReached;
+    const { stopPlan, fleetReadiness } = this.#parts;
+    return !stopPlan.hasBegun && fleetReadiness.isReached;
   }
 
   async start(): Promise<void> {
@@ -103,14 +104,14 @@
 
   /** Stops taking work, lets what runs end, and returns when nothing is left or the time is up. */
   async stop(): Promise<void> {
-    if (this.#stopping) {
+    const { stopPlan, timers, callerServer, forwarder, log } = this.#parts;
+    if (stopPlan.hasBegun) {
       return;
     }
-    const { settings, timers, callerServer, forwarder, log } = this.#parts;
     log.write('stop-begun', { running: forwarder.running });
-    this.#stopping = new StopPlan(settings.stop.grace_seconds, timers.now());
+    stopPlan.begin(timers.now());
     callerServer.beginClosing();
-    await this.#stopping.wait(
+    await stopPlan.wait(
       timers,
       () => forwarder.running,
       () => {
