--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -92,6 +92,28 @@
               group: ['node:*'],
               message: 'core is platform-neutral',
             },
+            {
+              group: ['@sesamegrade/platform/*'],
+              message: 'only the entry point knows the adapter',
+            },
+          ],
+        },
+      ],
+    },
+  },
+  {
+    // The adapter is joined to the product in one place, its entry point.
+    files: ['packages/**/*.ts'],
+    ignores: ['packages/cli/src/platform-router.ts', 'packages/core/src/**'],
+    rules: {
+      'no-restricted-imports': [
+        'error',
+        {
+          patterns: [
+            {
+              group: ['@sesamegrade/platform/*'],
+              message: 'only the entry point knows the adapter',
+            },
           ],
         },
       ],
--- a/packages/cli/src/platform-router.ts
+++ b/packages/cli/src/platform-router.ts
@@ -19,8 +19,8 @@
     for (const failure of parsed.failure) {
       process.stderr.write(`${formatFailure(failure)}\n`);
     }
-    process.exitCode = EXIT_SETTINGS;
-    return;
+    // Callers may already be connected; they must not wait for a router that will not come.
+    process.exit(EXIT_SETTINGS);
   }
   const settings = parsed.value;
   const { gateway } = composeGateway(
--- a/packages/settings/src/gateway-schema.ts
+++ b/packages/settings/src/gateway-schema.ts
@@ -47,7 +47,7 @@
     .describe("path of the balancer's question"),
   peers: address.describe('address for other routers'),
   first_start: z
-    .stringbool()
+    .union([z.boolean(), z.stringbool()])
     .default(false)
     .describe('whether the whole fleet starts for the first time'),
   metrics_port: z.coerce.number().int().min(0).max(MAX_PORT).default(9464),
