Tell peers of departures, hold vanished entries briefly, explain requests

Now routers tell peers of endpoints that are leaving or gone, which are out of use until the store names them again; a vanished entry is held for 1.4 s in any case, as an endpoint that leaves without notice serves on for 2 s.

--- a/packages/cli/src/commands/commands.ts
+++ b/packages/cli/src/commands/commands.ts
@@ -4,6 +4,7 @@
 import { DefaultsCommand } from './defaults';
 import { DemoCommand } from './demo';
 import { ExceptionsCommand } from './exceptions';
+import { ExplainCommand } from './explain';
 import { FaultsCommand } from './faults';
 import { LoadCommand } from './load';
 import { MeasureEventsCommand } from './measure-events';
@@ -29,6 +30,7 @@
     new DefaultsCommand(),
     new ExceptionsCommand(),
     new TimelineCommand(),
+    new ExplainCommand(),
     new LoadCommand(),
     new StandInCommand(),
     new MeasureCommand(),
--- a/packages/core/src/endpoints/endpoint-directory.ts
+++ b/packages/core/src/endpoints/endpoint-directory.ts
@@ -1,23 +1,27 @@
 /**
  * The endpoints that may be used. An endpoint that is leaving stays so until it
- * starts anew. Entries that vanish while the store was away may only have
- * lapsed, so they stay in use for a short time after its return.
+ * starts anew. An entry that vanishes may only have lapsed in an outage of the
+ * store, which a feed that waits need not notice; the endpoint behind it serves
+ * on for a while in any case, so it stays in use for a short time.
  */
 import type { EndpointId, ServiceId } from '../types/ids';
 import { addTime, elapsed, milliseconds } from '../types/units';
 import type { Instant, Milliseconds } from '../types/units';
 import type { EndpointChange, EndpointEntry } from './serving-endpoint';
 
-/** Time after the store's return within which a live endpoint's entry is back. */
-const LAPSE_TIME: Milliseconds = milliseconds(1600);
-/** Time after an outage in which a vanished entry counts as lapsed. */
-const OUTAGE_MEMORY: Milliseconds = milliseconds(2500);
+/**
+ * Time for which a vanished entry is held: within the deployments' 2 s, in which
+ * an endpoint that left still serves and one that lives has its entry back.
+ */
+const LAPSE_TIME: Milliseconds = milliseconds(1400);
 
 interface Row {
   readonly entry: EndpointEntry;
   readonly leaving: boolean;
   /** When the endpoint goes unless its entry comes back. */
   readonly lapsesAt: Instant | undefined;
+  /** Whether a peer saw it leave or go; holds until the store names it again. */
+  readonly toldGone: boolean;
 }
 
 export type DirectoryEvent =
@@ -29,7 +33,6 @@
 
 export class EndpointDirectory {
   readonly #rows = new Map<EndpointId, Row>();
-  #outageUntil: Instant | undefined;
   #loaded = false;
 
   /** Whether the whole list was read at least once. */
@@ -48,14 +51,14 @@
   /** Whether new requests may go to an endpoint. */
   isUsable(id: EndpointId): boolean {
     const row = this.#rows.get(id);
-    return row !== undefined && !row.leaving;
+    return row !== undefined && !row.leaving && !row.toldGone;
   }
 
   /** Endpoints of a service that take new requests. */
   usable(service: ServiceId): EndpointEntry[] {
     const found: EndpointEntry[] = [];
-    for (const { entry, leaving } of this.#rows.values()) {
-      if (entry.service === service && !leaving) {
+    for (const { entry, leaving, toldGone } of this.#rows.values()) {
+      if (entry.service === service && !leaving && !toldGone) {
         found.push(entry);
       }
     }
@@ -68,7 +71,6 @@
 
   /** Notes that the store answered again after it could not be reached. */
   storeReturned(now: Instant): void {
-    this.#outageUntil = addTime(now, OUTAGE_MEMORY);
     for (const [id, row] of this.#rows) {
       if (row.lapsesAt !== undefined) {
         this.#rows.set(id, { ...row, lapsesAt: addTime(now, LAPSE_TIME) });
@@ -100,7 +102,12 @@
     }
     const restarted = known !== undefined && isNewStart(known.entry, entry);
     const leaving = entry.leaving || (!restarted && (known?.leaving ?? false));
-    this.#rows.set(id, { entry, leaving, lapsesAt: undefined });
+    this.#rows.set(id, {
+      entry,
+      leaving,
+      lapsesAt: undefined,
+      toldGone: false,
+    });
     if (!known) {
       return [{ kind: 'joined', entry }];
     }
@@ -110,6 +117,19 @@
     return leaving && !known.leaving ? [{ kind: 'leaving', id }] : [];
   }
 
+  /**
+   * Takes a peer's word that an endpoint is leaving or gone, as this router's
+   * own feed may be late; returns false when that was known.
+   */
+  toldGone(id: EndpointId): boolean {
+    const row = this.#rows.get(id);
+    if (!row || row.leaving || row.toldGone) {
+      return false;
+    }
+    this.#rows.set(id, { ...row, toldGone: true });
+    return true;
+  }
+
   /** Drops endpoints whose lapsed entries did not come back in time. */
   tick(now: Instant): DirectoryEvent[] {
     const events: DirectoryEvent[] = [];
@@ -123,9 +143,7 @@
   }
 
   #vanished(id: EndpointId, row: Row, now: Instant): DirectoryEvent[] {
-    const inOutage =
-      this.#outageUntil !== undefined && elapsed(now, this.#outageUntil) > 0;
-    if (!inOutage || row.leaving) {
+    if (row.leaving || row.toldGone) {
       this.#rows.delete(id);
       return [{ kind: 'gone', id }];
     }
--- a/packages/core/src/peers/peer-news.ts
+++ b/packages/core/src/peers/peer-news.ts
@@ -5,6 +5,7 @@
  */
 import { z } from 'zod';
 
+import type { EndpointDirectory } from '../endpoints/endpoint-directory';
 import type { LoadEstimate } from '../engines/load-estimate';
 import type { PartLocations, PartState } from '../engines/part-locations';
 import type { TopicEntries } from '../gossip/gossip-scheduler';
@@ -21,6 +22,8 @@
 const relayedSchema = z.tuple([name, name, count]);
 /** A part of prompts, an engine, and whether the engine has read it. */
 const partSchema = z.tuple([name, name, z.enum(['reading', 'held'])]);
+/** An endpoint that is leaving or gone, as the sender saw in the store. */
+const departureSchema = z.tuple([name]);
 /** Version of the configuration in force at the sender. */
 const versionSchema = z.tuple([z.int().min(0)]);
 
@@ -29,12 +32,14 @@
   relayed: 'r',
   parts: 'p',
   version: 'c',
+  departures: 'g',
 } as const;
 
 export interface PeerNewsParts {
   readonly self: RouterId;
   readonly loads: LoadEstimate;
   readonly locations: PartLocations;
+  readonly directory: EndpointDirectory;
 }
 
 /** What a message changed beside loads and parts. */
@@ -53,6 +58,7 @@
   readonly #loads = new Map<EndpointId, number>();
   readonly #relayed = new Map<string, RelayedEntry>();
   readonly #newParts: PartEntry[] = [];
+  readonly #departures = new Set<EndpointId>();
   #version: number | undefined;
   #versionChanged = false;
   #isRelay = false;
@@ -75,7 +81,11 @@
 
   /** Whether there is news that should not wait for the next round. */
   get isUrgent(): boolean {
-    return this.#newParts.length > 0 || this.#versionChanged;
+    return (
+      this.#newParts.length > 0 ||
+      this.#departures.size > 0 ||
+      this.#versionChanged
+    );
   }
 
   loadChanged(endpoint: EndpointId, own: number): void {
@@ -86,6 +96,10 @@
     this.#newParts.push([part, engine, state]);
   }
 
+  endpointDeparted(endpoint: EndpointId): void {
+    this.#departures.add(endpoint);
+  }
+
   versionChanged(version: number): void {
     this.#version = version;
     this.#versionChanged = true;
@@ -112,6 +126,10 @@
     if (this.#newParts.length > 0) {
       topics[NewsTopic.parts] = this.#newParts.splice(0);
     }
+    if (this.#departures.size > 0) {
+      topics[NewsTopic.departures] = [...this.#departures].map(id => [id]);
+      this.#departures.clear();
+    }
     if (this.#versionChanged) {
       topics[NewsTopic.version] = [[this.#version]];
       this.#versionChanged = false;
@@ -149,6 +167,13 @@
     malformed += eachEntry(topics[NewsTopic.parts], partSchema, entry => {
       this.#partTold(promptPartId(entry[0]), endpointId(entry[1]), entry[2]);
     });
+    malformed += eachEntry(
+      topics[NewsTopic.departures],
+      departureSchema,
+      entry => {
+        this.#departureTold(endpointId(entry[0]));
+      },
+    );
     malformed += eachEntry(topics[NewsTopic.version], versionSchema, entry => {
       version = Math.max(version ?? 0, entry[0]);
     });
@@ -173,6 +198,13 @@
     }
   }
 
+  #departureTold(endpoint: EndpointId): void {
+    const isNews = this.#parts.directory.toldGone(endpoint);
+    if (isNews && this.#isRelay) {
+      this.#departures.add(endpoint);
+    }
+  }
+
   #partTold(part: PromptPartId, engine: EndpointId, state: PartState): void {
     const isNews = this.#parts.locations.add(part, engine, state);
     if (isNews && this.#isRelay) {
--- a/packages/gateway/src/composition/gateway-container.ts
+++ b/packages/gateway/src/composition/gateway-container.ts
@@ -129,11 +129,12 @@
     fleetReadiness: asClass(FleetReadiness).singleton(),
     mirror: asClass(FleetMirror).singleton(),
     peerNews: asFunction(
-      ({ loads, locations, settings }: GatewayCradle) =>
+      ({ loads, locations, directory, settings }: GatewayCradle) =>
         new PeerNews({
           self: routerId(settings.router.id),
           loads,
           locations,
+          directory,
         }),
     ).singleton(),
     peerMesh: asClass(PeerMesh).singleton(),
--- a/packages/gateway/src/process/gateway-process.ts
+++ b/packages/gateway/src/process/gateway-process.ts
@@ -165,13 +165,18 @@
   }
 
   #directoryChanged(events: readonly DirectoryEvent[]): void {
-    const { pool, knowledge, log, directory, timers } = this.#parts;
+    const { pool, knowledge, log, directory, timers, peerNews, peerMesh } =
+      this.#parts;
     if (events.length === 0) {
       return;
     }
     knowledge.endpointsChanged(directory.all(), timers.now());
     for (const event of events) {
       log.write('endpoint', { ...event });
+      if (event.kind === 'leaving' || event.kind === 'gone') {
+        peerNews.endpointDeparted(event.id);
+        peerMesh.hurry();
+      }
       if (event.kind === 'gone') {
         pool.forget(event.id);
         knowledge.forget(event.id);
