Ask a store that failed for an answer at once

The router's log shows both feeds lost at 24.3 s and 25.5 s and never regained: each retry was a held call of 8 s sent into a silent store, which answers nothing that came while it was silent, so the router was blind for 9.5 s after its return. Now retries ask to be answered at once and hold only after an answer. Ruled out: lapsed entries (the endpoint's own entry said that it leaves).

--- a/packages/gateway/src/store/feed-follower.ts
+++ b/packages/gateway/src/store/feed-follower.ts
@@ -79,7 +79,10 @@
     const result =
       after === undefined
         ? await source.readAll()
-        : await source.readChanges(after);
+        : await source.readChanges(
+            after,
+            this.#failures > 0 ? 'at-once' : 'held',
+          );
     if (this.#isStopped()) {
       return undefined;
     }
--- a/packages/gateway/src/store/feed-source.ts
+++ b/packages/gateway/src/store/feed-source.ts
@@ -31,6 +31,9 @@
 
 export type FeedResult = Result<FeedPage, StoreFailure>;
 
+/** Whether the store may keep a call waiting until there are changes. */
+export type FeedHold = 'held' | 'at-once';
+
 export abstract class FeedSource {
   /** Name for logs. */
   abstract readonly name: string;
@@ -38,6 +41,6 @@
   /** Reads every row as of one moment. */
   abstract readAll(): Promise<FeedResult>;
 
-  /** Waits for changes after a revision; an empty page when there were none. */
-  abstract readChanges(after: Revision): Promise<FeedResult>;
+  /** Reads changes after a revision; an empty page when there were none. */
+  abstract readChanges(after: Revision, hold: FeedHold): Promise<FeedResult>;
 }
