--- /dev/null
+++ b/packages/core/src/forwarding/endpoint-choice.test.ts
@@ -0,0 +1,137 @@
+import { expect } from 'chai';
+
+import { EndpointDirectory } from '../endpoints/endpoint-directory';
+import type { EndpointEntry } from '../endpoints/serving-endpoint';
+import { LoadEstimate } from '../engines/load-estimate';
+import { PartLocations } from '../engines/part-locations';
+import { ServiceHealth } from '../outliers/service-health';
+import type { Prompt } from '../prompts/prompt-chain';
+import { Random } from '../random/random';
+import {
+  attemptId,
+  endpointId,
+  modelId,
+  promptPartId,
+  serviceId,
+  zoneId,
+} from '../types/ids';
+import type { EndpointId } from '../types/ids';
+import { instant, milliseconds } from '../types/units';
+import { EndpointChooser } from './endpoint-choice';
+
+const service = serviceId('s');
+const now = instant(0);
+const nothingTried: ReadonlySet<EndpointId> = new Set();
+
+const entry = (id: string, zone: string): EndpointEntry => ({
+  id: endpointId(id),
+  service,
+  address: { host: '10.0.0.1', port: 1 },
+  zone: zoneId(zone),
+  slots: 6,
+  leaving: false,
+  warmUp: milliseconds(0),
+  startedAt: undefined,
+});
+
+const prompt: Prompt = {
+  model: modelId('m'),
+  parts: [
+    { id: promptPartId('subject'), tokens: 10_000 },
+    { id: promptPartId('own'), tokens: 100 },
+  ],
+  promptTokens: 10_100,
+  maxOutputTokens: 100,
+  expectedOutputTokens: undefined,
+};
+
+function open(ids: readonly string[]) {
+  const entries = ids.map((id, at) => entry(id, at % 2 === 0 ? 'near' : 'far'));
+  const directory = new EndpointDirectory();
+  directory.replace(entries, now);
+  const health = new ServiceHealth();
+  health.endpointsChanged(entries, now);
+  const loads = new LoadEstimate();
+  const locations = new PartLocations();
+  const chooser = new EndpointChooser({
+    directory,
+    health,
+    loads,
+    locations,
+    random: new Random(1),
+    zone: zoneId('near'),
+  });
+  const choose = (
+    options: {
+      readonly prompt?: Prompt;
+      readonly repeatable?: boolean;
+      readonly tried?: ReadonlySet<EndpointId>;
+    } = {},
+  ) =>
+    chooser.choose(
+      {
+        service,
+        prompt: options.prompt,
+        tried: options.tried ?? nothingTried,
+        repeatable: options.repeatable ?? true,
+      },
+      now,
+    );
+  const fail = (id: string, times: number) => {
+    for (let count = 0; count < times; count += 1) {
+      const attempt = attemptId(`${id}-${count}`);
+      health.started(endpointId(id), attempt, now);
+      health.ended(endpointId(id), attempt, { kind: 'error' }, now);
+    }
+  };
+  return { choose, fail, loads, locations };
+}
+
+describe('EndpointChooser', () => {
+  it('prefers near endpoints among equals and spreads a burst over all', () => {
+    const { choose, loads } = open(['a', 'b', 'c', 'd']);
+    const counts = new Map<string, number>();
+    for (let request = 0; request < 24; request += 1) {
+      const choice = choose();
+      if (choice.kind === 'endpoint') {
+        loads.started(choice.entry.id);
+        counts.set(choice.entry.id, (counts.get(choice.entry.id) ?? 0) + 1);
+      }
+    }
+    expect(['a', 'c']).to.include([...counts.keys()][0]);
+    expect(Math.max(...counts.values())).to.be.at.most(7);
+    expect(counts.size).to.equal(4);
+  });
+
+  it('keeps calls that may not be repeated away from an endpoint that failed lately', () => {
+    const { choose, fail } = open(['a', 'b']);
+    fail('a', 2);
+    for (let request = 0; request < 20; request += 1) {
+      const choice = choose({ repeatable: false });
+      expect(choice.kind === 'endpoint' && choice.entry.id).to.equal('b');
+    }
+  });
+
+  it('goes to an ejected endpoint only as the last resort', () => {
+    const { choose, fail } = open(['a', 'b']);
+    fail('a', 8);
+    const other = choose({ tried: new Set([endpointId('b')]) });
+    expect(other).to.include({ kind: 'endpoint', reason: 'last-resort' });
+    expect(
+      choose({ tried: new Set([endpointId('a'), endpointId('b')]) }),
+    ).to.deep.equal({ kind: 'none', known: 2 });
+  });
+
+  it('lets an engine fetch a subject only from one that has read it', () => {
+    const { choose, loads, locations } = open(['a', 'b']);
+    locations.add(promptPartId('subject'), endpointId('a'), 'reading');
+    for (let count = 0; count < 6; count += 1) {
+      loads.started(endpointId('a'));
+    }
+    expect(choose({ prompt })).to.include({ fetchFrom: undefined });
+    locations.add(promptPartId('subject'), endpointId('a'), 'held');
+    const choice = choose({ prompt });
+    expect(choice.kind === 'endpoint' && choice.entry.id).to.equal('b');
+    expect(choice.kind === 'endpoint' && choice.fetchFrom?.id).to.equal('a');
+  });
+});
--- /dev/null
+++ b/packages/gateway/src/logs/decision-log.test.ts
@@ -0,0 +1,54 @@
+import { expect } from 'chai';
+import type { Logger } from 'winston';
+
+import { ManualTimerService } from '@sesamegrade/core/time/manual-timer-service';
+import { seconds } from '@sesamegrade/core/types/units';
+import { DecisionLog } from './decision-log';
+
+function open(linesPerSecond: number) {
+  const timers = new ManualTimerService();
+  const written: { readonly kind: string; readonly fields: object }[] = [];
+  const logger = {
+    info: (kind: string, fields: object) => {
+      written.push({ kind, fields });
+    },
+  } as unknown as Logger;
+  return {
+    log: new DecisionLog({ logger, timers, linesPerSecond }),
+    timers,
+    written,
+  };
+}
+
+describe('DecisionLog', () => {
+  it('bounds a storm of refusals and says how many lines it dropped', () => {
+    const { log, timers, written } = open(5);
+    for (let count = 0; count < 1000; count += 1) {
+      log.write('refused', { request: `r${count}` });
+    }
+    expect(written).to.have.length(5);
+    expect(log.dropped).to.equal(995);
+    timers.advance(seconds(1));
+    expect(written.at(-1)).to.deep.include({ kind: 'lines-dropped' });
+    expect(written.at(-1)?.fields).to.deep.include({ kinds: { refused: 995 } });
+  });
+
+  it('does not let one kind of line silence another', () => {
+    const { log, written } = open(1);
+    log.write('refused');
+    log.write('refused');
+    log.write('dependency-lost');
+    expect(written.map(({ kind }) => kind)).to.deep.equal([
+      'refused',
+      'dependency-lost',
+    ]);
+  });
+
+  it('writes again in the next second', () => {
+    const { log, timers, written } = open(1);
+    log.write('attempt');
+    timers.advance(seconds(1));
+    log.write('attempt');
+    expect(written).to.have.length(2);
+  });
+});
