Remove members that nothing reads, and put a field beside the others

Cause: reading the change once more: a counter of accepted connections, two accessors that no code or test called, a field declared between methods. Behaviour stays as it is; no test changes.

--- a/packages/core/src/engines/part-locations.ts
+++ b/packages/core/src/engines/part-locations.ts
@@ -31,10 +31,6 @@
     return true;
   }
 
-  remove(part: PromptPartId, engine: EndpointId): void {
-    this.#parts.get(part)?.delete(engine);
-  }
-
   /** Whether the engine holds the part or will shortly. */
   isAt(part: PromptPartId, engine: EndpointId): boolean {
     return this.#parts.get(part)?.has(engine) ?? false;
--- a/packages/gateway/src/callers/caller-exchange.ts
+++ b/packages/gateway/src/callers/caller-exchange.ts
@@ -62,10 +62,6 @@
     return this.#begun;
   }
 
-  get isFinished(): boolean {
-    return this.#finished;
-  }
-
   onLeft(listener: () => void): void {
     if (this.#left) {
       listener();
--- a/packages/gateway/src/callers/caller-server.ts
+++ b/packages/gateway/src/callers/caller-server.ts
@@ -31,7 +31,6 @@
   readonly #server: Server;
   readonly #sockets = new Set<Socket>();
   #closing = false;
-  #accepted = 0;
 
   constructor(parts: CallerServerParts) {
     this.#parts = parts;
@@ -57,7 +56,6 @@
       },
     );
     this.#server.on('connection', socket => {
-      this.#accepted += 1;
       this.#sockets.add(socket);
       socket.once('close', () => {
         this.#sockets.delete(socket);
@@ -70,10 +68,6 @@
     return this.#sockets.size;
   }
 
-  get accepted(): number {
-    return this.#accepted;
-  }
-
   async listen({ host, port }: Address): Promise<Address> {
     if (adoptEarlyListener(this.#server, { host, port })) {
       return { host, port };
--- a/packages/gateway/src/forwarding/answer-relay.ts
+++ b/packages/gateway/src/forwarding/answer-relay.ts
@@ -86,6 +86,7 @@
   #size = 0;
   #mode: 'hold' | 'stream' | 'through' = 'hold';
   #checkedFirst = false;
+  #head: AnswerHead | undefined;
 
   constructor(relay: AnswerRelay, options: RelayOptions) {
     super();
@@ -107,8 +108,6 @@
     this.#head = head;
   }
 
-  #head: AnswerHead | undefined;
-
   override data(chunk: Buffer): boolean {
     if (this.#mode === 'stream') {
       return this.#events(chunk);
