Divide the fleet's slack of repeats by the routers there are

Cause: each router took a twentieth of the slack, whatever the size of the fleet. With 135 routers every one would have sent up to 13 repeats per window and service: 1,800 where the deployment allows 334 beside its ratio. Ruled out: the ratio's part, which adds up by itself. After: slack times 0.8 divided by the routers of the store's list; 150 before it was read. The list of routers moves from the mesh into core (RouterRoster).

--- a/packages/core/src/forwarding/fleet-knowledge.ts
+++ b/packages/core/src/forwarding/fleet-knowledge.ts
@@ -7,8 +7,7 @@
 import type { StandingChange } from '../outliers/outlier-detector';
 import { sharedParts } from '../prompts/prompt-chain';
 import type { Prompt } from '../prompts/prompt-chain';
-import { RetryBudget } from '../retries/retry-budget';
-import type { RetryBudgetOptions } from '../retries/retry-budget';
+import type { FleetBudget } from '../retries/fleet-budget';
 import { attemptId } from '../types/ids';
 import type {
   AttemptId,
@@ -36,8 +35,7 @@
   readonly loads: LoadEstimate;
   readonly locations: PartLocations;
   readonly health: ServiceHealth;
-  /** Repeats that this router may send, out of the fleet's. */
-  readonly repeatBudget: RetryBudgetOptions;
+  readonly repeatBudget: FleetBudget;
   readonly now: () => Instant;
 }
 
@@ -45,7 +43,6 @@
 
 export class FleetKnowledge {
   readonly #parts: FleetKnowledgeParts;
-  readonly #budgets = new Map<ServiceId, RetryBudget>();
   readonly #signs = new Map<EndpointId, Instant>();
   readonly #attempts = new Map<EndpointId, AttemptId[]>();
   #listener: KnowledgeListener | undefined;
@@ -60,12 +57,12 @@
   }
 
   requestStarted(service: ServiceId): void {
-    this.#budget(service).requestStarted(this.#parts.now());
+    this.#parts.repeatBudget.requestStarted(service, this.#parts.now());
   }
 
   /** Takes one repeat from the budget of a service; false when none is left. */
   takeRepeat(service: ServiceId): boolean {
-    return this.#budget(service).take(this.#parts.now());
+    return this.#parts.repeatBudget.take(service, this.#parts.now());
   }
 
   attemptStarted(endpoint: EndpointId, prompt: Prompt | undefined): void {
@@ -156,15 +153,6 @@
       this.#listener?.partChanged(part, engine, state);
     }
   }
-
-  #budget(service: ServiceId): RetryBudget {
-    let budget = this.#budgets.get(service);
-    if (!budget) {
-      budget = new RetryBudget(this.#parts.repeatBudget);
-      this.#budgets.set(service, budget);
-    }
-    return budget;
-  }
 }
 
 /** Returns what an attempt's end says of its endpoint; undefined when nothing. */
--- /dev/null
+++ b/packages/core/src/peers/router-roster.ts
@@ -0,0 +1,62 @@
+/** The routers of the fleet, as far as one of them knows. */
+import type { RouterIdentity } from '../membership/router-table';
+import type { RouterId } from '../types/ids';
+import { elapsed, seconds } from '../types/units';
+import type { Instant, Milliseconds } from '../types/units';
+
+/** Time without a connection after which a router is forgotten. */
+const FORGET_AFTER: Milliseconds = seconds(60);
+/**
+ * Routers that a router counts on before it has read the list: above the
+ * deployments' 135, as too small a count would let the fleet repeat too much.
+ */
+const UNREAD_FLEET_SIZE = 150;
+
+interface Row {
+  readonly identity: RouterIdentity;
+  confirmedAt: Instant;
+}
+
+export class RouterRoster {
+  readonly #rows = new Map<RouterId, Row>();
+  #isRead = false;
+
+  /** Routers that may exist, this one included; an upper estimate before the list was read. */
+  get fleetSize(): number {
+    const known = this.#rows.size + 1;
+    return this.#isRead ? known : Math.max(known, UNREAD_FLEET_SIZE);
+  }
+
+  get ids(): RouterId[] {
+    return [...this.#rows.keys()];
+  }
+
+  get(id: RouterId): RouterIdentity | undefined {
+    return this.#rows.get(id)?.identity;
+  }
+
+  /** Notes that the store's list of routers was read. */
+  listRead(): void {
+    this.#isRead = true;
+  }
+
+  learn(identity: RouterIdentity, now: Instant): void {
+    this.#rows.set(identity.id, { identity, confirmedAt: now });
+  }
+
+  /** Notes that a router was heard. */
+  confirm(id: RouterId, now: Instant): void {
+    const row = this.#rows.get(id);
+    if (row) {
+      row.confirmedAt = now;
+    }
+  }
+
+  /** Forgets a router that was tried for long and never answered. */
+  forgetIfAbsent(id: RouterId, now: Instant): void {
+    const row = this.#rows.get(id);
+    if (row && elapsed(row.confirmedAt, now) > FORGET_AFTER) {
+      this.#rows.delete(id);
+    }
+  }
+}
--- /dev/null
+++ b/packages/core/src/retries/fleet-budget.ts
@@ -0,0 +1,51 @@
+/** This router's part of the repeats that the whole fleet may send to each service. */
+import type { ServiceId } from '../types/ids';
+import type { Instant, Milliseconds } from '../types/units';
+import { RetryBudget } from './retry-budget';
+
+/** What the deployment allows, over all routers together. */
+export interface FleetBudgetOptions {
+  /** Repeats allowed per request of the window. */
+  readonly ratio: number;
+  /** Repeats allowed per window whatever the traffic. */
+  readonly slack: number;
+  readonly window: Milliseconds;
+  /** Routers that share the slack. */
+  readonly routers: () => number;
+}
+
+/** Share of the fleet's budget that routers use, as their windows do not line up. */
+const USED_SHARE = 0.8;
+
+export class FleetBudget {
+  readonly #options: FleetBudgetOptions;
+  readonly #budgets = new Map<ServiceId, RetryBudget>();
+
+  constructor(options: FleetBudgetOptions) {
+    this.#options = options;
+  }
+
+  /** Notes the first attempt of a request. */
+  requestStarted(service: ServiceId, now: Instant): void {
+    this.#budget(service).requestStarted(now);
+  }
+
+  /** Takes one repeat; false when none is left. */
+  take(service: ServiceId, now: Instant): boolean {
+    return this.#budget(service).take(now);
+  }
+
+  #budget(service: ServiceId): RetryBudget {
+    let budget = this.#budgets.get(service);
+    if (!budget) {
+      const { ratio, slack, window, routers } = this.#options;
+      budget = new RetryBudget({
+        fraction: ratio * USED_SHARE,
+        floor: () => (slack * USED_SHARE) / Math.max(1, routers()),
+        window,
+      });
+      this.#budgets.set(service, budget);
+    }
+    return budget;
+  }
+}
--- a/packages/core/src/retries/retry-budget.ts
+++ b/packages/core/src/retries/retry-budget.ts
@@ -5,8 +5,8 @@
 export interface RetryBudgetOptions {
   /** Retries allowed per request of the window. */
   readonly fraction: number;
-  /** Retries allowed per window whatever the traffic. */
-  readonly floor: number;
+  /** Retries allowed per window whatever the traffic; a function where that changes. */
+  readonly floor: number | (() => number);
   readonly window: Milliseconds;
 }
 
@@ -48,7 +48,8 @@
       requests += slice.requests;
       retries += slice.retries;
     }
-    const allowed = floor + fraction * requests - retries;
+    const least = typeof floor === 'number' ? floor : floor();
+    const allowed = least + fraction * requests - retries;
     return Math.max(0, Math.floor(allowed + Number.EPSILON * requests));
   }
 
--- a/packages/gateway/src/composition/gateway-container.ts
+++ b/packages/gateway/src/composition/gateway-container.ts
@@ -17,6 +17,8 @@
 import { ServiceHealth } from '@sesamegrade/core/outliers/service-health';
 import { defaultEjection } from '@sesamegrade/core/outliers/outlier-detector';
 import { PeerNews } from '@sesamegrade/core/peers/peer-news';
+import { RouterRoster } from '@sesamegrade/core/peers/router-roster';
+import { FleetBudget } from '@sesamegrade/core/retries/fleet-budget';
 import { Random } from '@sesamegrade/core/random/random';
 import { RouteTable } from '@sesamegrade/core/routes/route-table';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
@@ -64,6 +66,8 @@
   readonly loads: LoadEstimate;
   readonly locations: PartLocations;
   readonly health: ServiceHealth;
+  readonly roster: RouterRoster;
+  readonly repeatBudget: FleetBudget;
   readonly knowledge: FleetKnowledge;
   readonly chooser: EndpointChooser;
   readonly pool: ChannelPool;
@@ -79,10 +83,6 @@
   readonly gateway: GatewayProcess;
 }
 
-/** Routers that share the fleet's budget of repeats; a router that knows no peers counts on this many. */
-const EXPECTED_ROUTERS = 20;
-/** Share of the fleet's budget that routers use, as their windows do not line up. */
-const BUDGET_SHARE = 0.8;
 const MAX_SEED = 0x7fffffff;
 
 export function composeGateway(
@@ -118,6 +118,8 @@
     loads: asFunction(() => new LoadEstimate()).singleton(),
     locations: asFunction(() => new PartLocations()).singleton(),
     health: asFunction(newHealth).singleton(),
+    roster: asFunction(() => new RouterRoster()).singleton(),
+    repeatBudget: asFunction(newBudget).singleton(),
     knowledge: asFunction(newKnowledge).singleton(),
     chooser: asFunction(newChooser).singleton(),
     pool: asFunction(
@@ -164,23 +166,28 @@
   });
 }
 
+function newBudget({ settings, roster }: GatewayCradle): FleetBudget {
+  const { ratio, slack, window_seconds: window } = settings.retries;
+  return new FleetBudget({
+    ratio,
+    slack,
+    window,
+    routers: () => roster.fleetSize,
+  });
+}
+
 function newKnowledge({
   loads,
   locations,
   health,
-  settings,
+  repeatBudget,
   timers,
 }: GatewayCradle): FleetKnowledge {
-  const { ratio, slack, window_seconds: window } = settings.retries;
   return new FleetKnowledge({
     loads,
     locations,
     health,
-    repeatBudget: {
-      fraction: ratio * BUDGET_SHARE,
-      floor: (slack * BUDGET_SHARE) / EXPECTED_ROUTERS,
-      window,
-    },
+    repeatBudget,
     now: () => timers.now(),
   });
 }
--- a/packages/gateway/src/peers/peer-mesh.ts
+++ b/packages/gateway/src/peers/peer-mesh.ts
@@ -5,6 +5,7 @@
 import type { RouterIdentity } from '@sesamegrade/core/membership/router-table';
 import { chooseRelays } from '@sesamegrade/core/peers/relay-choice';
 import type { PeerNews } from '@sesamegrade/core/peers/peer-news';
+import type { RouterRoster } from '@sesamegrade/core/peers/router-roster';
 import type { Random } from '@sesamegrade/core/random/random';
 import type { RouteTable } from '@sesamegrade/core/routes/route-table';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
@@ -35,8 +36,6 @@
 const SIGN_PERIOD: Milliseconds = seconds(1);
 /** Silence after which a connection is taken for dead and made anew. */
 const SILENCE_LIMIT: Milliseconds = milliseconds(2500);
-/** Time without a connection after which a router is forgotten. */
-const FORGET_AFTER: Milliseconds = seconds(60);
 /** Time between tries to read the list of routers. */
 const LIST_RETRY: Milliseconds = seconds(1);
 /** Second reading of the list, for routers that wrote their row at the same moment. */
@@ -47,11 +46,6 @@
   raw: z.instanceof(Uint8Array),
 });
 
-interface KnownRouter {
-  readonly identity: RouterIdentity;
-  confirmedAt: Instant;
-}
-
 interface Peer {
   readonly identity: RouterIdentity;
   readonly link: PeerLink;
@@ -64,6 +58,7 @@
   readonly peerSecret: string;
   readonly routerRows: RowTable;
   readonly peerNews: PeerNews;
+  readonly roster: RouterRoster;
   readonly directory: EndpointDirectory;
   readonly routes: RouteTable;
   readonly mirror: FleetMirror;
@@ -81,8 +76,6 @@
   readonly #server: PeerServer;
   readonly #peers = new Map<RouterId, Peer>();
   readonly #subscribers = new Set<RouterId>();
-  /** Routers that exist, as far as this one knows, and when that was confirmed. */
-  readonly #known = new Map<RouterId, KnownRouter>();
   #isUrgentDue = false;
   #signedAt: Instant | undefined;
   #fetching = false;
@@ -158,10 +151,11 @@
 
   /** Writes this router's row and connects to those of the others. */
   async #join(): Promise<void> {
-    const { routerRows, timers } = this.#parts;
+    const { routerRows, roster, timers } = this.#parts;
     while (!this.#isStopped()) {
       const rows = await routerRows.readAll();
       if (rows.ok) {
+        roster.listRead();
         const hasOwn = rows.value.rows.some(row => this.#takeRow(row.value));
         const written = hasOwn || (await this.#writeRow());
         if (written) {
@@ -214,13 +208,13 @@
   }
 
   #learn(identity: RouterIdentity): void {
-    const confirmedAt = this.#parts.timers.now();
-    this.#known.set(identity.id, { identity, confirmedAt });
+    this.#parts.roster.learn(identity, this.#parts.timers.now());
     this.#arrange();
   }
 
   /** Connects to the relays and drops connections that serve nobody. */
   #arrange(): void {
+    const { roster } = this.#parts;
     const connected = new Set(
       [...this.#peers.values()]
         .filter(peer => peer.connected)
@@ -228,15 +222,15 @@
     );
     const { links, isRelay } = chooseRelays({
       self: this.#self.id,
-      known: [this.#self.id, ...this.#known.keys()],
+      known: [this.#self.id, ...roster.ids],
       connected,
     });
     this.#parts.peerNews.isRelay = isRelay;
     const wanted = new Set([...links, ...this.#subscribers]);
     for (const id of links) {
-      const router = this.#known.get(id);
+      const router = roster.get(id);
       if (router) {
-        this.#connect(router.identity);
+        this.#connect(router);
       }
     }
     for (const [id, peer] of this.#peers) {
@@ -381,19 +375,15 @@
 
   /** Renews silent connections and forgets routers that stay away. */
   #inspect(now: Instant): void {
+    const { roster } = this.#parts;
     for (const [id, peer] of this.#peers) {
       const silence = elapsed(peer.heardAt, now);
-      const router = this.#known.get(id);
       if (peer.connected && silence > SILENCE_LIMIT) {
         peer.link.reset();
-      } else if (peer.connected && router) {
-        router.confirmedAt = now;
-      }
-    }
-    for (const [id, { confirmedAt }] of this.#known) {
-      const isTried = this.#peers.has(id);
-      if (isTried && elapsed(confirmedAt, now) > FORGET_AFTER) {
-        this.#known.delete(id);
+      } else if (peer.connected) {
+        roster.confirm(id, now);
+      } else {
+        roster.forgetIfAbsent(id, now);
       }
     }
     this.#arrange();
