Ask each engine once what it holds after a restart of the fleet

Cause: the survey ran once, 500 ms after the start, at routers that held themselves for relays by then. Ruled out: the engines (each call was answered), the relays (parts that were heard once were passed on). Now a plan in core gives each engine a first router and three stand-ins by rendezvous hashing, in turns 600 ms apart, from the moment that the engines and the list of routers are known; who hears that an engine was asked lets it be. Also: a new peer was sent every known pair of part and engine; above 2,000 the message failed the receiver's schema and was dropped whole, above 64 KiB the connection was ended. It is told the 1,500 used last.

--- a/packages/core/src/peers/peer-news.test.ts
+++ b/packages/core/src/peers/peer-news.test.ts
@@ -2,6 +2,7 @@
 import fc from 'fast-check';
 
 import { EndpointDirectory } from '../endpoints/endpoint-directory';
+import { CacheSurveyPlan } from '../engines/cache-survey-plan';
 import { LoadEstimate } from '../engines/load-estimate';
 import { PartLocations } from '../engines/part-locations';
 import { endpointId, promptPartId, routerId } from '../types/ids';
@@ -17,8 +18,9 @@
   const loads = new LoadEstimate();
   const locations = new PartLocations();
   const directory = new EndpointDirectory();
-  const news = new PeerNews({ self, loads, locations, directory });
-  return { self, loads, locations, news };
+  const surveyPlan = new CacheSurveyPlan(self);
+  const parts = { self, loads, locations, directory, surveyPlan };
+  return { self, loads, locations, surveyPlan, news: new PeerNews(parts) };
 }
 
 describe('PeerNews', () => {
@@ -51,6 +53,28 @@
     expect(right.locations.isAt(part, engine)).to.equal(true);
   });
 
+  it('tells a new peer no more parts than a message holds, those used last', () => {
+    const relay = open('relay');
+    for (let count = 0; count < 5000; count += 1) {
+      relay.locations.add(promptPartId(`p${count}`), engine, 'held');
+    }
+    const parts = relay.news.wholeState([engine]).p ?? [];
+    expect(parts.length).to.be.at.most(2000);
+    expect(parts[0]).to.deep.equal(['p4999', engine, 'held']);
+  });
+
+  it('tells through a relay and at once that an engine said what it holds', () => {
+    const [asker, relay, other] = [open('asker'), open('relay'), open('other')];
+    relay.news.isRelay = true;
+    other.surveyPlan.begin([engine], now);
+    asker.surveyPlan.known(engine);
+    asker.news.engineSurveyed(engine);
+    relay.news.receive(asker.self, asker.news.takeChanges() ?? {}, now);
+    expect(relay.news.isUrgent).to.equal(true);
+    other.news.receive(relay.self, relay.news.takeChanges() ?? {}, now);
+    expect(other.surveyPlan.isKnown(engine)).to.equal(true);
+  });
+
   it('tells through a relay that a router is gone', () => {
     const [relay, other] = [open('relay'), open('other')];
     relay.news.isRelay = true;
--- a/packages/core/src/peers/peer-news.ts
+++ b/packages/core/src/peers/peer-news.ts
@@ -7,6 +7,7 @@
 
 import type { EndpointDirectory } from '../endpoints/endpoint-directory';
 import type { LoadEstimate } from '../engines/load-estimate';
+import type { CacheSurveyPlan } from '../engines/cache-survey-plan';
 import type { PartLocations, PartState } from '../engines/part-locations';
 import type { TopicEntries } from '../gossip/gossip-scheduler';
 import { endpointId, promptPartId, routerId } from '../types/ids';
@@ -24,6 +25,8 @@
 const partSchema = z.tuple([name, name, z.enum(['reading', 'held'])]);
 /** An endpoint that is leaving or gone, as the sender saw in the store. */
 const departureSchema = z.tuple([name]);
+/** An engine whose parts the sender has told, as far as anybody knows them. */
+const surveyedSchema = z.tuple([name]);
 /** Version of the configuration in force at the sender. */
 const versionSchema = z.tuple([z.int().min(0)]);
 
@@ -33,6 +36,7 @@
   parts: 'p',
   version: 'c',
   departures: 'g',
+  surveyed: 's',
 } as const;
 
 export interface PeerNewsParts {
@@ -40,6 +44,7 @@
   readonly loads: LoadEstimate;
   readonly locations: PartLocations;
   readonly directory: EndpointDirectory;
+  readonly surveyPlan: CacheSurveyPlan;
 }
 
 /** What a message changed beside loads and parts. */
@@ -50,6 +55,9 @@
   readonly malformed: number;
 }
 
+/** Parts that a new peer is told, those used last; a message holds 2,000 entries. */
+const MAX_TOLD_PARTS = 1500;
+
 type PartEntry = readonly [PromptPartId, EndpointId, PartState];
 type RelayedEntry = readonly [RouterId, EndpointId, number];
 
@@ -59,6 +67,7 @@
   readonly #relayed = new Map<string, RelayedEntry>();
   readonly #newParts: PartEntry[] = [];
   readonly #departures = new Set<EndpointId>();
+  readonly #surveyed = new Set<EndpointId>();
   #version: number | undefined;
   #versionChanged = false;
   #isRelay = false;
@@ -84,6 +93,7 @@
     return (
       this.#newParts.length > 0 ||
       this.#departures.size > 0 ||
+      this.#surveyed.size > 0 ||
       this.#versionChanged
     );
   }
@@ -100,6 +110,11 @@
     this.#departures.add(endpoint);
   }
 
+  /** Notes that an engine said what it holds. */
+  engineSurveyed(engine: EndpointId): void {
+    this.#surveyed.add(engine);
+  }
+
   versionChanged(version: number): void {
     this.#version = version;
     this.#versionChanged = true;
@@ -130,6 +145,10 @@
       topics[NewsTopic.departures] = [...this.#departures].map(id => [id]);
       this.#departures.clear();
     }
+    if (this.#surveyed.size > 0) {
+      topics[NewsTopic.surveyed] = [...this.#surveyed].map(id => [id]);
+      this.#surveyed.clear();
+    }
     if (this.#versionChanged) {
       topics[NewsTopic.version] = [[this.#version]];
       this.#versionChanged = false;
@@ -139,14 +158,16 @@
 
   /** Returns everything a new peer should know. */
   wholeState(endpoints: readonly EndpointId[]): TopicEntries {
-    const { loads, locations } = this.#parts;
+    const { loads, locations, surveyPlan } = this.#parts;
+    const surveyed = endpoints.filter(id => surveyPlan.isKnown(id));
     const own = endpoints
       .map(id => [id, loads.own(id)] as const)
       .filter(([, requests]) => requests > 0);
     return {
       [NewsTopic.loads]: own,
       [NewsTopic.relayed]: this.#isRelay ? [...loads.peerCounts()] : [],
-      [NewsTopic.parts]: [...locations.pairs()],
+      [NewsTopic.parts]: firstOf(locations.pairs(), MAX_TOLD_PARTS),
+      [NewsTopic.surveyed]: surveyed.map(id => [id]),
       ...(this.#version === undefined
         ? {}
         : { [NewsTopic.version]: [[this.#version]] }),
@@ -174,6 +195,13 @@
         this.#departureTold(endpointId(entry[0]));
       },
     );
+    malformed += eachEntry(
+      topics[NewsTopic.surveyed],
+      surveyedSchema,
+      entry => {
+        this.#surveyTold(endpointId(entry[0]));
+      },
+    );
     malformed += eachEntry(topics[NewsTopic.version], versionSchema, entry => {
       version = Math.max(version ?? 0, entry[0]);
     });
@@ -205,6 +233,13 @@
     }
   }
 
+  #surveyTold(engine: EndpointId): void {
+    const isNews = this.#parts.surveyPlan.known(engine);
+    if (isNews && this.#isRelay) {
+      this.#surveyed.add(engine);
+    }
+  }
+
   #partTold(part: PromptPartId, engine: EndpointId, state: PartState): void {
     const isNews = this.#parts.locations.add(part, engine, state);
     if (isNews && this.#isRelay) {
@@ -213,6 +248,17 @@
   }
 }
 
+function firstOf<Item>(items: Iterable<Item>, most: number): Item[] {
+  const taken: Item[] = [];
+  for (const item of items) {
+    if (taken.length >= most) {
+      break;
+    }
+    taken.push(item);
+  }
+  return taken;
+}
+
 /** Hands each valid entry to a function; returns how many were not valid. */
 function eachEntry<Schema extends z.ZodType>(
   entries: readonly unknown[] | undefined,
--- a/packages/core/src/peers/router-roster.ts
+++ b/packages/core/src/peers/router-roster.ts
@@ -27,6 +27,11 @@
     return this.#isRead ? known : Math.max(known, UNREAD_FLEET_SIZE);
   }
 
+  /** Whether the store's list of routers was read. */
+  get isRead(): boolean {
+    return this.#isRead;
+  }
+
   get ids(): RouterId[] {
     return [...this.#rows.keys()];
   }
--- a/packages/gateway/src/composition/gateway-container.ts
+++ b/packages/gateway/src/composition/gateway-container.ts
@@ -10,6 +10,7 @@
 import type { Logger } from 'winston';
 
 import { EndpointDirectory } from '@sesamegrade/core/endpoints/endpoint-directory';
+import { CacheSurveyPlan } from '@sesamegrade/core/engines/cache-survey-plan';
 import { LoadEstimate } from '@sesamegrade/core/engines/load-estimate';
 import { PartLocations } from '@sesamegrade/core/engines/part-locations';
 import { EndpointChooser } from '@sesamegrade/core/forwarding/endpoint-choice';
@@ -78,6 +79,7 @@
   readonly fleetReadiness: FleetReadiness;
   readonly peerSecret: string;
   readonly peerNews: PeerNews;
+  readonly surveyPlan: CacheSurveyPlan;
   readonly peerMesh: PeerMesh;
   readonly cacheSurvey: CacheSurvey;
   readonly gateway: GatewayProcess;
@@ -131,14 +133,19 @@
     fleetReadiness: asClass(FleetReadiness).singleton(),
     mirror: asClass(FleetMirror).singleton(),
     peerNews: asFunction(
-      ({ loads, locations, directory, settings }: GatewayCradle) =>
+      ({ loads, locations, directory, surveyPlan, settings }: GatewayCradle) =>
         new PeerNews({
           self: routerId(settings.router.id),
           loads,
           locations,
           directory,
+          surveyPlan,
         }),
     ).singleton(),
+    surveyPlan: asFunction(
+      ({ settings }: GatewayCradle) =>
+        new CacheSurveyPlan(routerId(settings.router.id)),
+    ).singleton(),
     peerMesh: asClass(PeerMesh).singleton(),
     cacheSurvey: asClass(CacheSurvey).singleton(),
     gateway: asClass(GatewayProcess).singleton(),
--- a/packages/gateway/src/endpoints/cache-survey.ts
+++ b/packages/gateway/src/endpoints/cache-survey.ts
@@ -1,16 +1,19 @@
-/**
- * Asks each engine once what it holds. Routers learn that from their own sends
- * and from peers; after all of them were restarted nobody knows it any more, and
- * parts would be read again on other engines.
- */
+/** Asks engines what they hold, in this router's turn, and passes it on. */
 import type { EndpointDirectory } from '@sesamegrade/core/endpoints/endpoint-directory';
+import type { CacheSurveyPlan } from '@sesamegrade/core/engines/cache-survey-plan';
 import type { EndpointEntry } from '@sesamegrade/core/endpoints/serving-endpoint';
 import type { FleetKnowledge } from '@sesamegrade/core/forwarding/fleet-knowledge';
+import type { PeerNews } from '@sesamegrade/core/peers/peer-news';
+import type { RouterRoster } from '@sesamegrade/core/peers/router-roster';
 import type { RouteTable } from '@sesamegrade/core/routes/route-table';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
+import { routerId } from '@sesamegrade/core/types/ids';
+import type { EndpointId } from '@sesamegrade/core/types/ids';
 import { milliseconds } from '@sesamegrade/core/types/units';
-import type { Milliseconds } from '@sesamegrade/core/types/units';
+import type { Instant, Milliseconds } from '@sesamegrade/core/types/units';
+import type { GatewaySettings } from '@sesamegrade/settings/gateway-schema';
 import type { DecisionLog } from '../logs/decision-log';
+import type { FleetReadiness } from '../store/fleet-readiness';
 import type { ChannelPool } from './channel-pool';
 import type { EndpointProtocol } from './endpoint-protocol';
 
@@ -19,6 +22,11 @@
 const STATUS_OK = 200;
 
 export interface CacheSurveyParts {
+  readonly settings: GatewaySettings;
+  readonly surveyPlan: CacheSurveyPlan;
+  readonly roster: RouterRoster;
+  readonly fleetReadiness: FleetReadiness;
+  readonly peerNews: PeerNews;
   readonly directory: EndpointDirectory;
   readonly routes: RouteTable;
   readonly knowledge: FleetKnowledge;
@@ -35,17 +43,38 @@
     this.#parts = parts;
   }
 
-  /** Asks every engine in use. */
-  async run(): Promise<void> {
-    const { directory, routes } = this.#parts;
-    const engines = directory
+  /** Asks the engines whose turn it is, once the engines and the routers are known. */
+  async tick(now: Instant): Promise<void> {
+    const { surveyPlan, roster, fleetReadiness, directory } = this.#parts;
+    if (!fleetReadiness.isReached || !roster.isRead) {
+      return;
+    }
+    if (!surveyPlan.hasBegun) {
+      surveyPlan.begin(this.#enginesBefore(), now);
+    }
+    const routers = [routerId(this.#parts.settings.router.id), ...roster.ids];
+    const asked = surveyPlan
+      .due(routers, now)
+      .map(id => directory.get(id))
+      .filter((entry): entry is EndpointEntry => entry !== undefined);
+    await Promise.all(asked.map(engine => this.#ask(engine)));
+  }
+
+  /** Engines that ran before this router; at the fleet's first start they hold nothing. */
+  #enginesBefore(): EndpointId[] {
+    const { settings, directory, routes } = this.#parts;
+    if (settings.router.first_start) {
+      return [];
+    }
+    return directory
       .all()
-      .filter(({ service }) => routes.service(service)?.engine !== undefined);
-    await Promise.all(engines.map(engine => this.#ask(engine)));
+      .filter(({ service }) => routes.service(service)?.engine !== undefined)
+      .map(({ id }) => id);
   }
 
   async #ask(engine: EndpointEntry): Promise<void> {
-    const { endpointProtocol, knowledge, log } = this.#parts;
+    const { endpointProtocol, knowledge, surveyPlan, peerNews, log } =
+      this.#parts;
     const body = await this.#fetch(engine);
     const read = body && endpointProtocol.readCacheList(body);
     if (!read?.ok) {
@@ -58,6 +87,8 @@
     for (const part of read.value) {
       knowledge.partHeld(engine.id, part);
     }
+    surveyPlan.known(engine.id);
+    peerNews.engineSurveyed(engine.id);
     log.write('cache-list', { endpoint: engine.id, parts: read.value.length });
   }
 
--- a/packages/gateway/src/process/gateway-process.ts
+++ b/packages/gateway/src/process/gateway-process.ts
@@ -3,6 +3,7 @@
   EndpointDirectory,
   DirectoryEvent,
 } from '@sesamegrade/core/endpoints/endpoint-directory';
+import type { CacheSurveyPlan } from '@sesamegrade/core/engines/cache-survey-plan';
 import type { FleetKnowledge } from '@sesamegrade/core/forwarding/fleet-knowledge';
 import type { PeerNews } from '@sesamegrade/core/peers/peer-news';
 import type { RouteTable } from '@sesamegrade/core/routes/route-table';
@@ -25,11 +26,9 @@
 /** Lapsed entries and ejections end within this of their time. */
 const TICK: Milliseconds = milliseconds(250);
 
-/** Time from the start after which the relays are known and the endpoints read. */
-const SURVEY_DELAY: Milliseconds = milliseconds(500);
-
 export interface GatewayProcessParts {
   readonly cacheSurvey: CacheSurvey;
+  readonly surveyPlan: CacheSurveyPlan;
   readonly settings: GatewaySettings;
   readonly timers: TimerService;
   readonly routes: RouteTable;
@@ -92,13 +91,11 @@
       const { directory, knowledge } = this.#parts;
       this.#directoryChanged(directory.tick(now));
       knowledge.tick(now);
+      void this.#parts.cacheSurvey.tick(now);
     });
     mirror.onDirectoryChange(events => {
       this.#directoryChanged(events);
     });
-    timers.after(SURVEY_DELAY, () => {
-      this.#surveyCaches();
-    });
     log.write('start', { router: router.id, zone: router.zone });
   }
 
@@ -134,14 +131,6 @@
     timers.stop();
   }
 
-  /** One of the few relays asks, and the others hear of it. */
-  #surveyCaches(): void {
-    const { settings, peerNews, cacheSurvey } = this.#parts;
-    if (peerNews.isRelay && !settings.router.first_start) {
-      void cacheSurvey.run();
-    }
-  }
-
   /** Passes on what this router learns that is worth telling peers. */
   #tellPeers(): void {
     const { knowledge, peerNews, peerMesh, mirror, log } = this.#parts;
@@ -167,6 +156,7 @@
   #directoryChanged(events: readonly DirectoryEvent[]): void {
     const { pool, knowledge, log, directory, timers, peerNews, peerMesh } =
       this.#parts;
+    const { surveyPlan } = this.#parts;
     if (events.length === 0) {
       return;
     }
@@ -180,6 +170,7 @@
       if (event.kind === 'gone') {
         pool.forget(event.id);
         knowledge.forget(event.id);
+        surveyPlan.forget(event.id);
       } else if (event.kind === 'restarted') {
         pool.forget(event.entry.id);
         knowledge.forget(event.entry.id);
--- a/packages/router/src/peers/peer-server.ts
+++ b/packages/router/src/peers/peer-server.ts
@@ -23,8 +23,8 @@
 
 /** Largest message that a peer may send here; gossip flows the other way. */
 const MAX_REQUEST_BYTES = 16_384;
-/** Bytes that may wait for a peer that does not read. */
-const MAX_UNSENT_BYTES = 65_536;
+/** Bytes that may wait for a peer that does not read; a whole state is up to 100 kB. */
+const MAX_UNSENT_BYTES = 262_144;
 /** Time in which a connection has to prove itself. */
 const PROOF_TIME = seconds(5);
 
