Let news and store calls of a large fleet gather

Ruled out: starts (127 at less than a second each), requests (18,288). Now news of parts wait 25 ms up to 20 routers and 1.6 ms more for each further one, loads at least as long, departures and versions still 25 ms; routers that are no relays pause up to 0.75 s between changes of the endpoints and the next call, relays never, as they tell of departures. Fleets of up to 20 routers behave as before. Tests: news-pace, feed-follower.

--- /dev/null
+++ b/packages/core/src/peers/news-pace.test.ts
@@ -0,0 +1,35 @@
+import { expect } from 'chai';
+
+import { changesPause, loadDelay, partDelay } from './news-pace';
+
+/** Relays that each router hears. */
+const RELAYS = 2;
+/** Time in which a leaving endpoint must get nothing more, in the deployments. */
+const LEAVING_BOUND = 2000;
+
+describe('news pace', () => {
+  it('tells a small fleet at once', () => {
+    expect(partDelay(18)).to.equal(25);
+    expect(loadDelay(18)).to.equal(200);
+    expect(changesPause(18, false)).to.equal(0);
+  });
+
+  it('lets no router of 135 hear more than a dozen messages a second from its relays', () => {
+    const seconds = partDelay(135) / 1000;
+    expect(RELAYS / seconds).to.be.at.most(12);
+  });
+
+  it('never makes the view of endpoints as late as a leaving one may get requests', () => {
+    for (const size of [1, 20, 113, 135, 370, 5000]) {
+      expect(changesPause(size, false)).to.be.at.most(LEAVING_BOUND / 2);
+    }
+  });
+
+  it('never lets a relay wait, as the others hear of departures from it', () => {
+    expect(changesPause(370, true)).to.equal(0);
+  });
+
+  it('wakes a fleet of 113 less than twice a second in a release of many endpoints', () => {
+    expect(1000 / changesPause(113, false)).to.be.below(2);
+  });
+});
--- a/packages/core/src/peers/peer-news.ts
+++ b/packages/core/src/peers/peer-news.ts
@@ -88,10 +88,14 @@
     }
   }
 
-  /** Whether there is news that should not wait for the next round. */
+  /** Whether there are parts that others do not know of. */
+  get hasNewParts(): boolean {
+    return this.#newParts.length > 0;
+  }
+
+  /** Whether there is news that should not wait for others of its kind. */
   get isUrgent(): boolean {
     return (
-      this.#newParts.length > 0 ||
       this.#departures.size > 0 ||
       this.#surveyed.size > 0 ||
       this.#versionChanged
--- a/packages/gateway/src/peers/peer-mesh.ts
+++ b/packages/gateway/src/peers/peer-mesh.ts
@@ -3,6 +3,7 @@
 
 import type { EndpointDirectory } from '@sesamegrade/core/endpoints/endpoint-directory';
 import type { RouterIdentity } from '@sesamegrade/core/membership/router-table';
+import { loadDelay, partDelay } from '@sesamegrade/core/peers/news-pace';
 import { chooseRelays } from '@sesamegrade/core/peers/relay-choice';
 import type { PeerNews } from '@sesamegrade/core/peers/peer-news';
 import type { RouterRoster } from '@sesamegrade/core/peers/router-roster';
@@ -12,7 +13,12 @@
 import { HybridClock } from '@sesamegrade/core/timeline/hybrid-clock';
 import { incarnation, routerId, zoneId } from '@sesamegrade/core/types/ids';
 import type { RouterId } from '@sesamegrade/core/types/ids';
-import { elapsed, milliseconds, seconds } from '@sesamegrade/core/types/units';
+import {
+  addTime,
+  elapsed,
+  milliseconds,
+  seconds,
+} from '@sesamegrade/core/types/units';
 import type { Instant, Milliseconds } from '@sesamegrade/core/types/units';
 import { PeerLink } from '@sesamegrade/router/peers/peer-link';
 import type { GossipFrame } from '@sesamegrade/router/peers/peer-message';
@@ -28,9 +34,9 @@
 import type { FleetMirror } from '../store/fleet-mirror';
 import type { RowTable } from '../store/row-table';
 
-/** Loads change with each request; over a relay a placement sees them at most twice this late. */
-const NEWS_PERIOD: Milliseconds = milliseconds(200);
-/** News of new parts and versions wait this long for others of their kind. */
+/** How often it is looked whether news are due. */
+const NEWS_TICK: Milliseconds = milliseconds(100);
+/** Departures and versions wait this long for others of their kind. */
 const URGENT_DELAY: Milliseconds = milliseconds(25);
 /** A peer without news says at least that it is there. */
 const SIGN_PERIOD: Milliseconds = seconds(1);
@@ -76,8 +82,9 @@
   readonly #server: PeerServer;
   readonly #peers = new Map<RouterId, Peer>();
   readonly #subscribers = new Set<RouterId>();
-  #isUrgentDue = false;
-  #signedAt: Instant | undefined;
+  /** When the next message goes out at the latest; undefined when nothing waits. */
+  #dueAt: Instant | undefined;
+  #toldAt: Instant | undefined;
   #fetching = false;
   #stopped = false;
 
@@ -132,8 +139,8 @@
   async start(): Promise<void> {
     const { timers } = this.#parts;
     await this.#server.listen(this.#self.address);
-    timers.every(NEWS_PERIOD, now => {
-      this.#tellNews(now);
+    timers.every(NEWS_TICK, now => {
+      this.#tellLoads(now);
     });
     timers.every(SIGN_PERIOD, now => {
       this.#inspect(now);
@@ -306,7 +313,7 @@
     if (malformed > 0) {
       log.write('peer-malformed', { peer: id, entries: malformed });
     }
-    if (peerNews.isUrgent) {
+    if (peerNews.isUrgent || peerNews.hasNewParts) {
       this.hurry();
     }
     if (peer && version !== undefined && this.#isNewer(version)) {
@@ -343,27 +350,41 @@
     }
   }
 
-  /** Tells urgent news shortly, with those that come meanwhile. */
+  /** Tells news shortly, with those that come meanwhile. */
   hurry(): void {
-    if (this.#isUrgentDue) {
+    const { peerNews, roster, timers } = this.#parts;
+    const delay = peerNews.isUrgent
+      ? URGENT_DELAY
+      : partDelay(roster.fleetSize);
+    const due = addTime(timers.now(), delay);
+    if (this.#dueAt !== undefined && this.#dueAt <= due) {
       return;
     }
-    this.#isUrgentDue = true;
-    this.#parts.timers.after(URGENT_DELAY, now => {
-      this.#isUrgentDue = false;
-      this.#tellNews(now);
+    this.#dueAt = due;
+    timers.after(delay, now => {
+      if (this.#dueAt === due) {
+        this.#tellNews(now);
+      }
     });
   }
 
+  /** Tells loads when they have waited long enough, and that this router is there. */
+  #tellLoads(now: Instant): void {
+    const period = loadDelay(this.#parts.roster.fleetSize);
+    if (this.#toldAt === undefined || elapsed(this.#toldAt, now) >= period) {
+      this.#tellNews(now);
+    }
+  }
+
   #tellNews(now: Instant): void {
+    this.#dueAt = undefined;
     const changes = this.#parts.peerNews.takeChanges();
     const isSignDue =
-      this.#signedAt === undefined ||
-      elapsed(this.#signedAt, now) >= SIGN_PERIOD;
+      this.#toldAt === undefined || elapsed(this.#toldAt, now) >= SIGN_PERIOD;
     if (!changes && !isSignDue) {
       return;
     }
-    this.#signedAt = now;
+    this.#toldAt = now;
     for (const peer of this.#subscribers) {
       this.#send(peer, changes ?? {});
     }
--- a/packages/gateway/src/store/feed-follower.test.ts
+++ b/packages/gateway/src/store/feed-follower.test.ts
@@ -3,7 +3,7 @@
 import { Random } from '@sesamegrade/core/random/random';
 import { ManualTimerService } from '@sesamegrade/core/time/manual-timer-service';
 import { fail, succeed } from '@sesamegrade/core/types/result';
-import { seconds } from '@sesamegrade/core/types/units';
+import { milliseconds, seconds } from '@sesamegrade/core/types/units';
 import type { DecisionLog } from '../logs/decision-log';
 import { FeedFollower } from './feed-follower';
 import { FeedSource, revision } from './feed-source';
@@ -37,7 +37,7 @@
 const page = succeed({ rows: [], revision: revision(7) });
 const unreachable = fail({ kind: 'unreachable', detail: 'test' } as const);
 
-async function follow() {
+async function follow(changesPause = milliseconds(0)) {
   const source = new ScriptedSource();
   const timers = new ManualTimerService();
   const events: string[] = [];
@@ -48,6 +48,7 @@
     source,
     timers,
     random: new Random(1),
+    changesPause: () => changesPause,
     log: { write: () => undefined } as unknown as DecisionLog,
     listener: {
       snapshot: note('snapshot'),
@@ -97,6 +98,19 @@
     ]);
   });
 
+  it('lets changes of a large fleet gather before it asks again', async () => {
+    const { answer, kinds } = await follow(seconds(1.5));
+    const change = succeed({
+      rows: [{ key: 'e', value: undefined }],
+      revision: revision(8),
+    });
+    await answer(page);
+    await answer(change);
+    expect(kinds()).to.deep.equal(['all', 'held']);
+    await answer(change);
+    expect(kinds()).to.deep.equal(['all', 'held', 'held']);
+  });
+
   it('reads everything again when the history is lost', async () => {
     const { answer, kinds } = await follow();
     await answer(page);
--- a/packages/gateway/src/store/feed-follower.ts
+++ b/packages/gateway/src/store/feed-follower.ts
@@ -32,6 +32,8 @@
   readonly timers: TimerService;
   readonly random: Random;
   readonly log: DecisionLog;
+  /** Wait between changes and the next call, so that a wave of them costs few calls. */
+  readonly changesPause?: () => Milliseconds;
 }
 
 export class FeedFollower {
@@ -96,10 +98,19 @@
       listener.snapshot(page);
     } else {
       listener.changes(page);
+      await this.#gather(page);
     }
     return undefined;
   }
 
+  /** Lets further changes gather. */
+  async #gather({ rows }: FeedPage): Promise<void> {
+    const pause = this.#options.changesPause?.() ?? milliseconds(0);
+    if (rows.length > 0 && pause > 0) {
+      await this.#wait(pause);
+    }
+  }
+
   #isStopped(): boolean {
     return this.#stopped;
   }
@@ -134,12 +145,16 @@
   }
 
   #pause(): Promise<void> {
-    const { timers, random } = this.#options;
+    const { random } = this.#options;
     const doublings = Math.min(this.#failures - 1, 4);
     const ceiling = Math.min(LONGEST_RETRY, FIRST_RETRY * 2 ** doublings);
     const delay = milliseconds(ceiling * (0.5 + random.fraction() / 2));
+    return this.#wait(delay);
+  }
+
+  #wait(length: Milliseconds): Promise<void> {
     return new Promise(resolve => {
-      const cancel = timers.after(delay, () => {
+      const cancel = this.#options.timers.after(length, () => {
         resolve();
       });
       this.#wake = () => {
--- a/packages/gateway/src/store/fleet-mirror.ts
+++ b/packages/gateway/src/store/fleet-mirror.ts
@@ -7,6 +7,9 @@
   EndpointChange,
   EndpointEntry,
 } from '@sesamegrade/core/endpoints/serving-endpoint';
+import { changesPause } from '@sesamegrade/core/peers/news-pace';
+import type { PeerNews } from '@sesamegrade/core/peers/peer-news';
+import type { RouterRoster } from '@sesamegrade/core/peers/router-roster';
 import type { Random } from '@sesamegrade/core/random/random';
 import type { FleetConfiguration } from '@sesamegrade/core/routes/fleet-configuration';
 import type { RouteTable } from '@sesamegrade/core/routes/route-table';
@@ -28,6 +31,8 @@
   readonly timers: TimerService;
   readonly random: Random;
   readonly log: DecisionLog;
+  readonly roster: RouterRoster;
+  readonly peerNews: PeerNews;
 }
 
 /** Where a configuration came from. */
@@ -70,6 +75,8 @@
       timers,
       random,
       log,
+      changesPause: () =>
+        changesPause(parts.roster.fleetSize, parts.peerNews.isRelay),
       listener: {
         snapshot: page => {
           this.#replaceEndpoints(page);
