Join through the addresses in the settings while the store is away

Cause: a router that started while the store was down, or turned just its VM away, knew nobody and nothing: it answered 503 until the store returned, however many of its peers were serving. The seeds of the settings were read by nobody. Ruled out: a copy of the view on the VM, as none has a disk. Now a router that has no list of routers after 300 ms asks the seeds, proves itself to an address instead of a name, learns who they are, and takes the configuration and the endpoints (those that leave marked so) from the first that answers, if the store has told none; the store's own word replaces them later.

--- a/packages/gateway/src/peers/peer-mesh.ts
+++ b/packages/gateway/src/peers/peer-mesh.ts
@@ -1,6 +1,4 @@
 /** Connects this router to the others and exchanges news with them. */
-import { z } from 'zod';
-
 import type { EndpointDirectory } from '@sesamegrade/core/endpoints/endpoint-directory';
 import type { RouterIdentity } from '@sesamegrade/core/membership/router-table';
 import { loadDelay, partDelay } from '@sesamegrade/core/peers/news-pace';
@@ -26,13 +24,14 @@
   identitySchema,
   tellIdentity,
 } from '@sesamegrade/router/peers/peer-message';
-import { PeerProof } from '@sesamegrade/router/peers/peer-proof';
+import { addressName, PeerProof } from '@sesamegrade/router/peers/peer-proof';
 import { PeerServer } from '@sesamegrade/router/peers/peer-server';
 import { SocketMeter } from '@sesamegrade/router/peers/socket-meter';
 import type { GatewaySettings } from '@sesamegrade/settings/gateway-schema';
 import type { DecisionLog } from '../logs/decision-log';
 import type { FleetMirror } from '../store/fleet-mirror';
 import type { RowTable } from '../store/row-table';
+import { fleetSnapshotSchema, tellEndpoints } from './fleet-snapshot';
 
 /** How often it is looked whether news are due. */
 const NEWS_TICK: Milliseconds = milliseconds(100);
@@ -42,16 +41,13 @@
 const SIGN_PERIOD: Milliseconds = seconds(1);
 /** Silence after which a connection is taken for dead and made anew. */
 const SILENCE_LIMIT: Milliseconds = milliseconds(2500);
+/** Time without the list of routers after which those of the settings are asked; the store answers in 10 ms. */
+const SEED_DELAY: Milliseconds = milliseconds(300);
 /** Time between tries to read the list of routers. */
 const LIST_RETRY: Milliseconds = seconds(1);
 /** Second reading of the list, for routers that wrote their row at the same moment. */
 const LIST_AGAIN: Milliseconds = milliseconds(1500);
 
-const snapshotSchema = z.object({
-  version: z.number(),
-  raw: z.instanceof(Uint8Array),
-});
-
 interface Peer {
   readonly identity: RouterIdentity;
   readonly link: PeerLink;
@@ -82,6 +78,8 @@
   readonly #server: PeerServer;
   readonly #peers = new Map<RouterId, Peer>();
   readonly #subscribers = new Set<RouterId>();
+  /** Connections to addresses of the settings while the store names no routers. */
+  readonly #seeds = new Map<RouterId, PeerLink>();
   /** When the next message goes out at the latest; undefined when nothing waits. */
   #dueAt: Instant | undefined;
   #toldAt: Instant | undefined;
@@ -112,6 +110,7 @@
       snapshot: () => ({
         version: parts.routes.version ?? 0,
         raw: parts.mirror.rawConfiguration ?? new Uint8Array(0),
+        endpoints: tellEndpoints(parts.directory),
       }),
       listener: {
         subscribed: identity => {
@@ -145,11 +144,17 @@
     timers.every(SIGN_PERIOD, now => {
       this.#inspect(now);
     });
+    timers.after(SEED_DELAY, () => {
+      if (!this.#parts.roster.isRead) {
+        this.#greetSeeds();
+      }
+    });
     void this.#join();
   }
 
   async stop(): Promise<void> {
     this.#stopped = true;
+    this.#dropSeeds();
     await Promise.all(
       [...this.#peers.values()].map(({ link }) => link.close()),
     );
@@ -168,9 +173,12 @@
         if (written) {
           break;
         }
+      } else {
+        this.#greetSeeds();
       }
       await pause(timers, LIST_RETRY);
     }
+    this.#dropSeeds();
     await pause(timers, LIST_AGAIN);
     const again = await routerRows.readAll();
     for (const row of again.ok ? again.value.rows : []) {
@@ -178,6 +186,48 @@
     }
   }
 
+  /** Finds routers by the addresses in the settings, as the store does not name any. */
+  #greetSeeds(): void {
+    const { settings, random, log } = this.#parts;
+    if (this.connected > 0) {
+      this.#dropSeeds();
+      return;
+    }
+    for (const address of settings.peers.seeds) {
+      const name = addressName(address);
+      const isOwn = name === addressName(this.#self.address);
+      if (isOwn || this.#seeds.has(name)) {
+        continue;
+      }
+      const link = new PeerLink({
+        peer: name,
+        address,
+        proof: this.#proof,
+        meter: this.#meter,
+        random,
+        listener: {
+          connected: identity => {
+            log.write('seed-answered', { peer: identity.id });
+            this.#learn(identity);
+          },
+          disconnected: () => undefined,
+          gossip: () => undefined,
+          malformed: () => {
+            log.write('peer-malformed', { peer: name });
+          },
+        },
+      });
+      this.#seeds.set(name, link);
+    }
+  }
+
+  #dropSeeds(): void {
+    for (const link of this.#seeds.values()) {
+      void link.close();
+    }
+    this.#seeds.clear();
+  }
+
   #isStopped(): boolean {
     return this.#stopped;
   }
@@ -316,7 +366,8 @@
     if (peerNews.isUrgent || peerNews.hasNewParts) {
       this.hurry();
     }
-    if (peer && version !== undefined && this.#isNewer(version)) {
+    const isNewer = version !== undefined && this.#isNewer(version);
+    if (peer && (isNewer || !this.#parts.directory.loaded)) {
       void this.#fetch(peer);
     }
   }
@@ -326,7 +377,7 @@
     return own === undefined || version > own;
   }
 
-  /** Takes a newer configuration from a peer, as the store's own news may be late. */
+  /** Takes from a peer what is newer there, as the store's own news may be late or missing. */
   async #fetch(peer: Peer): Promise<void> {
     if (this.#fetching) {
       return;
@@ -334,11 +385,19 @@
     this.#fetching = true;
     const { mirror, log } = this.#parts;
     try {
-      const read = snapshotSchema.safeParse(
+      const read = fleetSnapshotSchema.safeParse(
         await peer.link.fetchConfiguration(),
       );
-      if (read.success && this.#isNewer(read.data.version)) {
-        mirror.takeConfiguration(read.data.raw, 'peer');
+      if (!read.success) {
+        log.write('peer-malformed', { peer: peer.identity.id });
+        return;
+      }
+      const { version, raw, endpoints } = read.data;
+      if (this.#isNewer(version) && raw.length > 0) {
+        mirror.takeConfiguration(raw, 'peer');
+      }
+      if (endpoints) {
+        mirror.takeEndpoints(endpoints, peer.identity.id);
       }
     } catch (error) {
       log.write('peer-fetch-failed', {
--- a/packages/gateway/src/store/fleet-mirror.ts
+++ b/packages/gateway/src/store/fleet-mirror.ts
@@ -15,6 +15,7 @@
 import type { RouteTable } from '@sesamegrade/core/routes/route-table';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
 import { endpointId } from '@sesamegrade/core/types/ids';
+import type { RouterId } from '@sesamegrade/core/types/ids';
 import type { DecisionLog } from '../logs/decision-log';
 import type { DeploymentCodec } from './deployment-codec';
 import { FeedFollower } from './feed-follower';
@@ -150,6 +151,17 @@
     this.#parts.fleetReadiness.changed();
   }
 
+  /** Takes the endpoints that a peer knows while the store has not told any. */
+  takeEndpoints(entries: readonly EndpointEntry[], peer: RouterId): void {
+    const { directory, timers, log } = this.#parts;
+    if (directory.loaded) {
+      return;
+    }
+    log.write('endpoints-from-peer', { peer, endpoints: entries.length });
+    this.#directoryListener(directory.replace(entries, timers.now()));
+    this.#parts.fleetReadiness.changed();
+  }
+
   #configurationRows({ rows }: FeedPage): void {
     const { codec, routes, timers } = this.#parts;
     for (const { key, value } of rows) {
--- a/packages/router/src/peers/peer-link.ts
+++ b/packages/router/src/peers/peer-link.ts
@@ -8,7 +8,7 @@
 import type { RouterId } from '@sesamegrade/core/types/ids';
 import { binaryEncoder, feedMessageSchema } from './peer-message';
 import type { CheckedFeedMessage, GossipFrame } from './peer-message';
-import { newNonce } from './peer-proof';
+import { addressName, newNonce } from './peer-proof';
 import type { PeerProof } from './peer-proof';
 import type { PeerRoutes } from './peer-routes';
 import type { SocketMeter } from './socket-meter';
@@ -30,6 +30,7 @@
 }
 
 export interface PeerLinkOptions {
+  /** Whom to reach; `addressName` of the address where the id is not known. */
   readonly peer: RouterId;
   readonly address: Address;
   readonly proof: PeerProof;
@@ -129,9 +130,10 @@
     const { peer, listener, proof } = this.#options;
     if ('identity' in message) {
       const { identity } = message;
+      const isMeant =
+        identity.id === peer || peer === addressName(this.address);
       const holds =
-        identity.id === peer &&
-        proof.answerHolds(peer, this.#nonce, message.proof);
+        isMeant && proof.answerHolds(identity.id, this.#nonce, message.proof);
       if (!holds) {
         this.reset();
         return;
--- a/packages/router/src/peers/peer-proof.ts
+++ b/packages/router/src/peers/peer-proof.ts
@@ -8,6 +8,8 @@
 import { z } from 'zod';
 
 import type { RouterIdentity } from '@sesamegrade/core/membership/router-table';
+import type { Address } from '@sesamegrade/core/types/endpoint';
+import { routerId } from '@sesamegrade/core/types/ids';
 import type { RouterId } from '@sesamegrade/core/types/ids';
 import { identitySchema, tellIdentity } from './peer-message';
 import type { ToldIdentity } from './peer-message';
@@ -88,7 +90,7 @@
       return undefined;
     }
     const claim = claimSchema.safeParse(parseJson(text));
-    if (!claim.success || claim.data.to !== this.#self.id) {
+    if (!claim.success || !this.#isSelf(claim.data.to)) {
       return undefined;
     }
     const difference = Math.abs(this.#wallTime() - claim.data.at);
@@ -105,6 +107,10 @@
     return this.#holds(proof, this.#sign('server', `${server} ${nonce}`));
   }
 
+  #isSelf(name: string): boolean {
+    return name === this.#self.id || name === addressName(this.#self.address);
+  }
+
   #sign(role: 'client' | 'server', text: string): string {
     const hmac = createHmac('sha256', this.#secret);
     return hmac.update(`${role}\n${text}`).digest('base64url');
@@ -118,6 +124,11 @@
   }
 }
 
+/** Name of a router of which only the address is known. */
+export function addressName({ host, port }: Address): RouterId {
+  return routerId(`${host}:${port}`);
+}
+
 function parseJson(text: string): unknown {
   try {
     return JSON.parse(text);
