--- a/packages/core/src/membership/router-table.ts
+++ b/packages/core/src/membership/router-table.ts
@@ -45,6 +45,8 @@
   readonly incarnation: Incarnation;
   readonly zone: ZoneId;
   readonly address: Address;
+  /** Cores' worth of processor time that its VM has; 1 where it does not say. */
+  readonly power?: number | undefined;
 }
 
 export interface RouterTableOptions {
--- a/packages/core/src/peers/relay-choice.test.ts
+++ b/packages/core/src/peers/relay-choice.test.ts
@@ -8,7 +8,11 @@
 const all = new Set(routers);
 
 const choose = (self: RouterId, connected: ReadonlySet<RouterId>) =>
-  chooseRelays({ self, known: routers, connected });
+  chooseRelays({
+    self,
+    known: routers.map(id => ({ id, power: 1 })),
+    connected,
+  });
 
 describe('chooseRelays', () => {
   it('gives every router the same two relays, which know that they are', () => {
@@ -27,6 +31,18 @@
     expect(links.slice(0, 2)).to.deep.equal([first, second]);
   });
 
+  it('takes the strongest VMs of an uneven fleet for relays', () => {
+    const known = routers.map((id, at) => ({
+      id,
+      power: at % 10 === 3 ? 1.35 : 0.227,
+    }));
+    const strong = new Set(['r3', 'r13', 'r23', 'r33'].map(routerId));
+    for (const self of routers) {
+      const { links } = chooseRelays({ self, known, connected: all });
+      expect(links.every(link => strong.has(link))).to.equal(true);
+    }
+  });
+
   it('tries a few at once when nobody is heard, as a start of all would mesh all', () => {
     const { links } = choose(routers[0]!, new Set());
     expect(links).to.have.length(6);
--- a/packages/core/src/peers/relay-choice.ts
+++ b/packages/core/src/peers/relay-choice.ts
@@ -5,6 +5,13 @@
 import { rankMembers } from '../hashing/rendezvous';
 import type { RouterId } from '../types/ids';
 
+/** A router that may pass on news. */
+export interface RelayCandidate {
+  readonly id: RouterId;
+  /** Cores' worth of processor time that its VM has. */
+  readonly power: number;
+}
+
 /** Relays that a router hears at the same time; one may be gone unnoticed for a second. */
 const HEARD_RELAYS = 2;
 /** Routers tried at once that are not heard yet; so many rarely are down together. */
@@ -14,7 +21,7 @@
 export interface RelayView {
   readonly self: RouterId;
   /** All routers that are known, this one included. */
-  readonly known: readonly RouterId[];
+  readonly known: readonly RelayCandidate[];
   /** Routers that this one hears now. */
   readonly connected: ReadonlySet<RouterId>;
 }
@@ -35,7 +42,7 @@
   let heard = 0;
   let unheard = 0;
   let isRelay = false;
-  for (const router of rankMembers(RELAY_KEY, known)) {
+  for (const router of rankCandidates(known)) {
     if (heard >= HEARD_RELAYS || unheard >= MAX_UNHEARD) {
       break;
     }
@@ -53,3 +60,14 @@
   }
   return { links, isRelay };
 }
+
+/** The strongest first, as a relay sends to every router; among equals by rendezvous hashing. */
+function rankCandidates(known: readonly RelayCandidate[]): RouterId[] {
+  const powers = new Map(known.map(({ id, power }) => [id, power]));
+  const power = (id: RouterId) => powers.get(id) ?? 0;
+  // The sort is stable, so that equals keep the order of their hashes.
+  return rankMembers(
+    RELAY_KEY,
+    known.map(({ id }) => id),
+  ).sort((left, right) => power(right) - power(left));
+}
--- a/packages/core/src/peers/router-roster.ts
+++ b/packages/core/src/peers/router-roster.ts
@@ -1,6 +1,7 @@
 /** The routers of the fleet, as far as one of them knows. */
 import type { RouterIdentity } from '../membership/router-table';
 import type { RouterId } from '../types/ids';
+import type { RelayCandidate } from './relay-choice';
 import { elapsed, seconds } from '../types/units';
 import type { Instant, Milliseconds } from '../types/units';
 
@@ -12,6 +13,9 @@
  */
 const UNREAD_FLEET_SIZE = 150;
 
+/** Power of a VM that does not say. */
+const DEFAULT_POWER = 1;
+
 interface Row {
   readonly identity: RouterIdentity;
   confirmedAt: Instant;
@@ -40,6 +44,14 @@
     return this.#rows.get(id)?.identity;
   }
 
+  /** The routers that may pass on news, this one left out. */
+  relayCandidates(): RelayCandidate[] {
+    return [...this.#rows.values()].map(({ identity: { id, power } }) => ({
+      id,
+      power: power ?? DEFAULT_POWER,
+    }));
+  }
+
   /** Notes that the store's list of routers was read. */
   listRead(): void {
     this.#isRead = true;
--- a/packages/gateway/src/peers/peer-mesh.ts
+++ b/packages/gateway/src/peers/peer-mesh.ts
@@ -95,6 +95,7 @@
       incarnation: incarnation(Math.floor(wallTime())),
       zone: zoneId(settings.router.zone),
       address: settings.router.peers,
+      power: settings.router.cpu_share * settings.router.cpu_speed,
     };
     this.#clock = new HybridClock(wallTime);
     this.#proof = new PeerProof({
@@ -279,7 +280,10 @@
     );
     const { links, isRelay } = chooseRelays({
       self: this.#self.id,
-      known: [this.#self.id, ...roster.ids],
+      known: [
+        { id: this.#self.id, power: this.#self.power ?? 1 },
+        ...roster.relayCandidates(),
+      ],
       connected,
     });
     this.#parts.peerNews.isRelay = isRelay;
--- a/packages/router/src/peers/peer-message.ts
+++ b/packages/router/src/peers/peer-message.ts
@@ -14,6 +14,8 @@
 
 const MAX_TOPICS = 32;
 const MAX_ENTRIES = 2000;
+/** More cores than any VM has. */
+const MAX_POWER = 10_000;
 
 /** Who a router says it is. */
 export const identitySchema = z
@@ -23,20 +25,23 @@
     zone: nameSchema,
     host: nameSchema,
     port: z.int().min(1).max(65_535),
+    power: z.number().min(0).max(MAX_POWER).optional(),
   })
   .transform((told): RouterIdentity => ({
     id: routerId(told.id),
     incarnation: incarnation(told.incarnation),
     zone: zoneId(told.zone),
     address: { host: told.host, port: told.port },
+    power: told.power,
   }));
 
 /** What a router says of itself, as it travels. */
 export type ToldIdentity = z.input<typeof identitySchema>;
 
 export function tellIdentity(identity: RouterIdentity): ToldIdentity {
-  const { id, incarnation: start, zone, address } = identity;
-  return { id, incarnation: start, zone, ...address };
+  const { id, incarnation: start, zone, address, power } = identity;
+  const told = { id, incarnation: start, zone, ...address };
+  return power === undefined ? told : { ...told, power };
 }
 
 /** First message of a feed: the server's proof that it knows the secret too. */
--- a/packages/settings/src/gateway-schema.ts
+++ b/packages/settings/src/gateway-schema.ts
@@ -50,6 +50,12 @@
     .union([z.boolean(), z.stringbool()])
     .default(false)
     .describe('whether the whole fleet starts for the first time'),
+  cpu_share: positive
+    .default(1)
+    .describe('share of its processor that the VM may use'),
+  cpu_speed: positive
+    .default(1)
+    .describe('speed of that processor; 1 is that of the smallest VMs'),
   metrics_port: z.coerce.number().int().min(0).max(MAX_PORT).default(9464),
 });
 
