Read the settings again at SIGHUP and when the file changes

The platform sends it on the grown deployments as planned work, and may send it anywhere. Now the loader takes the signal from its first line on; the program reads the file again at the signal and, once a second, when its text is another one. Grace, budget of repeats, seeds and log level take effect at once; a line names these and what needs a restart; a text that fails the check changes nothing.

--- /dev/null
+++ b/packages/cli/src/platform-router.test.ts
@@ -0,0 +1,75 @@
+import { spawn } from 'node:child_process';
+import type { ChildProcess } from 'node:child_process';
+import { once } from 'node:events';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { createInterface } from 'node:readline';
+
+import { expect } from 'chai';
+
+import { freePort } from '@sesamegrade/stand-ins/http/free-port';
+
+const PROGRAM = join(import.meta.dirname, 'platform-router.ts');
+
+interface Line {
+  readonly message: string;
+  readonly cause?: string;
+  readonly applied?: readonly { readonly key: string }[];
+}
+
+describe('the program of a router on the platform', () => {
+  let folder: string;
+  let program: ChildProcess | undefined;
+
+  beforeEach(async () => {
+    folder = await mkdtemp(join(tmpdir(), 'router-'));
+  });
+
+  afterEach(async () => {
+    program?.kill('SIGKILL');
+    await rm(folder, { recursive: true });
+  });
+
+  it('lives through SIGHUP, says what changed, and ends after SIGTERM', async () => {
+    const ports = await Promise.all([1, 2, 3, 4].map(() => freePort()));
+    const file = join(folder, 'router.ini');
+    const text = (slack: number) => `[router]
+id = r
+zone = a
+callers = 127.0.0.1:${ports[0]}
+ready = 127.0.0.1:${ports[1]}
+peers = 127.0.0.1:${ports[2]}
+metrics_port = ${ports[3]}
+[store]
+address = 127.0.0.1:1
+[stop]
+grace_seconds = 1
+[retries]
+ratio = 0.2
+window_seconds = 10
+slack = ${slack}
+`;
+    await writeFile(file, text(126));
+    program = spawn(process.execPath, ['--import', 'tsx', PROGRAM], {
+      env: { ...process.env, SESAMEGRADE_CONFIG: file },
+      stdio: ['ignore', 'pipe', 'inherit'],
+    });
+    const exit = once(program, 'exit');
+    const lines = createInterface({ input: program.stdout! });
+    const seen: Line[] = [];
+    for await (const lineText of lines) {
+      const line = JSON.parse(lineText) as Line;
+      seen.push(line);
+      if (line.message === 'start') {
+        await writeFile(file, text(50));
+        program.kill('SIGHUP');
+      } else if (line.message === 'settings' && line.cause === 'signal') {
+        program.kill('SIGTERM');
+      }
+    }
+    expect(await exit).to.deep.equal([0, null]);
+    const reload = seen.find(({ cause }) => cause === 'signal');
+    expect(reload?.applied?.map(({ key }) => key)).to.deep.equal(['slack']);
+  });
+});
--- a/packages/cli/src/platform-router.ts
+++ b/packages/cli/src/platform-router.ts
@@ -2,6 +2,7 @@
 import { readFileSync } from 'node:fs';
 
 import { composeGateway } from '@sesamegrade/gateway/composition/gateway-container';
+import { SettingsWatch } from '@sesamegrade/gateway/process/settings-watch';
 import { connectPlatform } from '@sesamegrade/platform/connect';
 import { formatFailure, parseIni } from '@sesamegrade/settings/parse';
 import { gatewaySettingsSchema } from '@sesamegrade/settings/gateway-schema';
@@ -10,11 +11,8 @@
 
 async function run(): Promise<void> {
   const file = process.env.SESAMEGRADE_CONFIG ?? '';
-  const parsed = parseIni(
-    gatewaySettingsSchema,
-    file,
-    readFileSync(file, 'utf8'),
-  );
+  const text = readFileSync(file, 'utf8');
+  const parsed = parseIni(gatewaySettingsSchema, file, text);
   if (!parsed.ok) {
     for (const failure of parsed.failure) {
       process.stderr.write(`${formatFailure(failure)}\n`);
@@ -23,7 +21,7 @@
     process.exit(EXIT_SETTINGS);
   }
   const settings = parsed.value;
-  const { gateway } = composeGateway(
+  const { gateway, liveSettings, timers, log } = composeGateway(
     settings,
     connectPlatform(settings.store),
     process.env[settings.peers.secret_env] ?? '',
@@ -33,7 +31,12 @@
       process.exit(0);
     });
   });
+  const watch = new SettingsWatch({ file, text, liveSettings, timers, log });
+  process.on('SIGHUP', () => {
+    void watch.look('signal');
+  });
   await gateway.start();
+  watch.start();
 }
 
 void run();
--- a/packages/core/src/retries/fleet-budget.test.ts
+++ b/packages/core/src/retries/fleet-budget.test.ts
@@ -15,9 +15,7 @@
   let taken = 0;
   for (let router = 0; router < size; router += 1) {
     const budget = new FleetBudget({
-      ratio,
-      slack,
-      window,
+      limits: () => ({ ratio, slack, window }),
       routers: () => size,
     });
     for (let count = 0; count < requests; count += 1) {
@@ -40,9 +38,7 @@
   it('divides the slack anew when the fleet grows', () => {
     let size = 2;
     const budget = new FleetBudget({
-      ratio: 0,
-      slack: 10,
-      window,
+      limits: () => ({ ratio: 0, slack: 10, window }),
       routers: () => size,
     });
     expect(budget.take(service, instant(0))).to.equal(true);
--- a/packages/core/src/retries/fleet-budget.ts
+++ b/packages/core/src/retries/fleet-budget.ts
@@ -2,14 +2,20 @@
 import type { ServiceId } from '../types/ids';
 import type { Instant, Milliseconds } from '../types/units';
 import { RetryBudget } from './retry-budget';
+import type { RetryBudgetOptions } from './retry-budget';
 
 /** What the deployment allows, over all routers together. */
-export interface FleetBudgetOptions {
+export interface FleetBudgetLimits {
   /** Repeats allowed per request of the window. */
   readonly ratio: number;
   /** Repeats allowed per window whatever the traffic. */
   readonly slack: number;
   readonly window: Milliseconds;
+}
+
+export interface FleetBudgetOptions {
+  /** The limits in force, which may change. */
+  readonly limits: () => FleetBudgetLimits;
   /** Routers that share the slack. */
   readonly routers: () => number;
 }
@@ -38,14 +44,19 @@
   #budget(service: ServiceId): RetryBudget {
     let budget = this.#budgets.get(service);
     if (!budget) {
-      const { ratio, slack, window, routers } = this.#options;
-      budget = new RetryBudget({
-        fraction: ratio * USED_SHARE,
-        floor: () => (slack * USED_SHARE) / Math.max(1, routers()),
-        window,
-      });
+      budget = new RetryBudget(() => this.#share());
       this.#budgets.set(service, budget);
     }
     return budget;
   }
+
+  #share(): RetryBudgetOptions {
+    const { limits, routers } = this.#options;
+    const { ratio, slack, window } = limits();
+    return {
+      fraction: ratio * USED_SHARE,
+      floor: (slack * USED_SHARE) / Math.max(1, routers()),
+      window,
+    };
+  }
 }
--- a/packages/core/src/retries/retry-budget.ts
+++ b/packages/core/src/retries/retry-budget.ts
@@ -5,8 +5,8 @@
 export interface RetryBudgetOptions {
   /** Retries allowed per request of the window. */
   readonly fraction: number;
-  /** Retries allowed per window whatever the traffic; a function where that changes. */
-  readonly floor: number | (() => number);
+  /** Retries allowed per window whatever the traffic. */
+  readonly floor: number;
   readonly window: Milliseconds;
 }
 
@@ -26,11 +26,15 @@
 
 /** Counts first attempts and retries over a sliding window. */
 export class RetryBudget {
-  readonly #options: RetryBudgetOptions;
+  readonly #options: () => RetryBudgetOptions;
   readonly #slices: Slice[] = [];
 
-  constructor(options: RetryBudgetOptions = defaultRetryBudget) {
-    this.#options = options;
+  /** Takes the options, or a function where they change. */
+  constructor(
+    options:
+      RetryBudgetOptions | (() => RetryBudgetOptions) = defaultRetryBudget,
+  ) {
+    this.#options = typeof options === 'function' ? options : () => options;
   }
 
   /** Notes the first attempt of a request. */
@@ -41,15 +45,14 @@
   /** Returns how many retries the window still allows, rounded down. */
   available(now: Instant): number {
     this.#current(now);
-    const { fraction, floor } = this.#options;
+    const { fraction, floor } = this.#options();
     let requests = 0;
     let retries = 0;
     for (const slice of this.#slices) {
       requests += slice.requests;
       retries += slice.retries;
     }
-    const least = typeof floor === 'number' ? floor : floor();
-    const allowed = least + fraction * requests - retries;
+    const allowed = floor + fraction * requests - retries;
     return Math.max(0, Math.floor(allowed + Number.EPSILON * requests));
   }
 
@@ -63,7 +66,7 @@
   }
 
   #current(now: Instant): Slice {
-    const width = this.#options.window / slices;
+    const width = this.#options().window / slices;
     const last = this.#slices.at(-1);
     const index = Math.max(Math.floor(now / width), last?.index ?? 0);
     while (this.#slices[0] && this.#slices[0].index <= index - slices) {
--- a/packages/gateway/src/composition/gateway-container.ts
+++ b/packages/gateway/src/composition/gateway-container.ts
@@ -38,6 +38,7 @@
 import { GatewayMetrics } from '../metrics/gateway-metrics';
 import { PeerMesh } from '../peers/peer-mesh';
 import { GatewayProcess } from '../process/gateway-process';
+import { LiveSettings } from '../process/live-settings';
 import { StopPlan } from '../process/stop-plan';
 import type { DeploymentCodec } from '../store/deployment-codec';
 import type { FeedSource } from '../store/feed-source';
@@ -74,6 +75,7 @@
   readonly pool: ChannelPool;
   readonly forwarder: Forwarder;
   readonly stopPlan: StopPlan;
+  readonly liveSettings: LiveSettings;
   readonly callerServer: CallerServer;
   readonly mirror: FleetMirror;
   readonly fleetReadiness: FleetReadiness;
@@ -127,7 +129,11 @@
     pool: asFunction(
       ({ timers }: GatewayCradle) => new ChannelPool(() => timers.now()),
     ).singleton(),
-    stopPlan: asValue(new StopPlan(settings.stop.grace_seconds)),
+    stopPlan: asFunction(
+      ({ liveSettings }: GatewayCradle) =>
+        new StopPlan(() => liveSettings.current.stop.grace_seconds),
+    ).singleton(),
+    liveSettings: asClass(LiveSettings).singleton(),
     forwarder: asClass(Forwarder).singleton(),
     callerServer: asClass(CallerServer).singleton(),
     fleetReadiness: asClass(FleetReadiness).singleton(),
@@ -173,12 +179,12 @@
   });
 }
 
-function newBudget({ settings, roster }: GatewayCradle): FleetBudget {
-  const { ratio, slack, window_seconds: window } = settings.retries;
+function newBudget({ liveSettings, roster }: GatewayCradle): FleetBudget {
   return new FleetBudget({
-    ratio,
-    slack,
-    window,
+    limits: () => {
+      const { retries } = liveSettings.current;
+      return { ...retries, window: retries.window_seconds };
+    },
     routers: () => roster.fleetSize,
   });
 }
--- a/packages/gateway/src/peers/peer-mesh.ts
+++ b/packages/gateway/src/peers/peer-mesh.ts
@@ -29,6 +29,7 @@
 import { SocketMeter } from '@sesamegrade/router/peers/socket-meter';
 import type { GatewaySettings } from '@sesamegrade/settings/gateway-schema';
 import type { DecisionLog } from '../logs/decision-log';
+import type { LiveSettings } from '../process/live-settings';
 import type { FleetMirror } from '../store/fleet-mirror';
 import type { RowTable } from '../store/row-table';
 import { fleetSnapshotSchema, tellEndpoints } from './fleet-snapshot';
@@ -57,6 +58,7 @@
 
 export interface PeerMeshParts {
   readonly settings: GatewaySettings;
+  readonly liveSettings: LiveSettings;
   readonly peerSecret: string;
   readonly routerRows: RowTable;
   readonly peerNews: PeerNews;
@@ -189,12 +191,12 @@
 
   /** Finds routers by the addresses in the settings, as the store does not name any. */
   #greetSeeds(): void {
-    const { settings, random, log } = this.#parts;
+    const { liveSettings, random, log } = this.#parts;
     if (this.connected > 0) {
       this.#dropSeeds();
       return;
     }
-    for (const address of settings.peers.seeds) {
+    for (const address of liveSettings.current.peers.seeds) {
       const name = addressName(address);
       const isOwn = name === addressName(this.#self.address);
       if (isOwn || this.#seeds.has(name)) {
--- /dev/null
+++ b/packages/gateway/src/process/live-settings.ts
@@ -0,0 +1,74 @@
+/** The settings in force, which may change while the router runs. */
+import type { Logger } from 'winston';
+
+import { gatewaySettingsSchema } from '@sesamegrade/settings/gateway-schema';
+import type { GatewaySettings } from '@sesamegrade/settings/gateway-schema';
+import { formatFailure, parseIni } from '@sesamegrade/settings/parse';
+import { settingsChanges } from '@sesamegrade/settings/settings-change';
+import type { SettingsChange } from '@sesamegrade/settings/settings-change';
+import type { DecisionLog } from '../logs/decision-log';
+
+/** Why the settings are read again. */
+export type ReloadCause = 'signal' | 'file-changed';
+
+/** Sections and keys that take effect at once; others need a restart. */
+const LIVE_KEYS: ReadonlySet<string> = new Set([
+  'peers.seeds',
+  'stop.grace_seconds',
+  'retries.ratio',
+  'retries.window_seconds',
+  'retries.slack',
+  'log.level',
+]);
+
+export interface LiveSettingsParts {
+  readonly settings: GatewaySettings;
+  readonly logger: Logger;
+  readonly log: DecisionLog;
+}
+
+export class LiveSettings {
+  readonly #parts: LiveSettingsParts;
+  #current: GatewaySettings;
+
+  constructor(parts: LiveSettingsParts) {
+    this.#parts = parts;
+    this.#current = parts.settings;
+  }
+
+  get current(): GatewaySettings {
+    return this.#current;
+  }
+
+  /** Takes a new text of the file; one that fails the check changes nothing. */
+  reload(file: string, text: string, cause: ReloadCause): void {
+    const { log, logger } = this.#parts;
+    const parsed = parseIni(gatewaySettingsSchema, file, text);
+    if (!parsed.ok) {
+      log.write('settings-rejected', {
+        cause,
+        failures: parsed.failure.map(formatFailure),
+      });
+      return;
+    }
+    const changes = settingsChanges({ ...this.#current }, { ...parsed.value });
+    const { peers, stop, retries, log: logs } = parsed.value;
+    this.#current = {
+      ...this.#current,
+      peers: { ...this.#current.peers, seeds: peers.seeds },
+      stop,
+      retries,
+      log: logs,
+    };
+    logger.level = logs.level;
+    log.write('settings', {
+      cause,
+      applied: changes.filter(isLive),
+      needRestart: changes.filter(change => !isLive(change)),
+    });
+  }
+}
+
+function isLive({ section, key }: SettingsChange): boolean {
+  return LIVE_KEYS.has(`${section}.${key}`);
+}
--- /dev/null
+++ b/packages/gateway/src/process/settings-watch.ts
@@ -0,0 +1,54 @@
+/** Reads the settings file again at a signal, and when its text is another one. */
+import { readFile } from 'node:fs/promises';
+
+import type { TimerService } from '@sesamegrade/core/time/timer-service';
+import { seconds } from '@sesamegrade/core/types/units';
+import type { Milliseconds } from '@sesamegrade/core/types/units';
+import type { DecisionLog } from '../logs/decision-log';
+import type { LiveSettings, ReloadCause } from './live-settings';
+
+/** The file may change without a signal; half of the time in which a change must be in force. */
+const LOOK_PERIOD: Milliseconds = seconds(1);
+
+export interface SettingsWatchOptions {
+  readonly file: string;
+  /** Text that the router was started with. */
+  readonly text: string;
+  readonly liveSettings: LiveSettings;
+  readonly timers: TimerService;
+  readonly log: DecisionLog;
+}
+
+export class SettingsWatch {
+  readonly #options: SettingsWatchOptions;
+  #text: string;
+
+  constructor(options: SettingsWatchOptions) {
+    this.#options = options;
+    this.#text = options.text;
+  }
+
+  start(): void {
+    this.#options.timers.every(LOOK_PERIOD, () => {
+      void this.look('file-changed');
+    });
+  }
+
+  /** Reads the file; the settings change only with its text. */
+  async look(cause: ReloadCause): Promise<void> {
+    const { file, liveSettings, log } = this.#options;
+    let text: string;
+    try {
+      text = await readFile(file, 'utf8');
+    } catch (error) {
+      // The file may just be replaced; the settings in force stay.
+      log.write('settings-unreadable', { file, cause, error: String(error) });
+      return;
+    }
+    if (text === this.#text && cause === 'file-changed') {
+      return;
+    }
+    this.#text = text;
+    liveSettings.reload(file, text, cause);
+  }
+}
--- a/packages/gateway/src/process/stop-plan.test.ts
+++ b/packages/gateway/src/process/stop-plan.test.ts
@@ -15,7 +15,7 @@
 async function stop(running: (past: number) => number): Promise<Observed> {
   const timers = new ManualTimerService();
   const observed: Observed = { stoppedAt: undefined, closedIdleAt: undefined };
-  const plan = new StopPlan(grace);
+  const plan = new StopPlan(() => grace);
   plan.begin(timers.now());
   void plan
     .wait(
@@ -53,7 +53,7 @@
   });
 
   it('takes no long answer that callers can have elsewhere, and no call that might not end', () => {
-    const plan = new StopPlan(grace);
+    const plan = new StopPlan(() => grace);
     const stream = { kind: 'stream', pauseLimit: undefined } as const;
     const whole = { kind: 'whole' } as const;
     expect(plan.admits(stream, instant(0))).to.equal(true);
--- a/packages/gateway/src/process/stop-plan.ts
+++ b/packages/gateway/src/process/stop-plan.ts
@@ -15,11 +15,11 @@
 const POLL: Milliseconds = milliseconds(50);
 
 export class StopPlan {
-  readonly #grace: Milliseconds;
+  readonly #grace: () => Milliseconds;
   #begun: Instant | undefined;
 
-  /** Takes the time from the signal to the forced end of the process. */
-  constructor(grace: Milliseconds) {
+  /** Takes the time from the signal to the forced end of the process, as it is in force. */
+  constructor(grace: () => Milliseconds) {
     this.#grace = grace;
   }
 
@@ -43,7 +43,7 @@
     if (answer.kind === 'stream') {
       return past < BALANCER_TIME;
     }
-    return past < this.#grace - END_MARGIN - CALL_TIME;
+    return past < this.#grace() - END_MARGIN - CALL_TIME;
   }
 
   /** Returns when no request has run for a while after the balancer's time, or the grace is over. */
@@ -53,7 +53,7 @@
     closeIdle: () => void,
   ): Promise<void> {
     const begun = this.#begun ?? timers.now();
-    const longest = this.#grace - END_MARGIN;
+    const longest = this.#grace() - END_MARGIN;
     let quietSince = begun;
     return new Promise(resolve => {
       const cancel = timers.every(POLL, now => {
--- a/scripts/load-bundle.cjs
+++ b/scripts/load-bundle.cjs
@@ -51,6 +51,8 @@
     : { host: text.slice(0, colon), port: Number(text.slice(colon + 1)) };
 }
 
+// The program reads its settings later than this; a signal must not end it.
+process.on('SIGHUP', () => undefined);
 const address = callersAddress();
 if (address) {
   const server = createServer({ allowHalfOpen: true, noDelay: true });
