Keep routers from herding to the least loaded endpoint of a plain service

Cause: loads of others are heard of up to 0.3 s late in a fleet of 113. At 140 calls a second 42 go out meanwhile, all by the same view, and so to one endpoint of 6 slots. Ruled out: too little room (at 140 x 43 ms, 6 of 18 slots run). Now each choice adds noise as large as the requests that go unseen at an endpoint beyond one, by the router's own rate times the fleet's size and the delay of news. A fleet of 18 at 25 calls a second hardly changes.

--- a/packages/core/src/endpoints/service-placement.ts
+++ b/packages/core/src/endpoints/service-placement.ts
@@ -16,19 +16,29 @@
 const NEARNESS = 0.1;
 /** Breaks ties differently on each request, so that routers do not herd. */
 const JITTER = 0.05;
+/** Requests at an endpoint that may go unseen before a difference of loads means nothing. */
+const TOLERATED_UNSEEN = 1;
 
-/** Returns undefined when there is no candidate; `fraction` gives numbers in [0, 1). */
+/**
+ * Returns undefined when there is no candidate; `fraction` gives numbers in
+ * [0, 1). `unseen` is how many requests other routers send to the service before
+ * their loads are heard of: what is smaller than their part of an endpoint says
+ * nothing, and routers that all went by it would all go to the same endpoint.
+ */
 export function chooseServiceEndpoint(
   candidates: readonly ServiceCandidate[],
+  unseen: number,
   fraction: () => number,
 ): EndpointId | undefined {
+  const each = unseen / Math.max(1, candidates.length);
+  const noise = Math.max(0, each - TOLERATED_UNSEEN);
   let best: EndpointId | undefined;
   let bestCost = Number.POSITIVE_INFINITY;
   for (const { id, load, slots, near, speed } of candidates) {
     const cost =
       load / (Math.max(1, slots) * Math.max(0.05, speed)) +
       (near ? 0 : NEARNESS) +
-      fraction() * JITTER;
+      fraction() * (JITTER + noise / Math.max(1, slots));
     if (cost < bestCost) {
       best = id;
       bestCost = cost;
--- a/packages/core/src/forwarding/endpoint-choice.test.ts
+++ b/packages/core/src/forwarding/endpoint-choice.test.ts
@@ -60,6 +60,7 @@
     locations,
     random: new Random(1),
     zone: zoneId('near'),
+    unseen: () => 0,
   });
   const choose = (
     options: {
--- a/packages/core/src/forwarding/endpoint-choice.ts
+++ b/packages/core/src/forwarding/endpoint-choice.ts
@@ -45,6 +45,8 @@
   readonly health: ServiceHealth;
   readonly random: Random;
   readonly zone: ZoneId;
+  /** Requests that other routers send to a service before their loads are heard of. */
+  readonly unseen: (service: ServiceId, now: Instant) => number;
 }
 
 /** Health below the best one's at which calls that may not be repeated go elsewhere. */
@@ -154,7 +156,12 @@
       near: entry.zone === zone,
       speed: Math.max(LEAST_SPEED, health.health(entry.id)),
     }));
-    const id = chooseServiceEndpoint(candidates, () => random.fraction());
+    const service = first(pool).service;
+    const id = chooseServiceEndpoint(
+      candidates,
+      this.#parts.unseen(service, now),
+      () => random.fraction(),
+    );
     const entry = pool.find(other => other.id === id) ?? first(pool);
     return {
       kind: 'endpoint',
--- a/packages/core/src/retries/fleet-budget.ts
+++ b/packages/core/src/retries/fleet-budget.ts
@@ -36,6 +36,11 @@
     this.#budget(service).requestStarted(now);
   }
 
+  /** Requests per millisecond that this router takes for a service. */
+  requestRate(service: ServiceId, now: Instant): number {
+    return this.#budget(service).requests(now) / this.#options.limits().window;
+  }
+
   /** Takes one repeat; false when none is left. */
   take(service: ServiceId, now: Instant): boolean {
     return this.#budget(service).take(now);
--- a/packages/core/src/retries/retry-budget.ts
+++ b/packages/core/src/retries/retry-budget.ts
@@ -42,6 +42,12 @@
     this.#current(now).requests += 1;
   }
 
+  /** First attempts of the window. */
+  requests(now: Instant): number {
+    this.#current(now);
+    return this.#slices.reduce((sum, { requests }) => sum + requests, 0);
+  }
+
   /** Returns how many retries the window still allows, rounded down. */
   available(now: Instant): number {
     this.#current(now);
--- a/packages/gateway/src/composition/gateway-container.ts
+++ b/packages/gateway/src/composition/gateway-container.ts
@@ -17,6 +17,7 @@
 import { FleetKnowledge } from '@sesamegrade/core/forwarding/fleet-knowledge';
 import { ServiceHealth } from '@sesamegrade/core/outliers/service-health';
 import { defaultEjection } from '@sesamegrade/core/outliers/outlier-detector';
+import { loadDelay } from '@sesamegrade/core/peers/news-pace';
 import { PeerNews } from '@sesamegrade/core/peers/peer-news';
 import { RouterRoster } from '@sesamegrade/core/peers/router-roster';
 import { FleetBudget } from '@sesamegrade/core/retries/fleet-budget';
@@ -212,6 +213,8 @@
   health,
   random,
   settings,
+  repeatBudget,
+  roster,
 }: GatewayCradle): EndpointChooser {
   const zone = zoneId(settings.router.zone);
   return new EndpointChooser({
@@ -221,5 +224,10 @@
     health,
     random,
     zone,
+    unseen: (service, now) => {
+      const others = roster.fleetSize - 1;
+      const delay = loadDelay(roster.fleetSize);
+      return repeatBudget.requestRate(service, now) * others * delay;
+    },
   });
 }
