Go elsewhere when an endpoint does not answer a new connection

Cause: a new connection was given 700 ms whatever the call's deadline. Ruled out: the ejection, which came after three such calls at each router; kept connections (calls on these end by the silence limit where they may be repeated). Now a connection gets 0.3 of the goal, 75 ms at least, while there are other endpoints, else 700 ms as before. Any kind of call may go on, as nothing was sent. Test, red before (503 instead of 200): whole-answers, an address at which connections hang (a stopped program with a full backlog); connect-limit.

--- a/packages/gateway/src/endpoints/attempt.ts
+++ b/packages/gateway/src/endpoints/attempt.ts
@@ -30,6 +30,8 @@
   readonly requestId: RequestId;
   readonly request: ChannelRequest;
   readonly repeatable: boolean;
+  /** Longest time for a new connection. */
+  readonly connectTime: Milliseconds;
   readonly pool: ChannelPool;
   readonly protocol: EndpointProtocol;
   readonly sink: AnswerSink;
@@ -64,7 +66,7 @@
     this.done = new Promise(resolve => {
       this.#resolve = resolve;
     });
-    this.#channel = pool.take(entry, repeatable);
+    this.#channel = pool.take(entry, repeatable, options.connectTime);
     this.#idleTime = this.#channel.idleTime(options.now());
     this.#isNewChannel = this.#channel.exchanges === 0;
     this.#channel.send(request, {
--- a/packages/gateway/src/endpoints/cache-survey.ts
+++ b/packages/gateway/src/endpoints/cache-survey.ts
@@ -94,7 +94,7 @@
 
   #fetch(engine: EndpointEntry): Promise<Buffer | undefined> {
     const { pool, endpointProtocol, timers } = this.#parts;
-    const channel = pool.take(engine, true);
+    const channel = pool.take(engine, true, ANSWER_TIME);
     const chunks: Buffer[] = [];
     let status = 0;
     return new Promise(resolve => {
--- a/packages/gateway/src/endpoints/channel-pool.ts
+++ b/packages/gateway/src/endpoints/channel-pool.ts
@@ -36,7 +36,11 @@
   }
 
   /** Returns the connection that was unused longest, as a late answer would have shown on it, or a new one. */
-  take(entry: EndpointEntry, repeatable: boolean): EndpointChannel {
+  take(
+    entry: EndpointEntry,
+    repeatable: boolean,
+    connectTime: Milliseconds,
+  ): EndpointChannel {
     const now = this.#now();
     const learned = this.#limits.get(entry.service) ?? LONGEST_IDLE;
     const longest = repeatable
@@ -51,7 +55,7 @@
       }
     }
     this.#opened += 1;
-    return new EndpointChannel(entry.address, closed => {
+    return new EndpointChannel(entry.address, connectTime, closed => {
       this.#drop(entry, closed);
     });
   }
--- a/packages/gateway/src/endpoints/endpoint-channel.ts
+++ b/packages/gateway/src/endpoints/endpoint-channel.ts
@@ -10,8 +10,6 @@
 import type { Instant, Milliseconds } from '@sesamegrade/core/types/units';
 import type { HeaderList } from '../callers/caller-protocol';
 
-/** Connections take a round trip; a lost opening packet is sent again after a second. */
-const CONNECT_TIME_MS = 700;
 /** Margin by which a connection is given up before the endpoint's own limit. */
 const KEEP_MARGIN_MS = 300;
 const LONGEST_KEPT_MS = 60_000;
@@ -46,6 +44,7 @@
 
 export class EndpointChannel {
   readonly #client: Client;
+  readonly #connectTime: Milliseconds;
   #socket: Socket | undefined;
   #connected = false;
   #closed = false;
@@ -55,7 +54,13 @@
   #keepTime: Milliseconds = UNTOLD_KEEP_TIME;
   #exchanges = 0;
 
-  constructor(address: Address, onClosed: (channel: EndpointChannel) => void) {
+  /** Gives up after `connectTime` without a connection. */
+  constructor(
+    address: Address,
+    connectTime: Milliseconds,
+    onClosed: (channel: EndpointChannel) => void,
+  ) {
+    this.#connectTime = connectTime;
     const { host, port } = address;
     this.#client = new Client(`http://${host}:${port}`, {
       pipelining: 1,
@@ -170,7 +175,7 @@
     this.#socket = socket;
     const timer = setTimeout(() => {
       socket.destroy(new ConnectionTimeout());
-    }, CONNECT_TIME_MS);
+    }, this.#connectTime);
     let told = false;
     socket.once('connect', () => {
       clearTimeout(timer);
--- a/packages/gateway/src/forwarding/forwarder.ts
+++ b/packages/gateway/src/forwarding/forwarder.ts
@@ -3,6 +3,7 @@
   EndpointChoice,
   EndpointChooser,
 } from '@sesamegrade/core/forwarding/endpoint-choice';
+import { connectLimit } from '@sesamegrade/core/forwarding/connect-limit';
 import { nextStep } from '@sesamegrade/core/forwarding/next-step';
 import type { NextStep } from '@sesamegrade/core/forwarding/next-step';
 import type { AttemptEnd } from '@sesamegrade/core/forwarding/attempt-end';
@@ -307,6 +308,10 @@
         body: body.length > 0 ? body : undefined,
       },
       repeatable: route.repeatable,
+      connectTime: connectLimit(
+        route.goal,
+        this.#parts.chooser.untried(journey.service, journey.tried),
+      ),
       pool,
       protocol: endpointProtocol,
       sink: relay.sink(),
