Soak real routers under overlapping faults with a ledger outside them

The soak starts target/router.cjs as processes on loopback, with the stand-ins of store and endpoints; a ledger outside the routers finds calls that ran twice, refusals of what ran, answers of another request, and requests to endpoints that left 2 s before. It ends only its own processes.

--- /dev/null
+++ b/packages/stand-ins/src/soak/soak-main.ts
@@ -0,0 +1,28 @@
+/** `npm run soak -- --seed N [--seconds N] [--routers N] [--seeds N]`: exit 1 when a promise was broken. */
+import { cac } from 'cac';
+
+import { Soak } from './soak';
+
+const cli = cac('soak');
+cli
+  .command('')
+  .option('--seed <seed>', 'first seed', { default: 1 })
+  .option('--seeds <count>', 'seeds played one after the other', { default: 1 })
+  .option('--seconds <seconds>', 'length of a play', { default: 10 })
+  .option('--routers <count>', 'routers', { default: 4 })
+  .action(async (options: Record<string, string | number>) => {
+    const [first, count] = [Number(options.seed), Number(options.seeds)];
+    const seconds = Number(options.seconds);
+    const routers = Number(options.routers);
+    for (let seed = first; seed < first + count; seed += 1) {
+      const result = await new Soak({ seed, seconds, routers }).run();
+      const { violations, folder, ...rest } = result;
+      console.log(JSON.stringify({ seed, ...rest, violations }));
+      if (violations.length > 0) {
+        console.log(`logs: ${folder}`);
+        process.exitCode = 1;
+      }
+    }
+  });
+cli.help();
+cli.parse();
