--- a/packages/gateway/src/peers/fleet-snapshot.ts
+++ b/packages/gateway/src/peers/fleet-snapshot.ts
@@ -42,8 +42,6 @@
   endpoints: z.array(entrySchema).max(MAX_ENDPOINTS).optional(),
 });
 
-export type FleetSnapshot = z.output<typeof fleetSnapshotSchema>;
-
 /** The endpoints as they travel; those that take nothing more are marked as leaving. */
 export function tellEndpoints(
   directory: EndpointDirectory,
--- a/packages/stand-ins/src/soak/soak-ledger.ts
+++ b/packages/stand-ins/src/soak/soak-ledger.ts
@@ -66,10 +66,6 @@
     ).length;
   }
 
-  get size(): number {
-    return this.#answers.length;
-  }
-
   violations(): Violation[] {
     return [
       ...this.#repeated(),
--- a/packages/stand-ins/src/soak/soak.ts
+++ b/packages/stand-ins/src/soak/soak.ts
@@ -6,6 +6,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { performance } from 'node:perf_hooks';
+import { setTimeout as pause } from 'node:timers/promises';
 
 import { Agent, request } from 'undici';
 
@@ -267,7 +268,3 @@
     await server.stop();
   }
 }
-
-function pause(length: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, length));
-}
