Forward no request whose caller left before it was read

A router whose event loop was held up reads the request in one poll and the end of the connection in the next, and had forwarded the request in between. Ruled out: taking the time of arrival from when the loop last polled. The caller closes at its deadline anyway, and a request that is only late may still be served. Change: a request is forwarded two turns of the loop after it was read, and the end of the caller's stream counts as its leaving at once, not only the close of the socket.

--- a/packages/gateway/src/callers/caller-exchange.ts
+++ b/packages/gateway/src/callers/caller-exchange.ts
@@ -27,13 +27,14 @@
     this.#request = request;
     this.#response = response;
     this.#isClosing = isClosing;
+    const onDisconnect = () => {
+      this.#onDisconnect();
+    };
+    // The end of the caller's stream arrives before the connection is closed.
+    request.socket.once('end', onDisconnect);
     response.on('close', () => {
-      if (!this.#responseFinished) {
-        this.#disconnected = true;
-        this.#disconnectListeners.forEach(listener => {
-          listener();
-        });
-      }
+      request.socket.off('end', onDisconnect);
+      onDisconnect();
     });
     response.on('error', () => {
       this.#disconnected = true;
@@ -97,6 +98,17 @@
     });
   }
 
+  /**
+   * Resolves once everything that had arrived when the request was read has been
+   * handled. After the event loop was held up, the end of the caller's connection
+   * may be among it.
+   */
+  async settle(): Promise<void> {
+    // The first resumption follows the poll that read the request, the second one the next poll.
+    await nextLoopTurn();
+    await nextLoopTurn();
+  }
+
   /** Sends the router's own refusal; `closes` ends the connection after it. */
   refuse({ status, headers, body }: RefusalResponse, closes = false): void {
     this.#sendComplete(status, headers, Buffer.from(body), closes);
@@ -167,6 +179,16 @@
     this.#response.destroy();
   }
 
+  #onDisconnect(): void {
+    if (this.#responseFinished || this.#disconnected) {
+      return;
+    }
+    this.#disconnected = true;
+    this.#disconnectListeners.forEach(listener => {
+      listener();
+    });
+  }
+
   #sendComplete(
     status: number,
     headers: HeaderList,
@@ -194,3 +216,9 @@
     return headers;
   }
 }
+
+function nextLoopTurn(): Promise<void> {
+  return new Promise(resolve => {
+    setImmediate(resolve);
+  });
+}
--- a/packages/gateway/src/forwarding/forwarder.ts
+++ b/packages/gateway/src/forwarding/forwarder.ts
@@ -147,6 +147,10 @@
       return;
     }
     await this.#waitForFirstConfiguration(head);
+    await exchange.settle();
+    if (exchange.hasDisconnected) {
+      return;
+    }
     const decision = routes.decide(
       { host: head.host, path: head.path, key: head.key },
       timers.now(),
