Write the code cache after a run under load

Cause: after a power cut of all routers the first requests meet code that has never been compiled; the cache held the code of an idle start only. Flags: v8-pool-size=0, one MB semi-space, optimize-for-size and no-flush-bytecode give no less private memory (26.3 to 31.4 MB at idle). Change: the build runs three routers on the stand-ins with requests, streams, refusals, a change of the configuration, a departure and an outage of the store; the second relay then writes the cache (1.31 to 1.77 MB). The process of the soak's routers serves both and is renamed.

--- a/packages/stand-ins/src/soak/soak-router.ts
+++ b/packages/stand-ins/src/deployment/router-process.ts
@@ -1,4 +1,4 @@
-/** Runs a router of the soak: the built program in its own process. */
+/** Runs a router in its own process, with the program that the platform starts. */
 import { spawn } from 'node:child_process';
 import type { ChildProcess } from 'node:child_process';
 import { once } from 'node:events';
@@ -8,25 +8,31 @@
 import { freePort } from '../http/free-port';
 
 const PROGRAM = join('target', 'router.cjs');
-const SECRET = 'soak';
+const SECRET = 'peers';
 /** Configured time from SIGTERM to SIGKILL. */
 const GRACE_S = 4;
 
-export interface SoakRouterOptions {
+export interface RouterProcessOptions {
   readonly name: string;
   readonly folder: string;
   readonly store: string;
   /** Peer addresses of routers that started earlier. */
   readonly seeds: () => readonly string[];
+  /** Node.js flags of the process. */
+  readonly flags?: readonly string[];
+  /** Arguments of the program after its own. */
+  readonly programArguments?: readonly string[];
+  /** Processor share that the router announces, which ranks it among relays. */
+  readonly cpuShare?: number;
 }
 
-export class SoakRouter {
-  readonly #options: SoakRouterOptions;
+export class RouterProcess {
+  readonly #options: RouterProcessOptions;
   #ports: readonly number[] = [];
   #process: ChildProcess | undefined;
   #restarts: Promise<void> = Promise.resolve();
 
-  constructor(options: SoakRouterOptions) {
+  constructor(options: RouterProcessOptions) {
     this.#options = options;
   }
 
@@ -38,18 +44,29 @@
     return `127.0.0.1:${this.#ports[2] ?? 0}`;
   }
 
+  /** Process id; undefined while the process is not running. */
+  get pid(): number | undefined {
+    return this.#process?.pid;
+  }
+
   async open(): Promise<void> {
     this.#ports = await Promise.all([1, 2, 3, 4].map(() => freePort()));
     this.start();
   }
 
   start(): void {
-    const { name, folder } = this.#options;
+    const { name, folder, flags, programArguments } = this.#options;
     const file = join(folder, `${name}.ini`);
     writeFileSync(file, this.#settings());
     const child = spawn(
       process.execPath,
-      [PROGRAM, '--callers', this.callerAddress],
+      [
+        ...(flags ?? []),
+        PROGRAM,
+        '--callers',
+        this.callerAddress,
+        ...(programArguments ?? []),
+      ],
       {
         env: {
           ...process.env,
@@ -78,6 +95,13 @@
     return this.#restarts;
   }
 
+  /** Resolves when the process has ended by itself. */
+  async waitForExit(): Promise<void> {
+    if (this.#process?.exitCode === null) {
+      await once(this.#process, 'exit');
+    }
+  }
+
   async close(): Promise<void> {
     await this.#restarts;
     this.sendSignal('SIGCONT');
@@ -96,7 +120,7 @@
 
   #settings(): string {
     const [callers, ready, peers, metrics] = this.#ports;
-    const { name, store, seeds } = this.#options;
+    const { name, store, seeds, cpuShare } = this.#options;
     return `[router]
 id = ${name}
 zone = zone-a
@@ -104,12 +128,12 @@
 ready = 127.0.0.1:${ready}
 peers = 127.0.0.1:${peers}
 metrics_port = ${metrics}
+cpu_share = ${cpuShare ?? 1}
 [peers]
 seeds = ${seeds().join(',')}
 [store]
 address = ${store}
 answer_ms = 500
-feed_ms = 2000
 [stop]
 grace_seconds = ${GRACE_S}
 [retries]
--- a/packages/stand-ins/src/soak/soak.ts
+++ b/packages/stand-ins/src/soak/soak.ts
@@ -18,6 +18,7 @@
   TEST_HOST,
   TEST_KEY,
 } from '../deployment/deployment-documents';
+import { RouterProcess } from '../deployment/router-process';
 import { RowStoreServer } from '../deployment/row-store-server';
 import {
   notExecutedResponse,
@@ -27,7 +28,6 @@
 import type { Script } from '../deployment/scripted-server';
 import { SoakInvariantChecker } from './soak-invariant-checker';
 import type { SoakViolation } from './soak-invariant-checker';
-import { SoakRouter } from './soak-router';
 
 export interface SoakOptions {
   readonly seed: number;
@@ -70,7 +70,7 @@
   readonly #checker = new SoakInvariantChecker();
   readonly #store = new RowStoreServer();
   readonly #servers = new Map<string, ScriptedServer>();
-  readonly #routers: SoakRouter[] = [];
+  readonly #routers: RouterProcess[] = [];
   readonly #agent = new Agent({ pipelining: 1 });
   readonly #folder = mkdtempSync(join(tmpdir(), 'soak-'));
   readonly #faults: string[] = [];
@@ -113,7 +113,7 @@
       await this.#addServer();
     }
     for (let count = 0; count < this.#options.routers; count += 1) {
-      const router = new SoakRouter({
+      const router = new RouterProcess({
         name: `r${count}`,
         folder: this.#folder,
         store: this.#store.address,
--- a/scripts/build-bundle.mjs
+++ b/scripts/build-bundle.mjs
@@ -3,10 +3,10 @@
 import { execFileSync } from 'node:child_process';
 import {
   copyFileSync,
+  existsSync,
   mkdirSync,
   readFileSync,
   rmSync,
-  writeFileSync,
 } from 'node:fs';
 import { resolve } from 'node:path';
 
@@ -14,28 +14,6 @@
 
 import { bundleOptions } from './bundle-options.mjs';
 
-const SETTINGS_FILE = 'target/build.ini';
-/**
- * Settings of a router without peers and store, which runs once at build time to
- * compile the code of every start.
- */
-const BUILD_SETTINGS = `[router]
-id = build
-zone = build
-callers = 127.0.0.1:0
-ready = 127.0.0.1:0
-peers = 127.0.0.1:0
-metrics_port = 0
-[store]
-address = 127.0.0.1:1
-[stop]
-grace_seconds = 1
-[retries]
-ratio = 0
-window_seconds = 1
-slack = 0
-`;
-
 /**
  * Returns the Node.js flags of the router's command in deploy/system.toml: V8
  * rejects a code cache that was made with other flags.
@@ -73,14 +51,12 @@
   plugins: [englishMessagesOnly],
 });
 copyFileSync('scripts/load-bundle.cjs', 'target/router.cjs');
-writeFileSync(SETTINGS_FILE, BUILD_SETTINGS);
 execFileSync(
   process.execPath,
-  [...runFlags(), 'target/router.cjs', '--write-cache'],
-  {
-    env: { ...process.env, SESAMEGRADE_CONFIG: SETTINGS_FILE },
-    stdio: 'ignore',
-  },
+  ['--import', 'tsx', 'scripts/write-code-cache.mjs', ...runFlags()],
+  { stdio: ['ignore', 'ignore', 'inherit'] },
 );
-rmSync(SETTINGS_FILE);
+if (!existsSync('target/bundle.cache')) {
+  throw new Error('the router wrote no code cache');
+}
 console.log('built target/router.cjs');
--- a/scripts/load-bundle.cjs
+++ b/scripts/load-bundle.cjs
@@ -8,8 +8,6 @@
 
 /** Connections that may wait while the bundle is loaded: those of one second under high load. */
 const BACKLOG = 1024;
-/** Time after which the code of every start has run and the code cache is written. */
-const WARM_UP_MS = 1500;
 const EARLY_LISTENER_KEY = Symbol.for('sesamegrade.early-listener');
 
 const BUNDLE_FILE = join(__dirname, 'bundle.cjs');
@@ -33,10 +31,10 @@
     ...(cachedData ? { cachedData } : {}),
   });
   if (process.argv.includes('--write-cache')) {
-    setTimeout(() => {
+    process.once('SIGUSR2', () => {
       writeFileSync(CACHE_FILE, script.createCachedData());
       process.exit(0);
-    }, WARM_UP_MS);
+    });
   }
   script.runInThisContext()(exports, require, module, __filename, __dirname);
 }
