Compare totals with the count of each router without sockets

Cause: what a router receives about loads has to be known as a slope, from 18 to 370 routers, and against the way before. Ruled out: the existing gossip measurement, whose topics are those of the own interface.

--- a/packages/cli/src/commands/commands.ts
+++ b/packages/cli/src/commands/commands.ts
@@ -10,6 +10,7 @@
 import { MeasureEventsCommand } from './measure-events';
 import { MeasureCommand } from './measure';
 import { MeasureGossipCommand } from './measure-gossip';
+import { MeasureLoadExchangeCommand } from './measure-load-exchange';
 import { MeasureOrdersCommand } from './measure-orders';
 import { MeasurePeersCommand } from './measure-peers';
 import { MeasurePoliciesCommand } from './measure-policies';
@@ -39,6 +40,7 @@
     new MeasureRelayCommand(),
     new MeasureEventsCommand(),
     new MeasureGossipCommand(),
+    new MeasureLoadExchangeCommand(),
     new MeasureOrdersCommand(),
     new MeasurePeersCommand(),
     new MeasurePoliciesCommand(),
