Count the time of a lapsed entry from the last confirmation

Ruled out: reading sooner, which only moves the sum; no grace at all, as entries of live endpoints expire too. Change: the grace is 0.7 of the bound on departures and counts from the last confirmation before the entry was missed, unless that is older than the bound (an outage, after which live entries come back). A follower whose peers reach the store forgets its own earlier failure. Conclusion: what a router learns late has to be dated to when it may have happened.

--- a/packages/core/src/endpoints/endpoint-directory.test.ts
+++ b/packages/core/src/endpoints/endpoint-directory.test.ts
@@ -46,6 +46,26 @@
     expect(directory.isUsable(id)).to.equal(false);
   });
 
+  it('counts the time of a lapsed entry from the last confirmation, as its removal may be noticed late', () => {
+    const directory = new EndpointDirectory();
+    directory.replace([entry()], instant(0));
+    directory.apply({ id, entry: undefined }, instant(11_150), instant(10_000));
+    directory.tick(instant(11_350));
+    expect(directory.isUsable(id)).to.equal(true);
+    directory.tick(instant(11_400));
+    expect(directory.isUsable(id)).to.equal(false);
+  });
+
+  it('gives a lapsed entry its whole time when nothing was confirmed for longer than the bound', () => {
+    const directory = new EndpointDirectory();
+    directory.replace([entry()], instant(0));
+    directory.apply({ id, entry: undefined }, instant(15_000), instant(10_000));
+    directory.tick(instant(16_300));
+    expect(directory.isUsable(id)).to.equal(true);
+    directory.tick(instant(16_400));
+    expect(directory.isUsable(id)).to.equal(false);
+  });
+
   it('uses an endpoint whose entry expired in a store outage for less than 2 s after the outage', () => {
     const directory = new EndpointDirectory();
     directory.replace([entry()], instant(0));
--- a/packages/core/src/endpoints/endpoint-directory.ts
+++ b/packages/core/src/endpoints/endpoint-directory.ts
@@ -13,12 +13,13 @@
 import type { Instant, Milliseconds } from '../types/units';
 import type { EndpointChange, EndpointEntry } from './endpoint-entry';
 
+/** Time within which an endpoint that left gets no more requests, unless settings say otherwise. */
+const DEFAULT_DEPARTURE_BOUND: Milliseconds = milliseconds(2000);
 /**
- * Time for which the endpoint of a lapsed entry stays in use. It is below the
- * deployments' 2 s, within which an endpoint that left still serves and a live
- * one has its entry back.
+ * Share of that bound for which the endpoint of a lapsed entry stays in use. An
+ * endpoint that left still serves as long, and a live one has its entry back.
  */
-const LAPSE_GRACE_PERIOD: Milliseconds = milliseconds(1400);
+const LAPSE_GRACE_SHARE = 0.7;
 /**
  * Time for which an endpoint that a restored store does not list stays in use:
  * it probably joined after the copy was made and writes its entry again.
@@ -67,8 +68,13 @@
   readonly #departures = new LRUCache<EndpointId, Departure>({
     max: MAX_DEPARTURES,
   });
+  readonly #departureBound: Milliseconds;
   #isLoaded = false;
 
+  constructor(departureBound: Milliseconds = DEFAULT_DEPARTURE_BOUND) {
+    this.#departureBound = departureBound;
+  }
+
   /** Whether the complete list was read at least once. */
   get isLoaded(): boolean {
     return this.#isLoaded;
@@ -109,7 +115,7 @@
       if (row.lapsesAt !== undefined) {
         this.#rows.set(id, {
           ...row,
-          lapsesAt: addTime(now, LAPSE_GRACE_PERIOD),
+          lapsesAt: addTime(now, this.#lapseGrace),
         });
       }
     }
@@ -126,7 +132,7 @@
     const events: DirectoryEvent[] = [];
     for (const id of [...this.#rows.keys()]) {
       if (!listedIds.has(id)) {
-        events.push(...this.#remove(id, now, origin));
+        events.push(...this.#remove(id, now, origin, undefined));
       }
     }
     for (const entry of entries) {
@@ -135,11 +141,18 @@
     return events;
   }
 
-  /** Applies one change of the list. */
-  apply({ id, entry }: EndpointChange, now: Instant): DirectoryEvent[] {
+  /**
+   * Applies one change of the list. `confirmedAt` is the time of the last
+   * confirmation without it: an entry may have disappeared right after.
+   */
+  apply(
+    { id, entry }: EndpointChange,
+    now: Instant,
+    confirmedAt?: Instant,
+  ): DirectoryEvent[] {
     return entry
       ? this.#put(entry, now, 'current')
-      : this.#remove(id, now, 'current');
+      : this.#remove(id, now, 'current', confirmedAt);
   }
 
   /**
@@ -237,7 +250,16 @@
     return leaving && !previous.leaving ? [{ kind: 'leaving', id }] : [];
   }
 
-  #remove(id: EndpointId, now: Instant, origin: ListOrigin): DirectoryEvent[] {
+  get #lapseGrace(): Milliseconds {
+    return milliseconds(this.#departureBound * LAPSE_GRACE_SHARE);
+  }
+
+  #remove(
+    id: EndpointId,
+    now: Instant,
+    origin: ListOrigin,
+    confirmedAt: Instant | undefined,
+  ): DirectoryEvent[] {
     const row = this.#rows.get(id);
     if (!row) {
       return [];
@@ -249,12 +271,25 @@
     if (row.lapsesAt !== undefined) {
       return [];
     }
-    const grace =
-      origin === 'restored' ? RESTORE_GRACE_PERIOD : LAPSE_GRACE_PERIOD;
-    this.#rows.set(id, { ...row, lapsesAt: addTime(now, grace) });
+    const lapsesAt =
+      origin === 'restored'
+        ? addTime(now, RESTORE_GRACE_PERIOD)
+        : addTime(this.#lapseStart(now, confirmedAt), this.#lapseGrace);
+    this.#rows.set(id, { ...row, lapsesAt });
     return [{ kind: 'lapsed', id }];
   }
 
+  /**
+   * The earliest time at which an entry may have disappeared. After an outage
+   * entries have expired that come back, so that their time starts with its end.
+   */
+  #lapseStart(now: Instant, confirmedAt: Instant | undefined): Instant {
+    const isOutage =
+      confirmedAt === undefined ||
+      elapsed(confirmedAt, now) > this.#departureBound;
+    return isOutage ? now : confirmedAt;
+  }
+
   #delete(id: EndpointId, { entry, leaving }: Row): void {
     this.#rows.delete(id);
     this.#departures.set(id, {
--- a/packages/core/src/endpoints/endpoint-replica.test.ts
+++ b/packages/core/src/endpoints/endpoint-replica.test.ts
@@ -1,9 +1,11 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
 
+import { Random } from '../random/random';
+import { FeedCoverage } from '../store/feed-coverage';
 import { revision, storeEra } from '../store/feed-position';
 import { endpointId, serviceId, zoneId } from '../types/ids';
-import { instant, milliseconds } from '../types/units';
+import { instant, milliseconds, seconds } from '../types/units';
 import { EndpointDirectory } from './endpoint-directory';
 import { EndpointReplica } from './endpoint-replica';
 import type { EndpointRow } from './endpoint-replica';
@@ -36,7 +38,11 @@
 
 function open() {
   const directory = new EndpointDirectory();
-  const replica = new EndpointReplica(directory);
+  const coverage = new FeedCoverage({
+    bound: seconds(2),
+    random: new Random(1),
+  });
+  const replica = new EndpointReplica(directory, coverage);
   const slots = () =>
     directory
       .all()
--- a/packages/core/src/endpoints/endpoint-replica.ts
+++ b/packages/core/src/endpoints/endpoint-replica.ts
@@ -3,6 +3,7 @@
  * store and from peers; each accepted row is applied to the directory, and the
  * caller learns which ones peers may not know.
  */
+import type { FeedCoverage } from '../store/feed-coverage';
 import { FIRST_ERA, revision } from '../store/feed-position';
 import type { FeedPosition, Revision, StoreEra } from '../store/feed-position';
 import { RowVersions } from '../store/row-versions';
@@ -23,13 +24,16 @@
 
 export class EndpointReplica {
   readonly #directory: EndpointDirectory;
+  readonly #coverage: FeedCoverage;
   readonly #versions = new RowVersions();
   #listener: DirectoryListener | undefined;
   #era: StoreEra = FIRST_ERA;
   #baseRevision: Revision | undefined;
 
-  constructor(directory: EndpointDirectory) {
+  /** `coverage` tells when the table was last confirmed. */
+  constructor(directory: EndpointDirectory, coverage: FeedCoverage) {
     this.#directory = directory;
+    this.#coverage = coverage;
   }
 
   /** Era of the rows; rows of another era are not comparable with them. */
@@ -93,7 +97,8 @@
     if (!this.#versions.accept(row.id, row.revision)) {
       return false;
     }
-    const events = this.#directory.apply(row, now);
+    const { latest } = this.#coverage;
+    const events = this.#directory.apply(row, now, latest?.confirmedAt);
     this.#listener?.(events);
     return true;
   }
--- a/packages/core/src/peers/feed-updates.test.ts
+++ b/packages/core/src/peers/feed-updates.test.ts
@@ -61,7 +61,7 @@
 
 class Router {
   readonly directory = new EndpointDirectory();
-  readonly replica = new EndpointReplica(this.directory);
+  readonly replica: EndpointReplica;
   readonly routes = new RouteTable();
   readonly coverage: Record<'endpoints' | 'configuration', FeedCoverage>;
   readonly updates: FeedUpdates;
@@ -72,6 +72,7 @@
       endpoints: new FeedCoverage({ bound: seconds(2), random }),
       configuration: new FeedCoverage({ bound: seconds(2), random }),
     };
+    this.replica = new EndpointReplica(this.directory, this.coverage.endpoints);
     this.updates = new FeedUpdates({
       self: routerId(name),
       endpointReplica: this.replica,
--- a/packages/core/src/peers/peer-updates.test.ts
+++ b/packages/core/src/peers/peer-updates.test.ts
@@ -41,7 +41,10 @@
     loadUpdates: new LoadUpdates(loads),
     feedUpdates: new FeedUpdates({
       self,
-      endpointReplica: new EndpointReplica(endpointDirectory),
+      endpointReplica: new EndpointReplica(
+        endpointDirectory,
+        coverage.endpoints,
+      ),
       routes: new RouteTable(),
       coverage,
     }),
--- a/packages/gateway/src/composition/gateway-container.ts
+++ b/packages/gateway/src/composition/gateway-container.ts
@@ -131,7 +131,10 @@
     ).singleton(),
     gatewayMetrics: asFunction(() => new GatewayMetrics()).singleton(),
     routes: asFunction(() => new RouteTable()).singleton(),
-    endpointDirectory: asFunction(() => new EndpointDirectory()).singleton(),
+    endpointDirectory: asFunction(
+      ({ settings }: GatewayCradle) =>
+        new EndpointDirectory(settings.bounds.departure_ms),
+    ).singleton(),
     loads: asFunction(() => new LoadEstimate()).singleton(),
     locations: asFunction(() => new PartLocations()).singleton(),
     health: asFunction(newHealth).singleton(),
@@ -154,8 +157,8 @@
     fleetReplica: asClass(FleetReplica).singleton(),
     coverage: asFunction(newCoverage).singleton(),
     endpointReplica: asFunction(
-      ({ endpointDirectory }: GatewayCradle) =>
-        new EndpointReplica(endpointDirectory),
+      ({ endpointDirectory, coverage }: GatewayCradle) =>
+        new EndpointReplica(endpointDirectory, coverage.endpoints),
     ).singleton(),
     loadUpdates: asFunction(
       ({ loads }: GatewayCradle) => new LoadUpdates(loads),
--- a/packages/gateway/src/store/feed-reader.test.ts
+++ b/packages/gateway/src/store/feed-reader.test.ts
@@ -169,6 +169,19 @@
     expect(lastAfter()).to.equal(40);
   });
 
+  it('does not take its own failure of long ago for an outage when it reads again', async () => {
+    const { respond, covered, pass, events } = await startReader({
+      isReader: false,
+    });
+    await respond(page(7));
+    await pass(milliseconds(BOUND * 0.65));
+    await respond(unreachable);
+    await covered(seconds(10), 20);
+    await pass(milliseconds(BOUND * 0.65));
+    await respond(page(21));
+    expect(events).to.deep.equal(['list', 'changes']);
+  });
+
   it('begins to long-poll as soon as it is to read for the fleet', async () => {
     const { respond, setReader, kinds } = await startReader({
       isReader: false,
--- a/packages/gateway/src/store/feed-reader.ts
+++ b/packages/gateway/src/store/feed-reader.ts
@@ -121,6 +121,8 @@
       if (remaining <= 0) {
         return true;
       }
+      // Peers reach the store, so that an earlier failure of this router tells nothing of an outage now.
+      this.#failureCount = 0;
       hasWaited = true;
       await this.#wait(remaining);
     }
