Log the framing of a response and the bytes of its incomplete event

Change: ResponseHead names the framing (none, length, chunked, connection) instead of the flag isUnframed, and the line carries it with the number of bytes of an event that the response left incomplete. Behaviour is unchanged.

--- a/packages/gateway/src/endpoints/endpoint-protocol.ts
+++ b/packages/gateway/src/endpoints/endpoint-protocol.ts
@@ -35,6 +35,12 @@
   readonly slots: number;
 }
 
+/**
+ * What marks the end of a response body: nothing when there is none, the
+ * announced length, the last chunk, or only the end of the connection.
+ */
+export type BodyFraming = 'none' | 'length' | 'chunked' | 'connection';
+
 /** The head of an endpoint's response. */
 export interface ResponseHead {
   readonly status: number;
@@ -51,8 +57,7 @@
   readonly load: EndpointCapacityReport | undefined;
   /** Announced length of the body in bytes. */
   readonly length: number | undefined;
-  /** Whether the end of the body is marked only by the end of the connection. */
-  readonly isUnframed: boolean;
+  readonly framing: BodyFraming;
   /** Time for which the endpoint keeps an idle connection open. */
   readonly keepAliveTimeout: Milliseconds | undefined;
   /** Whether the endpoint states that it is about to stop. */
--- a/packages/gateway/src/forwarding/forwarder.ts
+++ b/packages/gateway/src/forwarding/forwarder.ts
@@ -476,9 +476,11 @@
       newChannel: attempt.isNewConnection,
       idle: attempt.idleTime,
       keep: attempt.responseHead?.keepAliveTimeout,
+      framing: attempt.responseHead?.framing,
       end: result,
       took: Math.round(took),
       events: relay.events,
+      partial: relay.partialEventBytes || undefined,
       next: step,
     });
     return step;
@@ -523,7 +525,7 @@
       return;
     }
     const { status, headers, body, length } = response;
-    if (response.isUnframed && body.length > 0) {
+    if (response.framing === 'connection' && body.length > 0) {
       request.exchange.respondUnframed(status, headers, body);
       return;
     }
--- a/packages/gateway/src/forwarding/response-relay.ts
+++ b/packages/gateway/src/forwarding/response-relay.ts
@@ -7,7 +7,7 @@
 import type { CallerExchange } from '../callers/caller-exchange';
 import type { HeaderList } from '../callers/caller-protocol';
 import { ResponseSink } from '../endpoints/attempt';
-import type { ResponseHead } from '../endpoints/endpoint-protocol';
+import type { BodyFraming, ResponseHead } from '../endpoints/endpoint-protocol';
 
 /**
  * Responses up to this size are buffered until they are complete, so that the
@@ -22,8 +22,7 @@
   readonly headers: HeaderList;
   readonly body: Buffer;
   readonly length: number;
-  /** Whether the end of the body was marked only by the end of the connection. */
-  readonly isUnframed: boolean;
+  readonly framing: BodyFraming;
 }
 
 export interface ResponseRelayOptions {
@@ -46,6 +45,7 @@
   #bufferedResponse: BufferedResponse | undefined;
   #lastEventId: number | undefined;
   #eventCount = 0;
+  #sink: RelayingSink | undefined;
 
   constructor(options: ResponseRelayOptions) {
     this.#options = options;
@@ -67,9 +67,15 @@
     return this.#eventCount;
   }
 
+  /** Bytes of the event within which the last attempt's response ended; 0 at an event boundary. */
+  get partialEventBytes(): number {
+    return this.#sink?.partialEventBytes ?? 0;
+  }
+
   /** Creates the sink of the next attempt. */
   sink(): ResponseSink {
-    return new RelayingSink(this, this.#options);
+    this.#sink = new RelayingSink(this, this.#options);
+    return this.#sink;
   }
 
   /** Stores a complete response until it is decided whether it is passed on. */
@@ -103,6 +109,10 @@
     this.#options = options;
   }
 
+  get partialEventBytes(): number {
+    return this.#splitter.tail.length;
+  }
+
   override onHead(head: ResponseHead): void {
     const { exchange, isStream } = this.#options;
     if (isStream && head.status === STATUS_OK) {
@@ -148,7 +158,7 @@
       headers: head.headers,
       body,
       length,
-      isUnframed: head.isUnframed,
+      framing: head.framing,
     });
     return { kind: 'answered', status: head.status };
   }
