--- /dev/null
+++ b/packages/stand-ins/src/deployment/http-caller.ts
@@ -0,0 +1,64 @@
+/**
+ * A caller that reports how its response ended. Unlike undici, the HTTP client of
+ * Node.js does not take a reset for the end of a body without length or chunks.
+ */
+import { request } from 'node:http';
+import type { IncomingHttpHeaders, IncomingMessage } from 'node:http';
+
+export interface ReceivedResponse {
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+  readonly body: string;
+  /**
+   * Whether the message ended as its framing requires. Without length and chunks
+   * that is any close of the connection other than a reset.
+   */
+  readonly isComplete: boolean;
+}
+
+export interface OutgoingRequest {
+  /** Base URL of the router. */
+  readonly url: string;
+  readonly path: string;
+  readonly method?: string;
+  readonly headers: Readonly<Record<string, string>>;
+  /** Receives the response before its body is read, for example to pause it. */
+  readonly onResponse?: (response: IncomingMessage) => void;
+}
+
+/**
+ * Sends a request on a connection of its own and reads the response to its end;
+ * resolves with undefined if there is no response.
+ */
+export function callOverHttp(
+  call: OutgoingRequest,
+): Promise<ReceivedResponse | undefined> {
+  return new Promise(resolve => {
+    const outgoing = request(new URL(call.path, call.url), {
+      agent: false,
+      method: call.method ?? 'POST',
+      headers: { connection: 'keep-alive', ...call.headers },
+    });
+    outgoing.on('error', () => {
+      resolve(undefined);
+    });
+    outgoing.on('response', response => {
+      const chunks: Buffer[] = [];
+      response.on('data', (chunk: Buffer) => {
+        chunks.push(chunk);
+      });
+      response.on('error', () => undefined);
+      response.on('close', () => {
+        outgoing.destroy();
+        resolve({
+          status: response.statusCode ?? 0,
+          headers: response.headers,
+          body: Buffer.concat(chunks).toString('latin1'),
+          isComplete: response.complete,
+        });
+      });
+      call.onResponse?.(response);
+    });
+    outgoing.end();
+  });
+}
--- a/packages/stand-ins/src/deployment/scripted-server.ts
+++ b/packages/stand-ins/src/deployment/scripted-server.ts
@@ -151,14 +151,21 @@
 export function streamHead(
   request: ScriptedRequest,
   extra: readonly string[] = [],
+): string {
+  return unframedStreamHead(request, [...extra, 'Transfer-Encoding: chunked']);
+}
+
+/** The head of an event stream whose end is marked only by the end of the connection. */
+export function unframedStreamHead(
+  request: ScriptedRequest,
+  extra: readonly string[] = [],
 ): string {
   return [
     'HTTP/1.1 200 OK',
     `Sesamegrade-Request-Id: ${requestIdOf(request)}`,
     `Sesamegrade-Server-Stamp: stamp-of-${requestIdOf(request)}`,
-    ...extra,
     'Content-Type: text/event-stream',
-    'Transfer-Encoding: chunked',
+    ...extra,
     '',
     '',
   ].join('\r\n');
