Break off a stream that ends within an event; never make up its end

Cause: an event stream may come without length and chunks. The end of its connection reached the relay as the end of the message, and the relay then sent the rest of a cut event and a last chunk of its own: the end of a connection was taken for the end of the message.

Change: - A stream that ends within an event is broken (partial-event), whatever its framing: it continues at another endpoint after its last complete event, or the caller sees the break. The rest of a cut event is dropped. - A response whose end only the connection marks is relayed with the same framing, streams and responses above 1 MiB as well, and empty ones, which got 'Content-Length: 0'. A broken one ends with a reset, as closing the connection would look like its end. - A stream that began with chunks and continues at an endpoint without them ends as unproven-end: broken off, not run again, as it may be complete. - Such a stream that closes before its first event proves nothing: retried or refused with 502. - HEAD gets no length that the endpoint did not announce; a transfer coding other than chunks counts as an encoding; the connection of an unframed response does not go back into the pool. - What was written within the tick of a break is flushed before it. The relay's modes are sinks of their own (event-stream-sink, whole-response-sink). The splitter no longer scans the bytes of an incomplete event again.

--- a/packages/core/src/forwarding/attempt-result.ts
+++ b/packages/core/src/forwarding/attempt-result.ts
@@ -9,6 +9,11 @@
   | { readonly kind: 'answered'; readonly status: number }
   /** The complete response was passed on to the caller. */
   | { readonly kind: 'delivered'; readonly status: number }
+  /**
+   * The response ended with its connection and may be complete, but the caller's
+   * response had begun with chunks, whose end would claim that it is.
+   */
+  | { readonly kind: 'unproven-end' }
   /** The connection was lost, or the response was not a valid response to this request. */
   | { readonly kind: 'broken'; readonly breakage: AttemptFailure }
   /** The router aborted the attempt after receiving nothing from the endpoint for too long. */
@@ -38,7 +43,11 @@
   /** The bytes are not a valid HTTP response, or the body is shorter than announced. */
   | 'malformed'
   /** The events of a stream are out of order. */
-  | 'event-order';
+  | 'event-order'
+  /** The response ended within an event. */
+  | 'partial-event'
+  /** The connection closed before the first event, and nothing else marked the end of the stream. */
+  | 'no-event';
 
 /** Whether the request may have run in this attempt. */
 export function mayHaveRun(result: AttemptResult): boolean {
--- a/packages/core/src/forwarding/event-splitter.test.ts
+++ b/packages/core/src/forwarding/event-splitter.test.ts
@@ -29,6 +29,22 @@
     expect(splitter.feed(encode(text))).to.include({ count: 1, lastId: 12 });
   });
 
+  it('tells whether the stream would end within an event', () => {
+    const endings: [string, boolean][] = [
+      ['', false],
+      ['id: 1\ndata: a\n\n', false],
+      ['id: 1\r\ndata: a\r\n\r\n: comment', false],
+      ['id: 1\ndata: a\n', true],
+      ['id: 1\ndata: a\n\ni', true],
+      [': comment\ndata', true],
+    ];
+    for (const [text, expected] of endings) {
+      const splitter = new EventSplitter();
+      splitter.feed(encode(text));
+      expect(splitter.isWithinEvent, JSON.stringify(text)).to.equal(expected);
+    }
+  });
+
   it('changes no byte and finds the same events for any chunk sizes', () => {
     const events = fc.array(
       fc
--- a/packages/core/src/forwarding/event-splitter.ts
+++ b/packages/core/src/forwarding/event-splitter.ts
@@ -26,21 +26,44 @@
 
 export class EventSplitter {
   #tail: Uint8Array = EMPTY;
+  /** Start of the last line of the tail, whose earlier lines are not scanned again. */
+  #tailLineStart = 0;
+  /** Id that the lines of the tail before its last one give to its event. */
+  #tailEventId: number | undefined;
 
   /** Bytes of the incomplete event at the end. */
   get tail(): Uint8Array {
     return this.#tail;
   }
 
+  /** Whether a stream that ends here ends within an event; a comment is none. */
+  get isWithinEvent(): boolean {
+    let lineStart = 0;
+    for (let index = 0; index <= this.#tail.length; index += 1) {
+      if (index < this.#tail.length && this.#tail[index] !== LF) {
+        continue;
+      }
+      if (
+        !isBlank(this.#tail, lineStart, index) &&
+        this.#tail[lineStart] !== COLON
+      ) {
+        return true;
+      }
+      lineStart = index + 1;
+    }
+    return false;
+  }
+
   feed(chunk: Uint8Array): CompleteEvents {
-    const bytes = this.#tail.length === 0 ? chunk : join(this.#tail, chunk);
+    const scanned = this.#tail.length;
+    const bytes = scanned === 0 ? chunk : join(this.#tail, chunk);
     let count = 0;
     let firstId: number | undefined;
     let lastId: number | undefined;
-    let eventId: number | undefined;
+    let eventId = this.#tailEventId;
     let end = 0;
-    let lineStart = 0;
-    for (let index = 0; index < bytes.length; index += 1) {
+    let lineStart = this.#tailLineStart;
+    for (let index = scanned; index < bytes.length; index += 1) {
       if (bytes[index] !== LF) {
         continue;
       }
@@ -56,6 +79,8 @@
       lineStart = index + 1;
     }
     this.#tail = bytes.subarray(end);
+    this.#tailLineStart = lineStart - end;
+    this.#tailEventId = eventId;
     return { bytes: bytes.subarray(0, end), count, firstId, lastId };
   }
 }
--- a/packages/core/src/forwarding/fleet-state.ts
+++ b/packages/core/src/forwarding/fleet-state.ts
@@ -211,6 +211,8 @@
       return result.status >= MIN_SERVER_ERROR_STATUS
         ? { kind: 'error' }
         : { kind: 'answered', firstToken };
+    case 'unproven-end':
+      return { kind: 'answered', firstToken };
     case 'not-connected':
       return { kind: 'connection-refused' };
     case 'broken':
--- a/packages/core/src/forwarding/next-step.test.ts
+++ b/packages/core/src/forwarding/next-step.test.ts
@@ -42,6 +42,19 @@
     }
   });
 
+  it('never runs a stream again that may be complete', () => {
+    const step = nextStep(
+      attempt({
+        result: { kind: 'unproven-end' },
+        repeatable: true,
+        possibleRuns: 1,
+        maxAttempts: 3,
+        responseStarted: true,
+      }),
+    );
+    expect(step).to.deep.equal({ kind: 'give-up', reason: 'cut' });
+  });
+
   it('reports a call as not run only if no attempt may have run', () => {
     const lastEndpoint = { untried: 0 };
     expect(
--- a/packages/core/src/forwarding/next-step.ts
+++ b/packages/core/src/forwarding/next-step.ts
@@ -60,6 +60,9 @@
       return { kind: 'done' };
     case 'expired':
       return giveUp(attempt.responseStarted ? 'cut' : 'timeout');
+    case 'unproven-end':
+      // Another run would repeat a request that may be complete.
+      return refuseOrBreakOff(attempt);
     case 'answered':
       return result.status >= MIN_SERVER_ERROR_STATUS &&
         attempt.repeatable &&
--- a/packages/gateway/src/callers/caller-exchange.ts
+++ b/packages/gateway/src/callers/caller-exchange.ts
@@ -1,8 +1,11 @@
 /** One HTTP request of a caller and the response that is written to it. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
+import type { ResponseHead } from '../endpoints/endpoint-protocol';
 import type { HeaderList, RefusalResponse } from './caller-protocol';
 
+const EMPTY_BODY = Buffer.alloc(0);
+
 /** Result of reading a request body. */
 export type BodyResult =
   | { readonly kind: 'complete'; readonly body: Buffer }
@@ -63,6 +66,11 @@
     return this.#responseStarted;
   }
 
+  /** Whether the end of the started response is marked by more than the end of the connection. */
+  get hasFramedResponse(): boolean {
+    return this.#response.chunkedEncoding;
+  }
+
   /** Calls the listener when the caller disconnects; at once if it has done so. */
   onDisconnect(listener: () => void): void {
     if (this.#disconnected) {
@@ -111,48 +119,43 @@
 
   /** Sends the router's own refusal; `closes` ends the connection after it. */
   refuse({ status, headers, body }: RefusalResponse, closes = false): void {
-    this.#sendComplete(status, headers, Buffer.from(body), closes);
-  }
-
-  /**
-   * Sends an endpoint's complete response; for HEAD `length` is the announced
-   * one, not that of the empty body.
-   */
-  respond(
-    status: number,
-    headers: HeaderList,
-    body: Buffer,
-    length: number = body.length,
-  ): void {
-    this.#sendComplete(status, headers, body, false, length);
+    const content = Buffer.from(body);
+    this.#sendComplete(status, headers, content, content.length, closes);
+  }
+
+  /** Sends an endpoint's response of which the whole body has been received. */
+  respond(head: ResponseHead, body: Buffer): void {
+    const { status, headers, framing, length } = head;
+    if (this.method === 'HEAD') {
+      this.#sendComplete(status, headers, EMPTY_BODY, length);
+    } else if (framing === 'connection') {
+      this.startResponse(head);
+      this.write(body);
+      this.end();
+    } else {
+      this.#sendComplete(status, headers, body, body.length);
+    }
   }
 
   /**
-   * Sends a body whose end the endpoint marked only by closing the connection.
-   * The router closes its connection as well: a Content-Length would claim that
-   * the body is complete, which the endpoint never announced.
+   * Sends the head of a response of unknown length; `write` and `end` follow. If
+   * the endpoint marks the end of the body only by closing the connection, so
+   * does the router: a last chunk would claim a completeness that the endpoint
+   * never announced.
    */
-  respondUnframed(status: number, headers: HeaderList, body: Buffer): void {
+  startResponse({ status, headers, framing }: ResponseHead): void {
     if (this.#disconnected || this.#responseStarted) {
       return;
     }
     this.#responseStarted = true;
-    this.#responseFinished = true;
-    this.#response.removeHeader('transfer-encoding');
-    this.#response.shouldKeepAlive = false;
-    this.#response.writeHead(status, [...headers, 'connection', 'close']);
-    this.#response.end(body);
-  }
-
-  /** Sends the head of a response of unknown length; `write` and `end` follow. */
-  startResponse(status: number, headers: HeaderList): void {
-    if (this.#disconnected || this.#responseStarted) {
-      return;
+    const isUnframed = framing === 'connection';
+    if (isUnframed) {
+      this.#response.removeHeader('transfer-encoding');
+      this.#response.shouldKeepAlive = false;
     }
-    this.#responseStarted = true;
     this.#response.writeHead(
       status,
-      this.#withConnectionHeader([...headers], false),
+      this.#withConnectionHeader([...headers], isUnframed),
     );
     this.#response.flushHeaders();
   }
@@ -173,9 +176,20 @@
     }
   }
 
-  /** Destroys the connection, so that a started response cannot pass for a complete one. */
+  /**
+   * Breaks the connection, so that a started response cannot pass for a complete
+   * one. Without chunks only a reset differs from the end of the response.
+   */
   abort(): void {
     this.#responseFinished = true;
+    const { socket } = this.#request;
+    // Node.js holds writes back until the end of the tick, and would drop them here.
+    while (socket.writableCorked > 0) {
+      socket.uncork();
+    }
+    if (!this.hasFramedResponse) {
+      socket.resetAndDestroy();
+    }
     this.#response.destroy();
   }
 
@@ -193,8 +207,8 @@
     status: number,
     headers: HeaderList,
     body: Buffer,
-    closes: boolean,
-    length: number = body.length,
+    length: number | undefined,
+    closes = false,
   ): void {
     if (this.#disconnected || this.#responseStarted) {
       return;
@@ -202,7 +216,7 @@
     this.#responseStarted = true;
     this.#responseFinished = true;
     const framed = this.#withConnectionHeader([...headers], closes);
-    if (status !== 204 && status !== 304) {
+    if (length !== undefined && status !== 204 && status !== 304) {
       framed.push('content-length', String(length));
     }
     this.#response.writeHead(status, framed);
--- a/packages/gateway/src/endpoints/attempt.ts
+++ b/packages/gateway/src/endpoints/attempt.ts
@@ -20,6 +20,8 @@
 
 /** Receives the response of an attempt as it arrives. */
 export abstract class ResponseSink {
+  /** Bytes of the response that were received and not passed on. */
+  abstract readonly heldBytes: number;
   /** Called once, with a head that provably belongs to the request. */
   abstract onHead(head: ResponseHead): void;
   /** Returns false to pause the endpoint until `Attempt.resume`. */
@@ -193,11 +195,7 @@
       this.#settle({ kind: 'broken', breakage: failureReasonOf(result) });
       return;
     }
-    this.#connection.markIdle(this.#options.now(), head.keepAliveTimeout);
-    this.#options.connectionPool.release(
-      this.#options.entry.id,
-      this.#connection,
-    );
+    this.#releaseConnection(head);
     const rejection = rejectionOf(head);
     this.#settle(
       rejection
@@ -206,6 +204,18 @@
     );
   }
 
+  #releaseConnection(head: ResponseHead): void {
+    if (head.framing === 'connection') {
+      this.#connection.destroy();
+      return;
+    }
+    this.#connection.markIdle(this.#options.now(), head.keepAliveTimeout);
+    this.#options.connectionPool.release(
+      this.#options.entry.id,
+      this.#connection,
+    );
+  }
+
   #settle(result: AttemptResult): void {
     this.#isSettled = true;
     this.#isSinkOpen = false;
--- /dev/null
+++ b/packages/gateway/src/forwarding/event-stream-sink.ts
@@ -0,0 +1,101 @@
+/** Relays one attempt of a stream event by event, so that another attempt can continue it. */
+import { EventSplitter } from '@sesamegrade/core/forwarding/event-splitter';
+import type {
+  AttemptFailure,
+  AttemptResult,
+} from '@sesamegrade/core/forwarding/attempt-result';
+import { ResponseSink } from '../endpoints/attempt';
+import type { ResponseHead } from '../endpoints/endpoint-protocol';
+import type { ResponseRelay, ResponseRelayOptions } from './response-relay';
+
+export class EventStreamSink extends ResponseSink {
+  readonly #relay: ResponseRelay;
+  readonly #options: ResponseRelayOptions;
+  readonly #splitter = new EventSplitter();
+  #head: ResponseHead | undefined;
+  #eventCount = 0;
+
+  constructor(relay: ResponseRelay, options: ResponseRelayOptions) {
+    super();
+    this.#relay = relay;
+    this.#options = options;
+  }
+
+  override get heldBytes(): number {
+    return this.#splitter.tail.length;
+  }
+
+  override onHead(head: ResponseHead): void {
+    // The head is sent with the first event: an attempt without events must
+    // leave the response unstarted.
+    this.#head = head;
+  }
+
+  override onData(chunk: Buffer): boolean {
+    const { exchange } = this.#options;
+    const { bytes, count, firstId, lastId } = this.#splitter.feed(chunk);
+    if (count === 0) {
+      return true;
+    }
+    if (this.#eventCount === 0) {
+      if (!this.#isContinuation(firstId)) {
+        this.#options.abort({ kind: 'broken', breakage: 'event-order' });
+        return true;
+      }
+      this.#options.onFirstAttemptEvent();
+    }
+    this.#eventCount += count;
+    if (!exchange.hasResponseStarted && this.#head) {
+      exchange.startResponse(this.#head);
+    }
+    const isWritable = this.#relay.write(bytes);
+    this.#relay.recordDelivery(count, lastId);
+    return isWritable;
+  }
+
+  override onComplete(head: ResponseHead): AttemptResult {
+    const { exchange } = this.#options;
+    const failure = this.#failureAtEnd(head);
+    if (failure) {
+      return { kind: 'broken', breakage: failure };
+    }
+    if (!exchange.hasResponseStarted) {
+      exchange.startResponse(head);
+    } else if (head.framing === 'connection' && exchange.hasFramedResponse) {
+      return { kind: 'unproven-end' };
+    }
+    if (this.#splitter.tail.length > 0) {
+      exchange.write(this.#splitter.tail);
+    }
+    exchange.end();
+    return { kind: 'delivered', status: head.status };
+  }
+
+  /** Returns why the end of the endpoint's response is not the end of the stream. */
+  #failureAtEnd(head: ResponseHead): AttemptFailure | undefined {
+    if (this.#splitter.isWithinEvent) {
+      return 'partial-event';
+    }
+    // A caller that resumes may have received the last event already.
+    const mayBeEmpty =
+      this.#relay.events === 0 && this.#options.lastEventId !== undefined;
+    return head.framing === 'connection' &&
+      this.#eventCount === 0 &&
+      !mayBeEmpty
+      ? 'no-event'
+      : undefined;
+  }
+
+  /** Whether the first event of a resumed stream directly follows the caller's last one. */
+  #isContinuation(firstId: number | undefined): boolean {
+    const { lastEventId, events } = this.#relay;
+    if (events === 0) {
+      return true;
+    }
+    return (
+      firstId !== undefined &&
+      lastEventId !== undefined &&
+      firstId === lastEventId + 1
+    );
+  }
+}
--- a/packages/gateway/src/forwarding/forwarder.ts
+++ b/packages/gateway/src/forwarding/forwarder.ts
@@ -480,7 +480,7 @@
       end: result,
       took: Math.round(took),
       events: relay.events,
-      partial: relay.partialEventBytes || undefined,
+      held: relay.heldBytes || undefined,
       next: step,
     });
     return step;
@@ -517,19 +517,15 @@
     request: ForwardedRequest,
     response: NonNullable<ResponseRelay['bufferedResponse']>,
   ): void {
-    if (promisesNotRun(response.status)) {
+    const { head, body } = response;
+    if (promisesNotRun(head.status)) {
       this.#refuse(request.exchange, request.head, {
         kind: 'may-have-run',
-        cause: `endpoint answered ${response.status} without proof`,
+        cause: `endpoint answered ${head.status} without proof`,
       });
       return;
     }
-    const { status, headers, body, length } = response;
-    if (response.framing === 'connection' && body.length > 0) {
-      request.exchange.respondUnframed(status, headers, body);
-      return;
-    }
-    request.exchange.respond(status, headers, body, length);
+    request.exchange.respond(head, body);
   }
 
   #giveUp(
@@ -579,7 +575,7 @@
         return { kind: 'timeout' };
       default: {
         const afterStatus = relay.bufferedResponse
-          ? ` after status ${relay.bufferedResponse.status}`
+          ? ` after status ${relay.bufferedResponse.head.status}`
           : '';
         return {
           kind: 'may-have-run',
--- /dev/null
+++ b/packages/gateway/src/forwarding/whole-response-sink.ts
@@ -0,0 +1,71 @@
+/**
+ * Relays one attempt of a request with a whole response: buffered, so that the
+ * request can still be retried, or passed on as it arrives once it is too large.
+ */
+import type { AttemptResult } from '@sesamegrade/core/forwarding/attempt-result';
+import { ResponseSink } from '../endpoints/attempt';
+import type { ResponseHead } from '../endpoints/endpoint-protocol';
+import type { ResponseRelay, ResponseRelayOptions } from './response-relay';
+
+/** Size above which a response is passed on before it is complete. */
+const MAX_BUFFERED_BYTES = 1_048_576;
+
+export class WholeResponseSink extends ResponseSink {
+  readonly #relay: ResponseRelay;
+  readonly #options: ResponseRelayOptions;
+  #chunks: Buffer[] = [];
+  #bufferedBytes = 0;
+  #isPassedOn = false;
+  #head: ResponseHead | undefined;
+
+  constructor(relay: ResponseRelay, options: ResponseRelayOptions) {
+    super();
+    this.#relay = relay;
+    this.#options = options;
+  }
+
+  override get heldBytes(): number {
+    return this.#bufferedBytes;
+  }
+
+  override onHead(head: ResponseHead): void {
+    if (this.#options.exchange.hasResponseStarted) {
+      this.#options.abort({ kind: 'broken', breakage: 'malformed' });
+      return;
+    }
+    this.#head = head;
+  }
+
+  override onData(chunk: Buffer): boolean {
+    if (this.#isPassedOn) {
+      return this.#relay.write(chunk);
+    }
+    this.#chunks.push(chunk);
+    this.#bufferedBytes += chunk.length;
+    return this.#bufferedBytes <= MAX_BUFFERED_BYTES || this.#passOn();
+  }
+
+  override onComplete(head: ResponseHead): AttemptResult {
+    if (this.#isPassedOn) {
+      this.#options.exchange.end();
+      return { kind: 'delivered', status: head.status };
+    }
+    this.#relay.buffer({ head, body: this.#takeBuffered() });
+    return { kind: 'answered', status: head.status };
+  }
+
+  #passOn(): boolean {
+    this.#isPassedOn = true;
+    if (this.#head) {
+      this.#options.exchange.startResponse(this.#head);
+    }
+    return this.#relay.write(this.#takeBuffered());
+  }
+
+  #takeBuffered(): Buffer {
+    const body = Buffer.concat(this.#chunks);
+    this.#chunks = [];
+    this.#bufferedBytes = 0;
+    return body;
+  }
+}
--- a/packages/stand-ins/src/deployment/http-caller.ts
+++ b/packages/stand-ins/src/deployment/http-caller.ts
@@ -1,7 +1,4 @@
-/**
- * A caller that reports how its response ended. Unlike undici, the HTTP client of
- * Node.js does not take a reset for the end of a body without length or chunks.
- */
+/** A caller that reports how its response ended; undici does not tell a reset from the end of a body without length and chunks. */
 import { request } from 'node:http';
 import type { IncomingHttpHeaders, IncomingMessage } from 'node:http';
 
@@ -39,10 +36,16 @@
       method: call.method ?? 'POST',
       headers: { connection: 'keep-alive', ...call.headers },
     });
+    let hasResponse = false;
+    let wasReset = false;
     outgoing.on('error', () => {
-      resolve(undefined);
+      wasReset = true;
+      if (!hasResponse) {
+        resolve(undefined);
+      }
     });
     outgoing.on('response', response => {
+      hasResponse = true;
       const chunks: Buffer[] = [];
       response.on('data', (chunk: Buffer) => {
         chunks.push(chunk);
@@ -54,7 +57,8 @@
           status: response.statusCode ?? 0,
           headers: response.headers,
           body: Buffer.concat(chunks).toString('latin1'),
-          isComplete: response.complete,
+          // A reset ends a body without length and chunks, as far as the parser is concerned.
+          isComplete: response.complete && !wasReset,
         });
       });
       call.onResponse?.(response);
--- a/packages/stand-ins/src/deployment/scripted-server.ts
+++ b/packages/stand-ins/src/deployment/scripted-server.ts
@@ -152,11 +152,11 @@
   request: ScriptedRequest,
   extra: readonly string[] = [],
 ): string {
-  return unframedStreamHead(request, [...extra, 'Transfer-Encoding: chunked']);
+  return responseHead(request, [...extra, 'Transfer-Encoding: chunked']);
 }
 
-/** The head of an event stream whose end is marked only by the end of the connection. */
-export function unframedStreamHead(
+/** The head of a response whose end is marked only by the end of the connection, unless `extra` says otherwise. */
+export function responseHead(
   request: ScriptedRequest,
   extra: readonly string[] = [],
 ): string {
