Let the reset of a broken response follow its last bytes at a distance

Cause: a response that only the end of the connection ends is broken off with a reset. Sent in the same instant as the last events, the reset discards what is still on its way, and a caller that reads both at once may see a regular end: libuv reports the end of the stream when a partial read comes with a hang-up. A stop of the router closed such responses regularly.

Change: the reset follows 50 ms after the break; a stop resets responses without length and chunks that it has to cut off, and closes the others as before, since a reset could discard their last bytes. Responses to HTTP/1.0 count as unframed.

Ruled out: holding the events back until the end is known (late events), chunks for all callers (their end would be made up).

Tests: 'resets a stream without length and chunks that it has to cut off when it stops'; the test at any byte still fails for a reset of the endpoint that arrives with the last bytes, mended next.

--- a/packages/gateway/src/callers/caller-exchange.ts
+++ b/packages/gateway/src/callers/caller-exchange.ts
@@ -1,10 +1,15 @@
 /** One HTTP request of a caller and the response that is written to it. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
+import type { TimerService } from '@sesamegrade/core/time/timer-service';
+import { milliseconds } from '@sesamegrade/core/types/units';
+import type { Milliseconds } from '@sesamegrade/core/types/units';
 import type { ResponseHead } from '../endpoints/endpoint-protocol';
 import type { HeaderList, RefusalResponse } from './caller-protocol';
 
 const EMPTY_BODY = Buffer.alloc(0);
+/** Time between the last bytes of a broken response and the reset of its connection. */
+const RESET_DELAY: Milliseconds = milliseconds(50);
 
 /** Result of reading a request body. */
 export type BodyResult =
@@ -17,16 +22,21 @@
   readonly #request: IncomingMessage;
   readonly #response: ServerResponse;
   readonly #isClosing: () => boolean;
+  readonly #timers: TimerService;
   readonly #disconnectListeners: (() => void)[] = [];
   #disconnected = false;
   #responseStarted = false;
   #responseFinished = false;
+  /** Whether only the end of the connection marks the end of the started response. */
+  #isUnframed = false;
 
   constructor(
     request: IncomingMessage,
     response: ServerResponse,
     isClosing: () => boolean,
+    timers: TimerService,
   ) {
+    this.#timers = timers;
     this.#request = request;
     this.#response = response;
     this.#isClosing = isClosing;
@@ -68,7 +78,7 @@
 
   /** Whether the end of the started response is marked by more than the end of the connection. */
   get hasFramedResponse(): boolean {
-    return this.#response.chunkedEncoding;
+    return this.#responseStarted && !this.#isUnframed;
   }
 
   /** Calls the listener when the caller disconnects; at once if it has done so. */
@@ -148,16 +158,18 @@
       return;
     }
     this.#responseStarted = true;
-    const isUnframed = framing === 'connection';
-    if (isUnframed) {
+    const closes = framing === 'connection';
+    if (closes) {
       this.#response.removeHeader('transfer-encoding');
       this.#response.shouldKeepAlive = false;
     }
     this.#response.writeHead(
       status,
-      this.#withConnectionHeader([...headers], isUnframed),
+      this.#withConnectionHeader([...headers], closes),
     );
     this.#response.flushHeaders();
+    // There are no chunks in responses to HTTP/1.0 either.
+    this.#isUnframed = !this.#response.chunkedEncoding;
   }
 
   /** Returns false when the write buffer is full; `onDrain` fires when it is empty again. */
@@ -178,7 +190,9 @@
 
   /**
    * Breaks the connection, so that a started response cannot pass for a complete
-   * one. Without chunks only a reset differs from the end of the response.
+   * one. Without chunks only a reset differs from the end of the response. It
+   * follows the last bytes at a distance: it discards what is still on its way, and
+   * clients that read both at once may take it for a regular end.
    */
   abort(): void {
     this.#responseFinished = true;
@@ -187,10 +201,20 @@
     while (socket.writableCorked > 0) {
       socket.uncork();
     }
-    if (!this.hasFramedResponse) {
+    if (!this.#isUnframed) {
+      this.#response.destroy();
+      return;
+    }
+    this.#timers.after(RESET_DELAY, () => {
       socket.resetAndDestroy();
+    });
+  }
+
+  /** Resets the connection if closing it would pass for the end of the response. */
+  resetUnframed(): void {
+    if (this.#isUnframed && !this.#response.writableFinished) {
+      this.#request.socket.resetAndDestroy();
     }
-    this.#response.destroy();
   }
 
   #onDisconnect(): void {
--- a/packages/gateway/src/callers/gateway-caller-server.ts
+++ b/packages/gateway/src/callers/gateway-caller-server.ts
@@ -6,6 +6,7 @@
 import Koa from 'koa';
 
 import type { Address } from '@sesamegrade/core/types/endpoint';
+import type { TimerService } from '@sesamegrade/core/time/timer-service';
 import type { CallerLimits } from '@sesamegrade/core/routes/fleet-configuration';
 import type { Forwarder } from '../forwarding/forwarder';
 import type { DecisionLog } from '../logs/decision-log';
@@ -27,12 +28,15 @@
 export interface CallerServerOptions {
   readonly forwarder: Forwarder;
   readonly log: DecisionLog;
+  readonly timers: TimerService;
 }
 
 export class GatewayCallerServer {
   readonly #options: CallerServerOptions;
   readonly #server: Server;
   readonly #sockets = new Set<Socket>();
+  /** Exchanges whose response has not ended. */
+  readonly #exchanges = new Set<CallerExchange>();
   #draining = false;
 
   constructor(options: CallerServerOptions) {
@@ -111,6 +115,9 @@
 
   close(): void {
     this.#server.close();
+    for (const exchange of this.#exchanges) {
+      exchange.resetUnframed();
+    }
     this.#server.closeAllConnections();
   }
 
@@ -122,7 +129,12 @@
       request,
       response,
       () => this.#draining,
+      this.#options.timers,
     );
+    this.#exchanges.add(exchange);
+    response.once('close', () => {
+      this.#exchanges.delete(exchange);
+    });
     try {
       await this.#options.forwarder.serve(exchange);
     } catch (error) {
