Recognise a reset that arrives together with the last bytes

What callers saw: a whole response without length and chunks passed for complete although its connection had been reset ('id: 1' of a longer body, status 200).

Cause: when a reset arrives with the last bytes, libuv reports the end of the stream after a partial read with a hang-up, and no error is emitted. undici then ends the message. The listener for errors never ran. A reset 30 ms later was recognised, so the existing test passed.

Ruled out: the order of listeners (a trace shows 'readable', 'end' and no 'error').

Change: at the end of a connection to an endpoint a write of no bytes is tried, which sends nothing and fails if the connection was reset. The socket stays open for writing until then.

Before: response-end.test.ts 'never passes a response on as complete that its endpoint broke off, at any byte' failed at 144 bytes of a reset response.

--- a/packages/gateway/src/endpoints/endpoint-connection.ts
+++ b/packages/gateway/src/endpoints/endpoint-connection.ts
@@ -21,6 +21,8 @@
 /** Share of the endpoint's keep-alive timeout within which an idle connection is reused. */
 const KEEP_ALIVE_SHARE = 0.7;
 
+const NO_BYTES = Buffer.alloc(0);
+
 /** Result of one request on the connection. */
 export type ExchangeResult =
   | { readonly kind: 'complete' }
@@ -186,7 +188,7 @@
       callback(new ConnectionClosedError(), null);
       return;
     }
-    const socket = connect({ host, port, noDelay: true });
+    const socket = connect({ host, port, noDelay: true, allowHalfOpen: true });
     this.#socket = socket;
     const timer = setTimeout(() => {
       socket.destroy(new ConnectTimeoutError());
@@ -198,8 +200,11 @@
       this.#connected = true;
       callback(null, socket);
     });
-    // Registered before undici's own listener, which may treat a reset as the
+    // Registered before undici's own listeners, which may treat a reset as the
     // regular end of a response.
+    socket.on('end', () => {
+      this.#wasReset ||= isReset(socket);
+    });
     socket.on('error', error => {
       this.#wasReset = true;
       clearTimeout(timer);
@@ -211,6 +216,16 @@
   }
 }
 
+/**
+ * Whether the peer reset a connection whose end was read. Node.js reports a reset
+ * that arrives together with the last bytes as a regular end; only a write, here
+ * one of no bytes, still fails.
+ */
+function isReset(socket: Socket): boolean {
+  socket.write(NO_BYTES);
+  return socket.errored !== null;
+}
+
 class ConnectionClosedError extends Error {
   readonly code = 'CONNECTION_CLOSED';
 }
