Keep the process alive when a paused response without length ends

What callers saw: the router's process ended, and every request that it carried with it.

Cause: undici pauses its parser for a slow caller and, when the connection of a response without length closes, asks the parser to finish, which asserts that it is not paused (an uncaught exception from 'close', 'end' or 'error'). Four ways lead there: our own abort (deadline, caller left, stop), which closed the socket without an error and so looked like a regular end; a reset, as undici takes ECONNRESET for the end of such a response; and the regular end of the connection while nothing is left to read.

Change, where an attempt ends: an aborted connection is closed with an error; a reset is reported under a code of its own; at the end of the connection the parser is resumed first, since nothing is left to hold back. No exception is caught.

Ruled out: resuming before each abort (delivers bytes to a caller that has left), holding back the end of the stream until the caller has read (Node.js reads the ended handle again and again).

--- a/packages/gateway/src/endpoints/endpoint-connection.ts
+++ b/packages/gateway/src/endpoints/endpoint-connection.ts
@@ -1,6 +1,5 @@
 /** One HTTP connection to an endpoint, which carries one request at a time. */
-import { connect } from 'node:net';
-import type { Socket } from 'node:net';
+import { Socket } from 'node:net';
 
 import { Client } from 'undici';
 import type { Dispatcher } from 'undici';
@@ -147,7 +146,8 @@
           listener.onHead(status, decodeHeaders(controller.rawHeaders));
         },
         onResponseData: (controller, chunk) => {
-          if (!listener.onData(chunk)) {
+          const hasEnded = this.#socket?.readableEnded ?? false;
+          if (!listener.onData(chunk) && !hasEnded) {
             controller.pause();
           }
         },
@@ -174,7 +174,9 @@
   /** Closes the connection and aborts the request that runs on it. */
   destroy(): void {
     this.#closed = true;
-    this.#socket?.destroy();
+    // Without an error undici would take this for the end of an unframed response,
+    // which it cannot finish while it is paused.
+    this.#socket?.destroy(new ConnectionClosedError());
     this.#client.destroy().catch(() => undefined);
   }
 
@@ -188,7 +190,9 @@
       callback(new ConnectionClosedError(), null);
       return;
     }
-    const socket = connect({ host, port, noDelay: true, allowHalfOpen: true });
+    const socket = new EndpointSocket({ allowHalfOpen: true });
+    socket.setNoDelay(true);
+    socket.connect({ host, port });
     this.#socket = socket;
     const timer = setTimeout(() => {
       socket.destroy(new ConnectTimeoutError());
@@ -204,6 +208,8 @@
     // regular end of a response.
     socket.on('end', () => {
       this.#wasReset ||= isReset(socket);
+      // Nothing is left to hold back, and undici cannot end a paused response.
+      this.#controller?.resume();
     });
     socket.on('error', error => {
       this.#wasReset = true;
@@ -216,6 +222,20 @@
   }
 }
 
+/**
+ * Reports a reset under a code of its own: undici takes ECONNRESET for the end of an
+ * unframed response, and fails an assertion if that is paused.
+ */
+class EndpointSocket extends Socket {
+  override _destroy(
+    error: Error | null,
+    callback: (error?: Error | null) => void,
+  ): void {
+    const isPeerReset = error !== null && errorCode(error) === 'ECONNRESET';
+    super._destroy(isPeerReset ? new ConnectionResetError() : error, callback);
+  }
+}
+
 /**
  * Whether the peer reset a connection whose end was read. Node.js reports a reset
  * that arrives together with the last bytes as a regular end; only a write, here
@@ -230,6 +250,10 @@
   readonly code = 'CONNECTION_CLOSED';
 }
 
+class ConnectionResetError extends Error {
+  readonly code = 'CONNECTION_RESET';
+}
+
 class ConnectTimeoutError extends Error {
   readonly code = 'CONNECT_TIMEOUT';
 }
