Bound what an endpoint or the store may send that is no response

Before, seen with an endpoint that sends until its connection closes (failing first): a status line cost 68 MB and a chunk extension 165 MB until the deadline; an event without end was held whole and its request ended with 504; the body of a rejection held its request until the deadline; a list of cached parts took 375 MB into memory; a status line of the store was read for 12 s, 2.9 GB.

Change: - BoundedSocket counts what arrives after a request or a part of a response; a connection to an endpoint closes above 256 KiB without a head or a part of a body (malformed: an error for its health, retried by the kind of request), one to the store above 8 MiB a call. It also holds the handling of resets. - An event above 1 MiB is malformed. A rejection is taken after 64 KiB of its body, and one whose body breaks off counts.

--- a/packages/gateway/src/endpoints/attempt.ts
+++ b/packages/gateway/src/endpoints/attempt.ts
@@ -10,6 +10,7 @@
 } from '@sesamegrade/core/forwarding/attempt-result';
 import type { RequestId } from '@sesamegrade/core/types/ids';
 import type { Instant, Milliseconds } from '@sesamegrade/core/types/units';
+import { TOO_MANY_BYTES } from '../http/bounded-socket';
 import type { ConnectionPool } from './connection-pool';
 import type {
   ExchangeResult,
@@ -51,6 +52,8 @@
 const STATUS_TOO_MANY_REQUESTS = 429;
 const STATUS_UNAVAILABLE = 503;
 const STATUS_MISDIRECTED = 421;
+/** Bytes of a rejection's body that are read so that the connection can be used again. */
+const MAX_REJECTION_BYTES = 65_536;
 const MIN_SUCCESS_STATUS = 200;
 const MAX_SUCCESS_STATUS = 299;
 
@@ -67,6 +70,7 @@
   #head: ResponseHead | undefined;
   #respondedAt: Instant | undefined;
   #isSinkOpen = false;
+  #discardedBytes = 0;
 
   constructor(options: AttemptOptions) {
     this.#options = options;
@@ -90,7 +94,9 @@
       },
       onData: chunk => {
         options.onActivity();
-        return !this.#isSinkOpen || options.sink.onData(chunk);
+        return this.#isSinkOpen
+          ? options.sink.onData(chunk)
+          : this.#discard(chunk);
       },
       onEnd: result => {
         this.#onEnd(result);
@@ -159,6 +165,16 @@
     }
   }
 
+  /** Ends the attempt if the body of a rejection does not end. */
+  #discard(chunk: Buffer): boolean {
+    this.#discardedBytes += chunk.length;
+    const rejection = this.#head && rejectionOf(this.#head);
+    if (rejection && this.#discardedBytes > MAX_REJECTION_BYTES) {
+      this.abort({ kind: 'declined', decline: rejection });
+    }
+    return true;
+  }
+
   /**
    * Returns why the head is not accepted as the endpoint's response to this
    * request; undefined if it is.
@@ -186,17 +202,21 @@
       return;
     }
     const head = this.#head;
+    const rejection = head && rejectionOf(head);
     if (result.kind === 'broken' || !head) {
       if (!head && this.#idleTime !== undefined) {
         const { connectionPool, entry } = this.#options;
         connectionPool.recordIdleBreak(entry.service, this.#idleTime);
       }
       this.#connection.destroy();
-      this.#settle({ kind: 'broken', breakage: failureReasonOf(result) });
+      this.#settle(
+        rejection
+          ? { kind: 'declined', decline: rejection }
+          : { kind: 'broken', breakage: failureReasonOf(result) },
+      );
       return;
     }
     this.#releaseConnection(head);
-    const rejection = rejectionOf(head);
     this.#settle(
       rejection
         ? { kind: 'declined', decline: rejection }
@@ -243,6 +263,7 @@
 function failureReasonOf(result: ExchangeResult): AttemptFailure {
   const cause = result.kind === 'broken' ? result.cause : '';
   const isMalformed =
+    cause === TOO_MANY_BYTES ||
     cause.startsWith('HPE_') ||
     cause.startsWith('UND_ERR_RES') ||
     cause === 'UND_ERR_HEADERS_OVERFLOW';
--- a/packages/gateway/src/endpoints/cache-survey.ts
+++ b/packages/gateway/src/endpoints/cache-survey.ts
@@ -22,6 +22,8 @@
 
 /** Timeout of a request for a list; an engine builds it between two of its steps. */
 const RESPONSE_TIMEOUT: Milliseconds = milliseconds(1500);
+/** Largest list of cached prompt parts. */
+const MAX_LIST_BYTES = 8_388_608;
 const STATUS_OK = 200;
 
 export interface CacheSurveyOptions {
@@ -107,6 +109,7 @@
       this.#options;
     const connection = connectionPool.take(engine, true, RESPONSE_TIMEOUT);
     const chunks: Buffer[] = [];
+    let size = 0;
     let status = 0;
     return new Promise(resolve => {
       const cancel = timers.after(RESPONSE_TIMEOUT, () => {
@@ -131,6 +134,10 @@
           },
           onData: chunk => {
             chunks.push(chunk);
+            size += chunk.length;
+            if (size > MAX_LIST_BYTES) {
+              connection.destroy();
+            }
             return true;
           },
           onEnd: result => {
--- a/packages/gateway/src/endpoints/endpoint-connection.ts
+++ b/packages/gateway/src/endpoints/endpoint-connection.ts
@@ -1,6 +1,4 @@
 /** One HTTP connection to an endpoint, which carries one request at a time. */
-import { Socket } from 'node:net';
-
 import { Client } from 'undici';
 import type { Dispatcher } from 'undici';
 
@@ -8,6 +6,7 @@
 import { elapsed, milliseconds } from '@sesamegrade/core/types/units';
 import type { Instant, Milliseconds } from '@sesamegrade/core/types/units';
 import type { HeaderList } from '../callers/caller-protocol';
+import { BoundedSocket } from '../http/bounded-socket';
 
 /** Idle connections are closed this long before the endpoint's own limit. */
 const KEEP_ALIVE_MARGIN_MS = 300;
@@ -20,8 +19,16 @@
 /** Share of the endpoint's keep-alive timeout within which an idle connection is reused. */
 const KEEP_ALIVE_SHARE = 0.7;
 
-const NO_BYTES = Buffer.alloc(0);
+/** Largest head of a response in bytes. */
+const MAX_HEAD_BYTES = 16_384;
+/**
+ * Bytes that an endpoint may send without completing a head or adding to a body.
+ * Heads within their limit arrive with up to one read of other bytes.
+ */
+const MAX_OVERHEAD_BYTES = 262_144;
 
+/** Lowest HTTP status that is not one of an interim response. */
+const MIN_FINAL_STATUS = 200;
 /** Result of one request on the connection. */
 export type ExchangeResult =
   | { readonly kind: 'complete' }
@@ -50,7 +57,7 @@
 export class EndpointConnection {
   readonly #client: Client;
   readonly #connectTimeout: Milliseconds;
-  #socket: Socket | undefined;
+  #socket: BoundedSocket | undefined;
   #connected = false;
   #closed = false;
   #wasReset = false;
@@ -69,6 +76,7 @@
     const { host, port } = address;
     this.#client = new Client(`http://${host}:${port}`, {
       pipelining: 1,
+      maxHeaderSize: MAX_HEAD_BYTES,
       headersTimeout: 0,
       bodyTimeout: 0,
       keepAliveTimeout: MAX_KEEP_ALIVE_MS,
@@ -143,9 +151,13 @@
           listener.onSent();
         },
         onResponseStart: (controller, status) => {
+          if (status >= MIN_FINAL_STATUS) {
+            this.#socket?.resetCount();
+          }
           listener.onHead(status, decodeHeaders(controller.rawHeaders));
         },
         onResponseData: (controller, chunk) => {
+          this.#socket?.resetCount();
           const hasEnded = this.#socket?.readableEnded ?? false;
           if (!listener.onData(chunk) && !hasEnded) {
             controller.pause();
@@ -183,23 +195,21 @@
   #open(
     host: string,
     port: number,
-    callback: (...result: [Error, null] | [null, Socket]) => void,
+    callback: (...result: [Error, null] | [null, BoundedSocket]) => void,
   ): void {
     if (this.#socket || this.#closed) {
       // undici reconnects by itself; a second connection would hide that the first one broke.
       callback(new ConnectionClosedError(), null);
       return;
     }
-    const socket = new EndpointSocket({ allowHalfOpen: true });
-    socket.setNoDelay(true);
-    socket.connect({ host, port });
+    const socket = new BoundedSocket({
+      address: { host, port },
+      connectTimeout: this.#connectTimeout,
+      maxBytes: MAX_OVERHEAD_BYTES,
+    });
     this.#socket = socket;
-    const timer = setTimeout(() => {
-      socket.destroy(new ConnectTimeoutError());
-    }, this.#connectTimeout);
     let isCallbackDone = false;
     socket.once('connect', () => {
-      clearTimeout(timer);
       isCallbackDone = true;
       this.#connected = true;
       callback(null, socket);
@@ -207,13 +217,12 @@
     // Registered before undici's own listeners, which may treat a reset as the
     // regular end of a response.
     socket.on('end', () => {
-      this.#wasReset ||= isReset(socket);
+      this.#wasReset ||= socket.wasReset();
       // Nothing is left to hold back, and undici cannot end a paused response.
       this.#controller?.resume();
     });
     socket.on('error', error => {
       this.#wasReset = true;
-      clearTimeout(timer);
       if (!isCallbackDone) {
         isCallbackDone = true;
         callback(error, null);
@@ -222,42 +231,10 @@
   }
 }
 
-/**
- * Reports a reset under a code of its own: undici takes ECONNRESET for the end of an
- * unframed response, and fails an assertion if that is paused.
- */
-class EndpointSocket extends Socket {
-  override _destroy(
-    error: Error | null,
-    callback: (error?: Error | null) => void,
-  ): void {
-    const isPeerReset = error !== null && errorCode(error) === 'ECONNRESET';
-    super._destroy(isPeerReset ? new ConnectionResetError() : error, callback);
-  }
-}
-
-/**
- * Whether the peer reset a connection whose end was read. Node.js reports a reset
- * that arrives together with the last bytes as a regular end; only a write, here
- * one of no bytes, still fails.
- */
-function isReset(socket: Socket): boolean {
-  socket.write(NO_BYTES);
-  return socket.errored !== null;
-}
-
 class ConnectionClosedError extends Error {
   readonly code = 'CONNECTION_CLOSED';
 }
 
-class ConnectionResetError extends Error {
-  readonly code = 'CONNECTION_RESET';
-}
-
-class ConnectTimeoutError extends Error {
-  readonly code = 'CONNECT_TIMEOUT';
-}
-
 function errorCode(error: unknown): string {
   if (!(error instanceof Error)) {
     return 'unknown';
--- a/packages/gateway/src/forwarding/event-stream-sink.ts
+++ b/packages/gateway/src/forwarding/event-stream-sink.ts
@@ -8,6 +8,9 @@
 import type { ResponseHead } from '../endpoints/endpoint-protocol';
 import type { ResponseRelay, ResponseRelayOptions } from './response-relay';
 
+/** Largest event of a stream. */
+const MAX_EVENT_BYTES = 1_048_576;
+
 export class EventStreamSink extends ResponseSink {
   readonly #relay: ResponseRelay;
   readonly #options: ResponseRelayOptions;
@@ -34,6 +37,10 @@
   override onData(chunk: Buffer): boolean {
     const { exchange } = this.#options;
     const { bytes, count, firstId, lastId } = this.#splitter.feed(chunk);
+    if (this.heldBytes > MAX_EVENT_BYTES) {
+      this.#options.abort({ kind: 'broken', breakage: 'malformed' });
+      return true;
+    }
     if (count === 0) {
       return true;
     }
