Take no response of a plain service for complete by the end of its connection

BufferedRelay read a body without length and chunks to the end of its connection, recorded it as the response of an order, and sent it with a length of its own; undici ends such a body also when the connection is reset. StreamRelay is safe by its [DONE] mark, but kept an event without end in memory.

Change: a response without length, chunks or an empty status is broken; an order's outcome is then unknown, as after a reset. The parser of a stream stops at an event of 1 MiB, which breaks the stream. Responses of the platform end at 64 MiB.

Ruled out: passing such a response on without a length, as the platform's routers do: an order's response is recorded and must be the whole one.

Not tested: the bound of the platform's responses.

--- a/packages/router/src/endpoints/buffered-relay.ts
+++ b/packages/router/src/endpoints/buffered-relay.ts
@@ -1,5 +1,6 @@
 /** Forwards a response in one piece, so that a truncated one never looks complete to the caller. */
 import { failureReasonOf, ResponseRelay } from './response-relay';
+import type { EndpointResponse } from './endpoint-client';
 import type { RelayResult, RelayTask } from './response-relay';
 
 /** Hop-by-hop headers, and headers that the router sets or reads itself. */
@@ -20,6 +21,9 @@
   'x-engine-capacity',
 ]);
 
+const STATUS_NO_CONTENT = 204;
+const STATUS_NOT_MODIFIED = 304;
+
 /** A complete response, as recorded for repeated calls of an order. */
 export interface CompleteResponse {
   readonly status: number;
@@ -50,6 +54,9 @@
 
   override async forward(task: RelayTask): Promise<RelayResult> {
     const { response, exchange } = task;
+    if (!hasFramedBody(response)) {
+      return { kind: 'broken', breakage: 'reset', resumable: false };
+    }
     let collected: CollectedBody;
     try {
       collected = await this.#collect(response.body);
@@ -104,6 +111,19 @@
   callerResponse.end(response.body);
 }
 
+/**
+ * Whether the end of the body is marked by more than the end of the connection,
+ * which is also what a crash looks like.
+ */
+function hasFramedBody({ statusCode, headers }: EndpointResponse): boolean {
+  return (
+    statusCode === STATUS_NO_CONTENT ||
+    statusCode === STATUS_NOT_MODIFIED ||
+    headers['content-length'] !== undefined ||
+    headers['transfer-encoding'] === 'chunked'
+  );
+}
+
 function forwardedHeaders(
   headers: Readonly<Record<string, string | string[] | undefined>>,
 ): Record<string, string | string[]> {
--- a/packages/router/src/endpoints/stream-relay.ts
+++ b/packages/router/src/endpoints/stream-relay.ts
@@ -9,6 +9,8 @@
 import { failureReasonOf, ResponseRelay } from './response-relay';
 import type { RelayResult, RelayTask } from './response-relay';
 
+/** Largest event of a stream. */
+const MAX_EVENT_CHARACTERS = 1_048_576;
 const END_OF_STREAM = '[DONE]';
 
 const STREAM_HEADERS = {
@@ -60,19 +62,14 @@
   ): Promise<RelayResult> {
     const { body } = task.response;
     const { callerResponse } = task.exchange;
-    const parser = createParser({
-      onEvent: event => {
-        collector.add(event);
-      },
-    });
     const decoder = new TextDecoder();
     return new Promise(resolve => {
       body.on('data', (chunk: Uint8Array) => {
-        parser.feed(decoder.decode(chunk, { stream: true }));
+        collector.feed(decoder.decode(chunk, { stream: true }));
         const writability = this.#deliver(task, collector);
         if (writability === 'gone') {
           resolve(CALLER_LEFT);
-        } else if (collector.hasGap) {
+        } else if (collector.isBroken) {
           resolve(CONNECTION_LOST);
         } else if (writability === 'full') {
           body.pause();
@@ -118,25 +115,47 @@
   }
 }
 
-/** Collects the text of events that can be delivered in order. */
+/** Parses events and collects the text of those that can be delivered in order. */
 class EventCollector {
+  readonly #parser = createParser({
+    maxBufferSize: MAX_EVENT_CHARACTERS,
+    onEvent: event => {
+      this.#add(event);
+    },
+    onError: ({ type }) => {
+      this.#isBroken ||= type === 'max-buffer-size-exceeded';
+    },
+  });
   readonly #prefix: string;
   readonly #sequencer: StreamSequencer;
   #text = '';
-  #hasGap = false;
+  #isBroken = false;
 
   constructor(prefix: string, sequencer: StreamSequencer) {
     this.#prefix = prefix;
     this.#sequencer = sequencer;
   }
 
-  /** Whether an event is missing; no event after it was collected. */
-  get hasGap(): boolean {
-    return this.#hasGap;
+  /** Whether an event is missing or too large; no event after it was collected. */
+  get isBroken(): boolean {
+    return this.#isBroken;
+  }
+
+  feed(text: string): void {
+    if (!this.#isBroken) {
+      this.#parser.feed(text);
+    }
+  }
+
+  /** Returns the collected text and clears it. */
+  takeText(): string {
+    const text = this.#text;
+    this.#text = '';
+    return text;
   }
 
-  add(event: EventSourceMessage): void {
-    if (this.#hasGap) {
+  #add(event: EventSourceMessage): void {
+    if (this.#isBroken) {
       return;
     }
     const sequence = Number(event.id);
@@ -145,17 +164,10 @@
       event.data === END_OF_STREAM,
     );
     if (disposition === 'gap') {
-      this.#hasGap = true;
+      this.#isBroken = true;
     }
     if (disposition === 'deliver') {
       this.#text += `id: ${this.#prefix}${sequence}\ndata: ${event.data}\n\n`;
     }
   }
-
-  /** Returns the collected text and clears it. */
-  takeText(): string {
-    const text = this.#text;
-    this.#text = '';
-    return text;
-  }
 }
--- a/packages/router/src/platform-client/http-platform-client.ts
+++ b/packages/router/src/platform-client/http-platform-client.ts
@@ -46,6 +46,8 @@
 /** An exchange without a usable response. */
 type HttpFailure = Exclude<HttpExchangeResult, HttpResponse>;
 
+/** Largest response of the platform. */
+const MAX_RESPONSE_BYTES = 67_108_864;
 const OK = 200;
 const NO_CONTENT = 204;
 const NOT_MODIFIED = 304;
@@ -68,6 +70,7 @@
       connections: options.connections,
       connect: { timeout: options.timeout },
       pipelining: 1,
+      maxResponseSize: MAX_RESPONSE_BYTES,
     });
   }
 
