Soak with streams of every framing that break off at any byte, and slow callers

Change: 4 of 10 requests are streams in four framings (length, chunks, chunks on a connection that closes, neither); endpoints cut 3 of 10 of them at any byte and close or reset the connection; callers read late, and some leave a stream without end unread. Two invariants more: whole-stream (the events of the request in order; a marked end only after the last one; no complete response within an event) and alive (no process ends by itself).

--- /dev/null
+++ b/packages/stand-ins/src/deployment/broken-stream.ts
@@ -0,0 +1,115 @@
+/** Event streams that an endpoint breaks off at any byte, in any framing. */
+import type { Socket } from 'node:net';
+
+import type { Random } from '@sesamegrade/core/random/random';
+import {
+  chunk,
+  event,
+  LAST_CHUNK,
+  responseHead,
+  streamHead,
+} from './scripted-server';
+import type { ScriptedRequest } from './scripted-server';
+
+export const STREAM_FRAMINGS = [
+  'length',
+  'chunked',
+  'chunked-close',
+  'connection',
+] as const;
+export type StreamFraming = (typeof STREAM_FRAMINGS)[number];
+
+/** How the endpoint ends the connection. */
+export type ConnectionEnding = 'close' | 'reset';
+
+export interface StreamCut {
+  /** Number of bytes that the endpoint sends. */
+  readonly bytes: number;
+  readonly ending: ConnectionEnding;
+}
+
+/** The bytes of a whole response with the given body. */
+export function streamBytes(
+  request: ScriptedRequest,
+  framing: StreamFraming,
+  body: string,
+): string {
+  switch (framing) {
+    case 'length':
+      return responseHead(request, [`Content-Length: ${body.length}`]) + body;
+    case 'chunked':
+    case 'chunked-close': {
+      const extra = framing === 'chunked' ? [] : ['Connection: close'];
+      const middle = Math.floor(body.length / 2);
+      const chunks = [body.slice(0, middle), body.slice(middle)]
+        .filter(part => part !== '')
+        .map(part => chunk(part));
+      return streamHead(request, extra) + chunks.join('') + LAST_CHUNK;
+    }
+    case 'connection':
+      return responseHead(request) + body;
+  }
+}
+
+/** Sends a response, or its first bytes, and ends the connection where the framing or the cut says so. */
+export function sendStream(
+  socket: Socket,
+  bytes: string,
+  framing: StreamFraming,
+  cut?: StreamCut,
+): void {
+  if (cut && cut.bytes < bytes.length) {
+    socket.write(bytes.slice(0, cut.bytes));
+  } else {
+    socket.write(bytes);
+    if (framing !== 'connection') {
+      return;
+    }
+  }
+  setImmediate(() => {
+    if (cut?.ending === 'reset') {
+      socket.resetAndDestroy();
+    } else {
+      socket.end();
+    }
+  });
+}
+
+/** Sends the events after the requested one; breaks off the given share of the responses. */
+export function sendRandomStream(
+  request: ScriptedRequest,
+  socket: Socket,
+  events: readonly string[],
+  random: Random,
+  brokenShare: number,
+): void {
+  const last = Number(request.headers.get('last-event-id') ?? 0);
+  const framing = random.pick(STREAM_FRAMINGS);
+  const body = events
+    .map((text, index) => event(index + 1, text))
+    .slice(last)
+    .join('');
+  const bytes = streamBytes(request, framing, body);
+  const cut: StreamCut | undefined =
+    random.fraction() < brokenShare
+      ? {
+          bytes: random.integer(0, bytes.length),
+          ending: random.pick(['close', 'reset'] as const),
+        }
+      : undefined;
+  sendStream(socket, bytes, framing, cut);
+}
+
+/** Sends events without length and without end, as fast as they are read. */
+export function sendEndlessStream(
+  request: ScriptedRequest,
+  socket: Socket,
+): void {
+  const block = event(1, 'x'.repeat(16_000));
+  const send = () => {
+    while (!socket.destroyed && socket.write(block));
+  };
+  socket.on('drain', send);
+  socket.write(responseHead(request));
+  send();
+}
--- a/packages/stand-ins/src/deployment/router-process.ts
+++ b/packages/stand-ins/src/deployment/router-process.ts
@@ -31,11 +31,17 @@
   #ports: readonly number[] = [];
   #process: ChildProcess | undefined;
   #restarts: Promise<void> = Promise.resolve();
+  readonly #expectedExits = new WeakSet<ChildProcess>();
+  #unexpectedExits = 0;
 
   constructor(options: RouterProcessOptions) {
     this.#options = options;
   }
 
+  get name(): string {
+    return this.#options.name;
+  }
+
   get callerAddress(): string {
     return `127.0.0.1:${this.#ports[0] ?? 0}`;
   }
@@ -49,6 +55,11 @@
     return this.#process?.pid;
   }
 
+  /** Number of times that the process ended although nobody ended it. */
+  get unexpectedExits(): number {
+    return this.#unexpectedExits;
+  }
+
   async open(): Promise<void> {
     this.#ports = await Promise.all([1, 2, 3, 4].map(() => freePort()));
     this.start();
@@ -79,6 +90,11 @@
     child.stdout.on('data', (output: Buffer) => {
       appendFileSync(join(folder, `${name}.log`), output);
     });
+    child.once('exit', () => {
+      if (!this.#expectedExits.has(child)) {
+        this.#unexpectedExits += 1;
+      }
+    });
     this.#process = child;
   }
 
@@ -113,6 +129,7 @@
     if (child?.exitCode !== null || child.signalCode !== null) {
       return;
     }
+    this.#expectedExits.add(child);
     const exit = once(child, 'exit');
     child.kill(signal);
     await exit;
--- a/packages/stand-ins/src/soak/soak-invariant-checker.test.ts
+++ b/packages/stand-ins/src/soak/soak-invariant-checker.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai';
 
+import { event } from '../deployment/scripted-server';
 import { SoakInvariantChecker } from './soak-invariant-checker';
 
 const violatedPromises = (checker: SoakInvariantChecker) =>
@@ -33,6 +34,31 @@
     expect(violatedPromises(checker)).to.deep.equal(['own-answer']);
   });
 
+  it('finds a stream that is mixed, or complete without all its events', () => {
+    const events = SoakInvariantChecker.streamEvents('a').map((text, index) =>
+      event(index + 1, text),
+    );
+    const whole = events.join('');
+    const part = events.slice(0, 2).join('');
+    const cut = whole.slice(0, -3);
+    const streams: [string, boolean, boolean, boolean][] = [
+      [whole, true, true, true],
+      [part, false, true, true],
+      [part, true, false, true],
+      [cut, false, true, true],
+      [part, true, true, false],
+      [cut, true, false, false],
+      [part + part, false, true, false],
+    ];
+    for (const [body, isComplete, isFramed, isSound] of streams) {
+      const checker = new SoakInvariantChecker();
+      checker.recordStream({ request: 'a', body, isComplete, isFramed });
+      expect(violatedPromises(checker)).to.deep.equal(
+        isSound ? [] : ['whole-stream'],
+      );
+    }
+  });
+
   it('finds a request that ran at an endpoint more than two seconds after it left', () => {
     const checker = new SoakInvariantChecker();
     checker.recordLeaving('e', 1000);
--- a/packages/stand-ins/src/soak/soak-invariant-checker.ts
+++ b/packages/stand-ins/src/soak/soak-invariant-checker.ts
@@ -1,5 +1,7 @@
 /** Records what callers and endpoints observed in a soak, and finds violated invariants. */
 
+import { event } from '../deployment/scripted-server';
+
 /** One execution of a request by an endpoint. */
 export interface SoakRun {
   readonly request: string;
@@ -15,8 +17,25 @@
   readonly body: string | undefined;
 }
 
+/** An event stream as its caller received it. */
+export interface SoakStream {
+  readonly request: string;
+  readonly body: string;
+  /** Whether the message ended as its framing requires. */
+  readonly isComplete: boolean;
+  /** Whether a length or a last chunk marks the end, not only the end of the connection. */
+  readonly isFramed: boolean;
+}
+
 export interface SoakViolation {
-  readonly promise: 'at-most-once' | 'not-run' | 'own-answer' | 'leaving';
+  readonly promise:
+    | 'at-most-once'
+    | 'not-run'
+    | 'own-answer'
+    | 'leaving'
+    | 'whole-stream'
+    | 'alive';
+  /** The request or, for `alive`, the router. */
   readonly request: string;
   readonly detail: string;
 }
@@ -24,6 +43,7 @@
 /** Time after which an endpoint that is known to be leaving receives no more requests. */
 const LEAVING_BOUND_MS = 2000;
 const STATUS_OK = 200;
+const STREAM_EVENTS = 6;
 /** Status codes with which a router guarantees that the request did not run. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
@@ -31,7 +51,9 @@
   readonly #atMostOnce = new Set<string>();
   readonly #runs = new Map<string, SoakRun[]>();
   readonly #responses: SoakResponse[] = [];
+  readonly #streams: SoakStream[] = [];
   readonly #leaving = new Map<string, number>();
+  readonly #deadRouters = new Set<string>();
 
   /** Records a request before it is sent; `isAtMostOnce` if it must not run twice. */
   recordRequest(request: string, isAtMostOnce: boolean): void {
@@ -50,6 +72,15 @@
     this.#responses.push(response);
   }
 
+  recordStream(stream: SoakStream): void {
+    this.#streams.push(stream);
+  }
+
+  /** Records that a router's process ended although nobody ended it. */
+  recordDeath(router: string): void {
+    this.#deadRouters.add(router);
+  }
+
   /** Records that an endpoint is leaving, once all routers could read this in the store. */
   recordLeaving(endpoint: string, at: number): void {
     this.#leaving.set(endpoint, at);
@@ -60,18 +91,34 @@
     return `answer to ${request}`;
   }
 
+  /** Returns the data of the events of the stream that answers a request. */
+  static streamEvents(request: string): string[] {
+    return Array.from(
+      { length: STREAM_EVENTS },
+      (_value, index) => `part ${index + 1} of ${request}`,
+    );
+  }
+
   /** Number of complete responses with status 200. */
   get served(): number {
-    return this.#responses.filter(
+    const responses = this.#responses.filter(
       ({ status, body }) => status === STATUS_OK && body !== undefined,
-    ).length;
+    );
+    const streams = this.#streams.filter(({ isComplete }) => isComplete);
+    return responses.length + streams.length;
   }
 
   violations(): SoakViolation[] {
     return [
       ...this.#repeatedRuns(),
       ...this.#responses.flatMap(response => this.#falseResponse(response)),
+      ...this.#streams.flatMap(stream => falseStream(stream)),
       ...this.#lateRuns(),
+      ...[...this.#deadRouters].map(router => ({
+        promise: 'alive' as const,
+        request: router,
+        detail: 'its process ended by itself',
+      })),
     ];
   }
 
@@ -118,3 +165,20 @@
     });
   }
 }
+
+/** A stream holds the events of its request in order; a complete one holds no part of an event, and all events if its end is marked. */
+function falseStream(stream: SoakStream): SoakViolation[] {
+  const { request, body, isComplete, isFramed } = stream;
+  const expected = SoakInvariantChecker.streamEvents(request)
+    .map((text, index) => event(index + 1, text))
+    .join('');
+  const endsWithinEvent = body !== '' && !body.endsWith('\n\n');
+  const isWhole = isFramed ? body === expected : !endsWithinEvent;
+  if (expected.startsWith(body) && (!isComplete || isWhole)) {
+    return [];
+  }
+  const framing = isFramed ? 'framed' : 'unframed';
+  const ending = isComplete ? 'complete' : 'broken off';
+  const detail = `${framing}, ${ending}: ${JSON.stringify(body)}`;
+  return [{ promise: 'whole-stream', request, detail }];
+}
--- a/packages/stand-ins/src/soak/soak.ts
+++ b/packages/stand-ins/src/soak/soak.ts
@@ -18,6 +18,11 @@
   TEST_HOST,
   TEST_KEY,
 } from '../deployment/deployment-documents';
+import {
+  sendEndlessStream,
+  sendRandomStream,
+} from '../deployment/broken-stream';
+import { callOverHttp } from '../deployment/http-caller';
 import { RouterProcess } from '../deployment/router-process';
 import { RowStoreServer } from '../deployment/row-store-server';
 import {
@@ -64,6 +69,15 @@
   rejected: 0.05,
 };
 
+/** Share of the requests that ask for a stream. */
+const STREAM_SHARE = 0.4;
+/** Share of the streams that an endpoint breaks off. */
+const BROKEN_STREAM_SHARE = 0.3;
+/** Share of the streams that do not end and whose caller reads nothing and leaves. */
+const ENDLESS_SHARE = 0.05;
+const STREAM_TARGET = /^\/(?:draft|summary)\//u;
+const STATUS_OK = 200;
+
 export class Soak {
   readonly #options: SoakOptions;
   readonly #random: Random;
@@ -91,7 +105,11 @@
     const end = this.#now() + this.#options.seconds * 1000;
     let nextFaultAt = this.#now();
     while (this.#now() < end) {
-      this.#pending.push(this.#sendRequest());
+      this.#pending.push(
+        this.#random.fraction() < STREAM_SHARE
+          ? this.#sendStreamRequest()
+          : this.#sendRequest(),
+      );
       if (this.#now() >= nextFaultAt) {
         nextFaultAt = this.#now() + FAULT_INTERVAL_MS;
         this.#pending.push(this.#injectFault());
@@ -127,6 +145,11 @@
 
   async #close(): Promise<SoakResult> {
     await Promise.all(this.#routers.map(router => router.close()));
+    for (const router of this.#routers) {
+      if (router.unexpectedExits > 0) {
+        this.#checker.recordDeath(router.name);
+      }
+    }
     await Promise.all([...this.#servers.values()].map(each => each.stop()));
     await this.#store.stop();
     await this.#agent.destroy();
@@ -143,6 +166,53 @@
     };
   }
 
+  /** Requests a stream; the caller may read slowly or leave. */
+  async #sendStreamRequest(): Promise<void> {
+    this.#requestCount += 1;
+    const id = `${this.#options.seed.toString(16)}-${this.#requestCount}`;
+    const router = this.#random.pick(this.#routers);
+    const path = this.#random.pick(['draft', 'summary'] as const);
+    const pauseMs = this.#random.pick([0, 0, 100, 400]);
+    const isEndless = this.#random.fraction() < ENDLESS_SHARE;
+    this.#checker.recordRequest(id, path === 'summary');
+    const response = await callOverHttp({
+      url: `http://${router.callerAddress}`,
+      path: `/${path}/${isEndless ? 'endless' : '1'}`,
+      headers: {
+        host: TEST_HOST,
+        'sesamegrade-request-id': id,
+        'sesamegrade-deadline-ms': String(DEADLINE_MS),
+        authorization: `Bearer ${TEST_KEY}`,
+      },
+      onResponse: received => {
+        received.pause();
+        setTimeout(() => {
+          if (isEndless) {
+            received.destroy();
+          } else {
+            received.resume();
+          }
+        }, pauseMs);
+      },
+    });
+    if (!response || isEndless) {
+      return;
+    }
+    const { status, headers, body, isComplete } = response;
+    if (status !== STATUS_OK) {
+      this.#checker.recordResponse({ request: id, status, body });
+      return;
+    }
+    this.#checker.recordStream({
+      request: id,
+      body,
+      isComplete,
+      isFramed:
+        headers['content-length'] !== undefined ||
+        headers['transfer-encoding'] !== undefined,
+    });
+  }
+
   async #sendRequest(): Promise<void> {
     this.#requestCount += 1;
     const id = `${this.#options.seed.toString(16)}-${this.#requestCount}`;
@@ -182,6 +252,21 @@
         return;
       }
       this.#checker.recordRun({ request: id, endpoint: name, at: this.#now() });
+      if (scriptedRequest.target.endsWith('/endless')) {
+        sendEndlessStream(scriptedRequest, socket);
+        return;
+      }
+      if (STREAM_TARGET.test(scriptedRequest.target)) {
+        const events = SoakInvariantChecker.streamEvents(id);
+        sendRandomStream(
+          scriptedRequest,
+          socket,
+          events,
+          this.#random,
+          BROKEN_STREAM_SHARE,
+        );
+        return;
+      }
       const response = completeResponse(
         scriptedRequest,
         SoakInvariantChecker.responseBody(id),
