Start the soak's routers at ports that no outgoing connection takes

The stand-in chose ports from the range for outgoing connections, and one of those took the port while the process was down. Not a fault of the router; the check stays as it is.

--- a/packages/stand-ins/src/deployment/router-process.ts
+++ b/packages/stand-ins/src/deployment/router-process.ts
@@ -5,10 +5,12 @@
 import { appendFileSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 
-import { freePort } from '../http/free-port';
+import { fixedPorts } from '../http/free-port';
 
 const PROGRAM = join('target', 'router.cjs');
 const SECRET = 'peers';
+/** Addresses of a router: callers, readiness, peers and metrics. */
+const PORTS = 4;
 /** Configured time from SIGTERM to SIGKILL. */
 const GRACE_S = 4;
 
@@ -61,7 +63,7 @@
   }
 
   async open(): Promise<void> {
-    this.#ports = await Promise.all([1, 2, 3, 4].map(() => freePort()));
+    this.#ports = await fixedPorts(PORTS);
     this.start();
   }
 
