Open the store's connections with a connector beside the bounded socket

The platform's folder holds formats and calls; how a connection is opened and bounded belongs to the socket.

--- a/packages/gateway/src/endpoints/endpoint-connection.ts
+++ b/packages/gateway/src/endpoints/endpoint-connection.ts
@@ -21,14 +21,12 @@
 
 /** Largest head of a response in bytes. */
 const MAX_HEAD_BYTES = 16_384;
-/**
- * Bytes that an endpoint may send without completing a head or adding to a body.
- * Heads within their limit arrive with up to one read of other bytes.
- */
+/** Bytes that an endpoint may send without completing a head or adding to a body. */
 const MAX_OVERHEAD_BYTES = 262_144;
 
 /** Lowest HTTP status that is not one of an interim response. */
 const MIN_FINAL_STATUS = 200;
+
 /** Result of one request on the connection. */
 export type ExchangeResult =
   | { readonly kind: 'complete' }
--- a/packages/gateway/src/http/bounded-socket.ts
+++ b/packages/gateway/src/http/bounded-socket.ts
@@ -1,6 +1,8 @@
 /** TCP connection to an HTTP server that limits what the server may send without being read as a response. */
 import { Socket } from 'node:net';
 
+import type { buildConnector } from 'undici';
+
 import type { Address } from '@sesamegrade/core/types/endpoint';
 import type { Milliseconds } from '@sesamegrade/core/types/units';
 
@@ -86,6 +88,23 @@
   }
 }
 
+/** Returns the function by which an undici agent opens bounded connections. */
+export function boundedConnector(
+  options: BoundedSocketOptions,
+): buildConnector.connector {
+  return (_options, callback) => {
+    const socket = new BoundedSocket(options);
+    const onError = (error: Error) => {
+      callback(error, null);
+    };
+    socket.once('error', onError);
+    socket.once('connect', () => {
+      socket.off('error', onError);
+      callback(null, socket);
+    });
+  };
+}
+
 class TooManyBytesError extends Error {
   readonly code = TOO_MANY_BYTES;
 }
