--- a/packages/stand-ins/src/deployment/router-process.ts
+++ b/packages/stand-ins/src/deployment/router-process.ts
@@ -34,7 +34,7 @@
   #process: ChildProcess | undefined;
   #restarts: Promise<void> = Promise.resolve();
   readonly #expectedExits = new WeakSet<ChildProcess>();
-  #unexpectedExits = 0;
+  readonly #unexpectedExits: string[] = [];
 
   constructor(options: RouterProcessOptions) {
     this.#options = options;
@@ -57,8 +57,8 @@
     return this.#process?.pid;
   }
 
-  /** Number of times that the process ended although nobody ended it. */
-  get unexpectedExits(): number {
+  /** Exit codes and signals with which the process ended although nobody ended it. */
+  get unexpectedExits(): readonly string[] {
     return this.#unexpectedExits;
   }
 
@@ -92,9 +92,9 @@
     child.stdout.on('data', (output: Buffer) => {
       appendFileSync(join(folder, `${name}.log`), output);
     });
-    child.once('exit', () => {
+    child.once('exit', (code, signal) => {
       if (!this.#expectedExits.has(child)) {
-        this.#unexpectedExits += 1;
+        this.#unexpectedExits.push(signal ?? `exit code ${code ?? 0}`);
       }
     });
     this.#process = child;
--- a/packages/stand-ins/src/soak/soak-invariant-checker.ts
+++ b/packages/stand-ins/src/soak/soak-invariant-checker.ts
@@ -53,7 +53,7 @@
   readonly #responses: SoakResponse[] = [];
   readonly #streams: SoakStream[] = [];
   readonly #leaving = new Map<string, number>();
-  readonly #deadRouters = new Set<string>();
+  readonly #deaths: SoakViolation[] = [];
 
   /** Records a request before it is sent; `isAtMostOnce` if it must not run twice. */
   recordRequest(request: string, isAtMostOnce: boolean): void {
@@ -77,8 +77,8 @@
   }
 
   /** Records that a router's process ended although nobody ended it. */
-  recordDeath(router: string): void {
-    this.#deadRouters.add(router);
+  recordDeath(router: string, ending: string): void {
+    this.#deaths.push({ promise: 'alive', request: router, detail: ending });
   }
 
   /** Records that an endpoint is leaving, once all routers could read this in the store. */
@@ -114,11 +114,7 @@
       ...this.#responses.flatMap(response => this.#falseResponse(response)),
       ...this.#streams.flatMap(stream => falseStream(stream)),
       ...this.#lateRuns(),
-      ...[...this.#deadRouters].map(router => ({
-        promise: 'alive' as const,
-        request: router,
-        detail: 'its process ended by itself',
-      })),
+      ...this.#deaths,
     ];
   }
 
--- a/packages/stand-ins/src/soak/soak.ts
+++ b/packages/stand-ins/src/soak/soak.ts
@@ -146,8 +146,8 @@
   async #close(): Promise<SoakResult> {
     await Promise.all(this.#routers.map(router => router.close()));
     for (const router of this.#routers) {
-      if (router.unexpectedExits > 0) {
-        this.#checker.recordDeath(router.name);
+      for (const ending of router.unexpectedExits) {
+        this.#checker.recordDeath(router.name, ending);
       }
     }
     await Promise.all([...this.#servers.values()].map(each => each.stop()));
