Reuse no connection in the turn in which its response closes it

What callers saw: 503 'not-connected' from the only endpoint of a service, which was up.

Cause: undici closes the socket right after a response that announces it, and reports that only with the socket's 'close'. In between the connection lay in the pool as idle; a request that took it failed as not connected, which also counted against the endpoint's health. Older than this change.

Ruled out: reading the Connection header, which does not cover HTTP/1.0 and the client's own reasons to close.

Change: a connection whose socket is destroyed is not reusable.

--- a/packages/gateway/src/endpoints/endpoint-connection.test.ts
+++ b/packages/gateway/src/endpoints/endpoint-connection.test.ts
@@ -1,15 +1,22 @@
+import type { Socket } from 'node:net';
 import { setTimeout as pause } from 'node:timers/promises';
 
 import { expect } from 'chai';
 
-import { milliseconds } from '@sesamegrade/core/types/units';
+import { instant, milliseconds } from '@sesamegrade/core/types/units';
 import { ScriptedServer } from '@sesamegrade/stand-ins/deployment/scripted-server';
 import { EndpointConnection } from './endpoint-connection';
 import type { ExchangeResult } from './endpoint-connection';
 
 const UNFRAMED_HEAD = 'HTTP/1.1 200 OK\r\n\r\n';
-/** Time in which an event on the loopback interface has surely arrived. */
-const ARRIVAL_MS = 50;
+const POLL_MS = 5;
+
+/** Waits for the condition; the test runner's timeout ends a wait that never succeeds. */
+async function until(condition: () => boolean): Promise<void> {
+  while (!condition()) {
+    await pause(POLL_MS);
+  }
+}
 
 describe('EndpointConnection with a paused response without length', () => {
   let server: ScriptedServer;
@@ -17,21 +24,15 @@
   let results: ExchangeResult[];
 
   /** Sends a request whose response is paused by its first bytes. */
-  async function receivePaused(
-    end: 'reset' | 'close' | 'nothing',
-  ): Promise<void> {
+  async function receivePaused(): Promise<Socket> {
+    let endpointSocket: Socket | undefined;
     server = await new ScriptedServer((_request, socket) => {
+      endpointSocket = socket;
       socket.write(`${UNFRAMED_HEAD}part`);
-      setTimeout(() => {
-        if (end === 'reset') {
-          socket.resetAndDestroy();
-        } else if (end === 'close') {
-          socket.end();
-        }
-      }, ARRIVAL_MS);
     }).start();
     const [host = '', port] = server.address.split(':');
     results = [];
+    let hasData = false;
     connection = new EndpointConnection(
       { host, port: Number(port) },
       milliseconds(1000),
@@ -42,11 +43,18 @@
       {
         onSent: () => undefined,
         onHead: () => undefined,
-        onData: () => false,
+        onData: () => {
+          hasData = true;
+          return false;
+        },
         onEnd: result => results.push(result),
       },
     );
-    await pause(ARRIVAL_MS * 3);
+    await until(() => hasData);
+    if (!endpointSocket) {
+      throw new Error('the endpoint got no request');
+    }
+    return endpointSocket;
   }
 
   afterEach(async () => {
@@ -56,9 +64,9 @@
 
   // Guards against an assertion in undici that ended the router's process.
   it('breaks when the endpoint resets the connection', async () => {
-    await receivePaused('reset');
-    connection.resume();
-    await pause(ARRIVAL_MS);
+    const endpoint = await receivePaused();
+    endpoint.resetAndDestroy();
+    await until(() => results.length > 0);
     expect(results).to.deep.equal([
       { kind: 'broken', cause: 'CONNECTION_RESET' },
     ]);
@@ -66,15 +74,53 @@
 
   // Guards against an aborted response that passes for a complete one.
   it('breaks when it is destroyed', async () => {
-    await receivePaused('nothing');
+    await receivePaused();
     connection.destroy();
-    await pause(ARRIVAL_MS);
+    await until(() => results.length > 0);
     expect(results.map(({ kind }) => kind)).to.deep.equal(['broken']);
   });
 
   // Guards against the same assertion when the connection ends and nothing is left to read.
   it('ends when the endpoint closes the connection', async () => {
-    await receivePaused('close');
+    const endpoint = await receivePaused();
+    endpoint.end();
+    await until(() => results.length > 0);
     expect(results).to.deep.equal([{ kind: 'complete' }]);
   });
 });
+
+describe('EndpointConnection after a response that closes it', () => {
+  // Guards against a request that is refused as not connected because it took a connection in the turn in which that closes.
+  it('is not reusable in the turn in which the response ends', async () => {
+    const server = await new ScriptedServer((_request, socket) => {
+      socket.write(
+        'HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok',
+      );
+    }).start();
+    const [host = '', port] = server.address.split(':');
+    const connection = new EndpointConnection(
+      { host, port: Number(port) },
+      milliseconds(1000),
+      () => undefined,
+    );
+    await new Promise<void>(resolve => {
+      connection.send(
+        { method: 'GET', target: '/', headers: [], body: undefined },
+        {
+          onSent: () => undefined,
+          onHead: () => undefined,
+          onData: () => true,
+          onEnd: () => {
+            connection.markIdle(instant(0), undefined);
+            resolve();
+          },
+        },
+      );
+    });
+    expect(connection.isReusable(instant(0), milliseconds(1000))).to.equal(
+      false,
+    );
+    connection.destroy();
+    await server.stop();
+  });
+});
--- a/packages/gateway/src/endpoints/endpoint-connection.ts
+++ b/packages/gateway/src/endpoints/endpoint-connection.ts
@@ -112,6 +112,10 @@
     if (this.#closed || !this.#connected || this.#idleSince === undefined) {
       return false;
     }
+    // undici closes the socket right after a response that announces it, and reports that later.
+    if (this.#socket?.destroyed) {
+      return false;
+    }
     return (
       elapsed(this.#idleSince, now) <=
       Math.min(this.#keepAliveTimeout, maxIdleTime)
