Make the tests of response ends independent of the machine's speed

The caller of the tests sees a reset also when it arrives with the last bytes, as the router does, so that a turn of over 50 ms on a busy machine does not look like a regular end. No check is changed.

--- a/packages/stand-ins/src/deployment/http-caller.ts
+++ b/packages/stand-ins/src/deployment/http-caller.ts
@@ -1,6 +1,13 @@
-/** A caller that reports how its response ended; undici does not tell a reset from the end of a body without length and chunks. */
+/**
+ * A caller that reports how its response ended. HTTP clients do not tell a reset
+ * from the end of a body without length and chunks, so it looks at the socket.
+ */
 import { request } from 'node:http';
 import type { IncomingHttpHeaders, IncomingMessage } from 'node:http';
+import { connect } from 'node:net';
+import type { Socket } from 'node:net';
+
+const LOOPBACK = '127.0.0.1';
 
 export interface ReceivedResponse {
   readonly status: number;
@@ -31,13 +38,23 @@
   call: OutgoingRequest,
 ): Promise<ReceivedResponse | undefined> {
   return new Promise(resolve => {
+    let hasResponse = false;
+    let wasReset = false;
     const outgoing = request(new URL(call.path, call.url), {
-      agent: false,
+      createConnection: ({ port }) => {
+        const socket = connect({
+          host: LOOPBACK,
+          port: Number(port),
+          allowHalfOpen: true,
+        });
+        socket.on('end', () => {
+          wasReset ||= isReset(socket);
+        });
+        return socket;
+      },
       method: call.method ?? 'POST',
       headers: { connection: 'keep-alive', ...call.headers },
     });
-    let hasResponse = false;
-    let wasReset = false;
     outgoing.on('error', () => {
       wasReset = true;
       if (!hasResponse) {
@@ -66,3 +83,12 @@
     outgoing.end();
   });
 }
+
+/**
+ * Whether the peer reset a connection whose end was read: Node.js reports a reset
+ * that arrives with the last bytes as a regular end, but a write then fails.
+ */
+export function isReset(socket: Socket): boolean {
+  socket.write('');
+  return socket.errored !== null;
+}
