--- a/packages/stand-ins/src/deployment/scripted-server.ts
+++ b/packages/stand-ins/src/deployment/scripted-server.ts
@@ -51,9 +51,11 @@
     this.#script = script;
   }
 
-  async start(): Promise<this> {
-    await new Promise<void>(resolve => {
-      this.#server.listen(0, '127.0.0.1', resolve);
+  /** Listens on a port of 127.0.0.1; 0 takes any free one. */
+  async start(port = 0): Promise<this> {
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once('error', reject);
+      this.#server.listen(port, '127.0.0.1', resolve);
     });
     return this;
   }
