Refuse a request under which endpoints crashed, at every router

Cause: the platform's path remembered nothing of a request whose endpoint ended; core/poison was reached by the own interface only, and its trials need a message to the router that owns a crash, while these routers are connected to relays only. Ruled out by the test: routers that know each for themselves (one router sends it again, too), and late spread (there was none).

Change: core/poison gets a second scheme of trials beside the granted ones, on the same rows, thresholds and merges. Rows pass through relays as a topic of the peers' updates, at once. Evidence is a break of an attempt, with less than two events, of an endpoint that is proved to have ended: it refuses a connection after the break, another instance answers at its address, or its entry lapses without leaving. A reset of a connection alone, a frozen endpoint, a cut link and a planned stop are none. The second distinct crash condemns; a complete framed response clears. A trial follows after 2 to 4 s, then 1 to 2 min, 10 to 20 min, 2 to 4 h after each that crashes; the number of routers that may send it starts at one and doubles each second. Before a third send of one client attempt the proof is awaited. Without suspects nothing is hashed.

One test stays red: a router that starts is ready before its peers tell it.

--- a/packages/core/src/peers/peer-updates.test.ts
+++ b/packages/core/src/peers/peer-updates.test.ts
@@ -6,6 +6,7 @@
 import { CacheSurveyPlan } from '../engines/cache-survey-plan';
 import { LoadEstimate } from '../engines/load-estimate';
 import { PartLocations } from '../engines/part-locations';
+import { RelayedSuspects } from '../poison/relayed-suspects';
 import { Random } from '../random/random';
 import { RouteTable } from '../routes/route-table';
 import { FeedCoverage } from '../store/feed-coverage';
@@ -33,6 +34,7 @@
   const endpointDirectory = new EndpointDirectory();
   const surveyPlan = new CacheSurveyPlan(self);
   const random = new Random(1);
+  const suspects = new RelayedSuspects({ self, routers: () => [] });
   const coverage = {
     endpoints: new FeedCoverage({ bound: seconds(2), random }),
     configuration: new FeedCoverage({ bound: seconds(2), random }),
@@ -51,6 +53,7 @@
     locations,
     endpointDirectory,
     surveyPlan,
+    suspects,
   });
   return {
     self,
--- a/packages/core/src/peers/peer-updates.ts
+++ b/packages/core/src/peers/peer-updates.ts
@@ -1,8 +1,8 @@
 /**
  * Collects the updates that a router sends to its peers between messages, and
  * applies those that it receives: requests at endpoints, rows of the store, prompt
- * parts that engines have read, departures, and the version of the configuration
- * in force. A relay passes on what it receives.
+ * parts that engines have read, departures, content that may crash endpoints, and
+ * the version of the configuration in force. A relay passes on what it receives.
  */
 import { z } from 'zod';
 
@@ -11,6 +11,7 @@
 import type { CacheSurveyPlan } from '../engines/cache-survey-plan';
 import type { PartLocations, PartState } from '../engines/part-locations';
 import type { TopicEntries } from '../gossip/gossip-scheduler';
+import type { RelayedSuspects } from '../poison/relayed-suspects';
 import { endpointId, promptPartId } from '../types/ids';
 import type { EndpointId, PromptPartId, RouterId } from '../types/ids';
 import type { Instant } from '../types/units';
@@ -45,6 +46,7 @@
   version: 'c',
   departures: 'g',
   surveyed: 's',
+  suspects: 'x',
 } as const;
 
 export interface PeerUpdatesOptions {
@@ -53,6 +55,7 @@
   readonly locations: PartLocations;
   readonly endpointDirectory: EndpointDirectory;
   readonly surveyPlan: CacheSurveyPlan;
+  readonly suspects: RelayedSuspects;
 }
 
 /** The configuration that a peer has in force. */
@@ -117,6 +120,7 @@
       this.#departures.size > 0 ||
       this.#surveyedEngines.size > 0 ||
       this.#hasNewVersion ||
+      this.#options.suspects.hasChanges ||
       this.#options.feedUpdates.isUrgent
     );
   }
@@ -163,7 +167,7 @@
 
   /** Returns and clears the updates for all peers since the last call. */
   takeChanges(now: Instant): TopicEntries {
-    const { loadUpdates, feedUpdates } = this.#options;
+    const { loadUpdates, feedUpdates, suspects } = this.#options;
     const topics: Record<string, readonly unknown[]> = {
       ...loadUpdates.takeChanges(),
       ...feedUpdates.takeChanges(now),
@@ -179,6 +183,9 @@
       topics[UpdateTopic.surveyed] = [...this.#surveyedEngines].map(id => [id]);
       this.#surveyedEngines.clear();
     }
+    if (suspects.hasChanges) {
+      topics[UpdateTopic.suspects] = suspects.takeChanges(now);
+    }
     if (this.#hasNewVersion && this.#version) {
       topics[UpdateTopic.version] = [versionEntry(this.#version)];
       this.#hasNewVersion = false;
@@ -197,13 +204,15 @@
     endpoints: readonly EndpointId[],
     now: Instant,
   ): TopicEntries {
-    const { locations, surveyPlan, loadUpdates, feedUpdates } = this.#options;
+    const { locations, surveyPlan, loadUpdates, feedUpdates, suspects } =
+      this.#options;
     const surveyed = endpoints.filter(id => surveyPlan.isKnown(id));
     return {
       ...loadUpdates.fullState(peer, endpoints),
       ...feedUpdates.fullState(now),
       [UpdateTopic.parts]: takeFirst(locations.pairs(), MAX_SENT_PARTS),
       [UpdateTopic.surveyed]: surveyed.map(id => [id]),
+      [UpdateTopic.suspects]: suspects.fullState(now),
       ...(this.#version
         ? { [UpdateTopic.version]: [versionEntry(this.#version)] }
         : {}),
@@ -211,11 +220,12 @@
   }
 
   receive(peer: RouterId, topics: TopicEntries, now: Instant): ReceivedUpdates {
-    const { loadUpdates, feedUpdates } = this.#options;
+    const { loadUpdates, feedUpdates, suspects } = this.#options;
     let version: PeerVersion | undefined;
     const malformed =
       loadUpdates.receive(peer, topics, now) +
       feedUpdates.receive(topics, now) +
+      suspects.receive(topics[UpdateTopic.suspects], this.#isRelay, now) +
       forEachValidEntry(topics[UpdateTopic.parts], partSchema, entry => {
         this.#applyPart(promptPartId(entry[0]), endpointId(entry[1]), entry[2]);
       }) +
--- /dev/null
+++ b/packages/core/src/poison/broken-attempts.ts
@@ -0,0 +1,61 @@
+/** Remembers the content of broken-off attempts until it is known whether their endpoint crashed. */
+import type { EndpointId, Fingerprint } from '../types/ids';
+import { elapsed, seconds } from '../types/units';
+import type { Instant, Milliseconds } from '../types/units';
+import type { CrashId } from './suspect';
+
+/** Time after a break within which the end of its endpoint explains it. */
+const MAX_BREAK_AGE: Milliseconds = seconds(6);
+/** Contents remembered per endpoint; at least the slots of the largest endpoints. */
+const MAX_BREAKS_PER_ENDPOINT = 256;
+
+interface Break {
+  readonly id: Fingerprint;
+  readonly brokenAt: Instant;
+}
+
+interface EndpointBreaks {
+  readonly crash: CrashId;
+  readonly breaks: Break[];
+}
+
+/** What was running on one instance of an endpoint when it crashed. */
+export interface Crash {
+  readonly crash: CrashId;
+  readonly ids: readonly Fingerprint[];
+}
+
+export class BrokenAttempts {
+  readonly #byEndpoint = new Map<EndpointId, EndpointBreaks>();
+
+  /** Adds the content of an attempt; `crash` identifies the end of the instance that ran it. */
+  add(
+    endpoint: EndpointId,
+    crash: CrashId,
+    ids: readonly Fingerprint[],
+    now: Instant,
+  ): void {
+    const known = this.#byEndpoint.get(endpoint);
+    const breaks = known?.crash === crash ? known.breaks : [];
+    breaks.push(...ids.map(id => ({ id, brokenAt: now })));
+    breaks.splice(0, breaks.length - MAX_BREAKS_PER_ENDPOINT);
+    this.#byEndpoint.set(endpoint, { crash, breaks });
+  }
+
+  /** Removes and returns what a crash of the endpoint explains; undefined if nothing. */
+  take(endpoint: EndpointId, now: Instant): Crash | undefined {
+    const known = this.#byEndpoint.get(endpoint);
+    this.#byEndpoint.delete(endpoint);
+    const ids = (known?.breaks ?? [])
+      .filter(({ brokenAt }) => elapsed(brokenAt, now) <= MAX_BREAK_AGE)
+      .map(({ id }) => id);
+    return known && ids.length > 0
+      ? { crash: known.crash, ids: [...new Set(ids)] }
+      : undefined;
+  }
+
+  /** Drops the breaks of an endpoint, as it has not crashed. */
+  drop(endpoint: EndpointId): void {
+    this.#byEndpoint.delete(endpoint);
+  }
+}
--- /dev/null
+++ b/packages/core/src/poison/relayed-suspects.ts
@@ -0,0 +1,199 @@
+/**
+ * Decides whether content that may crash endpoints is run, in a fleet whose routers
+ * exchange updates through relays. Content that was running when an endpoint crashed
+ * is a suspect at every router and still runs; a second crash condemns it, a complete
+ * response clears it. Condemned content is refused until a trial is due.
+ */
+import { z } from 'zod';
+
+import { forEachValidEntry } from '../peers/entry-lists';
+import { fingerprint } from '../types/ids';
+import type { Fingerprint, RouterId } from '../types/ids';
+import { elapsed, milliseconds, seconds } from '../types/units';
+import type { Instant, Milliseconds } from '../types/units';
+import { ScheduledTrials } from './scheduled-trials';
+import { crashId, suspicion } from './suspect';
+import type { CrashId, Suspect, SuspicionKind } from './suspect';
+import {
+  MAX_CRASHES_PER_SUSPECT,
+  SEVERITY,
+  SuspectTable,
+} from './suspect-table';
+
+export type ContentDecision =
+  | { readonly kind: 'run' }
+  /** Run it once; call `onTrialSent` when it is sent. */
+  | { readonly kind: 'trial' }
+  /** `retryAfter` is the time until the next trial. */
+  | { readonly kind: 'refuse'; readonly retryAfter: Milliseconds };
+
+/** A changed row as peers receive it: content, crashes, cleared crashes, age in milliseconds. */
+export type SuspectEntry = readonly [
+  string,
+  readonly string[],
+  readonly string[],
+  number,
+];
+
+const crashListSchema = z
+  .array(z.string().min(1).max(192))
+  .max(MAX_CRASHES_PER_SUSPECT);
+const entrySchema = z.tuple([
+  z.string().min(1).max(128),
+  crashListSchema.min(1),
+  crashListSchema,
+  z.number().min(0),
+]);
+
+/** Rows that are sent to a new peer, the most severe first. */
+const MAX_SENT_ROWS = 1000;
+const EXPIRY_PERIOD: Milliseconds = seconds(60);
+
+export interface RelayedSuspectsOptions {
+  readonly self: RouterId;
+  /** The routers of the fleet; may contain this one. */
+  readonly routers: () => readonly RouterId[];
+}
+
+export class RelayedSuspects {
+  readonly #table = new SuspectTable();
+  readonly #trials: ScheduledTrials;
+  readonly #changed = new Set<Fingerprint>();
+  #listener: () => void = () => undefined;
+  #expiredAt: Instant | undefined;
+
+  constructor({ self, routers }: RelayedSuspectsOptions) {
+    this.#trials = new ScheduledTrials({ self, routers });
+  }
+
+  /** Number of contents that were running during a crash, cleared ones included. */
+  get size(): number {
+    return this.#table.size;
+  }
+
+  /** Whether there are changes to send to peers. */
+  get hasChanges(): boolean {
+    return this.#changed.size > 0;
+  }
+
+  /** Registers a function that is called when this router observes a change. */
+  onChanged(listener: () => void): void {
+    this.#listener = listener;
+  }
+
+  suspicion(id: Fingerprint): SuspicionKind {
+    return suspicion(this.#table.get(id));
+  }
+
+  decide(id: Fingerprint, now: Instant): ContentDecision {
+    const row = this.#table.get(id);
+    if (!row || suspicion(row) !== 'condemned') {
+      return { kind: 'run' };
+    }
+    this.#table.touch(id, now);
+    return this.#trials.isDue(row, now)
+      ? { kind: 'trial' }
+      : { kind: 'refuse', retryAfter: this.#trials.remaining(row, now) };
+  }
+
+  /** Records that a trial was sent; the next one must wait, whatever its result. */
+  onTrialSent(id: Fingerprint, now: Instant): void {
+    this.#trials.onTrialSent(id, now);
+  }
+
+  /** Records that an endpoint crashed while the content was running on it. */
+  recordCrash(id: Fingerprint, crash: CrashId, now: Instant): void {
+    if (this.#table.recordCrash(id, crash, now)) {
+      this.#onRowChanged(id, now);
+      this.#changed.add(id);
+      this.#listener();
+    }
+  }
+
+  /** Clears content of the crashes so far; returns true if it was a suspect. */
+  clear(id: Fingerprint, now: Instant): boolean {
+    const isCleared = this.#table.clear(id, now);
+    if (isCleared) {
+      this.#changed.add(id);
+      this.#listener();
+    }
+    return isCleared;
+  }
+
+  /** Drops rows whose retention is over. */
+  tick(now: Instant): void {
+    if (
+      this.#expiredAt !== undefined &&
+      elapsed(this.#expiredAt, now) < EXPIRY_PERIOD
+    ) {
+      return;
+    }
+    this.#expiredAt = now;
+    this.#table.expire(now);
+    this.#trials.retain(id => this.#table.get(id) !== undefined);
+  }
+
+  /** Returns and clears the rows that changed since the last call. */
+  takeChanges(now: Instant): SuspectEntry[] {
+    const rows = [...this.#changed].map(id => this.#table.get(id));
+    this.#changed.clear();
+    return rows
+      .filter((row): row is Suspect => row !== undefined)
+      .map(row => entryOf(row, now));
+  }
+
+  /** Returns the rows for a new peer, the most severe ones if there are too many. */
+  fullState(now: Instant): SuspectEntry[] {
+    const rows = [...this.#table.rows()];
+    const severity = (row: Suspect) => SEVERITY[suspicion(row)];
+    rows.sort((left, right) => severity(right) - severity(left));
+    return rows.slice(0, MAX_SENT_ROWS).map(row => entryOf(row, now));
+  }
+
+  /**
+   * Merges rows from a peer and returns how many were malformed; a relay passes on
+   * those that changed.
+   */
+  receive(
+    entries: readonly unknown[] | undefined,
+    isRelay: boolean,
+    now: Instant,
+  ): number {
+    return forEachValidEntry(
+      entries,
+      entrySchema,
+      ([key, crashes, cleared, age]) => {
+        const id = fingerprint(key);
+        const isChanged = this.#table.merge({
+          id,
+          crashes: new Set(crashes.map(crashId)),
+          cleared: new Set(cleared.map(crashId)),
+          seenAt: (now - age) as Instant,
+        });
+        if (isChanged) {
+          this.#onRowChanged(id, now);
+        }
+        if (isChanged && isRelay) {
+          this.#changed.add(id);
+        }
+      },
+    );
+  }
+
+  /** Starts the delay of a trial when this router learns of the crash, not at the next request. */
+  #onRowChanged(id: Fingerprint, now: Instant): void {
+    const row = this.#table.get(id);
+    if (row && suspicion(row) !== 'none') {
+      this.#trials.observe(row, now);
+    }
+  }
+}
+
+function entryOf(row: Suspect, now: Instant): SuspectEntry {
+  return [
+    row.id,
+    [...row.crashes],
+    [...row.cleared],
+    milliseconds(Math.max(0, Math.round(elapsed(row.seenAt, now)))),
+  ];
+}
--- a/packages/core/src/poison/suspect-table.ts
+++ b/packages/core/src/poison/suspect-table.ts
@@ -8,8 +8,8 @@
 
 /** Maximum number of rows; the least severe and oldest are evicted first. */
 export const MAX_SUSPECTS = 2048;
-/** Crashes stored per row. */
-export const MAX_CRASHES_PER_SUSPECT = 8;
+/** Crashes stored per row; later ones do not change it. */
+export const MAX_CRASHES_PER_SUSPECT = 32;
 
 /** Retention of a row after the content was last seen. */
 export const SUSPECT_LIFETIMES: Readonly<Record<SuspicionKind, Milliseconds>> =
@@ -19,7 +19,8 @@
     condemned: seconds(86_400),
   };
 
-const SEVERITY: Readonly<Record<SuspicionKind, number>> = {
+/** Rank of a kind of row; the lowest is evicted first. */
+export const SEVERITY: Readonly<Record<SuspicionKind, number>> = {
   none: 0,
   suspect: 1,
   condemned: 2,
--- a/packages/core/src/poison/suspect.ts
+++ b/packages/core/src/poison/suspect.ts
@@ -40,7 +40,7 @@
 }
 
 /** Number of uncleared crashes that condemns the content. */
-const CRASHES_TO_CONDEMN = 2;
+export const CRASHES_TO_CONDEMN = 2;
 
 export function suspicion(suspect: Suspect | undefined): SuspicionKind {
   const crashCount = suspect ? unclearedCrashes(suspect).length : 0;
--- a/packages/gateway/src/composition/gateway-container.ts
+++ b/packages/gateway/src/composition/gateway-container.ts
@@ -26,6 +26,7 @@
 import { FeedCoverage } from '@sesamegrade/core/store/feed-coverage';
 import { PeerUpdates } from '@sesamegrade/core/peers/peer-updates';
 import { RouterDirectory } from '@sesamegrade/core/peers/router-directory';
+import { RelayedSuspects } from '@sesamegrade/core/poison/relayed-suspects';
 import { FleetRetryBudget } from '@sesamegrade/core/retries/fleet-retry-budget';
 import { Random } from '@sesamegrade/core/random/random';
 import { RouteTable } from '@sesamegrade/core/routes/route-table';
@@ -39,6 +40,7 @@
 import type { CallerProtocol } from '../callers/caller-protocol';
 import { CacheSurvey } from '../endpoints/cache-survey';
 import { ConnectionPool } from '../endpoints/connection-pool';
+import { CrashDetector } from '../endpoints/crash-detector';
 import type { EndpointProtocol } from '../endpoints/endpoint-protocol';
 import { Forwarder } from '../forwarding/forwarder';
 import { DecisionLog } from '../logs/decision-log';
@@ -79,6 +81,8 @@
   readonly routerDirectory: RouterDirectory;
   readonly retryBudget: FleetRetryBudget;
   readonly fleetState: FleetState;
+  readonly suspects: RelayedSuspects;
+  readonly crashDetector: CrashDetector;
   readonly chooser: EndpointChooser;
   readonly connectionPool: ConnectionPool;
   readonly forwarder: Forwarder;
@@ -142,6 +146,14 @@
     routerDirectory: asFunction(() => new RouterDirectory()).singleton(),
     retryBudget: asFunction(newRetryBudget).singleton(),
     fleetState: asFunction(newFleetState).singleton(),
+    suspects: asFunction(
+      ({ settings, routerDirectory }: GatewayCradle) =>
+        new RelayedSuspects({
+          self: routerId(settings.router.id),
+          routers: () => routerDirectory.ids,
+        }),
+    ).singleton(),
+    crashDetector: asClass(CrashDetector).singleton(),
     chooser: asFunction(newChooser).singleton(),
     connectionPool: asFunction(
       ({ timers }: GatewayCradle) => new ConnectionPool(() => timers.now()),
@@ -179,6 +191,7 @@
         locations,
         endpointDirectory,
         surveyPlan,
+        suspects,
       }: GatewayCradle) =>
         new PeerUpdates({
           loadUpdates,
@@ -186,6 +199,7 @@
           locations,
           endpointDirectory,
           surveyPlan,
+          suspects,
         }),
     ).singleton(),
     surveyPlan: asFunction(
--- a/packages/gateway/src/endpoints/connection-pool.ts
+++ b/packages/gateway/src/endpoints/connection-pool.ts
@@ -87,6 +87,11 @@
     this.#idle.set(endpoint, idle);
   }
 
+  /** Whether an idle connection to an endpoint is open. */
+  hasIdle(endpoint: EndpointId): boolean {
+    return (this.#idle.get(endpoint) ?? []).some(({ isClosed }) => !isClosed);
+  }
+
   /** Closes the idle connections to an endpoint. */
   closeIdle(endpoint: EndpointId): void {
     for (const connection of this.#idle.get(endpoint) ?? []) {
--- a/packages/gateway/src/forwarding/forwarder.ts
+++ b/packages/gateway/src/forwarding/forwarder.ts
@@ -3,6 +3,7 @@
   EndpointChoice,
   EndpointChooser,
 } from '@sesamegrade/core/forwarding/endpoint-chooser';
+import type { EndpointEntry } from '@sesamegrade/core/endpoints/endpoint-entry';
 import { connectTimeout } from '@sesamegrade/core/forwarding/connect-timeout';
 import { nextStep } from '@sesamegrade/core/forwarding/next-step';
 import type { NextStep } from '@sesamegrade/core/forwarding/next-step';
@@ -10,6 +11,12 @@
 import type { FleetState } from '@sesamegrade/core/forwarding/fleet-state';
 import { mayHaveRun } from '@sesamegrade/core/forwarding/attempt-result';
 import { subjectPart } from '@sesamegrade/core/prompts/prompt-chain';
+import { attemptEvidence } from '@sesamegrade/core/poison/attempt-evidence';
+import type { EndedRun } from '@sesamegrade/core/poison/attempt-evidence';
+import type {
+  ContentDecision,
+  RelayedSuspects,
+} from '@sesamegrade/core/poison/relayed-suspects';
 import type { Random } from '@sesamegrade/core/random/random';
 import type { CallerLimits } from '@sesamegrade/core/routes/fleet-configuration';
 import { pickTarget } from '@sesamegrade/core/routes/route-table';
@@ -20,7 +27,11 @@
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
 import { addTime, elapsed, milliseconds } from '@sesamegrade/core/types/units';
 import type { Instant, Milliseconds } from '@sesamegrade/core/types/units';
-import type { EndpointId, ServiceId } from '@sesamegrade/core/types/ids';
+import type {
+  EndpointId,
+  Fingerprint,
+  ServiceId,
+} from '@sesamegrade/core/types/ids';
 import type { CallerExchange } from '../callers/caller-exchange';
 import type {
   RequestHead,
@@ -29,11 +40,13 @@
 } from '../callers/caller-protocol';
 import { Attempt } from '../endpoints/attempt';
 import type { ConnectionPool } from '../endpoints/connection-pool';
+import type { CrashDetector } from '../endpoints/crash-detector';
 import type { EndpointProtocol } from '../endpoints/endpoint-protocol';
 import type { DecisionLog } from '../logs/decision-log';
 import type { ShutdownSequence } from '../process/shutdown-sequence';
 import type { FleetReadiness } from '../store/fleet-readiness';
 import type { GatewayMetrics } from '../metrics/gateway-metrics';
+import { requestFingerprint } from './request-fingerprint';
 import { ResponseRelay } from './response-relay';
 
 /** Limit of a request body before a configuration sets one; 4 MiB is the deployments' own limit. */
@@ -75,6 +88,8 @@
   readonly connectionPool: ConnectionPool;
   readonly callerProtocol: CallerProtocol;
   readonly endpointProtocol: EndpointProtocol;
+  readonly suspects: RelayedSuspects;
+  readonly crashDetector: CrashDetector;
   readonly fleetReadiness: FleetReadiness;
   readonly shutdownSequence: ShutdownSequence;
   readonly timers: TimerService;
@@ -97,6 +112,10 @@
   possibleRuns: number;
   /** Attempts that provably did not run. */
   notRun: number;
+  /** Attempts that were broken off, possibly by a crash of their endpoint. */
+  breaks: number;
+  /** Identifies its content; computed when it is first needed. */
+  fingerprint: Fingerprint | undefined;
 }
 
 export class Forwarder {
@@ -238,6 +257,8 @@
       tried: new Set(),
       possibleRuns: 0,
       notRun: 0,
+      breaks: 0,
+      fingerprint: undefined,
     };
     this.#options.fleetState.onRequestStarted(target.service);
     await this.#runAttempts(request);
@@ -274,6 +295,11 @@
       attempt?.abort({ kind: 'caller-left' });
     });
     for (;;) {
+      const decision = this.#decideContent(request);
+      if (decision.kind === 'refuse') {
+        this.#refuseSuspect(request, relay, decision.retryAfter);
+        return;
+      }
       const choice = this.#choose(request);
       if (choice.kind === 'none') {
         this.#giveUp(
@@ -288,8 +314,17 @@
       }
       engine = choice.entry.id;
       const startedAt = this.#options.timers.now();
+      const eventsBefore = relay.events;
+      if (decision.kind === 'trial') {
+        this.#options.suspects.onTrialSent(fingerprintOf(request), startedAt);
+      }
       attempt = this.#startAttempt(request, relay, choice);
       const result = await attempt.done;
+      await this.#recordEvidence(request, choice.entry, {
+        result,
+        events: relay.events - eventsBefore,
+        isFramed: attempt.responseHead?.framing !== 'connection',
+      });
       const step = this.#onAttemptEnd(
         request,
         relay,
@@ -306,6 +341,60 @@
     }
   }
 
+  /** Content is compared only while any is known that ran during a crash. */
+  #decideContent(request: ForwardedRequest): ContentDecision {
+    const { suspects, timers } = this.#options;
+    return suspects.size === 0
+      ? { kind: 'run' }
+      : suspects.decide(fingerprintOf(request), timers.now());
+  }
+
+  /**
+   * Records what an attempt shows about its content. After a second break the result
+   * of the endpoint's probe is awaited, as the next attempt may crash another one.
+   */
+  async #recordEvidence(
+    request: ForwardedRequest,
+    entry: EndpointEntry,
+    run: EndedRun,
+  ): Promise<void> {
+    const { suspects, crashDetector, timers } = this.#options;
+    const { result } = run;
+    if (result.kind === 'declined' && result.decline === 'other-instance') {
+      crashDetector.onReplaced(entry.id);
+    }
+    const evidence = attemptEvidence(run);
+    if (evidence === 'sound' && suspects.size > 0) {
+      suspects.clear(fingerprintOf(request), timers.now());
+    }
+    if (evidence !== 'broken-off') {
+      return;
+    }
+    request.breaks += 1;
+    const id = fingerprintOf(request);
+    const isSuspect = suspects.suspicion(id) !== 'none';
+    const verdict = crashDetector.onBroken(entry, [id]);
+    if (isSuspect || request.breaks > 1) {
+      await verdict;
+    }
+  }
+
+  #refuseSuspect(
+    request: ForwardedRequest,
+    relay: ResponseRelay,
+    retryAfter: Milliseconds,
+  ): void {
+    if (request.possibleRuns > 0 || request.exchange.hasResponseStarted) {
+      this.#giveUp(request, relay, 'may-have-run');
+      return;
+    }
+    this.#refuse(request.exchange, request.head, {
+      kind: 'not-run',
+      cause: 'crashes-endpoints',
+      retryAfter,
+    });
+  }
+
   #choose(request: ForwardedRequest): EndpointChoice {
     const { chooser, timers } = this.#options;
     return chooser.choose(
@@ -460,7 +549,9 @@
       responseStarted: request.exchange.hasResponseStarted,
       remaining: milliseconds(Math.max(0, elapsed(now, request.expiresAt))),
       goal: route.latencyGoal,
-      takeRetry: () => fleetState.takeRetry(request.service),
+      takeRetry: () =>
+        this.#decideContent(request).kind === 'run' &&
+        fleetState.takeRetry(request.service),
     });
     this.#options.gatewayMetrics.recordAttempt(request.service, result.kind);
     this.#options.log.write('attempt', {
@@ -629,6 +720,18 @@
   }
 }
 
+function fingerprintOf(request: ForwardedRequest): Fingerprint {
+  const { head, decision, body } = request;
+  request.fingerprint ??= requestFingerprint({
+    route: decision.route.id,
+    method: head.method,
+    target: head.target,
+    team: decision.team?.id,
+    body,
+  });
+  return request.fingerprint;
+}
+
 function bodyLimit(limits: CallerLimits | undefined): number {
   return limits?.bodyBytes ?? DEFAULT_MAX_BODY_BYTES;
 }
--- a/packages/gateway/src/process/gateway-process.ts
+++ b/packages/gateway/src/process/gateway-process.ts
@@ -9,6 +9,7 @@
 import type { CacheSurveyPlan } from '@sesamegrade/core/engines/cache-survey-plan';
 import type { FleetState } from '@sesamegrade/core/forwarding/fleet-state';
 import type { PeerUpdates } from '@sesamegrade/core/peers/peer-updates';
+import type { RelayedSuspects } from '@sesamegrade/core/poison/relayed-suspects';
 import type { RouteTable } from '@sesamegrade/core/routes/route-table';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
 import { milliseconds } from '@sesamegrade/core/types/units';
@@ -17,6 +18,7 @@
 import type { GatewayCallerServer } from '../callers/gateway-caller-server';
 import type { CacheSurvey } from '../endpoints/cache-survey';
 import type { ConnectionPool } from '../endpoints/connection-pool';
+import type { CrashDetector } from '../endpoints/crash-detector';
 import type { Forwarder } from '../forwarding/forwarder';
 import type { DecisionLog } from '../logs/decision-log';
 import type { GatewayMetrics } from '../metrics/gateway-metrics';
@@ -45,6 +47,8 @@
   readonly peerUpdates: PeerUpdates;
   readonly peerMesh: PeerMesh;
   readonly connectionPool: ConnectionPool;
+  readonly suspects: RelayedSuspects;
+  readonly crashDetector: CrashDetector;
   readonly log: DecisionLog;
   readonly gatewayMetrics: GatewayMetrics;
 }
@@ -95,6 +99,7 @@
       const { endpointDirectory, fleetState } = this.#options;
       this.#onDirectoryEvents(endpointDirectory.tick(now));
       fleetState.tick(now);
+      this.#options.suspects.tick(now);
       fleetReplica.tick(now);
       void this.#options.cacheSurvey.tick(now);
     });
@@ -167,6 +172,9 @@
         peerMesh.flushSoon();
       },
     });
+    this.#options.suspects.onChanged(() => {
+      peerMesh.flushSoon();
+    });
     fleetReplica.onRead(() => {
       peerMesh.flushSoon();
     });
@@ -188,6 +196,7 @@
       return;
     }
     fleetState.onEndpointsChanged(endpointDirectory.all(), timers.now());
+    this.#options.crashDetector.onDirectoryEvents(events);
     for (const event of events) {
       log.write('endpoint', { ...event });
       if (event.kind === 'leaving' || event.kind === 'gone') {
@@ -263,6 +272,16 @@
       'Bytes exchanged with routers.',
       () => this.#options.peerMesh.bytes,
     );
+    gatewayMetrics.registerGauge(
+      'endpoint_crashes',
+      'Crashes of endpoints that broke off requests of this router.',
+      () => this.#options.crashDetector.crashCount,
+    );
+    gatewayMetrics.registerGauge(
+      'crash_suspects',
+      'Contents that ran during a crash of an endpoint.',
+      () => this.#options.suspects.size,
+    );
     gatewayMetrics.registerGauge(
       'endpoints',
       'Endpoints known.',
