Store condemned content, so that it outlives a restart of all routers

A router that starts is ready before its peers have told it of crashes, and after a loss of all routers nobody knows: the request ended two endpoints more.

Ruled out: waiting for a peer before readiness (delays each of hundreds of starts), a read of its own (a call a start).

--- a/packages/core/src/poison/relayed-suspects.ts
+++ b/packages/core/src/poison/relayed-suspects.ts
@@ -59,7 +59,7 @@
   readonly #table = new SuspectTable();
   readonly #trials: ScheduledTrials;
   readonly #changed = new Set<Fingerprint>();
-  #listener: () => void = () => undefined;
+  #listener: (id: Fingerprint) => void = () => undefined;
   #expiredAt: Instant | undefined;
 
   constructor({ self, routers }: RelayedSuspectsOptions) {
@@ -77,7 +77,7 @@
   }
 
   /** Registers a function that is called when this router observes a change. */
-  onChanged(listener: () => void): void {
+  onChanged(listener: (id: Fingerprint) => void): void {
     this.#listener = listener;
   }
 
@@ -106,7 +106,7 @@
     if (this.#table.recordCrash(id, crash, now)) {
       this.#onRowChanged(id, now);
       this.#changed.add(id);
-      this.#listener();
+      this.#listener(id);
     }
   }
 
@@ -115,7 +115,7 @@
     const isCleared = this.#table.clear(id, now);
     if (isCleared) {
       this.#changed.add(id);
-      this.#listener();
+      this.#listener(id);
     }
     return isCleared;
   }
@@ -142,6 +142,12 @@
       .map(row => entryOf(row, now));
   }
 
+  /** Returns the row of a content for others; undefined if it is not known. */
+  entry(id: Fingerprint, now: Instant): SuspectEntry | undefined {
+    const row = this.#table.get(id);
+    return row && entryOf(row, now);
+  }
+
   /** Returns the rows for a new peer, the most severe ones if there are too many. */
   fullState(now: Instant): SuspectEntry[] {
     const rows = [...this.#table.rows()];
@@ -151,13 +157,14 @@
   }
 
   /**
-   * Merges rows from a peer and returns how many were malformed; a relay passes on
-   * those that changed.
+   * Merges rows from a peer, or from the store, where they were for `delay`, and returns
+   * how many were malformed; a relay passes on those that changed.
    */
   receive(
     entries: readonly unknown[] | undefined,
     isRelay: boolean,
     now: Instant,
+    delay = 0,
   ): number {
     return forEachValidEntry(
       entries,
@@ -168,7 +175,7 @@
           id,
           crashes: new Set(crashes.map(crashId)),
           cleared: new Set(cleared.map(crashId)),
-          seenAt: (now - age) as Instant,
+          seenAt: (now - age - delay) as Instant,
         });
         if (isChanged) {
           this.#onRowChanged(id, now);
--- a/packages/gateway/src/composition/gateway-container.ts
+++ b/packages/gateway/src/composition/gateway-container.ts
@@ -53,6 +53,7 @@
 import type { FeedSource } from '../store/feed-source';
 import { FleetReplica } from '../store/fleet-replica';
 import { FleetReadiness } from '../store/fleet-readiness';
+import { StoredSuspects } from '../store/stored-suspects';
 import type { RowTable } from '../store/row-table';
 
 /** Collaborators that the adapter of a deployment's platform provides. */
@@ -83,6 +84,7 @@
   readonly fleetState: FleetState;
   readonly suspects: RelayedSuspects;
   readonly crashDetector: CrashDetector;
+  readonly storedSuspects: StoredSuspects;
   readonly chooser: EndpointChooser;
   readonly connectionPool: ConnectionPool;
   readonly forwarder: Forwarder;
@@ -154,6 +156,7 @@
         }),
     ).singleton(),
     crashDetector: asClass(CrashDetector).singleton(),
+    storedSuspects: asClass(StoredSuspects).singleton(),
     chooser: asFunction(newChooser).singleton(),
     connectionPool: asFunction(
       ({ timers }: GatewayCradle) => new ConnectionPool(() => timers.now()),
--- a/packages/gateway/src/peers/peer-mesh.ts
+++ b/packages/gateway/src/peers/peer-mesh.ts
@@ -35,6 +35,7 @@
 import type { FleetReplica } from '../store/fleet-replica';
 import type { FeedPage } from '../store/feed-source';
 import type { RowTable } from '../store/row-table';
+import type { StoredSuspects } from '../store/stored-suspects';
 import { fleetSnapshotSchema, snapshotEndpoints } from './fleet-snapshot';
 import { UpdateSender } from './update-sender';
 import { SeedLinks } from './seed-links';
@@ -72,6 +73,7 @@
   readonly settingsReloader: SettingsReloader;
   readonly peerSecret: string;
   readonly routerRows: RowTable;
+  readonly storedSuspects: StoredSuspects;
   readonly peerUpdates: PeerUpdates;
   readonly feedUpdates: FeedUpdates;
   readonly routerDirectory: RouterDirectory;
@@ -254,6 +256,7 @@
     const { routerDirectory, timers } = this.#options;
     this.#listReadAt = timers.now();
     routerDirectory.markListRead();
+    this.#options.storedSuspects.onRows(rows);
     return rows.filter(row => this.#onRow(row.value)).length > 0;
   }
 
--- a/packages/gateway/src/process/gateway-process.ts
+++ b/packages/gateway/src/process/gateway-process.ts
@@ -25,6 +25,7 @@
 import type { PeerMesh } from '../peers/peer-mesh';
 import type { FleetReplica } from '../store/fleet-replica';
 import type { FleetReadiness } from '../store/fleet-readiness';
+import type { StoredSuspects } from '../store/stored-suspects';
 import type { ShutdownSequence } from './shutdown-sequence';
 import { AdminServer } from './admin-server';
 
@@ -49,6 +50,7 @@
   readonly connectionPool: ConnectionPool;
   readonly suspects: RelayedSuspects;
   readonly crashDetector: CrashDetector;
+  readonly storedSuspects: StoredSuspects;
   readonly log: DecisionLog;
   readonly gatewayMetrics: GatewayMetrics;
 }
@@ -172,8 +174,9 @@
         peerMesh.flushSoon();
       },
     });
-    this.#options.suspects.onChanged(() => {
+    this.#options.suspects.onChanged(id => {
       peerMesh.flushSoon();
+      this.#options.storedSuspects.onChanged(id);
     });
     fleetReplica.onRead(() => {
       peerMesh.flushSoon();
