Refuse prompts with a part under which engines crashed

Change: the shared parts of a prompt are contents like the whole request, on the same evidence, rows and trials. A stream of two events clears its parts at once, so a part of all prompts is cleared many times a second; three uncleared crashes condemn one. A request with several condemned parts is tried 10 s later for each further one, as a request with one of them gives the clearer result.

A score with decay and trials on an engine of their own were not built.

--- a/packages/core/src/poison/attempt-evidence.ts
+++ b/packages/core/src/poison/attempt-evidence.ts
@@ -15,7 +15,7 @@
  * Complete events after which a stream has passed the point at which content that
  * crashes endpoints does so.
  */
-const MIN_SOUND_EVENTS = 2;
+export const MIN_SOUND_EVENTS = 2;
 const MIN_SERVER_ERROR_STATUS = 500;
 
 const BROKEN_OFF: ReadonlySet<AttemptFailure> = new Set<AttemptFailure>([
--- a/packages/core/src/poison/relayed-suspects.ts
+++ b/packages/core/src/poison/relayed-suspects.ts
@@ -91,17 +91,33 @@
     return suspicion(this.#table.get(id));
   }
 
-  decide(id: Fingerprint, now: Instant): ContentDecision {
+  decide(id: Fingerprint, now: Instant, others = 0): ContentDecision {
     const row = this.#table.get(id);
     if (!row || suspicion(row) !== 'condemned') {
       return { kind: 'run' };
     }
     this.#table.touch(id, now);
-    return this.#trials.isDue(row, now)
+    return this.#trials.isDue(row, now, others)
       ? { kind: 'trial' }
       : { kind: 'refuse', retryAfter: this.#trials.remaining(row, now) };
   }
 
+  /** Decides on a request with several contents; any of them may have it refused. */
+  decideAll(ids: readonly Fingerprint[], now: Instant): ContentDecision {
+    let decision: ContentDecision = { kind: 'run' };
+    const condemned = ids.filter(id => this.suspicion(id) === 'condemned');
+    for (const id of condemned) {
+      const next = this.decide(id, now, condemned.length - 1);
+      const isLonger =
+        next.kind === 'refuse' &&
+        (decision.kind !== 'refuse' || next.retryAfter > decision.retryAfter);
+      if (isLonger || decision.kind === 'run') {
+        decision = next;
+      }
+    }
+    return decision;
+  }
+
   /** Records that a trial was sent; the next one must wait, whatever its result. */
   onTrialSent(ids: readonly Fingerprint[], now: Instant): void {
     for (const id of ids) {
@@ -122,6 +138,13 @@
     }
   }
 
+  /** Clears every content of a request that ran without harm. */
+  clearAll(ids: readonly Fingerprint[], now: Instant): void {
+    for (const id of ids) {
+      this.clear(id, now);
+    }
+  }
+
   /** Clears content of the crashes so far; returns true if it was a suspect. */
   clear(id: Fingerprint, now: Instant): boolean {
     const isCleared = this.#table.clear(id, now);
--- a/packages/core/src/poison/scheduled-trials.ts
+++ b/packages/core/src/poison/scheduled-trials.ts
@@ -8,7 +8,7 @@
 import type { Fingerprint, RouterId } from '../types/ids';
 import { elapsed, milliseconds, seconds } from '../types/units';
 import type { Instant, Milliseconds } from '../types/units';
-import { CRASHES_TO_CONDEMN, unclearedCrashes } from './suspect';
+import { crashesToCondemn, unclearedCrashes } from './suspect';
 import type { Suspect } from './suspect';
 
 const LONGEST_DELAY: Milliseconds = seconds(7200);
@@ -26,6 +26,11 @@
 const DOUBLING_TIME: Milliseconds = seconds(1);
 /** Share of the routers, but at least one, that may run a trial as soon as it is due. */
 const FIRST_SHARE = 1 / 64;
+/**
+ * Delay of a trial for each further condemned content of the request, as one with
+ * fewer may come.
+ */
+const DELAY_PER_OTHER_CONTENT: Milliseconds = seconds(10);
 /** Retry-After of content whose trial is due at other routers. */
 const DUE_RETRY_AFTER: Milliseconds = seconds(2);
 
@@ -52,12 +57,16 @@
     this.#options = options;
   }
 
-  /** Whether this router may run the condemned content once now. */
-  isDue(row: Suspect, now: Instant): boolean {
+  /**
+   * Whether this router may run the condemned content once now. `others` is the number
+   * of further condemned contents in the request, which make a crash less conclusive.
+   */
+  isDue(row: Suspect, now: Instant, others = 0): boolean {
     const { since, triedAt, failedTrials } = this.observe(row, now);
     const delay = trialDelay(row.id, failedTrials);
     const hasWaited = triedAt === undefined || elapsed(triedAt, now) >= delay;
-    const overdue = elapsed(since, now) - delay;
+    const overdue =
+      elapsed(since, now) - delay - others * DELAY_PER_OTHER_CONTENT;
     const first = Math.max(1, this.#options.routers().length * FIRST_SHARE);
     return (
       hasWaited &&
@@ -146,14 +155,14 @@
   now: Instant,
 ): number {
   if (!known) {
-    return Math.max(0, crashCount - CRASHES_TO_CONDEMN);
+    return Math.max(0, crashCount - crashesToCondemn(id));
   }
   if (crashCount < known.crashCount) {
     return 0;
   }
   const { failedTrials, since } = known;
   const wasDue =
-    known.crashCount >= CRASHES_TO_CONDEMN &&
+    known.crashCount >= crashesToCondemn(id) &&
     elapsed(since, now) >= trialDelay(id, failedTrials);
   return failedTrials + (wasDue ? 1 : 0);
 }
--- a/packages/core/src/poison/suspect.ts
+++ b/packages/core/src/poison/suspect.ts
@@ -1,6 +1,13 @@
 /** Request content that was running on endpoints when they crashed. */
 import type { Branded } from '../types/brand';
-import type { EndpointId, Fingerprint, Incarnation } from '../types/ids';
+import { fingerprint } from '../types/ids';
+import type {
+  EndpointId,
+  Fingerprint,
+  Incarnation,
+  PromptPartId,
+  ServiceId,
+} from '../types/ids';
 import type { Instant } from '../types/units';
 
 /** Identifies one crash: an endpoint and the incarnation that ended. */
@@ -39,12 +46,33 @@
     .sort();
 }
 
+/** Number of uncleared crashes that condemns the content of a request. */
+const CRASHES_TO_CONDEMN = 2;
+/**
+ * The same for a prompt part, which many requests share: it runs beside crashes of
+ * others more often.
+ */
+const CRASHES_TO_CONDEMN_PART = 3;
+const PART_PREFIX = 'part/';
+
+/** Identifies a prompt part as content that may crash the endpoints of a service. */
+export function partFingerprint(
+  service: ServiceId,
+  part: PromptPartId,
+): Fingerprint {
+  return fingerprint(`${PART_PREFIX}${service}/${part}`);
+}
+
 /** Number of uncleared crashes that condemns the content. */
-export const CRASHES_TO_CONDEMN = 2;
+export function crashesToCondemn(id: Fingerprint): number {
+  return id.startsWith(PART_PREFIX)
+    ? CRASHES_TO_CONDEMN_PART
+    : CRASHES_TO_CONDEMN;
+}
 
 export function suspicion(suspect: Suspect | undefined): SuspicionKind {
   const crashCount = suspect ? unclearedCrashes(suspect).length : 0;
-  if (crashCount >= CRASHES_TO_CONDEMN) {
+  if (suspect && crashCount >= crashesToCondemn(suspect.id)) {
     return 'condemned';
   }
   return crashCount > 0 ? 'suspect' : 'none';
--- a/packages/gateway/src/forwarding/event-stream-sink.ts
+++ b/packages/gateway/src/forwarding/event-stream-sink.ts
@@ -4,6 +4,7 @@
   AttemptFailure,
   AttemptResult,
 } from '@sesamegrade/core/forwarding/attempt-result';
+import { MIN_SOUND_EVENTS } from '@sesamegrade/core/poison/attempt-evidence';
 import { ResponseSink } from '../endpoints/attempt';
 import type { ResponseHead } from '../endpoints/endpoint-protocol';
 import type { ResponseRelay, ResponseRelayOptions } from './response-relay';
@@ -51,7 +52,11 @@
       }
       this.#options.onFirstAttemptEvent();
     }
+    const wasSound = this.#eventCount >= MIN_SOUND_EVENTS;
     this.#eventCount += count;
+    if (!wasSound && this.#eventCount >= MIN_SOUND_EVENTS) {
+      this.#options.onSoundProgress();
+    }
     if (!exchange.hasResponseStarted && this.#head) {
       exchange.startResponse(this.#head);
     }
--- a/packages/gateway/src/forwarding/forwarder.ts
+++ b/packages/gateway/src/forwarding/forwarder.ts
@@ -10,13 +10,17 @@
 import type { AttemptResult } from '@sesamegrade/core/forwarding/attempt-result';
 import type { FleetState } from '@sesamegrade/core/forwarding/fleet-state';
 import { mayHaveRun } from '@sesamegrade/core/forwarding/attempt-result';
-import { subjectPart } from '@sesamegrade/core/prompts/prompt-chain';
+import {
+  sharedParts,
+  subjectPart,
+} from '@sesamegrade/core/prompts/prompt-chain';
 import { attemptEvidence } from '@sesamegrade/core/poison/attempt-evidence';
 import type { EndedRun } from '@sesamegrade/core/poison/attempt-evidence';
 import type {
   ContentDecision,
   RelayedSuspects,
 } from '@sesamegrade/core/poison/relayed-suspects';
+import { partFingerprint } from '@sesamegrade/core/poison/suspect';
 import type { Random } from '@sesamegrade/core/random/random';
 import type { CallerLimits } from '@sesamegrade/core/routes/fleet-configuration';
 import { pickTarget } from '@sesamegrade/core/routes/route-table';
@@ -114,8 +118,8 @@
   notRun: number;
   /** Attempts that were broken off, possibly by a crash of their endpoint. */
   breaks: number;
-  /** Identifies its content; computed when it is first needed. */
-  fingerprint: Fingerprint | undefined;
+  /** What of it may crash endpoints; determined when it is first needed. */
+  contents: readonly Fingerprint[] | undefined;
 }
 
 export class Forwarder {
@@ -258,7 +262,7 @@
       possibleRuns: 0,
       notRun: 0,
       breaks: 0,
-      fingerprint: undefined,
+      contents: undefined,
     };
     this.#options.fleetState.onRequestStarted(target.service);
     await this.#runAttempts(request);
@@ -282,6 +286,9 @@
           this.#options.fleetState.onPromptRead(engine, head.prompt);
         }
       },
+      onSoundProgress: () => {
+        this.#clearContents(request);
+      },
       onFirstEvent: () => {
         this.#options.gatewayMetrics.recordFirstEvent(
           route.id,
@@ -316,7 +323,7 @@
       const startedAt = this.#options.timers.now();
       const eventsBefore = relay.events;
       if (decision.kind === 'trial') {
-        this.#options.suspects.onTrialSent([fingerprintOf(request)], startedAt);
+        this.#options.suspects.onTrialSent(contentsOf(request), startedAt);
       }
       attempt = this.#startAttempt(request, relay, choice);
       const result = await attempt.done;
@@ -346,7 +353,7 @@
     const { suspects, timers } = this.#options;
     return suspects.size === 0
       ? { kind: 'run' }
-      : suspects.decide(fingerprintOf(request), timers.now());
+      : suspects.decideAll(contentsOf(request), timers.now());
   }
 
   /**
@@ -358,27 +365,34 @@
     entry: EndpointEntry,
     run: EndedRun,
   ): Promise<void> {
-    const { suspects, crashDetector, timers } = this.#options;
+    const { suspects, crashDetector } = this.#options;
     const { result } = run;
     if (result.kind === 'declined' && result.decline === 'other-instance') {
       crashDetector.onReplaced(entry.id);
     }
     const evidence = attemptEvidence(run);
-    if (evidence === 'sound' && suspects.size > 0) {
-      suspects.clear(fingerprintOf(request), timers.now());
+    if (evidence === 'sound') {
+      this.#clearContents(request);
     }
     if (evidence !== 'broken-off') {
       return;
     }
     request.breaks += 1;
-    const id = fingerprintOf(request);
-    const isSuspect = suspects.suspicion(id) !== 'none';
-    const verdict = crashDetector.onBroken(entry, [id]);
+    const contents = contentsOf(request);
+    const isSuspect = contents.some(id => suspects.suspicion(id) !== 'none');
+    const verdict = crashDetector.onBroken(entry, contents);
     if (isSuspect || request.breaks > 1) {
       await verdict;
     }
   }
 
+  #clearContents(request: ForwardedRequest): void {
+    const { suspects, timers } = this.#options;
+    if (suspects.size > 0) {
+      suspects.clearAll(contentsOf(request), timers.now());
+    }
+  }
+
   #refuseSuspect(
     request: ForwardedRequest,
     relay: ResponseRelay,
@@ -720,16 +734,25 @@
   }
 }
 
-function fingerprintOf(request: ForwardedRequest): Fingerprint {
-  const { head, decision, body } = request;
-  request.fingerprint ??= requestFingerprint({
+/** The whole request, and the parts of its prompt that others may share. */
+function contentsOf(request: ForwardedRequest): readonly Fingerprint[] {
+  const { head, decision, body, service } = request;
+  if (request.contents) {
+    return request.contents;
+  }
+  const whole = requestFingerprint({
     route: decision.route.id,
     method: head.method,
     target: head.target,
     team: decision.team?.id,
     body,
   });
-  return request.fingerprint;
+  const parts = head.prompt ? sharedParts(head.prompt) : [];
+  request.contents = [
+    whole,
+    ...parts.map(({ id }) => partFingerprint(service, id)),
+  ];
+  return request.contents;
 }
 
 function bodyLimit(limits: CallerLimits | undefined): number {
--- a/packages/gateway/src/forwarding/response-relay.ts
+++ b/packages/gateway/src/forwarding/response-relay.ts
@@ -25,6 +25,8 @@
   readonly abort: (result: AttemptResult) => void;
   /** Called when the first event of each attempt arrives. */
   readonly onFirstAttemptEvent: () => void;
+  /** Called once an attempt has sent as many events as show that its content is sound. */
+  readonly onSoundProgress: () => void;
   /** Called when the first event of the request is sent to the caller. */
   readonly onFirstEvent: () => void;
   readonly isStream: boolean;
--- a/packages/measure/src/poison/crash-storm.ts
+++ b/packages/measure/src/poison/crash-storm.ts
@@ -3,7 +3,6 @@
  * back after a while. Routers exchange their suspects through two relays; callers send
  * the same content again at any router.
  */
-import { attemptEvidence } from '@sesamegrade/core/poison/attempt-evidence';
 import { BrokenAttempts } from '@sesamegrade/core/poison/broken-attempts';
 import { RelayedSuspects } from '@sesamegrade/core/poison/relayed-suspects';
 import { crashIdOf } from '@sesamegrade/core/poison/suspect';
@@ -21,6 +20,8 @@
   readonly contents: (number: number) => readonly Fingerprint[];
   /** Milliseconds from its arrival at an endpoint to the end of its run, or to the crash. */
   readonly runTime: number;
+  /** Milliseconds from its arrival to the progress that shows it as sound; its end by default. */
+  readonly progressTime?: number;
   readonly crashesEndpoints: boolean;
   readonly repeatable: boolean;
 }
@@ -36,6 +37,10 @@
   readonly downTime: number;
   /** When the first relay dies; undefined if it does not. */
   readonly relayDiesAt?: number;
+  /** Crashes of crashing content that are allowed before the contact time begins. */
+  readonly allowedCrashes: number;
+  /** Mean milliseconds between crashes of endpoints for other reasons; none by default. */
+  readonly otherCrashInterval?: number;
   /** Endpoints that end at this time although nothing they run crashes them. */
   readonly lossOfAllAt?: number;
   /** Time after which every router must know of a crash. */
@@ -47,14 +52,15 @@
   served: number;
   refused: number;
   failed: number;
-  /** Sent later than twice the contact time after the third crash. */
+  /** Sent later than twice the contact time after the last allowed crash so far. */
   laterSent: number;
   laterServed: number;
 }
 
 export interface CrashStormReport {
+  /** Crashes by content, not those for other reasons. */
   crashes: number;
-  /** Arrivals of crashing content later than the contact time after its third crash. */
+  /** Arrivals of crashing content later than the contact time after its last allowed crash. */
   lateArrivals: number;
   /** Most bytes of suspects' rows that one router received in a second. */
   maxBytesPerSecond: number;
@@ -89,6 +95,7 @@
 interface Run {
   readonly request: Request;
   isOver: boolean;
+  isSound: boolean;
 }
 
 /** Time from a crash to the routers' proof of it. */
@@ -97,8 +104,10 @@
 const HOP_TIME = 30;
 const RELAYS = 2;
 const MAX_RUNS = 2;
+const WARM_UP_NUMBERS = 8;
+/** Time at the end in which no request is sent, so that all others end. */
+const LAST_RUNS_TIME = 6000;
 const SECOND = 1000;
-const CRASHES_ALLOWED = 3;
 
 export class CrashStorm {
   readonly #options: CrashStormOptions;
@@ -108,11 +117,18 @@
   readonly #endpoints: readonly SimulatedEndpoint[];
   readonly #report: CrashStormReport;
   #now = 0;
-  #thirdCrashAt: number | undefined;
+  readonly #crashesByKind = new Map<RequestKind, number>();
+  /** Time of the last allowed crash of each kind. */
+  readonly #boundStarts = new Map<RequestKind, number>();
+  /** Time of the last crash that is within the allowed number of its kind. */
+  #allowedCrashAt: number | undefined;
 
   constructor(options: CrashStormOptions) {
     this.#options = options;
-    this.#random = new Random(options.seed);
+    // The first numbers of small seeds are alike.
+    const seeds = new Random(options.seed);
+    Array.from({ length: WARM_UP_NUMBERS }, () => seeds.seed());
+    this.#random = new Random(seeds.seed());
     const ids = Array.from({ length: options.routers }, (_value, index) =>
       routerId(`router-${index}`),
     );
@@ -167,11 +183,13 @@
     }
     if (lossOfAllAt !== undefined) {
       this.#queue.add(lossOfAllAt, () => {
+        this.#allowedCrashAt = this.#now;
         this.#endpoints.forEach(endpoint => {
           this.#crash(endpoint);
         });
       });
     }
+    this.#scheduleOtherCrash();
     for (;;) {
       const event = this.#queue.take();
       if (!event || event.at > length) {
@@ -187,11 +205,25 @@
     return this.#report;
   }
 
+  #scheduleOtherCrash(): void {
+    const { otherCrashInterval } = this.#options;
+    if (otherCrashInterval === undefined) {
+      return;
+    }
+    const interval = this.#random.exponential(otherCrashInterval);
+    this.#queue.add(this.#now + interval, () => {
+      this.#crash(this.#random.pick(this.#endpoints));
+      this.#scheduleOtherCrash();
+    });
+  }
+
   #scheduleRequest(kind: RequestKind, number: number): void {
     const interval = this.#random.exponential(SECOND / kind.perSecond);
     this.#queue.add(this.#now + interval, () => {
-      this.#scheduleRequest(kind, number + 1);
-      this.#arrive(kind, number);
+      if (this.#now < this.#options.length - LAST_RUNS_TIME) {
+        this.#scheduleRequest(kind, number + 1);
+        this.#arrive(kind, number);
+      }
     });
   }
 
@@ -201,8 +233,8 @@
       return;
     }
     const isLater =
-      this.#thirdCrashAt !== undefined &&
-      this.#now - this.#thirdCrashAt > 2 * this.#options.contactTime;
+      this.#allowedCrashAt !== undefined &&
+      this.#now - this.#allowedCrashAt > 2 * this.#options.contactTime;
     report.sent += 1;
     report.laterSent += isLater ? 1 : 0;
     this.#attempt({
@@ -220,11 +252,8 @@
 
   #attempt(request: Request): void {
     const { router, contents, kind, report, tried } = request;
-    const decisions = contents.map(id => ({
-      id,
-      decision: router.suspects.decide(id, instant(this.#now)),
-    }));
-    if (decisions.some(({ decision }) => decision.kind === 'refuse')) {
+    const decision = router.suspects.decideAll(contents, instant(this.#now));
+    if (decision.kind === 'refuse') {
       report.refused += 1;
       return;
     }
@@ -235,20 +264,18 @@
       report.failed += 1;
       return;
     }
-    for (const { id, decision } of decisions) {
-      if (decision.kind === 'trial') {
-        router.suspects.onTrialSent([id], instant(this.#now));
-      }
+    if (decision.kind === 'trial') {
+      router.suspects.onTrialSent(contents, instant(this.#now));
     }
     const endpoint = this.#random.pick(open);
-    const run: Run = { request, isOver: false };
+    const run: Run = { request, isOver: false, isSound: false };
     tried.add(endpoint);
     request.runs += 1;
     endpoint.running.add(run);
+    const boundStart = this.#boundStarts.get(kind);
     if (
-      kind.crashesEndpoints &&
-      this.#thirdCrashAt !== undefined &&
-      this.#now - this.#thirdCrashAt > this.#options.contactTime
+      boundStart !== undefined &&
+      this.#now - boundStart > this.#options.contactTime
     ) {
       this.#report.lateArrivals += 1;
     }
@@ -257,38 +284,41 @@
         this.#onRunEnd(endpoint, run);
       }
     });
+    if (kind.progressTime !== undefined) {
+      this.#queue.add(this.#now + kind.progressTime, () => {
+        if (!run.isOver) {
+          this.#onSound(run);
+        }
+      });
+    }
   }
 
   #onRunEnd(endpoint: SimulatedEndpoint, run: Run): void {
-    const { kind, report, isLater, contents, router } = run.request;
+    const { kind, report, isLater } = run.request;
     if (kind.crashesEndpoints) {
-      this.#crash(endpoint);
+      this.#crash(endpoint, kind);
       return;
     }
     run.isOver = true;
     endpoint.running.delete(run);
     report.served += 1;
     report.laterServed += isLater ? 1 : 0;
-    const evidence = attemptEvidence({
-      result: { kind: 'delivered', status: 200 },
-      events: 0,
-      isFramed: true,
-    });
-    if (evidence === 'sound') {
-      for (const id of contents) {
-        router.suspects.clear(id, instant(this.#now));
-      }
-    }
+    this.#onSound(run);
+  }
+
+  #onSound(run: Run): void {
+    const { contents, router } = run.request;
+    run.isSound = true;
+    router.suspects.clearAll(contents, instant(this.#now));
   }
 
-  #crash(endpoint: SimulatedEndpoint): void {
+  #crash(endpoint: SimulatedEndpoint, guilty?: RequestKind): void {
     if (!endpoint.isUp) {
       return;
     }
     const interrupted = [...endpoint.running];
-    this.#report.crashes += 1;
-    if (this.#report.crashes === CRASHES_ALLOWED) {
-      this.#thirdCrashAt = this.#now;
+    if (guilty) {
+      this.#countCrash(guilty);
     }
     const id = endpointId(endpoint.name);
     const crash = crashIdOf(id, incarnation(endpoint.boot));
@@ -300,6 +330,9 @@
     });
     for (const run of interrupted) {
       run.isOver = true;
+      if (run.isSound) {
+        continue;
+      }
       const { contents, router } = run.request;
       router.broken.add(id, crash, contents, instant(this.#now));
     }
@@ -316,6 +349,19 @@
     }
   }
 
+  #countCrash(kind: RequestKind): void {
+    const { allowedCrashes } = this.#options;
+    const count = (this.#crashesByKind.get(kind) ?? 0) + 1;
+    this.#crashesByKind.set(kind, count);
+    this.#report.crashes += 1;
+    if (count <= allowedCrashes) {
+      this.#allowedCrashAt = this.#now;
+    }
+    if (count === allowedCrashes) {
+      this.#boundStarts.set(kind, this.#now);
+    }
+  }
+
   /** The second break awaits the proof; the first one is retried at once. */
   #retry(request: Request): void {
     if (!request.kind.repeatable || request.runs >= MAX_RUNS) {
@@ -332,7 +378,8 @@
     router.isFlushPending = true;
     this.#queue.add(this.#now + HOP_TIME, () => {
       router.isFlushPending = false;
-      const entries = router.suspects.takeChanges(instant(this.#now));
+      const rows = router.suspects.takeChanges(instant(this.#now));
+      const trials = router.suspects.takeTrials(instant(this.#now));
       const index = this.#routers.indexOf(router);
       const isRelay = index < RELAYS;
       if (isRelay && this.#isDead(index)) {
@@ -342,23 +389,28 @@
         ? this.#routers.filter(other => other !== router)
         : this.#routers.slice(0, RELAYS);
       for (const receiver of receivers) {
-        this.#receive(receiver, entries);
+        this.#receive(receiver, rows, trials);
       }
     });
   }
 
-  #receive(router: SimulatedRouter, entries: readonly unknown[]): void {
+  #receive(
+    router: SimulatedRouter,
+    rows: readonly unknown[],
+    trials: readonly unknown[],
+  ): void {
     const index = this.#routers.indexOf(router);
     if (index < RELAYS && this.#isDead(index)) {
       return;
     }
     const second = Math.floor(this.#now / SECOND);
-    const bytes = JSON.stringify(entries).length;
+    const bytes = JSON.stringify([rows, trials]).length;
     router.bytesBySecond.set(
       second,
       (router.bytesBySecond.get(second) ?? 0) + bytes,
     );
-    router.suspects.receive(entries, index < RELAYS, instant(this.#now));
+    router.suspects.receive(rows, index < RELAYS, instant(this.#now));
+    router.suspects.receiveTrials(trials, index < RELAYS, instant(this.#now));
     if (router.suspects.hasChanges) {
       this.#flushSoon(router);
     }
