Use no instance again that another one has replaced

Routers kept using the old instance until its entry lapsed: each request that met it cost an arrival and a retry, and with several endpoints down a sound request could use up its attempts (503 in the test of the prompt parts).

A 421 says that another instance has the address. The instance now counts as gone at this router and, by the topic of departures that exists, at all others, until the store lists it anew. A refused connection does not have this effect, as a cut link may refuse, too.

--- a/packages/core/src/forwarding/fleet-state.ts
+++ b/packages/core/src/forwarding/fleet-state.ts
@@ -36,6 +36,8 @@
   onEjectionChanged(change: EjectionChange): void;
   /** An endpoint stated in a response that it is about to stop. */
   onEndpointLeaving(endpoint: EndpointEntry): void;
+  /** Another instance answers at the address of an endpoint. */
+  onEndpointReplaced(endpoint: EndpointEntry): void;
 }
 
 /** What the head of a response says about the endpoint itself. */
@@ -127,6 +129,13 @@
     }
   }
 
+  /** Uses an endpoint no longer, as another instance answers at its address. */
+  onReplaced(entry: EndpointEntry): void {
+    if (this.#options.endpointDirectory.applyDeparture(entry.id)) {
+      this.#listener?.onEndpointReplaced(entry);
+    }
+  }
+
   onAttemptEnded(
     endpoint: EndpointId,
     result: AttemptResult,
--- a/packages/gateway/src/forwarding/forwarder.ts
+++ b/packages/gateway/src/forwarding/forwarder.ts
@@ -365,10 +365,11 @@
     entry: EndpointEntry,
     run: EndedRun,
   ): Promise<void> {
-    const { suspects, crashDetector } = this.#options;
+    const { suspects, crashDetector, fleetState } = this.#options;
     const { result } = run;
     if (result.kind === 'declined' && result.decline === 'other-instance') {
       crashDetector.onReplaced(entry.id);
+      fleetState.onReplaced(entry);
     }
     const evidence = attemptEvidence(run);
     if (evidence === 'sound') {
--- a/packages/gateway/src/process/gateway-process.ts
+++ b/packages/gateway/src/process/gateway-process.ts
@@ -173,6 +173,11 @@
         peerUpdates.onEndpointLeaving(entry);
         peerMesh.flushSoon();
       },
+      onEndpointReplaced: ({ id }) => {
+        log.write('endpoint', { kind: 'replaced', id, origin: 'response' });
+        peerUpdates.onEndpointGone(id);
+        peerMesh.flushSoon();
+      },
     });
     this.#options.suspects.onChanged(id => {
       peerMesh.flushSoon();
--- a/packages/stand-ins/src/deployment/restarting-server.ts
+++ b/packages/stand-ins/src/deployment/restarting-server.ts
@@ -38,6 +38,7 @@
   #port = 0;
   #startCount = 0;
   #endCount = 0;
+  #misdirected = 0;
   #isStopped = false;
 
   constructor(options: RestartingServerOptions) {
@@ -49,6 +50,11 @@
     return this.#endCount;
   }
 
+  /** Number of requests that were meant for an earlier instance. */
+  get misdirected(): number {
+    return this.#misdirected;
+  }
+
   get isRunning(): boolean {
     return this.#server !== undefined;
   }
@@ -103,6 +109,7 @@
     this.requests.push(request);
     const expected = request.headers.get('sesamegrade-expect-instance');
     if (expected !== undefined && expected !== instance) {
+      this.#misdirected += 1;
       socket.write(notExecutedResponse(request, STATUS_MISDIRECTED));
       return;
     }
