Soak with a request and a prompt part that end endpoints

Two of a hundred requests of a soak are the same one, and two more are new prompts with one part in common, that end the endpoint that runs them; another one takes its place after 1 s. After the faults the soak rests for the contact time and sends both contents five times at each router: content that had ended 3 (a part: 5) endpoints may end at most 3 more.

--- a/packages/stand-ins/src/soak/soak-invariant-checker.test.ts
+++ b/packages/stand-ins/src/soak/soak-invariant-checker.test.ts
@@ -67,4 +67,21 @@
     checker.recordRun({ request: 'b', endpoint: 'e', at: 3100 });
     expect(violatedPromises(checker)).to.deep.equal(['leaving']);
   });
+
+  it('finds content that goes on to end endpoints once every router must know it', () => {
+    const checker = new SoakInvariantChecker();
+    const crash = (count: number) => {
+      Array.from({ length: count }, () => {
+        checker.recordCrash('request');
+      });
+    };
+    crash(3);
+    checker.recordRest();
+    crash(3);
+    expect(checker.violations()).to.deep.equal([]);
+    crash(1);
+    expect(checker.violations().map(({ promise }) => promise)).to.deep.equal([
+      'crashing-content',
+    ]);
+  });
 });
--- a/packages/stand-ins/src/soak/soak-invariant-checker.ts
+++ b/packages/stand-ins/src/soak/soak-invariant-checker.ts
@@ -34,12 +34,24 @@
     | 'own-answer'
     | 'leaving'
     | 'whole-stream'
-    | 'alive';
-  /** The request or, for `alive`, the router. */
+    | 'alive'
+    | 'crashing-content';
+  /** The request, the router for `alive`, or the content for `crashing-content`. */
   readonly request: string;
   readonly detail: string;
 }
 
+/** What ends endpoints: the same request each time, or a part of new prompts. */
+export type CrashingContent = 'request' | 'part';
+
+/** Endpoints that a content may end before routers must refuse it. */
+const ALLOWED_CRASHES: Readonly<Record<CrashingContent, number>> = {
+  request: 3,
+  part: 5,
+};
+/** Endpoints that it may end after that. */
+const MAX_LATE_CRASHES = 3;
+
 /** Time after which an endpoint that is known to be leaving receives no more requests. */
 const LEAVING_BOUND_MS = 2000;
 const STATUS_OK = 200;
@@ -54,6 +66,8 @@
   readonly #streams: SoakStream[] = [];
   readonly #leaving = new Map<string, number>();
   readonly #deaths: SoakViolation[] = [];
+  readonly #crashes = { request: 0, part: 0 };
+  #crashesBeforeRest: Readonly<Record<CrashingContent, number>> | undefined;
 
   /** Records a request before it is sent; `isAtMostOnce` if it must not run twice. */
   recordRequest(request: string, isAtMostOnce: boolean): void {
@@ -81,6 +95,16 @@
     this.#deaths.push({ promise: 'alive', request: router, detail: ending });
   }
 
+  /** Records that an endpoint ended as it ran the content. */
+  recordCrash(content: CrashingContent): void {
+    this.#crashes[content] += 1;
+  }
+
+  /** Records that there was no fault for so long that every router must know all crashes. */
+  recordRest(): void {
+    this.#crashesBeforeRest = { ...this.#crashes };
+  }
+
   /** Records that an endpoint is leaving, once all routers could read this in the store. */
   recordLeaving(endpoint: string, at: number): void {
     this.#leaving.set(endpoint, at);
@@ -115,9 +139,27 @@
       ...this.#streams.flatMap(stream => falseStream(stream)),
       ...this.#lateRuns(),
       ...this.#deaths,
+      ...this.#lateCrashes(),
     ];
   }
 
+  #lateCrashes(): SoakViolation[] {
+    const contents: readonly CrashingContent[] = ['request', 'part'];
+    return contents.flatMap(content => {
+      const before = this.#crashesBeforeRest?.[content] ?? 0;
+      const late = this.#crashes[content] - before;
+      return before >= ALLOWED_CRASHES[content] && late > MAX_LATE_CRASHES
+        ? [
+            {
+              promise: 'crashing-content' as const,
+              request: content,
+              detail: `ended ${late} endpoints after it had ended ${before}`,
+            },
+          ]
+        : [];
+    });
+  }
+
   #repeatedRuns(): SoakViolation[] {
     return [...this.#atMostOnce]
       .map(request => this.#runs.get(request) ?? [])
--- a/packages/stand-ins/src/soak/soak.ts
+++ b/packages/stand-ins/src/soak/soak.ts
@@ -32,7 +32,7 @@
 } from '../deployment/scripted-server';
 import type { Script } from '../deployment/scripted-server';
 import { SoakInvariantChecker } from './soak-invariant-checker';
-import type { SoakViolation } from './soak-invariant-checker';
+import type { CrashingContent, SoakViolation } from './soak-invariant-checker';
 
 export interface SoakOptions {
   readonly seed: number;
@@ -75,6 +75,16 @@
 const BROKEN_STREAM_SHARE = 0.3;
 /** Share of the streams that do not end and whose caller reads nothing and leaves. */
 const ENDLESS_SHARE = 0.05;
+/** Share of the requests that end the endpoint that runs them, for each of two contents. */
+const CRASHING_SHARE = 0.02;
+/** Time from the end of an endpoint to the start of its successor. */
+const DOWN_MS = 1000;
+/** Time without faults after which every router must know which content ends endpoints. */
+const CONTACT_MS = 3000;
+/** How often each router gets each such content after that time. */
+const LAST_SENDS = 5;
+const CRASHING_WORD = 'crashing';
+const CRASHING_PART = 'bad';
 const STREAM_TARGET = /^\/(?:draft|summary)\//u;
 const STATUS_OK = 200;
 
@@ -105,11 +115,7 @@
     const end = this.#now() + this.#options.seconds * 1000;
     let nextFaultAt = this.#now();
     while (this.#now() < end) {
-      this.#pending.push(
-        this.#random.fraction() < STREAM_SHARE
-          ? this.#sendStreamRequest()
-          : this.#sendRequest(),
-      );
+      this.#pending.push(this.#sendAny());
       if (this.#now() >= nextFaultAt) {
         nextFaultAt = this.#now() + FAULT_INTERVAL_MS;
         this.#pending.push(this.#injectFault());
@@ -117,9 +123,77 @@
       await pause(REQUEST_INTERVAL_MS);
     }
     await Promise.all(this.#pending);
+    await this.#sendCrashingContentAtRest();
     return this.#close();
   }
 
+  #sendAny(): Promise<void> {
+    const sample = this.#random.fraction();
+    if (sample < 2 * CRASHING_SHARE) {
+      const content = sample < CRASHING_SHARE ? 'request' : 'part';
+      return this.#sendCrashing(content, this.#random.pick(this.#routers));
+    }
+    return this.#random.fraction() < STREAM_SHARE
+      ? this.#sendStreamRequest()
+      : this.#sendRequest();
+  }
+
+  /** Sends the same request again, or a new one with the same prompt part. */
+  async #sendCrashing(
+    content: CrashingContent,
+    router: RouterProcess,
+  ): Promise<void> {
+    this.#requestCount += 1;
+    const id = `${this.#options.seed.toString(16)}-${this.#requestCount}`;
+    const own = this.#requestCount.toString(16);
+    const isPart = content === 'part';
+    await callOverHttp({
+      url: `http://${router.callerAddress}`,
+      path: isPart
+        ? `/summary/${CRASHING_WORD}-${own}`
+        : `/lookup/${CRASHING_WORD}`,
+      headers: {
+        host: TEST_HOST,
+        'sesamegrade-request-id': id,
+        'sesamegrade-deadline-ms': String(DEADLINE_MS),
+        authorization: `Bearer ${TEST_KEY}`,
+        ...(isPart
+          ? {
+              'sesamegrade-model': 'm',
+              'sesamegrade-token-usage': '300,20',
+              'sesamegrade-prompt-prefix': `a1:100,${CRASHING_PART}:100,${own}:100`,
+            }
+          : {}),
+      },
+    });
+  }
+
+  /** Sends content that ends endpoints once all routers must know it. */
+  async #sendCrashingContentAtRest(): Promise<void> {
+    await pause(CONTACT_MS);
+    this.#checker.recordRest();
+    for (let count = 0; count < LAST_SENDS; count += 1) {
+      for (const router of this.#routers) {
+        await this.#sendCrashing('request', router);
+        await this.#sendCrashing('part', router);
+      }
+    }
+    await Promise.all(this.#pending);
+  }
+
+  /** Ends an endpoint with all of its connections; another one takes its place. */
+  async #endServer(name: string): Promise<void> {
+    const server = this.#servers.get(name);
+    if (!server) {
+      return;
+    }
+    this.#servers.delete(name);
+    await server.stop();
+    await pause(DOWN_MS);
+    this.#store.remove('servers', name);
+    await this.#addServer();
+  }
+
   #now(): number {
     return performance.now() - this.#startedAt;
   }
@@ -252,6 +326,12 @@
         return;
       }
       this.#checker.recordRun({ request: id, endpoint: name, at: this.#now() });
+      if (scriptedRequest.target.includes(CRASHING_WORD)) {
+        const isPart = STREAM_TARGET.test(scriptedRequest.target);
+        this.#checker.recordCrash(isPart ? 'part' : 'request');
+        this.#pending.push(this.#endServer(name));
+        return;
+      }
       if (scriptedRequest.target.endsWith('/endless')) {
         sendEndlessStream(scriptedRequest, socket);
         return;
