--- a/packages/stand-ins/src/soak/soak.ts
+++ b/packages/stand-ins/src/soak/soak.ts
@@ -173,6 +173,8 @@
     await pause(CONTACT_MS);
     this.#checker.recordRest();
     for (let count = 0; count < LAST_SENDS; count += 1) {
+      // All endpoints may have ended in the round before.
+      await pause(2 * DOWN_MS);
       for (const router of this.#routers) {
         await this.#sendCrashing('request', router);
         await this.#sendCrashing('part', router);
