Name a time to come back that holds for several condemned contents

A request with two condemned contents is tried 10 s later than one with one, but its Retry-After named the earlier time. The new test got a second refusal at that time before, and the trial now.

--- a/packages/core/src/poison/relayed-suspects.test.ts
+++ b/packages/core/src/poison/relayed-suspects.test.ts
@@ -154,6 +154,21 @@
     }
   });
 
+  it('names a time to come back that holds for a request with two condemned contents', () => {
+    const [router] = fleet(1);
+    const both = [content, fingerprint('other')];
+    for (const id of both) {
+      router?.recordCrash(id, crashId('a'), start);
+      router?.recordCrash(id, crashId('b'), start);
+    }
+    const decision = router?.decideAll(both, start);
+    expect(decision?.kind).to.equal('refuse');
+    if (decision?.kind === 'refuse') {
+      const back = addTime(start, decision.retryAfter);
+      expect(router?.decideAll(both, back).kind).to.equal('trial');
+    }
+  });
+
   it('counts malformed rows and ignores them', () => {
     const [router] = fleet(1);
     const malformed = [['x'], ['x', [], [], 0], ['x', ['a'], 'b', 0], 7];
--- a/packages/core/src/poison/relayed-suspects.ts
+++ b/packages/core/src/poison/relayed-suspects.ts
@@ -91,6 +91,7 @@
     return suspicion(this.#table.get(id));
   }
 
+  /** `others` is the number of further condemned contents in the request. */
   decide(id: Fingerprint, now: Instant, others = 0): ContentDecision {
     const row = this.#table.get(id);
     if (!row || suspicion(row) !== 'condemned') {
@@ -99,7 +100,10 @@
     this.#table.touch(id, now);
     return this.#trials.isDue(row, now, others)
       ? { kind: 'trial' }
-      : { kind: 'refuse', retryAfter: this.#trials.remaining(row, now) };
+      : {
+          kind: 'refuse',
+          retryAfter: this.#trials.remaining(row, now, others),
+        };
   }
 
   /** Decides on a request with several contents; any of them may have it refused. */
--- a/packages/core/src/poison/scheduled-trials.ts
+++ b/packages/core/src/poison/scheduled-trials.ts
@@ -75,10 +75,13 @@
     );
   }
 
-  /** Time until the next trial of any router. */
-  remaining(row: Suspect, now: Instant): Milliseconds {
+  /** Time until the next trial of any router with such a request. */
+  remaining(row: Suspect, now: Instant, others = 0): Milliseconds {
     const { since, failedTrials } = this.observe(row, now);
-    const untilDue = trialDelay(row.id, failedTrials) - elapsed(since, now);
+    const untilDue =
+      trialDelay(row.id, failedTrials) +
+      others * DELAY_PER_OTHER_CONTENT -
+      elapsed(since, now);
     return milliseconds(untilDue > 0 ? untilDue : DUE_RETRY_AFTER);
   }
 
