Count a crash that a peer reports first, and no end after an announced leaving

The detector took an endpoint that is no longer used for one that leaves. A crash that another router had reported gone was dropped as evidence, and an endpoint that had announced its leaving and whose entry went before the probe counted as crashed. The directory now tells whether that instance announced its leaving; nothing else is asked. The two new tests of crash-detector.test.ts failed before.

--- a/packages/core/src/endpoints/endpoint-directory.ts
+++ b/packages/core/src/endpoints/endpoint-directory.ts
@@ -94,6 +94,18 @@
     return row !== undefined && isRowUsable(row);
   }
 
+  /** Whether an instance announced that it leaves, also if its entry is gone. */
+  hasAnnouncedLeaving(id: EndpointId, startedAt: number | undefined): boolean {
+    const row = this.#rows.get(id);
+    if (row && row.entry.startedAt === startedAt) {
+      return row.leaving;
+    }
+    const departure = this.#departures.get(id);
+    return (
+      departure?.startedAt === startedAt && (departure?.announced ?? false)
+    );
+  }
+
   /** Endpoints of a service that take new requests. */
   usable(service: ServiceId): EndpointEntry[] {
     const found: EndpointEntry[] = [];
--- a/packages/gateway/src/endpoints/crash-detector.test.ts
+++ b/packages/gateway/src/endpoints/crash-detector.test.ts
@@ -94,6 +94,23 @@
     expect(suspects.suspicion(content)).to.equal('none');
   });
 
+  it('takes the end of an endpoint that left before its entry went for no crash', async () => {
+    endpointDirectory.markLeaving(entry.id, entry.startedAt);
+    const verdict = detector.onBroken(entry, [content]);
+    detector.onDirectoryEvents([{ kind: 'gone', id: entry.id }]);
+    await verdict;
+    expect(suspects.suspicion(content)).to.equal('none');
+  });
+
+  // Guards against a crash that a peer reports first passing for a planned end.
+  it('takes a break for a crash although a peer has reported the endpoint gone meanwhile', async () => {
+    await endProcess();
+    const verdict = detector.onBroken(entry, [content]);
+    endpointDirectory.applyDeparture(entry.id);
+    await verdict;
+    expect(suspects.suspicion(content)).to.equal('suspect');
+  });
+
   it('waits for the entry of an endpoint that does not answer the probe', async () => {
     const silent = new SilentAddress();
     try {
--- a/packages/gateway/src/endpoints/crash-detector.ts
+++ b/packages/gateway/src/endpoints/crash-detector.ts
@@ -3,8 +3,10 @@
  * connection broke. An endpoint that is not leaving has crashed if it refuses connections
  * after a break, if another instance answers at its address, or if its entry lapses.
  */
-import type { DirectoryEvent } from '@sesamegrade/core/endpoints/endpoint-directory';
-import type { EndpointDirectory } from '@sesamegrade/core/endpoints/endpoint-directory';
+import type {
+  DirectoryEvent,
+  EndpointDirectory,
+} from '@sesamegrade/core/endpoints/endpoint-directory';
 import type { EndpointEntry } from '@sesamegrade/core/endpoints/endpoint-entry';
 import { BrokenAttempts } from '@sesamegrade/core/poison/broken-attempts';
 import type { RelayedSuspects } from '@sesamegrade/core/poison/relayed-suspects';
@@ -54,6 +56,9 @@
     ids: readonly Fingerprint[],
   ): Promise<void> {
     const { id, startedAt } = entry;
+    if (this.#isLeaving(entry)) {
+      return;
+    }
     const crash = crashIdOf(id, incarnation(startedAt ?? 0));
     this.#brokenAttempts.add(id, crash, ids, this.#options.timers.now());
     const running = this.#probes.get(id);
@@ -94,14 +99,19 @@
     }
   }
 
-  async #probe({ id, address }: EndpointEntry): Promise<void> {
-    const { timers, connectionPool, endpointDirectory } = this.#options;
+  #isLeaving({ id, startedAt }: EndpointEntry): boolean {
+    return this.#options.endpointDirectory.hasAnnouncedLeaving(id, startedAt);
+  }
+
+  async #probe(entry: EndpointEntry): Promise<void> {
+    const { timers, connectionPool } = this.#options;
+    const { id, address } = entry;
     await new Promise<void>(resolve => {
       timers.after(PROBE_DELAY, () => {
         resolve();
       });
     });
-    if (connectionPool.hasIdle(id) || !endpointDirectory.isUsable(id)) {
+    if (connectionPool.hasIdle(id) || this.#isLeaving(entry)) {
       this.#brokenAttempts.drop(id);
       return;
     }
