Name a time to come back that holds after a trial without a result

After a trial whose result is not known the next one waits for its delay again, up to hours, but callers were told 2 s. The new test of relayed-suspects.test.ts failed before.

--- a/packages/core/src/poison/relayed-suspects.test.ts
+++ b/packages/core/src/poison/relayed-suspects.test.ts
@@ -154,6 +154,21 @@
     }
   });
 
+  it('names a time to come back that holds after a trial without a result', () => {
+    const routers = fleet(1);
+    const [router] = routers;
+    router?.recordCrash(content, crashId('a'), start);
+    router?.recordCrash(content, crashId('b'), start);
+    const due = addTime(start, FIRST_TRIAL);
+    router?.onTrialSent([content], due);
+    const decision = router?.decide(content, due);
+    expect(decision?.kind).to.equal('refuse');
+    if (decision?.kind === 'refuse') {
+      const back = addTime(due, decision.retryAfter);
+      expect(router?.decide(content, back).kind).to.equal('trial');
+    }
+  });
+
   it('names a time to come back that holds for a request with two condemned contents', () => {
     const [router] = fleet(1);
     const both = [content, fingerprint('other')];
--- a/packages/core/src/poison/scheduled-trials.ts
+++ b/packages/core/src/poison/scheduled-trials.ts
@@ -77,15 +77,16 @@
 
   /** Time until the next trial of any router with such a request. */
   remaining(row: Suspect, now: Instant, others = 0): Milliseconds {
-    const { since, failedTrials } = this.observe(row, now);
-    const untilDue =
-      trialDelay(row.id, failedTrials) +
-      others * DELAY_PER_OTHER_CONTENT -
-      elapsed(since, now);
+    const { since, triedAt, failedTrials } = this.observe(row, now);
+    const delay = trialDelay(row.id, failedTrials);
+    const untilDue = Math.max(
+      delay + others * DELAY_PER_OTHER_CONTENT - elapsed(since, now),
+      triedAt === undefined ? 0 : delay - elapsed(triedAt, now),
+    );
     return milliseconds(untilDue > 0 ? untilDue : DUE_RETRY_AFTER);
   }
 
-  /** Records a trial; returns false if it is unknown for what or was known. */
+  /** Records a trial; returns false if the content has no schedule or the trial is known. */
   recordTrial(id: Fingerprint, at: Instant): boolean {
     const schedule = this.#schedules.get(id);
     if (!schedule || at <= (schedule.triedAt ?? schedule.since)) {
