Store who was cleared, and what was condemned in a long outage

A row of condemned content was cleared in the store only by the router that had written it, so a later start took it for condemned again; a write that failed for 10 s was given up; each announced trial cost a needless write. Changes now say whether the content was condemned before, writes are repeated with a growing delay until the store is back, and trials are not stored.

--- a/packages/core/src/poison/relayed-suspects.ts
+++ b/packages/core/src/poison/relayed-suspects.ts
@@ -27,6 +27,15 @@
   /** `retryAfter` is the time until the next trial. */
   | { readonly kind: 'refuse'; readonly retryAfter: Milliseconds };
 
+/** A change that this router observed itself. */
+export type SuspectChange =
+  | {
+      readonly kind: 'row';
+      readonly id: Fingerprint;
+      readonly wasCondemned: boolean;
+    }
+  | { readonly kind: 'trial'; readonly id: Fingerprint };
+
 /** A changed row as peers receive it: content, crashes, cleared crashes, age in milliseconds. */
 export type SuspectEntry = readonly [
   string,
@@ -65,7 +74,7 @@
   readonly #trials: ScheduledTrials;
   readonly #changed = new Set<Fingerprint>();
   readonly #newTrials = new Set<Fingerprint>();
-  #listener: (id: Fingerprint) => void = () => undefined;
+  #listener: (change: SuspectChange) => void = () => undefined;
   #expiredAt: Instant | undefined;
 
   constructor({ self, routers }: RelayedSuspectsOptions) {
@@ -83,7 +92,7 @@
   }
 
   /** Registers a function that is called when this router observes a change. */
-  onChanged(listener: (id: Fingerprint) => void): void {
+  onChanged(listener: (change: SuspectChange) => void): void {
     this.#listener = listener;
   }
 
@@ -128,17 +137,18 @@
       const isTrial = this.suspicion(id) === 'condemned';
       if (isTrial && this.#trials.recordTrial(id, now)) {
         this.#newTrials.add(id);
-        this.#listener(id);
+        this.#listener({ kind: 'trial', id });
       }
     }
   }
 
   /** Records that an endpoint crashed while the content was running on it. */
   recordCrash(id: Fingerprint, crash: CrashId, now: Instant): void {
+    const wasCondemned = this.suspicion(id) === 'condemned';
     if (this.#table.recordCrash(id, crash, now)) {
       this.#onRowChanged(id, now);
       this.#changed.add(id);
-      this.#listener(id);
+      this.#listener({ kind: 'row', id, wasCondemned });
     }
   }
 
@@ -151,10 +161,11 @@
 
   /** Clears content of the crashes so far; returns true if it was a suspect. */
   clear(id: Fingerprint, now: Instant): boolean {
+    const wasCondemned = this.suspicion(id) === 'condemned';
     const isCleared = this.#table.clear(id, now);
     if (isCleared) {
       this.#changed.add(id);
-      this.#listener(id);
+      this.#listener({ kind: 'row', id, wasCondemned });
     }
     return isCleared;
   }
--- a/packages/gateway/src/process/gateway-process.ts
+++ b/packages/gateway/src/process/gateway-process.ts
@@ -179,9 +179,9 @@
         peerMesh.flushSoon();
       },
     });
-    this.#options.suspects.onChanged(id => {
+    this.#options.suspects.onChanged(change => {
       peerMesh.flushSoon();
-      this.#options.storedSuspects.onChanged(id);
+      this.#options.storedSuspects.onChanged(change);
     });
     fleetReplica.onRead(() => {
       peerMesh.flushSoon();
--- a/packages/gateway/src/store/stored-suspects.ts
+++ b/packages/gateway/src/store/stored-suspects.ts
@@ -5,10 +5,13 @@
 import { z } from 'zod';
 
 import { rendezvousWeight } from '@sesamegrade/core/hashing/rendezvous';
-import type { RelayedSuspects } from '@sesamegrade/core/poison/relayed-suspects';
+import type {
+  RelayedSuspects,
+  SuspectChange,
+} from '@sesamegrade/core/poison/relayed-suspects';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
 import type { Fingerprint } from '@sesamegrade/core/types/ids';
-import { seconds } from '@sesamegrade/core/types/units';
+import { milliseconds, seconds } from '@sesamegrade/core/types/units';
 import type { Milliseconds } from '@sesamegrade/core/types/units';
 import type { DecisionLog } from '../logs/decision-log';
 import type { FeedRow } from './feed-source';
@@ -18,9 +21,9 @@
 /** Rows that are used; a content whose row another one takes is no longer stored. */
 const ROWS = 64;
 const KEY_HASH = 'row';
-/** Time until a failed write is repeated. */
-const RETRY_PERIOD: Milliseconds = seconds(1);
-const MAX_TRIES = 10;
+/** Time until a failed write is repeated; it doubles with each failure. */
+const FIRST_RETRY_DELAY: Milliseconds = seconds(1);
+const MAX_RETRY_DELAY: Milliseconds = seconds(16);
 
 /** An entry as peers receive it, and the Unix milliseconds at which it was written. */
 const rowSchema = z.object({ writtenAt: z.number(), entry: z.unknown() });
@@ -34,7 +37,6 @@
 
 export class StoredSuspects {
   readonly #options: StoredSuspectsOptions;
-  readonly #stored = new Set<Fingerprint>();
   readonly #pending = new Set<Fingerprint>();
   #isWriting = false;
 
@@ -59,14 +61,16 @@
     }
   }
 
-  /** Stores the row of a content that this router saw change, if it is or was condemned. */
-  onChanged(id: Fingerprint): void {
-    const isCondemned = this.#options.suspects.suspicion(id) === 'condemned';
-    if (!isCondemned && !this.#stored.has(id)) {
+  /** Stores the row of a content that is or was condemned. */
+  onChanged(change: SuspectChange): void {
+    if (change.kind !== 'row') {
       return;
     }
-    this.#pending.add(id);
-    void this.#writePending();
+    const { id, wasCondemned } = change;
+    if (wasCondemned || this.#options.suspects.suspicion(id) === 'condemned') {
+      this.#pending.add(id);
+      void this.#writePending();
+    }
   }
 
   /** Writes one row after the other. */
@@ -85,7 +89,8 @@
   async #write(id: Fingerprint): Promise<void> {
     const { routerRows, suspects, timers, log } = this.#options;
     const key = `${KEY_PREFIX}${rendezvousWeight(id, KEY_HASH) % ROWS}`;
-    for (let tries = 0; tries < MAX_TRIES; tries += 1) {
+    let delay = FIRST_RETRY_DELAY;
+    for (;;) {
       const entry = suspects.entry(id, timers.now());
       if (!entry) {
         return;
@@ -93,15 +98,16 @@
       const row = JSON.stringify({ writtenAt: timers.wallTime(), entry });
       const written = await routerRows.put(key, new TextEncoder().encode(row));
       if (written.ok) {
-        this.#stored.add(id);
         return;
       }
       log.write('suspect-not-stored', { key, failure: written.failure });
+      const retryDelay = delay;
       await new Promise<void>(resolve => {
-        timers.after(RETRY_PERIOD, () => {
+        timers.after(retryDelay, () => {
           resolve();
         });
       });
+      delay = milliseconds(Math.min(MAX_RETRY_DELAY, delay * 2));
     }
   }
 }
