--- a/packages/gateway/src/forwarding/forwarder.ts
+++ b/packages/gateway/src/forwarding/forwarder.ts
@@ -3,24 +3,14 @@
   EndpointChoice,
   EndpointChooser,
 } from '@sesamegrade/core/forwarding/endpoint-chooser';
-import type { EndpointEntry } from '@sesamegrade/core/endpoints/endpoint-entry';
 import { connectTimeout } from '@sesamegrade/core/forwarding/connect-timeout';
 import { nextStep } from '@sesamegrade/core/forwarding/next-step';
 import type { NextStep } from '@sesamegrade/core/forwarding/next-step';
 import type { AttemptResult } from '@sesamegrade/core/forwarding/attempt-result';
 import type { FleetState } from '@sesamegrade/core/forwarding/fleet-state';
 import { mayHaveRun } from '@sesamegrade/core/forwarding/attempt-result';
-import {
-  sharedParts,
-  subjectPart,
-} from '@sesamegrade/core/prompts/prompt-chain';
-import { attemptEvidence } from '@sesamegrade/core/poison/attempt-evidence';
-import type { EndedRun } from '@sesamegrade/core/poison/attempt-evidence';
-import type {
-  ContentDecision,
-  RelayedSuspects,
-} from '@sesamegrade/core/poison/relayed-suspects';
-import { partFingerprint } from '@sesamegrade/core/poison/suspect';
+import { subjectPart } from '@sesamegrade/core/prompts/prompt-chain';
+import type { RelayedSuspects } from '@sesamegrade/core/poison/relayed-suspects';
 import type { Random } from '@sesamegrade/core/random/random';
 import type { CallerLimits } from '@sesamegrade/core/routes/fleet-configuration';
 import { pickTarget } from '@sesamegrade/core/routes/route-table';
@@ -31,11 +21,7 @@
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
 import { addTime, elapsed, milliseconds } from '@sesamegrade/core/types/units';
 import type { Instant, Milliseconds } from '@sesamegrade/core/types/units';
-import type {
-  EndpointId,
-  Fingerprint,
-  ServiceId,
-} from '@sesamegrade/core/types/ids';
+import type { EndpointId, ServiceId } from '@sesamegrade/core/types/ids';
 import type { CallerExchange } from '../callers/caller-exchange';
 import type {
   RequestHead,
@@ -50,7 +36,7 @@
 import type { ShutdownSequence } from '../process/shutdown-sequence';
 import type { FleetReadiness } from '../store/fleet-readiness';
 import type { GatewayMetrics } from '../metrics/gateway-metrics';
-import { requestFingerprint } from './request-fingerprint';
+import { CrashGuard } from './crash-guard';
 import { ResponseRelay } from './response-relay';
 
 /** Limit of a request body before a configuration sets one; 4 MiB is the deployments' own limit. */
@@ -111,15 +97,12 @@
   readonly body: Buffer;
   readonly arrivedAt: Instant;
   readonly expiresAt: Instant;
+  readonly crashGuard: CrashGuard;
   readonly tried: Set<EndpointId>;
   /** Attempts that may have run. */
   possibleRuns: number;
   /** Attempts that provably did not run. */
   notRun: number;
-  /** Attempts that were broken off, possibly by a crash of their endpoint. */
-  breaks: number;
-  /** What of it may crash endpoints; determined when it is first needed. */
-  contents: readonly Fingerprint[] | undefined;
 }
 
 export class Forwarder {
@@ -258,11 +241,18 @@
       body,
       arrivedAt,
       expiresAt: addTime(arrivedAt, milliseconds(timeout)),
+      crashGuard: new CrashGuard(this.#options, {
+        route: route.id,
+        service: target.service,
+        method: head.method,
+        target: head.target,
+        team: decision.team?.id,
+        body,
+        prompt: head.prompt,
+      }),
       tried: new Set(),
       possibleRuns: 0,
       notRun: 0,
-      breaks: 0,
-      contents: undefined,
     };
     this.#options.fleetState.onRequestStarted(target.service);
     await this.#runAttempts(request);
@@ -287,7 +277,7 @@
         }
       },
       onSoundProgress: () => {
-        this.#clearContents(request);
+        request.crashGuard.recordSound();
       },
       onFirstEvent: () => {
         this.#options.gatewayMetrics.recordFirstEvent(
@@ -302,7 +292,7 @@
       attempt?.abort({ kind: 'caller-left' });
     });
     for (;;) {
-      const decision = this.#decideContent(request);
+      const decision = request.crashGuard.decide();
       if (decision.kind === 'refuse') {
         this.#refuseSuspect(request, relay, decision.retryAfter);
         return;
@@ -323,11 +313,11 @@
       const startedAt = this.#options.timers.now();
       const eventsBefore = relay.events;
       if (decision.kind === 'trial') {
-        this.#options.suspects.onTrialSent(contentsOf(request), startedAt);
+        request.crashGuard.recordTrial();
       }
       attempt = this.#startAttempt(request, relay, choice);
       const result = await attempt.done;
-      await this.#recordEvidence(request, choice.entry, {
+      await request.crashGuard.recordEnd(choice.entry, {
         result,
         events: relay.events - eventsBefore,
         isFramed: attempt.responseHead?.framing !== 'connection',
@@ -348,52 +338,6 @@
     }
   }
 
-  /** Content is compared only while any is known that ran during a crash. */
-  #decideContent(request: ForwardedRequest): ContentDecision {
-    const { suspects, timers } = this.#options;
-    return suspects.size === 0
-      ? { kind: 'run' }
-      : suspects.decideAll(contentsOf(request), timers.now());
-  }
-
-  /**
-   * Records what an attempt shows about its content. After a second break the result
-   * of the endpoint's probe is awaited, as the next attempt may crash another one.
-   */
-  async #recordEvidence(
-    request: ForwardedRequest,
-    entry: EndpointEntry,
-    run: EndedRun,
-  ): Promise<void> {
-    const { suspects, crashDetector, fleetState } = this.#options;
-    const { result } = run;
-    if (result.kind === 'declined' && result.decline === 'other-instance') {
-      crashDetector.onReplaced(entry.id);
-      fleetState.onReplaced(entry);
-    }
-    const evidence = attemptEvidence(run);
-    if (evidence === 'sound') {
-      this.#clearContents(request);
-    }
-    if (evidence !== 'broken-off') {
-      return;
-    }
-    request.breaks += 1;
-    const contents = contentsOf(request);
-    const isSuspect = contents.some(id => suspects.suspicion(id) !== 'none');
-    const verdict = crashDetector.onBroken(entry, contents);
-    if (isSuspect || request.breaks > 1) {
-      await verdict;
-    }
-  }
-
-  #clearContents(request: ForwardedRequest): void {
-    const { suspects, timers } = this.#options;
-    if (suspects.size > 0) {
-      suspects.clearAll(contentsOf(request), timers.now());
-    }
-  }
-
   #refuseSuspect(
     request: ForwardedRequest,
     relay: ResponseRelay,
@@ -549,6 +493,9 @@
       attempt.responseHead?.load,
       now,
     );
+    if (result.kind === 'declined' && result.decline === 'other-instance') {
+      fleetState.onReplaced(choice.entry);
+    }
     if (mayHaveRun(result)) {
       request.possibleRuns += 1;
     } else {
@@ -565,7 +512,7 @@
       remaining: milliseconds(Math.max(0, elapsed(now, request.expiresAt))),
       goal: route.latencyGoal,
       takeRetry: () =>
-        this.#decideContent(request).kind === 'run' &&
+        request.crashGuard.decide().kind === 'run' &&
         fleetState.takeRetry(request.service),
     });
     this.#options.gatewayMetrics.recordAttempt(request.service, result.kind);
@@ -735,27 +682,6 @@
   }
 }
 
-/** The whole request, and the parts of its prompt that others may share. */
-function contentsOf(request: ForwardedRequest): readonly Fingerprint[] {
-  const { head, decision, body, service } = request;
-  if (request.contents) {
-    return request.contents;
-  }
-  const whole = requestFingerprint({
-    route: decision.route.id,
-    method: head.method,
-    target: head.target,
-    team: decision.team?.id,
-    body,
-  });
-  const parts = head.prompt ? sharedParts(head.prompt) : [];
-  request.contents = [
-    whole,
-    ...parts.map(({ id }) => partFingerprint(service, id)),
-  ];
-  return request.contents;
-}
-
 function bodyLimit(limits: CallerLimits | undefined): number {
   return limits?.bodyBytes ?? DEFAULT_MAX_BODY_BYTES;
 }
