--- a/packages/measure/src/poison/crash-storm.test.ts
+++ b/packages/measure/src/poison/crash-storm.test.ts
@@ -12,10 +12,10 @@
 const SEEDS = 20;
 const SECOND = 1000;
 
-const guilty: RequestKind = {
-  name: 'guilty',
+const crashing: RequestKind = {
+  name: 'crashing',
   perSecond: 5,
-  contents: () => [fingerprint('guilty')],
+  contents: () => [fingerprint('crashing')],
   runTime: 40,
   crashesEndpoints: true,
   repeatable: true,
@@ -42,10 +42,10 @@
 const base: Omit<CrashStormOptions, 'seed'> = {
   routers: 18,
   endpoints: 3,
-  kinds: [guilty, popular, once],
+  kinds: [crashing, popular, once],
   length: 40 * SECOND,
   downTime: 2000,
-  contactTime: 3000,
+  propagationTime: 3000,
   allowedCrashes: 3,
 };
 
@@ -72,7 +72,7 @@
     ['while a relay dies', { relayDiesAt: 500 }],
     [
       'when it comes rarely',
-      { kinds: [{ ...guilty, perSecond: 0.5 }, popular, once] },
+      { kinds: [{ ...crashing, perSecond: 0.5 }, popular, once] },
     ],
     ['before endpoints of a large service', { endpoints: 12 }],
   ] as const) {
@@ -106,7 +106,7 @@
   repeatable: true,
 };
 
-const crashing: Omit<RequestKind, 'name' | 'contents'> = {
+const crashingStream: Omit<RequestKind, 'name' | 'contents'> = {
   ...stream,
   perSecond: 2,
   runTime: 400,
@@ -154,7 +154,7 @@
   part: string,
   options: Partial<RequestKind> = {},
 ): RequestKind => ({
-  ...crashing,
+  ...crashingStream,
   name: part,
   contents: number => [
     whole(part, number),
@@ -173,7 +173,7 @@
 };
 
 /** Number of kinds that crash endpoints; each has a bound of its own. */
-const guiltyKinds = (kinds: readonly RequestKind[]): number =>
+const crashingKinds = (kinds: readonly RequestKind[]): number =>
   kinds.filter(({ crashesEndpoints }) => crashesEndpoints).length;
 
 // Chats of a few engines that share the first part, some of them a tool or two more,
@@ -214,7 +214,7 @@
     it(`ends ${name}, and the others are served`, () => {
       const reports = play({ ...engines, ...options });
       const late = reports.map(({ lateArrivals }) => lateArrivals);
-      expect(Math.max(...late)).to.be.at.most(3 * guiltyKinds(options.kinds));
+      expect(Math.max(...late)).to.be.at.most(3 * crashingKinds(options.kinds));
       for (const kind of ['chats', 'near', 'pair']) {
         expect(laterShare(reports, kind), kind).to.be.at.least(0.9);
       }
--- a/packages/measure/src/poison/crash-storm.ts
+++ b/packages/measure/src/poison/crash-storm.ts
@@ -37,14 +37,14 @@
   readonly downTime: number;
   /** When the first relay dies; undefined if it does not. */
   readonly relayDiesAt?: number;
-  /** Crashes of crashing content that are allowed before the contact time begins. */
+  /** Crashes of crashing content that are allowed before the propagation time begins. */
   readonly allowedCrashes: number;
   /** Mean milliseconds between crashes of endpoints for other reasons; none by default. */
   readonly otherCrashInterval?: number;
   /** Endpoints that end at this time although nothing they run crashes them. */
   readonly lossOfAllAt?: number;
-  /** Time after which every router must know of a crash. */
-  readonly contactTime: number;
+  /** Milliseconds after which every router must know of a crash. */
+  readonly propagationTime: number;
 }
 
 export interface KindReport {
@@ -52,7 +52,7 @@
   served: number;
   refused: number;
   failed: number;
-  /** Sent later than twice the contact time after the last allowed crash so far. */
+  /** Sent later than twice the propagation time after the last allowed crash so far. */
   laterSent: number;
   laterServed: number;
 }
@@ -60,7 +60,7 @@
 export interface CrashStormReport {
   /** Crashes by content, not those for other reasons. */
   crashes: number;
-  /** Arrivals of crashing content later than the contact time after its last allowed crash. */
+  /** Arrivals of crashing content later than the propagation time after its last allowed crash. */
   lateArrivals: number;
   /** Most bytes of suspects' rows that one router received in a second. */
   maxBytesPerSecond: number;
@@ -77,7 +77,7 @@
 
 interface SimulatedEndpoint {
   readonly name: string;
-  boot: number;
+  incarnation: number;
   isUp: boolean;
   running: Set<Run>;
 }
@@ -151,7 +151,7 @@
       { length: options.endpoints },
       (_value, index) => ({
         name: `endpoint-${index}`,
-        boot: 1,
+        incarnation: 1,
         isUp: true,
         running: new Set<Run>(),
       }),
@@ -234,7 +234,7 @@
     }
     const isLater =
       this.#allowedCrashAt !== undefined &&
-      this.#now - this.#allowedCrashAt > 2 * this.#options.contactTime;
+      this.#now - this.#allowedCrashAt > 2 * this.#options.propagationTime;
     report.sent += 1;
     report.laterSent += isLater ? 1 : 0;
     this.#attempt({
@@ -275,7 +275,7 @@
     const boundStart = this.#boundStarts.get(kind);
     if (
       boundStart !== undefined &&
-      this.#now - boundStart > this.#options.contactTime
+      this.#now - boundStart > this.#options.propagationTime
     ) {
       this.#report.lateArrivals += 1;
     }
@@ -312,20 +312,20 @@
     router.suspects.clearAll(contents, instant(this.#now));
   }
 
-  #crash(endpoint: SimulatedEndpoint, guilty?: RequestKind): void {
+  #crash(endpoint: SimulatedEndpoint, cause?: RequestKind): void {
     if (!endpoint.isUp) {
       return;
     }
     const interrupted = [...endpoint.running];
-    if (guilty) {
-      this.#countCrash(guilty);
+    if (cause) {
+      this.#countCrash(cause);
     }
     const id = endpointId(endpoint.name);
-    const crash = crashIdOf(id, incarnation(endpoint.boot));
+    const crash = crashIdOf(id, incarnation(endpoint.incarnation));
     endpoint.isUp = false;
     endpoint.running = new Set();
     this.#queue.add(this.#now + this.#options.downTime, () => {
-      endpoint.boot += 1;
+      endpoint.incarnation += 1;
       endpoint.isUp = true;
     });
     for (const run of interrupted) {
--- a/packages/stand-ins/src/soak/soak-invariant-checker.test.ts
+++ b/packages/stand-ins/src/soak/soak-invariant-checker.test.ts
@@ -76,7 +76,7 @@
       });
     };
     crash(3);
-    checker.recordRest();
+    checker.recordFaultsOver();
     crash(3);
     expect(checker.violations()).to.deep.equal([]);
     crash(1);
--- a/packages/stand-ins/src/soak/soak-invariant-checker.ts
+++ b/packages/stand-ins/src/soak/soak-invariant-checker.ts
@@ -67,7 +67,7 @@
   readonly #leaving = new Map<string, number>();
   readonly #deaths: SoakViolation[] = [];
   readonly #crashes = { request: 0, part: 0 };
-  #crashesBeforeRest: Readonly<Record<CrashingContent, number>> | undefined;
+  #crashesWithFaults: Readonly<Record<CrashingContent, number>> | undefined;
 
   /** Records a request before it is sent; `isAtMostOnce` if it must not run twice. */
   recordRequest(request: string, isAtMostOnce: boolean): void {
@@ -101,8 +101,8 @@
   }
 
   /** Records that there was no fault for so long that every router must know all crashes. */
-  recordRest(): void {
-    this.#crashesBeforeRest = { ...this.#crashes };
+  recordFaultsOver(): void {
+    this.#crashesWithFaults = { ...this.#crashes };
   }
 
   /** Records that an endpoint is leaving, once all routers could read this in the store. */
@@ -146,7 +146,7 @@
   #lateCrashes(): SoakViolation[] {
     const contents: readonly CrashingContent[] = ['request', 'part'];
     return contents.flatMap(content => {
-      const before = this.#crashesBeforeRest?.[content] ?? 0;
+      const before = this.#crashesWithFaults?.[content] ?? 0;
       const late = this.#crashes[content] - before;
       return before >= ALLOWED_CRASHES[content] && late > MAX_LATE_CRASHES
         ? [
--- a/packages/stand-ins/src/soak/soak.ts
+++ b/packages/stand-ins/src/soak/soak.ts
@@ -80,7 +80,7 @@
 /** Time from the end of an endpoint to the start of its successor. */
 const DOWN_MS = 1000;
 /** Time without faults after which every router must know which content ends endpoints. */
-const CONTACT_MS = 3000;
+const PROPAGATION_MS = 3000;
 /** How often each router gets each such content after that time. */
 const LAST_SENDS = 5;
 const CRASHING_WORD = 'crashing';
@@ -123,7 +123,7 @@
       await pause(REQUEST_INTERVAL_MS);
     }
     await Promise.all(this.#pending);
-    await this.#sendCrashingContentAtRest();
+    await this.#sendCrashingContentAfterFaults();
     return this.#close();
   }
 
@@ -169,9 +169,9 @@
   }
 
   /** Sends content that ends endpoints once all routers must know it. */
-  async #sendCrashingContentAtRest(): Promise<void> {
-    await pause(CONTACT_MS);
-    this.#checker.recordRest();
+  async #sendCrashingContentAfterFaults(): Promise<void> {
+    await pause(PROPAGATION_MS);
+    this.#checker.recordFaultsOver();
     for (let count = 0; count < LAST_SENDS; count += 1) {
       // All endpoints may have ended in the round before.
       await pause(2 * DOWN_MS);
