--- a/packages/core/src/poison/relayed-suspects.test.ts
+++ b/packages/core/src/poison/relayed-suspects.test.ts
@@ -184,6 +184,22 @@
     }
   });
 
+  it('lets another router try once the fleet is smaller', () => {
+    const routers = ids(ROUTERS);
+    const known = [...routers];
+    const fleetOfFewer = routers.map(
+      self => new RelayedSuspects({ self, routers: () => known }),
+    );
+    fleetOfFewer[0]?.recordCrash(content, crashId('a'), start);
+    fleetOfFewer[0]?.recordCrash(content, crashId('b'), start);
+    exchange(fleetOfFewer, start);
+    const due = addTime(start, FIRST_TRIAL);
+    const first = kinds(fleetOfFewer, due).indexOf('trial');
+    known.splice(first, 1);
+    const after = kinds(fleetOfFewer, due);
+    expect(after.filter(kind => kind === 'trial')).to.have.length.above(1);
+  });
+
   it('counts malformed rows and ignores them', () => {
     const [router] = fleet(1);
     const malformed = [['x'], ['x', [], [], 0], ['x', ['a'], 'b', 0], 7];
--- a/packages/core/src/poison/scheduled-trials.ts
+++ b/packages/core/src/poison/scheduled-trials.ts
@@ -44,6 +44,12 @@
   readonly triedAt: Instant | undefined;
 }
 
+/** Rank of this router for a content in a fleet of some size. */
+interface CachedRank {
+  readonly fleetSize: number;
+  readonly rank: number;
+}
+
 export interface ScheduledTrialsOptions {
   readonly self: RouterId;
   readonly routers: () => readonly RouterId[];
@@ -52,6 +58,7 @@
 export class ScheduledTrials {
   readonly #options: ScheduledTrialsOptions;
   readonly #schedules = new Map<Fingerprint, Schedule>();
+  readonly #ranks = new Map<Fingerprint, CachedRank>();
 
   constructor(options: ScheduledTrialsOptions) {
     this.#options = options;
@@ -124,17 +131,25 @@
     for (const id of this.#schedules.keys()) {
       if (!isKnown(id)) {
         this.#schedules.delete(id);
+        this.#ranks.delete(id);
       }
     }
   }
 
   /** Number of routers that may run the trial before this one. */
   #rank(id: Fingerprint): number {
-    const { self, routers } = this.#options;
+    const { self } = this.#options;
+    const routers = this.#options.routers();
+    const cached = this.#ranks.get(id);
+    if (cached?.fleetSize === routers.length) {
+      return cached.rank;
+    }
     const own = rendezvousWeight(id, self);
-    return routers().filter(
+    const rank = routers.filter(
       router => router !== self && rendezvousWeight(id, router) > own,
     ).length;
+    this.#ranks.set(id, { fleetSize: routers.length, rank });
+    return rank;
   }
 }
 
