Log the request limits that endpoints state

The logs could not tell whether a router had read a limit, which one, or when it ended. The header is decoded and no longer passed on to callers; core/endpoint-limits holds the newest statement of each instance (a response without one ends it only if its request was sent after the last statement), each change is a line 'endpoint-limit', and a gauge counts limited endpoints.

--- a/packages/core/src/forwarding/fleet-state.ts
+++ b/packages/core/src/forwarding/fleet-state.ts
@@ -2,6 +2,8 @@
  * State of the fleet that a router derives from its own attempts; a listener
  * sends changes to peers.
  */
+import type { EndpointLimits } from '../endpoint-limits/endpoint-limits';
+import type { RequestLimitStatement } from '../endpoint-limits/request-limit-statement';
 import type { EndpointDirectory } from '../endpoints/endpoint-directory';
 import type { EndpointEntry } from '../endpoints/endpoint-entry';
 import type { RefusalHolds } from '../endpoints/refusal-holds';
@@ -45,6 +47,7 @@
   readonly status: number;
   readonly isLeaving: boolean;
   readonly retryAfter: Milliseconds | undefined;
+  readonly requestLimit: RequestLimitStatement;
 }
 
 export interface FleetStateOptions {
@@ -52,6 +55,7 @@
   readonly locations: PartLocations;
   readonly health: ServiceHealth;
   readonly holds: RefusalHolds;
+  readonly endpointLimits: EndpointLimits;
   readonly endpointDirectory: EndpointDirectory;
   readonly retryBudget: FleetRetryBudget;
   readonly now: () => Instant;
@@ -108,9 +112,17 @@
     this.#recordPart(engine, part, 'held');
   }
 
-  /** Applies what an endpoint says about itself in the head of any response. */
-  onStatement(entry: EndpointEntry, statement: EndpointStatement): void {
-    const { endpointDirectory, holds, now } = this.#options;
+  /**
+   * Applies what an endpoint says about itself in the head of any response.
+   * `sentAt` is when the caller's request was sent that the response answers;
+   * undefined for a request of the router itself.
+   */
+  onStatement(
+    entry: EndpointEntry,
+    statement: EndpointStatement,
+    sentAt: Instant | undefined,
+  ): void {
+    const { endpointDirectory, endpointLimits, holds, now } = this.#options;
     if (statement.status === STATUS_MISDIRECTED) {
       // Another instance at the same address is speaking of itself.
       return;
@@ -127,6 +139,9 @@
     ) {
       holds.hold(entry.id, statement.retryAfter, now());
     }
+    if (sentAt !== undefined) {
+      endpointLimits.onStatement(entry, statement.requestLimit, sentAt, now());
+    }
   }
 
   /** Uses an endpoint no longer, as another instance answers at its address. */
@@ -183,6 +198,7 @@
     this.#options.loads.removeEndpoint(endpoint);
     this.#options.locations.removeEngine(endpoint);
     this.#options.holds.remove(endpoint);
+    this.#options.endpointLimits.remove(endpoint);
     this.#lastActivity.delete(endpoint);
   }
 
--- a/packages/gateway/src/composition/gateway-container.ts
+++ b/packages/gateway/src/composition/gateway-container.ts
@@ -9,6 +9,7 @@
 import type { AwilixContainer } from 'awilix';
 import type { Logger } from 'winston';
 
+import { EndpointLimits } from '@sesamegrade/core/endpoint-limits/endpoint-limits';
 import { EndpointDirectory } from '@sesamegrade/core/endpoints/endpoint-directory';
 import { CacheSurveyPlan } from '@sesamegrade/core/engines/cache-survey-plan';
 import { EndpointReplica } from '@sesamegrade/core/endpoints/endpoint-replica';
@@ -79,6 +80,7 @@
   readonly locations: PartLocations;
   readonly health: ServiceHealth;
   readonly holds: RefusalHolds;
+  readonly endpointLimits: EndpointLimits;
   readonly routerDirectory: RouterDirectory;
   readonly retryBudget: FleetRetryBudget;
   readonly fleetState: FleetState;
@@ -145,6 +147,7 @@
     locations: asFunction(() => new PartLocations()).singleton(),
     health: asFunction(newHealth).singleton(),
     holds: asFunction(() => new RefusalHolds()).singleton(),
+    endpointLimits: asFunction(() => new EndpointLimits()).singleton(),
     routerDirectory: asFunction(() => new RouterDirectory()).singleton(),
     retryBudget: asFunction(newRetryBudget).singleton(),
     fleetState: asFunction(newFleetState).singleton(),
@@ -265,6 +268,7 @@
   locations,
   health,
   holds,
+  endpointLimits,
   endpointDirectory,
   retryBudget,
   timers,
@@ -274,6 +278,7 @@
     locations,
     health,
     holds,
+    endpointLimits,
     endpointDirectory,
     retryBudget,
     now: () => timers.now(),
--- a/packages/gateway/src/endpoints/cache-survey.ts
+++ b/packages/gateway/src/endpoints/cache-survey.ts
@@ -130,6 +130,7 @@
             fleetState.onStatement(
               engine,
               endpointProtocol.readResponse(received, headers),
+              undefined,
             );
           },
           onData: chunk => {
--- a/packages/gateway/src/endpoints/endpoint-protocol.ts
+++ b/packages/gateway/src/endpoints/endpoint-protocol.ts
@@ -2,6 +2,7 @@
  * Interface to the protocol of endpoints. An adapter implements it with the
  * header names and body formats of its platform.
  */
+import type { RequestLimitStatement } from '@sesamegrade/core/endpoint-limits/request-limit-statement';
 import type { Address } from '@sesamegrade/core/types/endpoint';
 import type {
   EndpointId,
@@ -62,6 +63,8 @@
   readonly keepAliveTimeout: Milliseconds | undefined;
   /** Whether the endpoint states that it is about to stop. */
   readonly isLeaving: boolean;
+  /** What the endpoint states about the rate of requests that it accepts. */
+  readonly requestLimit: RequestLimitStatement;
   /** Time for which the endpoint wants no more requests from this router. */
   readonly retryAfter: Milliseconds | undefined;
 }
--- a/packages/gateway/src/forwarding/forwarder.ts
+++ b/packages/gateway/src/forwarding/forwarder.ts
@@ -408,7 +408,7 @@
       sink: relay.sink(),
       now: () => timers.now(),
       onResponseHead: responseHead => {
-        fleetState.onStatement(entry, responseHead);
+        fleetState.onStatement(entry, responseHead, now);
       },
       onActivity: () => {
         fleetState.recordActivity(entry.id, timers.now());
--- a/packages/gateway/src/process/gateway-process.ts
+++ b/packages/gateway/src/process/gateway-process.ts
@@ -2,6 +2,7 @@
  * Starts and stops a router on the platform, and connects the store's replica,
  * the fleet state and the peers while it runs.
  */
+import type { EndpointLimits } from '@sesamegrade/core/endpoint-limits/endpoint-limits';
 import type {
   EndpointDirectory,
   DirectoryEvent,
@@ -39,6 +40,7 @@
   readonly timers: TimerService;
   readonly routes: RouteTable;
   readonly endpointDirectory: EndpointDirectory;
+  readonly endpointLimits: EndpointLimits;
   readonly fleetState: FleetState;
   readonly forwarder: Forwarder;
   readonly shutdownSequence: ShutdownSequence;
@@ -179,6 +181,9 @@
         peerMesh.flushSoon();
       },
     });
+    this.#options.endpointLimits.onChanged(change => {
+      log.write('endpoint-limit', { ...change });
+    });
     this.#options.suspects.onChanged(change => {
       peerMesh.flushSoon();
       this.#options.storedSuspects.onChanged(change);
@@ -290,6 +295,11 @@
       'Contents that ran during a crash of an endpoint.',
       () => this.#options.suspects.size,
     );
+    gatewayMetrics.registerGauge(
+      'limited_endpoints',
+      'Endpoints that state the rate of requests that they accept.',
+      () => this.#options.endpointLimits.size,
+    );
     gatewayMetrics.registerGauge(
       'endpoints',
       'Endpoints known.',
