Keep the limits that endpoints state, for the whole fleet

Cause: no code read the statement.

Change: one gate beside the choice (gateway/forwarding/attempt-placement), which first attempts, retries and continued streams all pass. Statements spread as updates by the relays, ordered by instance and revision. The first relay issues one permit a request from a token bucket for each endpoint (core/endpoint-limits/permit-issuer); the second relay asks the first. While others have no limit a refused permit moves the request to them; when all are limited, it waits up to half its goal by rank and team (WaitingQueue of core/limits) or is refused at once with the expected time.

--- a/packages/core/src/forwarding/endpoint-chooser.test.ts
+++ b/packages/core/src/forwarding/endpoint-chooser.test.ts
@@ -1,5 +1,7 @@
 import { expect } from 'chai';
 
+import { EndpointLimits } from '../endpoint-limits/endpoint-limits';
+import { PermitRefusals } from '../endpoint-limits/permit-refusals';
 import { EndpointDirectory } from '../endpoints/endpoint-directory';
 import type { EndpointEntry } from '../endpoints/endpoint-entry';
 import { RefusalHolds } from '../endpoints/refusal-holds';
@@ -61,6 +63,8 @@
     loads,
     locations,
     holds,
+    endpointLimits: new EndpointLimits(),
+    permitRefusals: new PermitRefusals(),
     random: new Random(1),
     zone: zoneId('near'),
     unreported: () => 0,
--- a/packages/core/src/forwarding/endpoint-chooser.ts
+++ b/packages/core/src/forwarding/endpoint-chooser.ts
@@ -1,4 +1,6 @@
 /** Chooses the endpoint of a request from this router's state of the fleet. */
+import type { EndpointLimits } from '../endpoint-limits/endpoint-limits';
+import type { PermitRefusals } from '../endpoint-limits/permit-refusals';
 import type { EndpointDirectory } from '../endpoints/endpoint-directory';
 import type { EndpointEntry } from '../endpoints/endpoint-entry';
 import type { RefusalHolds } from '../endpoints/refusal-holds';
@@ -21,6 +23,8 @@
   /** Endpoints at which the request was already attempted. */
   readonly tried: ReadonlySet<EndpointId>;
   readonly repeatable: boolean;
+  /** The only endpoint that may be chosen, as it has granted a permit. */
+  readonly only?: EndpointId;
 }
 
 /** Why an endpoint was chosen. */
@@ -52,6 +56,8 @@
   readonly locations: PartLocations;
   readonly health: ServiceHealth;
   readonly holds: RefusalHolds;
+  readonly endpointLimits: EndpointLimits;
+  readonly permitRefusals: PermitRefusals;
   readonly random: Random;
   readonly zone: ZoneId;
   /**
@@ -83,7 +89,10 @@
 
   choose(query: ChoiceQuery, now: Instant): EndpointChoice {
     const known = this.#options.endpointDirectory.usable(query.service);
-    const untried = this.#untried(known, query, now);
+    const untried =
+      query.only === undefined
+        ? this.#untried(known, query, now)
+        : known.filter(({ id }) => id === query.only);
     const healthy = untried.filter(({ id }) =>
       this.#options.health.accepts(id),
     );
@@ -106,15 +115,44 @@
     return this.#untried(known, query, now).length;
   }
 
+  /** Number of endpoints that take the request and state no limit. */
+  unlimited(query: UntriedQuery, now: Instant): number {
+    const { endpointDirectory, endpointLimits } = this.#options;
+    const known = endpointDirectory.usable(query.service);
+    return this.#untried(known, query, now).filter(
+      entry => endpointLimits.perSecond(entry) === undefined,
+    ).length;
+  }
+
+  /**
+   * Endpoints with a limit that take the request, also those that had no permit
+   * lately; only healthy ones if there are any.
+   */
+  limited(query: UntriedQuery, now: Instant): readonly EndpointEntry[] {
+    const { endpointDirectory, endpointLimits, holds, health } = this.#options;
+    const limited = endpointDirectory
+      .usable(query.service)
+      .filter(
+        entry =>
+          !query.tried.has(entry.id) &&
+          holds.remaining(entry.id, now) === 0 &&
+          endpointLimits.perSecond(entry) !== undefined,
+      );
+    const healthy = limited.filter(({ id }) => health.accepts(id));
+    return healthy.length > 0 ? healthy : limited;
+  }
+
   /**
    * Time until the first endpoint of a service takes requests again; undefined
    * if one takes them now or there is none.
    */
   holdTime(service: ServiceId, now: Instant): Milliseconds | undefined {
-    const { endpointDirectory, holds } = this.#options;
+    const { endpointDirectory, holds, permitRefusals } = this.#options;
     const times = endpointDirectory
       .usable(service)
-      .map(({ id }) => holds.remaining(id, now));
+      .map(({ id }) =>
+        Math.max(holds.remaining(id, now), permitRefusals.remaining(id, now)),
+      );
     const shortest = Math.min(...times);
     return times.length > 0 && shortest > 0
       ? milliseconds(shortest)
@@ -126,9 +164,12 @@
     { tried }: UntriedQuery,
     now: Instant,
   ): EndpointEntry[] {
-    const { holds } = this.#options;
+    const { holds, permitRefusals } = this.#options;
     return known.filter(
-      ({ id }) => !tried.has(id) && holds.remaining(id, now) === 0,
+      ({ id }) =>
+        !tried.has(id) &&
+        holds.remaining(id, now) === 0 &&
+        permitRefusals.remaining(id, now) === 0,
     );
   }
 
--- a/packages/core/src/peers/peer-updates.test.ts
+++ b/packages/core/src/peers/peer-updates.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
 
+import { EndpointLimits } from '../endpoint-limits/endpoint-limits';
 import { EndpointDirectory } from '../endpoints/endpoint-directory';
 import { EndpointReplica } from '../endpoints/endpoint-replica';
 import { CacheSurveyPlan } from '../engines/cache-survey-plan';
@@ -54,6 +55,7 @@
     endpointDirectory,
     surveyPlan,
     suspects,
+    endpointLimits: new EndpointLimits(),
   });
   return {
     self,
--- a/packages/core/src/peers/peer-updates.ts
+++ b/packages/core/src/peers/peer-updates.ts
@@ -1,11 +1,12 @@
 /**
  * Collects the updates that a router sends to its peers between messages, and
  * applies those that it receives: requests at endpoints, rows of the store, prompt
- * parts that engines have read, departures, content that may crash endpoints, and
- * the version of the configuration in force. A relay passes on what it receives.
+ * parts that engines have read, departures, content that may crash endpoints, limits
+ * that endpoints state, and the version of the configuration in force. A relay passes on what it receives.
  */
 import { z } from 'zod';
 
+import type { EndpointLimits } from '../endpoint-limits/endpoint-limits';
 import type { EndpointDirectory } from '../endpoints/endpoint-directory';
 import type { EndpointEntry } from '../endpoints/endpoint-entry';
 import type { CacheSurveyPlan } from '../engines/cache-survey-plan';
@@ -48,6 +49,7 @@
   surveyed: 's',
   suspects: 'x',
   trials: 'y',
+  limits: 'r',
 } as const;
 
 export interface PeerUpdatesOptions {
@@ -57,6 +59,7 @@
   readonly endpointDirectory: EndpointDirectory;
   readonly surveyPlan: CacheSurveyPlan;
   readonly suspects: RelayedSuspects;
+  readonly endpointLimits: EndpointLimits;
 }
 
 /** The configuration that a peer has in force. */
@@ -122,6 +125,7 @@
       this.#surveyedEngines.size > 0 ||
       this.#hasNewVersion ||
       this.#options.suspects.hasChanges ||
+      this.#options.endpointLimits.hasChanges ||
       this.#options.feedUpdates.isUrgent
     );
   }
@@ -168,7 +172,8 @@
 
   /** Returns and clears the updates for all peers since the last call. */
   takeChanges(now: Instant): TopicEntries {
-    const { loadUpdates, feedUpdates, suspects } = this.#options;
+    const { loadUpdates, feedUpdates, suspects, endpointLimits } =
+      this.#options;
     const topics: Record<string, readonly unknown[]> = {
       ...loadUpdates.takeChanges(),
       ...feedUpdates.takeChanges(now),
@@ -188,6 +193,9 @@
       topics[UpdateTopic.suspects] = suspects.takeChanges(now);
       topics[UpdateTopic.trials] = suspects.takeTrials(now);
     }
+    if (endpointLimits.hasChanges) {
+      topics[UpdateTopic.limits] = endpointLimits.takeChanges();
+    }
     if (this.#hasNewVersion && this.#version) {
       topics[UpdateTopic.version] = [versionEntry(this.#version)];
       this.#hasNewVersion = false;
@@ -206,8 +214,14 @@
     endpoints: readonly EndpointId[],
     now: Instant,
   ): TopicEntries {
-    const { locations, surveyPlan, loadUpdates, feedUpdates, suspects } =
-      this.#options;
+    const {
+      locations,
+      surveyPlan,
+      loadUpdates,
+      feedUpdates,
+      suspects,
+      endpointLimits,
+    } = this.#options;
     const surveyed = endpoints.filter(id => surveyPlan.isKnown(id));
     return {
       ...loadUpdates.fullState(peer, endpoints),
@@ -215,6 +229,7 @@
       [UpdateTopic.parts]: takeFirst(locations.pairs(), MAX_SENT_PARTS),
       [UpdateTopic.surveyed]: surveyed.map(id => [id]),
       [UpdateTopic.suspects]: suspects.fullState(now),
+      [UpdateTopic.limits]: endpointLimits.fullState(),
       ...(this.#version
         ? { [UpdateTopic.version]: [versionEntry(this.#version)] }
         : {}),
@@ -222,13 +237,15 @@
   }
 
   receive(peer: RouterId, topics: TopicEntries, now: Instant): ReceivedUpdates {
-    const { loadUpdates, feedUpdates, suspects } = this.#options;
+    const { loadUpdates, feedUpdates, suspects, endpointLimits } =
+      this.#options;
     let version: PeerVersion | undefined;
     const malformed =
       loadUpdates.receive(peer, topics, now) +
       feedUpdates.receive(topics, now) +
       suspects.receive(topics[UpdateTopic.suspects], this.#isRelay, now) +
       suspects.receiveTrials(topics[UpdateTopic.trials], this.#isRelay, now) +
+      endpointLimits.receive(topics[UpdateTopic.limits], this.#isRelay, now) +
       forEachValidEntry(topics[UpdateTopic.parts], partSchema, entry => {
         this.#applyPart(promptPartId(entry[0]), endpointId(entry[1]), entry[2]);
       }) +
--- a/packages/core/src/peers/relay-selection.ts
+++ b/packages/core/src/peers/relay-selection.ts
@@ -34,6 +34,8 @@
 }
 
 export interface RelaySelection {
+  /** The relays that are connected, this router included, the first one first. */
+  readonly relays: readonly RouterId[];
   /**
    * Routers to connect to: in rank order until enough of them are connected.
    */
@@ -50,6 +52,7 @@
   connected,
 }: RelaySelectionOptions): RelaySelection {
   const links: RouterId[] = [];
+  const relays: RouterId[] = [];
   let connectedCount = 0;
   let connectingCount = 0;
   let isRelay = false;
@@ -64,17 +67,19 @@
     if (router === self) {
       isRelay = true;
       isReader = connectedCount === 0;
+      relays.push(router);
       connectedCount += 1;
       continue;
     }
     links.push(router);
     if (connected.has(router)) {
+      relays.push(router);
       connectedCount += 1;
     } else {
       connectingCount += 1;
     }
   }
-  return { links, isRelay, isReader };
+  return { relays, links, isRelay, isReader };
 }
 
 /**
--- a/packages/gateway/src/composition/gateway-container.ts
+++ b/packages/gateway/src/composition/gateway-container.ts
@@ -10,6 +10,7 @@
 import type { Logger } from 'winston';
 
 import { EndpointLimits } from '@sesamegrade/core/endpoint-limits/endpoint-limits';
+import { PermitRefusals } from '@sesamegrade/core/endpoint-limits/permit-refusals';
 import { EndpointDirectory } from '@sesamegrade/core/endpoints/endpoint-directory';
 import { CacheSurveyPlan } from '@sesamegrade/core/engines/cache-survey-plan';
 import { EndpointReplica } from '@sesamegrade/core/endpoints/endpoint-replica';
@@ -43,10 +44,12 @@
 import { ConnectionPool } from '../endpoints/connection-pool';
 import { CrashDetector } from '../endpoints/crash-detector';
 import type { EndpointProtocol } from '../endpoints/endpoint-protocol';
+import { AttemptPlacement } from '../forwarding/attempt-placement';
 import { Forwarder } from '../forwarding/forwarder';
 import { DecisionLog } from '../logs/decision-log';
 import { GatewayMetrics } from '../metrics/gateway-metrics';
 import { PeerMesh } from '../peers/peer-mesh';
+import { FleetPermits } from '../permits/fleet-permits';
 import { GatewayProcess } from '../process/gateway-process';
 import { SettingsReloader } from '../process/settings-reloader';
 import { ShutdownSequence } from '../process/shutdown-sequence';
@@ -81,6 +84,9 @@
   readonly health: ServiceHealth;
   readonly holds: RefusalHolds;
   readonly endpointLimits: EndpointLimits;
+  readonly permitRefusals: PermitRefusals;
+  readonly fleetPermits: FleetPermits;
+  readonly attemptPlacement: AttemptPlacement;
   readonly routerDirectory: RouterDirectory;
   readonly retryBudget: FleetRetryBudget;
   readonly fleetState: FleetState;
@@ -148,6 +154,9 @@
     health: asFunction(newHealth).singleton(),
     holds: asFunction(() => new RefusalHolds()).singleton(),
     endpointLimits: asFunction(() => new EndpointLimits()).singleton(),
+    permitRefusals: asFunction(() => new PermitRefusals()).singleton(),
+    fleetPermits: asClass(FleetPermits).singleton(),
+    attemptPlacement: asClass(AttemptPlacement).singleton(),
     routerDirectory: asFunction(() => new RouterDirectory()).singleton(),
     retryBudget: asFunction(newRetryBudget).singleton(),
     fleetState: asFunction(newFleetState).singleton(),
@@ -198,6 +207,7 @@
         endpointDirectory,
         surveyPlan,
         suspects,
+        endpointLimits,
       }: GatewayCradle) =>
         new PeerUpdates({
           loadUpdates,
@@ -206,6 +216,7 @@
           endpointDirectory,
           surveyPlan,
           suspects,
+          endpointLimits,
         }),
     ).singleton(),
     surveyPlan: asFunction(
@@ -291,6 +302,8 @@
   locations,
   health,
   holds,
+  endpointLimits,
+  permitRefusals,
   random,
   settings,
   retryBudget,
@@ -303,6 +316,8 @@
     locations,
     health,
     holds,
+    endpointLimits,
+    permitRefusals,
     random,
     zone,
     unreported: (service, now) => {
--- /dev/null
+++ b/packages/gateway/src/forwarding/attempt-placement.ts
@@ -0,0 +1,176 @@
+/**
+ * Chooses the endpoint of an attempt and obtains the permit for it if the endpoint
+ * states a limit. Every attempt passes here: first ones, retries and continued streams.
+ */
+import type { EndpointLimits } from '@sesamegrade/core/endpoint-limits/endpoint-limits';
+import type { PermitQuery } from '@sesamegrade/core/endpoint-limits/permit-query';
+import type { PermitRefusals } from '@sesamegrade/core/endpoint-limits/permit-refusals';
+import type {
+  ChoiceQuery,
+  EndpointChoice,
+  EndpointChooser,
+} from '@sesamegrade/core/forwarding/endpoint-chooser';
+import type { EndpointEntry } from '@sesamegrade/core/endpoints/endpoint-entry';
+import type { TimerService } from '@sesamegrade/core/time/timer-service';
+import { requestId } from '@sesamegrade/core/types/ids';
+import type { EndpointId, TeamId } from '@sesamegrade/core/types/ids';
+import { milliseconds } from '@sesamegrade/core/types/units';
+import type { Milliseconds } from '@sesamegrade/core/types/units';
+import type { GatewaySettings } from '@sesamegrade/settings/gateway-schema';
+import type { FleetPermits, PermitSource } from '../permits/fleet-permits';
+
+/** Share of the latency goal for which a request may wait for a permit. */
+const MAX_WAIT_PER_GOAL = 0.5;
+
+/** What decides how long and before whom a request waits. */
+export interface PlacementClaim {
+  readonly team: TeamId;
+  /** 0 is the most urgent. */
+  readonly rank: number;
+  readonly goal: Milliseconds;
+  readonly remaining: Milliseconds;
+}
+
+export type Placement =
+  | {
+      readonly kind: 'endpoint';
+      readonly choice: Extract<EndpointChoice, { kind: 'endpoint' }>;
+      /** Who issued the permit; undefined if the endpoint has no limit. */
+      readonly permit: PermitSource | undefined;
+    }
+  | {
+      readonly kind: 'none';
+      /** Expected time until a permit; undefined if no endpoint has a limit. */
+      readonly retryAfter: Milliseconds | undefined;
+    };
+
+export interface AttemptPlacementOptions {
+  readonly settings: GatewaySettings;
+  readonly chooser: EndpointChooser;
+  readonly endpointLimits: EndpointLimits;
+  readonly permitRefusals: PermitRefusals;
+  readonly fleetPermits: FleetPermits;
+  readonly timers: TimerService;
+}
+
+export class AttemptPlacement {
+  readonly #options: AttemptPlacementOptions;
+  #queryCount = 0;
+
+  constructor(options: AttemptPlacementOptions) {
+    this.#options = options;
+  }
+
+  async place(query: ChoiceQuery, claim: PlacementClaim): Promise<Placement> {
+    const { chooser, endpointLimits, permitRefusals, timers } = this.#options;
+    for (;;) {
+      const choice = chooser.choose(query, timers.now());
+      const isLimited =
+        choice.kind === 'endpoint' &&
+        endpointLimits.perSecond(choice.entry) !== undefined;
+      if (choice.kind === 'endpoint' && !isLimited) {
+        return { kind: 'endpoint', choice, permit: undefined };
+      }
+      if (
+        choice.kind === 'none' ||
+        chooser.unlimited(query, timers.now()) === 0
+      ) {
+        return this.#placeAtAny(query, claim, choice);
+      }
+      const { answer, source } = await this.#requestPermit(
+        query,
+        claim,
+        [choice.entry],
+        milliseconds(0),
+      );
+      if (answer.kind === 'granted') {
+        return { kind: 'endpoint', choice, permit: source };
+      }
+      permitRefusals.addEndpoint(
+        choice.entry.id,
+        answer.retryAfter,
+        timers.now(),
+      );
+    }
+  }
+
+  /** Places a request that can only go to endpoints with a limit; it may wait for the first permit of any. */
+  async #placeAtAny(
+    query: ChoiceQuery,
+    claim: PlacementClaim,
+    preferred: EndpointChoice,
+  ): Promise<Placement> {
+    const { chooser, permitRefusals, timers } = this.#options;
+    const entries = chooser.limited(query, timers.now());
+    if (entries.length === 0) {
+      return { kind: 'none', retryAfter: undefined };
+    }
+    const known = permitRefusals.ofService(
+      query.service,
+      claim.rank,
+      timers.now(),
+    );
+    if (known !== undefined) {
+      return { kind: 'none', retryAfter: known };
+    }
+    const preferredId =
+      preferred.kind === 'endpoint' ? preferred.entry.id : undefined;
+    const { answer, source } = await this.#requestPermit(
+      query,
+      claim,
+      preferredFirst(entries, preferredId),
+      milliseconds(
+        Math.min(claim.goal * MAX_WAIT_PER_GOAL, claim.remaining / 2),
+      ),
+    );
+    if (answer.kind === 'refused') {
+      permitRefusals.addService(
+        query.service,
+        claim.rank,
+        answer.retryAfter,
+        timers.now(),
+      );
+      return { kind: 'none', retryAfter: answer.retryAfter };
+    }
+    const choice = chooser.choose(
+      { ...query, only: answer.endpoint },
+      timers.now(),
+    );
+    return choice.kind === 'none'
+      ? // The endpoint has left meanwhile.
+        this.place(query, claim)
+      : { kind: 'endpoint', choice, permit: source };
+  }
+
+  #requestPermit(
+    { service }: ChoiceQuery,
+    { rank, team }: PlacementClaim,
+    entries: readonly EndpointEntry[],
+    maxWait: Milliseconds,
+  ): ReturnType<FleetPermits['request']> {
+    const { fleetPermits, endpointLimits, settings } = this.#options;
+    this.#queryCount += 1;
+    const query: PermitQuery = {
+      request: requestId(`${settings.router.id}/${this.#queryCount}`),
+      service,
+      endpoints: entries.map(entry => ({
+        id: entry.id,
+        perSecond: endpointLimits.perSecond(entry) ?? 0,
+      })),
+      rank,
+      team,
+      maxWait,
+    };
+    return fleetPermits.request(query);
+  }
+}
+
+function preferredFirst(
+  entries: readonly EndpointEntry[],
+  preferred: EndpointId | undefined,
+): readonly EndpointEntry[] {
+  return entries.toSorted(
+    (left, right) =>
+      Number(right.id === preferred) - Number(left.id === preferred),
+  );
+}
--- a/packages/gateway/src/forwarding/forwarder.ts
+++ b/packages/gateway/src/forwarding/forwarder.ts
@@ -21,6 +21,7 @@
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
 import { addTime, elapsed, milliseconds } from '@sesamegrade/core/types/units';
 import type { Instant, Milliseconds } from '@sesamegrade/core/types/units';
+import { teamId } from '@sesamegrade/core/types/ids';
 import type { EndpointId, ServiceId } from '@sesamegrade/core/types/ids';
 import type { CallerExchange } from '../callers/caller-exchange';
 import type {
@@ -36,6 +37,7 @@
 import type { ShutdownSequence } from '../process/shutdown-sequence';
 import type { FleetReadiness } from '../store/fleet-readiness';
 import type { GatewayMetrics } from '../metrics/gateway-metrics';
+import type { AttemptPlacement, Placement } from './attempt-placement';
 import { CrashGuard } from './crash-guard';
 import { ResponseRelay } from './response-relay';
 
@@ -68,12 +70,15 @@
  */
 const MAX_START_WAIT = milliseconds(600);
 const START_WAIT_SHARE = 0.25;
+/** Stands for the team of requests that need no key. */
+const NO_TEAM = teamId('');
 
 type ForwardDecision = Extract<RouteDecision, { kind: 'forward' }>;
 
 export interface ForwarderOptions {
   readonly routes: RouteTable;
   readonly chooser: EndpointChooser;
+  readonly attemptPlacement: AttemptPlacement;
   readonly fleetState: FleetState;
   readonly connectionPool: ConnectionPool;
   readonly callerProtocol: CallerProtocol;
@@ -297,18 +302,22 @@
         this.#refuseSuspect(request, relay, decision.retryAfter);
         return;
       }
-      const choice = this.#choose(request);
-      if (choice.kind === 'none') {
-        this.#giveUp(
-          request,
-          relay,
-          request.possibleRuns > 0 ? 'may-have-run' : 'no-endpoint',
-        );
+      const placement = await this.#place(request);
+      if (exchange.hasDisconnected) {
         return;
       }
-      if (exchange.hasDisconnected) {
+      if (placement.kind === 'none') {
+        this.#giveUpWithoutEndpoint(request, relay, placement);
         return;
       }
+      const { choice, permit } = placement;
+      if (permit !== undefined) {
+        this.#options.log.write('permit', {
+          request: head.requestId,
+          endpoint: choice.entry.id,
+          source: permit,
+        });
+      }
       engine = choice.entry.id;
       const startedAt = this.#options.timers.now();
       const eventsBefore = relay.events;
@@ -354,19 +363,45 @@
     });
   }
 
-  #choose(request: ForwardedRequest): EndpointChoice {
-    const { chooser, timers } = this.#options;
-    return chooser.choose(
+  #place(request: ForwardedRequest): Promise<Placement> {
+    const { attemptPlacement, timers } = this.#options;
+    const { route, team } = request.decision;
+    return attemptPlacement.place(
       {
         service: request.service,
         prompt: request.head.prompt,
         tried: request.tried,
-        repeatable: request.decision.route.repeatable,
+        repeatable: route.repeatable,
+      },
+      {
+        team: team?.id ?? NO_TEAM,
+        rank: team?.priority ?? route.priority,
+        goal: route.latencyGoal,
+        remaining: milliseconds(
+          Math.max(0, elapsed(timers.now(), request.expiresAt)),
+        ),
       },
-      timers.now(),
     );
   }
 
+  #giveUpWithoutEndpoint(
+    request: ForwardedRequest,
+    relay: ResponseRelay,
+    { retryAfter }: Extract<Placement, { kind: 'none' }>,
+  ): void {
+    if (request.possibleRuns > 0 || request.exchange.hasResponseStarted) {
+      this.#giveUp(request, relay, 'may-have-run');
+    } else if (retryAfter === undefined) {
+      this.#giveUp(request, relay, 'no-endpoint');
+    } else {
+      this.#refuse(request.exchange, request.head, {
+        kind: 'not-run',
+        cause: 'no-permit',
+        retryAfter,
+      });
+    }
+  }
+
   #startAttempt(
     request: ForwardedRequest,
     relay: ResponseRelay,
@@ -462,7 +497,8 @@
         route.answer.kind === 'stream' &&
         lastActivityAt !== undefined &&
         elapsed(lastActivityAt, now) < MAX_EVENT_SILENCE / 2;
-      const alternatives = chooser.untried(request, now);
+      // A retry at an endpoint with a limit may get no permit.
+      const alternatives = chooser.unlimited(request, now);
       if (
         !isResponsive &&
         alternatives > 0 &&
--- a/packages/gateway/src/metrics/gateway-metrics.ts
+++ b/packages/gateway/src/metrics/gateway-metrics.ts
@@ -28,6 +28,12 @@
     labelNames: ['service', 'end'],
     registers: [this.#registry],
   });
+  readonly #permits = new Counter({
+    name: 'sesamegrade_permits_total',
+    help: 'Queries for permits to send to endpoints with a limit.',
+    labelNames: ['origin', 'result'],
+    registers: [this.#registry],
+  });
   readonly #latency = new Histogram({
     name: 'sesamegrade_request_seconds',
     help: 'Time from a request to the end of its response.',
@@ -59,6 +65,10 @@
     this.#attempts.inc({ service, end });
   }
 
+  recordPermit(origin: 'issuer' | 'reserve', result: string): void {
+    this.#permits.inc({ origin, result });
+  }
+
   recordFirstEvent(_route: RouteId, duration: Milliseconds): void {
     this.#firstEvent.observe(duration / MS_PER_SECOND);
   }
--- a/packages/gateway/src/peers/peer-mesh.ts
+++ b/packages/gateway/src/peers/peer-mesh.ts
@@ -32,6 +32,7 @@
 import type { GatewaySettings } from '@sesamegrade/settings/gateway-schema';
 import type { DecisionLog } from '../logs/decision-log';
 import type { SettingsReloader } from '../process/settings-reloader';
+import type { FleetPermits } from '../permits/fleet-permits';
 import type { FleetReplica } from '../store/fleet-replica';
 import type { FeedPage } from '../store/feed-source';
 import type { RowTable } from '../store/row-table';
@@ -83,6 +84,7 @@
   readonly coverage: Readonly<Record<FeedTable, FeedCoverage>>;
   readonly timers: TimerService;
   readonly random: Random;
+  readonly fleetPermits: FleetPermits;
   readonly log: DecisionLog;
 }
 
@@ -97,6 +99,7 @@
   readonly #subscribers = new Set<RouterId>();
   readonly #seedLinks: SeedLinks;
   readonly #updateSender: UpdateSender;
+  #relays: readonly RouterId[] = [];
   #fetching = false;
   #listReadAt: Instant | undefined;
   #stopped = false;
@@ -154,6 +157,7 @@
         raw: options.fleetReplica.rawConfiguration ?? new Uint8Array(0),
         endpoints: snapshotEndpoints(options.endpointDirectory),
       }),
+      permit: (peer, query) => options.fleetPermits.answerPeer(peer, query),
       listener: {
         onSubscribed: identity => {
           this.#onSubscribed(identity);
@@ -171,6 +175,16 @@
     return [...this.#peers.values()].filter(peer => peer.isConnected).length;
   }
 
+  /** Number of routers that receive updates from this one. */
+  get subscriberCount(): number {
+    return this.#subscribers.size;
+  }
+
+  /** The relays that are connected, this router included, the first one first. */
+  get relays(): readonly RouterId[] {
+    return this.#relays;
+  }
+
   /** Bytes on all connections between routers, in both directions. */
   get bytes(): number {
     const { read, written } = this.#meter.total();
@@ -337,7 +351,7 @@
         .filter(peer => peer.isConnected)
         .map(({ identity }) => identity.id),
     );
-    const { links, isRelay, isReader } = selectRelays({
+    const { relays, links, isRelay, isReader } = selectRelays({
       self: this.#self.id,
       known: [
         { id: this.#self.id, power: this.#self.power ?? 1 },
@@ -345,6 +359,7 @@
       ],
       connected,
     });
+    this.#relays = relays;
     this.#setRelay(isRelay);
     this.#options.fleetReplica.setReader(isReader);
     const wanted = new Set([...links, ...this.#subscribers]);
@@ -495,6 +510,14 @@
     }
   }
 
+  /** Asks a relay for a permit; rejects if it is not connected. */
+  requestPermit(relay: RouterId, query: unknown): Promise<unknown> {
+    const peer = this.#peers.get(relay);
+    return peer?.isConnected
+      ? peer.link.requestPermit(query)
+      : Promise.reject(new Error(`${relay} is not connected`));
+  }
+
   /** Sends pending updates after a short delay, together with those that arrive meanwhile. */
   flushSoon(): void {
     this.#updateSender.flushSoon();
--- a/packages/gateway/src/process/gateway-process.ts
+++ b/packages/gateway/src/process/gateway-process.ts
@@ -3,6 +3,7 @@
  * the fleet state and the peers while it runs.
  */
 import type { EndpointLimits } from '@sesamegrade/core/endpoint-limits/endpoint-limits';
+import type { PermitRefusals } from '@sesamegrade/core/endpoint-limits/permit-refusals';
 import type {
   EndpointDirectory,
   DirectoryEvent,
@@ -41,6 +42,7 @@
   readonly routes: RouteTable;
   readonly endpointDirectory: EndpointDirectory;
   readonly endpointLimits: EndpointLimits;
+  readonly permitRefusals: PermitRefusals;
   readonly fleetState: FleetState;
   readonly forwarder: Forwarder;
   readonly shutdownSequence: ShutdownSequence;
@@ -152,8 +154,14 @@
 
   /** Sends changes of this router's state to its peers. */
   #subscribePeerUpdates(): void {
-    const { fleetState, peerUpdates, peerMesh, fleetReplica, log } =
-      this.#options;
+    const {
+      fleetState,
+      peerUpdates,
+      peerMesh,
+      fleetReplica,
+      permitRefusals,
+      log,
+    } = this.#options;
     fleetState.setListener({
       onLoadChanged: (endpoint, own) => {
         peerUpdates.onLoadChanged(endpoint, own);
@@ -183,6 +191,8 @@
     });
     this.#options.endpointLimits.onChanged(change => {
       log.write('endpoint-limit', { ...change });
+      permitRefusals.remove(change.endpoint);
+      peerMesh.flushSoon();
     });
     this.#options.suspects.onChanged(change => {
       peerMesh.flushSoon();
--- a/packages/router/src/peers/peer-link.ts
+++ b/packages/router/src/peers/peer-link.ts
@@ -98,6 +98,11 @@
     return this.#client.configuration.query();
   }
 
+  /** Asks the peer for a permit; rejects when the connection is lost. */
+  requestPermit(query: unknown): Promise<unknown> {
+    return this.#client.permit.mutate(query);
+  }
+
   async close(): Promise<void> {
     this.#closed = true;
     this.#socket?.terminate();
--- a/packages/router/src/peers/peer-routes.ts
+++ b/packages/router/src/peers/peer-routes.ts
@@ -17,11 +17,13 @@
 export interface PeerHost {
   openFeed(context: PeerContext): PeerFeed;
   closeFeed(context: PeerContext, feed: PeerFeed): void;
+  /** Answers a query for a permit; undefined if it is malformed. */
+  permit(context: PeerContext, query: unknown): Promise<unknown>;
   /** The complete configuration, in the form that the receiver's replica accepts. */
   snapshot(): unknown;
 }
 
-/** Builds the procedures: a subscription to gossip and a query for the complete configuration. */
+/** Builds the procedures: a subscription to gossip, the complete configuration, and permits. */
 export function peerRoutes(host: PeerHost) {
   const trpc = initTRPC.context<PeerContext>().create();
   return trpc.router({
@@ -34,6 +36,10 @@
       }
     }),
     configuration: trpc.procedure.query(() => host.snapshot()),
+    permit: trpc.procedure
+      // The host checks the query, as it knows the schema.
+      .input((query: unknown) => query)
+      .mutation(({ ctx, input }) => host.permit(ctx, input)),
   });
 }
 
--- a/packages/router/src/peers/peer-server.ts
+++ b/packages/router/src/peers/peer-server.ts
@@ -40,6 +40,8 @@
   readonly meter: SocketMeter;
   readonly timers: TimerService;
   readonly snapshot: () => unknown;
+  /** Answers a peer's query for a permit; absent if this router issues none. */
+  readonly permit?: (peer: RouterId, query: unknown) => Promise<unknown>;
   /**
    * Whether a peer that missed a message is disconnected, so that it receives the
    * full state when it connects again.
@@ -140,6 +142,9 @@
         this.#closeFeed(context, feed);
       },
       snapshot: this.#options.snapshot,
+      permit: ({ peer }, query) =>
+        this.#options.permit?.(peer.identity.id, query) ??
+        Promise.resolve(undefined),
     });
     applyWSSHandler({
       wss: this.#sockets,
