--- a/packages/cli/src/commands/commands.ts
+++ b/packages/cli/src/commands/commands.ts
@@ -10,6 +10,7 @@
 import { MeasureEventsCommand } from './measure-events';
 import { MeasureCommand } from './measure';
 import { MeasureGossipCommand } from './measure-gossip';
+import { MeasureLimitsCommand } from './measure-limits';
 import { MeasureLoadExchangeCommand } from './measure-load-exchange';
 import { MeasureOrdersCommand } from './measure-orders';
 import { MeasurePeersCommand } from './measure-peers';
@@ -40,6 +41,7 @@
     new MeasureRelayCommand(),
     new MeasureEventsCommand(),
     new MeasureGossipCommand(),
+    new MeasureLimitsCommand(),
     new MeasureLoadExchangeCommand(),
     new MeasureOrdersCommand(),
     new MeasurePeersCommand(),
--- a/packages/core/src/endpoint-limits/token-bucket.ts
+++ b/packages/core/src/endpoint-limits/token-bucket.ts
@@ -2,7 +2,8 @@
 import { elapsed, milliseconds } from '../types/units';
 import type { Instant, Milliseconds } from '../types/units';
 
-/** Time for which unused tokens are saved; one token is always saved. */
+/** Tokens that are saved while nobody takes them, and the time for which more are saved. */
+const SAVED_TOKENS = 2;
 const SAVED_SECONDS = 0.5;
 const MS_PER_SECOND = 1000;
 
@@ -27,7 +28,7 @@
       MS_PER_SECOND;
     this.#perSecond = perSecond;
     this.#filledAt = now;
-    const capacity = 1 + perSecond * SAVED_SECONDS;
+    const capacity = SAVED_TOKENS + perSecond * SAVED_SECONDS;
     this.#tokens = Math.min(capacity, this.#tokens + added);
   }
 
