Open connections to endpoints through a dialer

No change of behaviour: EndpointConnection and the crash detector's probe get their sockets from EndpointDialer, so that a test can cut a router's paths and a later change can lead them another way.

--- a/packages/gateway/src/composition/gateway-container.ts
+++ b/packages/gateway/src/composition/gateway-container.ts
@@ -43,6 +43,8 @@
 import { CacheSurvey } from '../endpoints/cache-survey';
 import { ConnectionPool } from '../endpoints/connection-pool';
 import { CrashDetector } from '../endpoints/crash-detector';
+import { DirectDialer } from '../endpoints/endpoint-dialer';
+import type { EndpointDialer } from '../endpoints/endpoint-dialer';
 import type { EndpointProtocol } from '../endpoints/endpoint-protocol';
 import { AttemptPlacement } from '../forwarding/attempt-placement';
 import { Forwarder } from '../forwarding/forwarder';
@@ -94,6 +96,8 @@
   readonly crashDetector: CrashDetector;
   readonly storedSuspects: StoredSuspects;
   readonly chooser: EndpointChooser;
+  readonly directDialer: EndpointDialer;
+  readonly endpointDialer: EndpointDialer;
   readonly connectionPool: ConnectionPool;
   readonly forwarder: Forwarder;
   readonly shutdownSequence: ShutdownSequence;
@@ -170,8 +174,13 @@
     crashDetector: asClass(CrashDetector).singleton(),
     storedSuspects: asClass(StoredSuspects).singleton(),
     chooser: asFunction(newChooser).singleton(),
+    directDialer: asFunction(() => new DirectDialer()).singleton(),
+    endpointDialer: asFunction(
+      ({ directDialer }: GatewayCradle) => directDialer,
+    ).singleton(),
     connectionPool: asFunction(
-      ({ timers }: GatewayCradle) => new ConnectionPool(() => timers.now()),
+      ({ timers, endpointDialer }: GatewayCradle) =>
+        new ConnectionPool(() => timers.now(), endpointDialer),
     ).singleton(),
     shutdownSequence: asFunction(
       ({ settingsReloader }: GatewayCradle) =>
--- a/packages/gateway/src/endpoints/connection-pool.ts
+++ b/packages/gateway/src/endpoints/connection-pool.ts
@@ -4,6 +4,7 @@
 import { milliseconds } from '@sesamegrade/core/types/units';
 import type { Instant, Milliseconds } from '@sesamegrade/core/types/units';
 import { EndpointConnection } from './endpoint-connection';
+import type { EndpointDialer } from './endpoint-dialer';
 
 /** Idle connections kept per endpoint. */
 const MAX_IDLE_CONNECTIONS = 16;
@@ -33,10 +34,12 @@
   /** Maximum idle time by service, learned from connections that broke. */
   readonly #maxIdleTimes = new Map<ServiceId, Milliseconds>();
   readonly #now: () => Instant;
+  readonly #dialer: EndpointDialer;
   #openedCount = 0;
 
-  constructor(now: () => Instant) {
+  constructor(now: () => Instant, dialer: EndpointDialer) {
     this.#now = now;
+    this.#dialer = dialer;
   }
 
   /** Number of connections opened since the start. */
@@ -68,9 +71,14 @@
       }
     }
     this.#openedCount += 1;
-    return new EndpointConnection(entry.address, connectTimeout, closed => {
-      this.#onClosed(entry, closed);
-    });
+    return new EndpointConnection(
+      entry.address,
+      connectTimeout,
+      this.#dialer,
+      closed => {
+        this.#onClosed(entry, closed);
+      },
+    );
   }
 
   /** Puts a connection back into the pool after a complete response. */
--- a/packages/gateway/src/endpoints/crash-detector.test.ts
+++ b/packages/gateway/src/endpoints/crash-detector.test.ts
@@ -20,6 +20,7 @@
 import type { DecisionLog } from '../logs/decision-log';
 import { ConnectionPool } from './connection-pool';
 import { CrashDetector } from './crash-detector';
+import { DirectDialer } from './endpoint-dialer';
 
 const content = fingerprint('content');
 const HOST = '127.0.0.1';
@@ -51,10 +52,12 @@
     endpointDirectory.replace([entry], timers.now());
     const self = routerId('r');
     suspects = new RelayedSuspects({ self, routers: () => [self] });
+    const endpointDialer = new DirectDialer();
     detector = new CrashDetector({
       suspects,
       endpointDirectory,
-      connectionPool: new ConnectionPool(() => timers.now()),
+      connectionPool: new ConnectionPool(() => timers.now(), endpointDialer),
+      endpointDialer,
       timers,
       log: { write: () => undefined } as unknown as DecisionLog,
     });
--- a/packages/gateway/src/endpoints/crash-detector.ts
+++ b/packages/gateway/src/endpoints/crash-detector.ts
@@ -18,6 +18,7 @@
 import type { Milliseconds } from '@sesamegrade/core/types/units';
 import type { DecisionLog } from '../logs/decision-log';
 import type { ConnectionPool } from './connection-pool';
+import type { EndpointDialer } from './endpoint-dialer';
 import { probeEndpoint } from './endpoint-probe';
 
 /** Time from a break to the probe, as a process that ends closes its connections in any order. */
@@ -28,6 +29,7 @@
   readonly suspects: RelayedSuspects;
   readonly endpointDirectory: EndpointDirectory;
   readonly connectionPool: ConnectionPool;
+  readonly endpointDialer: EndpointDialer;
   readonly timers: TimerService;
   readonly log: DecisionLog;
 }
@@ -104,7 +106,7 @@
   }
 
   async #probe(entry: EndpointEntry): Promise<void> {
-    const { timers, connectionPool } = this.#options;
+    const { timers, connectionPool, endpointDialer } = this.#options;
     const { id, address } = entry;
     await new Promise<void>(resolve => {
       timers.after(PROBE_DELAY, () => {
@@ -115,7 +117,7 @@
       this.#brokenAttempts.drop(id);
       return;
     }
-    const result = await probeEndpoint(address, PROBE_TIMEOUT);
+    const result = await probeEndpoint(endpointDialer, address, PROBE_TIMEOUT);
     if (result === 'refused') {
       this.#recordCrash(id, result);
     } else if (result === 'listening') {
--- a/packages/gateway/src/endpoints/endpoint-connection.test.ts
+++ b/packages/gateway/src/endpoints/endpoint-connection.test.ts
@@ -6,6 +6,7 @@
 import { instant, milliseconds } from '@sesamegrade/core/types/units';
 import { ScriptedServer } from '@sesamegrade/stand-ins/deployment/scripted-server';
 import { EndpointConnection } from './endpoint-connection';
+import { DirectDialer } from './endpoint-dialer';
 import type { ExchangeResult } from './endpoint-connection';
 
 const UNFRAMED_HEAD = 'HTTP/1.1 200 OK\r\n\r\n';
@@ -36,6 +37,7 @@
     connection = new EndpointConnection(
       { host, port: Number(port) },
       milliseconds(1000),
+      new DirectDialer(),
       () => undefined,
     );
     connection.send(
@@ -101,6 +103,7 @@
     const connection = new EndpointConnection(
       { host, port: Number(port) },
       milliseconds(1000),
+      new DirectDialer(),
       () => undefined,
     );
     await new Promise<void>(resolve => {
--- a/packages/gateway/src/endpoints/endpoint-connection.ts
+++ b/packages/gateway/src/endpoints/endpoint-connection.ts
@@ -6,7 +6,8 @@
 import { elapsed, milliseconds } from '@sesamegrade/core/types/units';
 import type { Instant, Milliseconds } from '@sesamegrade/core/types/units';
 import type { HeaderList } from '../callers/caller-protocol';
-import { BoundedSocket } from '../http/bounded-socket';
+import type { BoundedSocket } from '../http/bounded-socket';
+import type { Dialing, EndpointDialer } from './endpoint-dialer';
 
 /** Idle connections are closed this long before the endpoint's own limit. */
 const KEEP_ALIVE_MARGIN_MS = 300;
@@ -21,8 +22,6 @@
 
 /** Largest head of a response in bytes. */
 const MAX_HEAD_BYTES = 16_384;
-/** Bytes that an endpoint may send without completing a head or adding to a body. */
-const MAX_OVERHEAD_BYTES = 262_144;
 
 /** Lowest HTTP status that is not one of an interim response. */
 const MIN_FINAL_STATUS = 200;
@@ -55,6 +54,8 @@
 export class EndpointConnection {
   readonly #client: Client;
   readonly #connectTimeout: Milliseconds;
+  readonly #dialer: EndpointDialer;
+  #dialing: Dialing | undefined;
   #socket: BoundedSocket | undefined;
   #connected = false;
   #closed = false;
@@ -68,9 +69,11 @@
   constructor(
     address: Address,
     connectTimeout: Milliseconds,
+    dialer: EndpointDialer,
     onClosed: (connection: EndpointConnection) => void,
   ) {
     this.#connectTimeout = connectTimeout;
+    this.#dialer = dialer;
     const { host, port } = address;
     this.#client = new Client(`http://${host}:${port}`, {
       pipelining: 1,
@@ -81,7 +84,7 @@
       keepAliveMaxTimeout: MAX_KEEP_ALIVE_MS,
       keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
       connect: (_options, callback) => {
-        this.#open(host, port, callback);
+        this.#open(address, callback);
       },
     });
     this.#client.on('disconnect', () => {
@@ -190,32 +193,42 @@
     this.#closed = true;
     // Without an error undici would take this for the end of an unframed response,
     // which it cannot finish while it is paused.
+    this.#dialing?.cancel();
     this.#socket?.destroy(new ConnectionClosedError());
     this.#client.destroy().catch(() => undefined);
   }
 
   #open(
-    host: string,
-    port: number,
+    address: Address,
     callback: (...result: [Error, null] | [null, BoundedSocket]) => void,
   ): void {
-    if (this.#socket || this.#closed) {
+    if (this.#dialing || this.#closed) {
       // undici reconnects by itself; a second connection would hide that the first one broke.
       callback(new ConnectionClosedError(), null);
       return;
     }
-    const socket = new BoundedSocket({
-      address: { host, port },
-      connectTimeout: this.#connectTimeout,
-      maxBytes: MAX_OVERHEAD_BYTES,
-    });
+    this.#dialing = this.#dialer.dial(
+      { address, timeout: this.#connectTimeout },
+      (error, socket) => {
+        if (error) {
+          this.#wasReset = true;
+          callback(error, null);
+          return;
+        }
+        if (this.#closed) {
+          socket.destroy();
+          callback(new ConnectionClosedError(), null);
+          return;
+        }
+        this.#use(socket);
+        callback(null, socket);
+      },
+    );
+  }
+
+  #use(socket: BoundedSocket): void {
     this.#socket = socket;
-    let isCallbackDone = false;
-    socket.once('connect', () => {
-      isCallbackDone = true;
-      this.#connected = true;
-      callback(null, socket);
-    });
+    this.#connected = true;
     // Registered before undici's own listeners, which may treat a reset as the
     // regular end of a response.
     socket.on('end', () => {
@@ -223,12 +236,8 @@
       // Nothing is left to hold back, and undici cannot end a paused response.
       this.#controller?.resume();
     });
-    socket.on('error', error => {
+    socket.on('error', () => {
       this.#wasReset = true;
-      if (!isCallbackDone) {
-        isCallbackDone = true;
-        callback(error, null);
-      }
     });
   }
 }
--- a/packages/gateway/src/endpoints/endpoint-probe.ts
+++ b/packages/gateway/src/endpoints/endpoint-probe.ts
@@ -1,8 +1,7 @@
 /** Finds out by a connection whether a process still listens at an endpoint's address. */
-import { Socket } from 'node:net';
-
 import type { Address } from '@sesamegrade/core/types/endpoint';
 import type { Milliseconds } from '@sesamegrade/core/types/units';
+import type { EndpointDialer } from './endpoint-dialer';
 
 export type ProbeResult =
   | 'listening'
@@ -12,26 +11,20 @@
   | 'unknown';
 
 /** Connects and closes the connection without sending anything. */
-export async function probeEndpoint(
-  { host, port }: Address,
+export function probeEndpoint(
+  dialer: EndpointDialer,
+  address: Address,
   timeout: Milliseconds,
 ): Promise<ProbeResult> {
-  const socket = new Socket();
-  try {
-    return await new Promise<ProbeResult>(resolve => {
-      socket.setTimeout(timeout, () => {
-        resolve('unknown');
-      });
-      socket.once('connect', () => {
-        resolve('listening');
-      });
-      socket.once('error', error => {
-        const isRefused = 'code' in error && error.code === 'ECONNREFUSED';
-        resolve(isRefused ? 'refused' : 'unknown');
-      });
-      socket.connect({ host, port });
+  return new Promise(resolve => {
+    dialer.dial({ address, timeout }, (error, socket) => {
+      socket?.destroy();
+      resolve(error ? failureOf(error) : 'listening');
     });
-  } finally {
-    socket.destroy();
-  }
+  });
+}
+
+function failureOf(error: Error): ProbeResult {
+  const isRefused = 'code' in error && error.code === 'ECONNREFUSED';
+  return isRefused ? 'refused' : 'unknown';
 }
