Connect to unreachable endpoints through another router

Cause: a router took the failure of its own path for the failure of the endpoints. It had no other path, and a refused connection after a break was proof of a crash, so that the content that ran was condemned as well. Class: a fact about an endpoint that one router believes for lack of asking the others.

Ruled out: endpoints that turn cut routers away (attempts never connect); health ejections (they come after). Not ready alone: the balancer sends to all of a zone of which over half is out, and open connections stay.

Change: PathDialer connects directly, and after half of the connect timeout (at most 100 ms) or a refusal also through a peer, by HTTP CONNECT at the port for peers, with the peers' proof, one hop, to addresses of the endpoint directory only. Whatever comes about first is used; attempts, deadlines, streams and cancelling stay where they are. EndpointPaths remembers what was reached how: two cut paths in a row mean isolation, which asks peers first, refuses to serve as a peer, and tries directly after 1, 2 and 4 s. A peer that finds the endpoint refusing proves a crash; no peer proves nothing. Connections that hang are closed when their path is known as cut, those that live on are used. A request that waits 500 ms in silence makes its path be checked. A router that stops accepts no tunnels and waits for those in use.

--- a/packages/gateway/src/composition/gateway-container.ts
+++ b/packages/gateway/src/composition/gateway-container.ts
@@ -11,6 +11,7 @@
 
 import { EndpointLimits } from '@sesamegrade/core/endpoint-limits/endpoint-limits';
 import { PermitRefusals } from '@sesamegrade/core/endpoint-limits/permit-refusals';
+import { EndpointPaths } from '@sesamegrade/core/endpoint-paths/endpoint-paths';
 import { EndpointDirectory } from '@sesamegrade/core/endpoints/endpoint-directory';
 import { CacheSurveyPlan } from '@sesamegrade/core/engines/cache-survey-plan';
 import { EndpointReplica } from '@sesamegrade/core/endpoints/endpoint-replica';
@@ -30,11 +31,13 @@
 import { RouterDirectory } from '@sesamegrade/core/peers/router-directory';
 import { RelayedSuspects } from '@sesamegrade/core/poison/relayed-suspects';
 import { FleetRetryBudget } from '@sesamegrade/core/retries/fleet-retry-budget';
+import type { RouterIdentity } from '@sesamegrade/core/membership/router-table';
 import { Random } from '@sesamegrade/core/random/random';
 import { RouteTable } from '@sesamegrade/core/routes/route-table';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
-import { routerId, zoneId } from '@sesamegrade/core/types/ids';
+import { incarnation, routerId, zoneId } from '@sesamegrade/core/types/ids';
 import { seconds } from '@sesamegrade/core/types/units';
+import { PeerProof } from '@sesamegrade/router/peers/peer-proof';
 import { openLogger } from '@sesamegrade/router/logs/logger';
 import { SystemTimerService } from '@sesamegrade/router/process/system-timer-service';
 import type { GatewaySettings } from '@sesamegrade/settings/gateway-schema';
@@ -61,6 +64,10 @@
 import { FleetReadiness } from '../store/fleet-readiness';
 import { StoredSuspects } from '../store/stored-suspects';
 import type { RowTable } from '../store/row-table';
+import { PathDialer } from '../tunnels/path-dialer';
+import { PathMonitor } from '../tunnels/path-monitor';
+import { TunnelClient } from '../tunnels/tunnel-client';
+import { TunnelServer } from '../tunnels/tunnel-server';
 
 /** Collaborators that the adapter of a deployment's platform provides. */
 export interface Deployment {
@@ -97,7 +104,13 @@
   readonly storedSuspects: StoredSuspects;
   readonly chooser: EndpointChooser;
   readonly directDialer: EndpointDialer;
-  readonly endpointDialer: EndpointDialer;
+  readonly endpointDialer: PathDialer;
+  readonly endpointPaths: EndpointPaths;
+  readonly pathMonitor: PathMonitor;
+  readonly tunnelClient: TunnelClient;
+  readonly tunnelServer: TunnelServer;
+  readonly identity: RouterIdentity;
+  readonly peerProof: PeerProof;
   readonly connectionPool: ConnectionPool;
   readonly forwarder: Forwarder;
   readonly shutdownSequence: ShutdownSequence;
@@ -175,8 +188,21 @@
     storedSuspects: asClass(StoredSuspects).singleton(),
     chooser: asFunction(newChooser).singleton(),
     directDialer: asFunction(() => new DirectDialer()).singleton(),
-    endpointDialer: asFunction(
-      ({ directDialer }: GatewayCradle) => directDialer,
+    endpointDialer: asClass(PathDialer).singleton(),
+    endpointPaths: asFunction(() => new EndpointPaths()).singleton(),
+    pathMonitor: asClass(PathMonitor).singleton(),
+    tunnelClient: asFunction(
+      ({ peerProof }: GatewayCradle) => new TunnelClient(peerProof),
+    ).singleton(),
+    tunnelServer: asClass(TunnelServer).singleton(),
+    identity: asFunction(newIdentity).singleton(),
+    peerProof: asFunction(
+      ({ identity, peerSecret, timers }: GatewayCradle) =>
+        new PeerProof({
+          self: identity,
+          secret: peerSecret,
+          wallTime: () => timers.wallTime(),
+        }),
     ).singleton(),
     connectionPool: asFunction(
       ({ timers, endpointDialer }: GatewayCradle) =>
@@ -248,6 +274,17 @@
   });
 }
 
+function newIdentity({ settings, timers }: GatewayCradle): RouterIdentity {
+  const { router } = settings;
+  return {
+    id: routerId(router.id),
+    incarnation: incarnation(Math.floor(timers.wallTime())),
+    zone: zoneId(router.zone),
+    address: router.peers,
+    power: router.cpu_share * router.cpu_speed,
+  };
+}
+
 function newCoverage({
   settings,
   random,
--- a/packages/gateway/src/endpoints/attempt.ts
+++ b/packages/gateway/src/endpoints/attempt.ts
@@ -8,7 +8,7 @@
   AttemptRejection,
   AttemptResult,
 } from '@sesamegrade/core/forwarding/attempt-result';
-import type { RequestId } from '@sesamegrade/core/types/ids';
+import type { RequestId, RouterId } from '@sesamegrade/core/types/ids';
 import type { Instant, Milliseconds } from '@sesamegrade/core/types/units';
 import { TOO_MANY_BYTES } from '../http/bounded-socket';
 import type { ConnectionPool } from './connection-pool';
@@ -114,6 +114,11 @@
     return this.#isNewConnection;
   }
 
+  /** The router through which the connection leads; undefined if it is direct or not established. */
+  get via(): RouterId | undefined {
+    return this.#connection.via;
+  }
+
   /** How long the connection had been idle; undefined for a new one. */
   get idleTime(): Milliseconds | undefined {
     return this.#idleTime;
--- a/packages/gateway/src/endpoints/connection-pool.ts
+++ b/packages/gateway/src/endpoints/connection-pool.ts
@@ -65,7 +65,9 @@
     const idle = this.#idle.get(entry.id) ?? [];
     for (let at = 0; at < idle.length; at += 1) {
       const connection = idle[at];
-      if (connection?.isReusable(now, maxIdleTime)) {
+      const isDetour =
+        connection?.via !== undefined && this.#dialer.isRetryDue(entry.address);
+      if (!isDetour && connection?.isReusable(now, maxIdleTime)) {
         idle.splice(at, 1);
         return connection;
       }
@@ -108,6 +110,23 @@
     this.#idle.delete(endpoint);
   }
 
+  /** Closes the idle connections that lead through another router, or those that do not. */
+  closeIdlePaths(
+    path: 'direct' | 'peer',
+    isAffected: (endpoint: EndpointId) => boolean,
+  ): void {
+    for (const [endpoint, connections] of this.#idle) {
+      const closing = connections.filter(
+        ({ via }) => (via === undefined) === (path === 'direct'),
+      );
+      if (isAffected(endpoint)) {
+        closing.forEach(connection => {
+          connection.destroy();
+        });
+      }
+    }
+  }
+
   /** Closes all idle connections. */
   close(): void {
     for (const endpoint of [...this.#idle.keys()]) {
--- a/packages/gateway/src/endpoints/endpoint-connection.ts
+++ b/packages/gateway/src/endpoints/endpoint-connection.ts
@@ -3,6 +3,7 @@
 import type { Dispatcher } from 'undici';
 
 import type { Address } from '@sesamegrade/core/types/endpoint';
+import type { RouterId } from '@sesamegrade/core/types/ids';
 import { elapsed, milliseconds } from '@sesamegrade/core/types/units';
 import type { Instant, Milliseconds } from '@sesamegrade/core/types/units';
 import type { HeaderList } from '../callers/caller-protocol';
@@ -57,6 +58,7 @@
   readonly #dialer: EndpointDialer;
   #dialing: Dialing | undefined;
   #socket: BoundedSocket | undefined;
+  #via: RouterId | undefined;
   #connected = false;
   #closed = false;
   #wasReset = false;
@@ -98,6 +100,11 @@
     return this.#closed;
   }
 
+  /** The router through which the connection leads; undefined if it is direct or not established. */
+  get via(): RouterId | undefined {
+    return this.#via;
+  }
+
   /** Number of requests that were started on this connection. */
   get exchangeCount(): number {
     return this.#exchangeCount;
@@ -209,17 +216,19 @@
     }
     this.#dialing = this.#dialer.dial(
       { address, timeout: this.#connectTimeout },
-      (error, socket) => {
-        if (error) {
+      result => {
+        if (!result.ok) {
           this.#wasReset = true;
-          callback(error, null);
+          callback(result.failure, null);
           return;
         }
+        const { socket, via } = result.value;
         if (this.#closed) {
           socket.destroy();
           callback(new ConnectionClosedError(), null);
           return;
         }
+        this.#via = via;
         this.#use(socket);
         callback(null, socket);
       },
--- a/packages/gateway/src/endpoints/endpoint-dialer.ts
+++ b/packages/gateway/src/endpoints/endpoint-dialer.ts
@@ -1,10 +1,13 @@
 /** Opens the TCP connections to endpoints. */
 import type { Address } from '@sesamegrade/core/types/endpoint';
+import type { RouterId } from '@sesamegrade/core/types/ids';
+import { fail, succeed } from '@sesamegrade/core/types/result';
+import type { Result } from '@sesamegrade/core/types/result';
 import type { Milliseconds } from '@sesamegrade/core/types/units';
 import { BoundedSocket } from '../http/bounded-socket';
 
 /** Bytes that an endpoint may send without completing a head or adding to a body. */
-const MAX_OVERHEAD_BYTES = 262_144;
+export const MAX_OVERHEAD_BYTES = 262_144;
 
 export interface DialRequest {
   readonly address: Address;
@@ -18,17 +21,29 @@
   cancel(): void;
 }
 
-/** Called exactly once, with an established connection or the reason why there is none. */
-export type DialCallback = (
-  ...result: [Error, null] | [null, BoundedSocket]
-) => void;
+/** An established connection. */
+export interface EndpointSocket {
+  readonly socket: BoundedSocket;
+  /** The router through which it leads; undefined for a direct one. */
+  readonly via: RouterId | undefined;
+}
+
+/** Called exactly once. */
+export type DialCallback = (result: Result<EndpointSocket, Error>) => void;
 
 export abstract class EndpointDialer {
   abstract dial(request: DialRequest, callback: DialCallback): Dialing;
+
+  /** Whether a new connection is better than one that leads through another router. */
+  abstract isRetryDue(address: Address): boolean;
 }
 
 /** Connects to the address of the endpoint itself. */
 export class DirectDialer extends EndpointDialer {
+  override isRetryDue(): boolean {
+    return false;
+  }
+
   override dial(
     { address, timeout }: DialRequest,
     callback: DialCallback,
@@ -39,12 +54,12 @@
       maxBytes: MAX_OVERHEAD_BYTES,
     });
     const onError = (error: Error) => {
-      callback(error, null);
+      callback(fail(error));
     };
     socket.once('error', onError);
     socket.once('connect', () => {
       socket.off('error', onError);
-      callback(null, socket);
+      callback(succeed({ socket, via: undefined }));
     });
     return {
       cancel: () => {
--- a/packages/gateway/src/endpoints/endpoint-probe.ts
+++ b/packages/gateway/src/endpoints/endpoint-probe.ts
@@ -17,9 +17,11 @@
   timeout: Milliseconds,
 ): Promise<ProbeResult> {
   return new Promise(resolve => {
-    dialer.dial({ address, timeout }, (error, socket) => {
-      socket?.destroy();
-      resolve(error ? failureOf(error) : 'listening');
+    dialer.dial({ address, timeout }, result => {
+      if (result.ok) {
+        result.value.socket.destroy();
+      }
+      resolve(result.ok ? 'listening' : failureOf(result.failure));
     });
   });
 }
--- a/packages/gateway/src/forwarding/forwarder.ts
+++ b/packages/gateway/src/forwarding/forwarder.ts
@@ -1,4 +1,5 @@
 /** Forwards each caller's request to an endpoint, with retries, and relays the response. */
+import type { EndpointPaths } from '@sesamegrade/core/endpoint-paths/endpoint-paths';
 import type {
   EndpointChoice,
   EndpointChooser,
@@ -32,6 +33,7 @@
 import { Attempt } from '../endpoints/attempt';
 import type { ConnectionPool } from '../endpoints/connection-pool';
 import type { CrashDetector } from '../endpoints/crash-detector';
+import type { PathMonitor } from '../tunnels/path-monitor';
 import type { EndpointProtocol } from '../endpoints/endpoint-protocol';
 import type { DecisionLog } from '../logs/decision-log';
 import type { ShutdownSequence } from '../process/shutdown-sequence';
@@ -40,6 +42,7 @@
 import type { AttemptPlacement, Placement } from './attempt-placement';
 import { CrashGuard } from './crash-guard';
 import { ResponseRelay } from './response-relay';
+import { SilenceWatch } from './silence-watch';
 
 /** Limit of a request body before a configuration sets one; 4 MiB is the deployments' own limit. */
 const DEFAULT_MAX_BODY_BYTES = 4_194_304;
@@ -81,6 +84,8 @@
   readonly attemptPlacement: AttemptPlacement;
   readonly fleetState: FleetState;
   readonly connectionPool: ConnectionPool;
+  readonly endpointPaths: EndpointPaths;
+  readonly pathMonitor: PathMonitor;
   readonly callerProtocol: CallerProtocol;
   readonly endpointProtocol: EndpointProtocol;
   readonly suspects: RelayedSuspects;
@@ -423,7 +428,9 @@
     });
     request.tried.add(entry.id);
     fleetState.onAttemptStarted(entry.id, head.prompt);
-    let cancelSilenceTimer: (() => void) | undefined;
+    const silenceWatch = route.repeatable
+      ? this.#watchSilence(request, relay, choice, () => attempt)
+      : undefined;
     const attempt: Attempt = new Attempt({
       entry,
       requestId: head.requestId,
@@ -447,65 +454,60 @@
       },
       onActivity: () => {
         fleetState.recordActivity(entry.id, timers.now());
-        cancelSilenceTimer?.();
-        cancelSilenceTimer = this.#startSilenceTimer(
-          request,
-          relay,
-          choice,
-          () => attempt,
-        );
+        silenceWatch?.restart();
       },
     });
-    cancelSilenceTimer = this.#startSilenceTimer(
-      request,
-      relay,
-      choice,
-      () => attempt,
-    );
+    silenceWatch?.restart();
     const cancelExpiry = timers.after(
       milliseconds(Math.max(0, elapsed(now, request.expiresAt))),
       () => {
         attempt.abort({ kind: 'expired' });
       },
     );
+    const cancelCheck = this.#options.pathMonitor.watch(entry);
     void attempt.done.then(() => {
-      cancelSilenceTimer?.();
+      silenceWatch?.stop();
       cancelExpiry();
+      cancelCheck();
     });
     return attempt;
   }
 
   /**
-   * Aborts a repeatable attempt whose endpoint is silent too long. A stream is
-   * spared while its endpoint still sends on another connection.
+   * Watches a repeatable attempt. A stream is spared while its endpoint still sends
+   * on another connection, unless that leads another way as the path of this one is cut.
    */
-  #startSilenceTimer(
+  #watchSilence(
     request: ForwardedRequest,
     relay: ResponseRelay,
-    choice: Extract<EndpointChoice, { kind: 'endpoint' }>,
+    { entry }: Extract<EndpointChoice, { kind: 'endpoint' }>,
     attempt: () => Attempt,
-  ): (() => void) | undefined {
-    const { timers, fleetState, chooser } = this.#options;
+  ): SilenceWatch {
+    const { timers, fleetState, chooser, endpointPaths } = this.#options;
     const { route } = request.decision;
-    if (!route.repeatable) {
-      return undefined;
-    }
-    const limit = silenceLimit(request, relay);
-    return timers.after(limit, now => {
-      const lastActivityAt = fleetState.lastActivityAt(choice.entry.id);
-      const isResponsive =
-        route.answer.kind === 'stream' &&
-        lastActivityAt !== undefined &&
-        elapsed(lastActivityAt, now) < MAX_EVENT_SILENCE / 2;
-      // A retry at an endpoint with a limit may get no permit.
-      const alternatives = chooser.unlimited(request, now);
-      if (
-        !isResponsive &&
-        alternatives > 0 &&
-        request.possibleRuns + 1 < route.maxAttempts
-      ) {
+    return new SilenceWatch({
+      timers,
+      limit: () => silenceLimit(request, relay),
+      wasSent: () => attempt().wasSent,
+      isHopeless: now => {
+        const isPathCut =
+          attempt().via === undefined && endpointPaths.isCut(entry.address);
+        const lastActivityAt = fleetState.lastActivityAt(entry.id);
+        const isResponsive =
+          route.answer.kind === 'stream' &&
+          !isPathCut &&
+          lastActivityAt !== undefined &&
+          elapsed(lastActivityAt, now) < MAX_EVENT_SILENCE / 2;
+        return (
+          !isResponsive &&
+          // A retry at an endpoint with a limit may get no permit.
+          chooser.unlimited(request, now) > 0 &&
+          request.possibleRuns + 1 < route.maxAttempts
+        );
+      },
+      abort: () => {
         attempt().abort({ kind: 'silent' });
-      }
+      },
     });
   }
 
@@ -563,6 +565,7 @@
       fetchFrom: choice.fetchFrom?.id,
       subject: request.head.prompt && subjectPart(request.head.prompt)?.id,
       newChannel: attempt.isNewConnection,
+      via: attempt.via,
       idle: attempt.idleTime,
       keep: attempt.responseHead?.keepAliveTimeout,
       framing: attempt.responseHead?.framing,
--- a/packages/gateway/src/peers/peer-mesh.ts
+++ b/packages/gateway/src/peers/peer-mesh.ts
@@ -16,7 +16,7 @@
 import type { FeedCoverage } from '@sesamegrade/core/store/feed-coverage';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
 import { HybridClock } from '@sesamegrade/core/timeline/hybrid-clock';
-import { incarnation, routerId, zoneId } from '@sesamegrade/core/types/ids';
+import { routerId } from '@sesamegrade/core/types/ids';
 import type { RouterId } from '@sesamegrade/core/types/ids';
 import { elapsed, milliseconds, seconds } from '@sesamegrade/core/types/units';
 import type { Instant, Milliseconds } from '@sesamegrade/core/types/units';
@@ -26,7 +26,7 @@
   identitySchema,
   identityMessage,
 } from '@sesamegrade/router/peers/peer-message';
-import { PeerProof } from '@sesamegrade/router/peers/peer-proof';
+import type { PeerProof } from '@sesamegrade/router/peers/peer-proof';
 import { PeerServer } from '@sesamegrade/router/peers/peer-server';
 import { SocketMeter } from '@sesamegrade/router/peers/socket-meter';
 import type { GatewaySettings } from '@sesamegrade/settings/gateway-schema';
@@ -36,6 +36,7 @@
 import type { FleetReplica } from '../store/fleet-replica';
 import type { FeedPage } from '../store/feed-source';
 import type { RowTable } from '../store/row-table';
+import type { TunnelServer } from '../tunnels/tunnel-server';
 import type { StoredSuspects } from '../store/stored-suspects';
 import { fleetSnapshotSchema, snapshotEndpoints } from './fleet-snapshot';
 import { UpdateSender } from './update-sender';
@@ -72,7 +73,9 @@
 export interface PeerMeshOptions {
   readonly settings: GatewaySettings;
   readonly settingsReloader: SettingsReloader;
-  readonly peerSecret: string;
+  readonly identity: RouterIdentity;
+  readonly peerProof: PeerProof;
+  readonly tunnelServer: TunnelServer;
   readonly routerRows: RowTable;
   readonly storedSuspects: StoredSuspects;
   readonly peerUpdates: PeerUpdates;
@@ -106,21 +109,10 @@
 
   constructor(options: PeerMeshOptions) {
     this.#options = options;
-    const { settings, timers, peerSecret } = options;
-    const wallTime = () => timers.wallTime();
-    this.#self = {
-      id: routerId(settings.router.id),
-      incarnation: incarnation(Math.floor(wallTime())),
-      zone: zoneId(settings.router.zone),
-      address: settings.router.peers,
-      power: settings.router.cpu_share * settings.router.cpu_speed,
-    };
-    this.#clock = new HybridClock(wallTime);
-    this.#proof = new PeerProof({
-      self: this.#self,
-      secret: peerSecret,
-      wallTime,
-    });
+    const { timers } = options;
+    this.#self = options.identity;
+    this.#clock = new HybridClock(() => timers.wallTime());
+    this.#proof = options.peerProof;
     this.#seedLinks = new SeedLinks({
       self: this.#self,
       proof: this.#proof,
@@ -157,6 +149,9 @@
         raw: options.fleetReplica.rawConfiguration ?? new Uint8Array(0),
         endpoints: snapshotEndpoints(options.endpointDirectory),
       }),
+      onConnect: (request, socket) => {
+        options.tunnelServer.accept(request, socket);
+      },
       permit: (peer, query) => options.fleetPermits.answerPeer(peer, query),
       listener: {
         onSubscribed: identity => {
--- a/packages/gateway/src/process/gateway-process.ts
+++ b/packages/gateway/src/process/gateway-process.ts
@@ -3,6 +3,10 @@
  * the fleet state and the peers while it runs.
  */
 import type { EndpointLimits } from '@sesamegrade/core/endpoint-limits/endpoint-limits';
+import type {
+  EndpointPaths,
+  PathChange,
+} from '@sesamegrade/core/endpoint-paths/endpoint-paths';
 import type { PermitRefusals } from '@sesamegrade/core/endpoint-limits/permit-refusals';
 import type {
   EndpointDirectory,
@@ -14,6 +18,7 @@
 import type { RelayedSuspects } from '@sesamegrade/core/poison/relayed-suspects';
 import type { RouteTable } from '@sesamegrade/core/routes/route-table';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
+import type { EndpointId } from '@sesamegrade/core/types/ids';
 import { milliseconds } from '@sesamegrade/core/types/units';
 import type { Milliseconds } from '@sesamegrade/core/types/units';
 import type { GatewaySettings } from '@sesamegrade/settings/gateway-schema';
@@ -28,6 +33,7 @@
 import type { FleetReplica } from '../store/fleet-replica';
 import type { FleetReadiness } from '../store/fleet-readiness';
 import type { StoredSuspects } from '../store/stored-suspects';
+import type { TunnelServer } from '../tunnels/tunnel-server';
 import type { ShutdownSequence } from './shutdown-sequence';
 import { AdminServer } from './admin-server';
 
@@ -52,6 +58,8 @@
   readonly peerUpdates: PeerUpdates;
   readonly peerMesh: PeerMesh;
   readonly connectionPool: ConnectionPool;
+  readonly endpointPaths: EndpointPaths;
+  readonly tunnelServer: TunnelServer;
   readonly suspects: RelayedSuspects;
   readonly crashDetector: CrashDetector;
   readonly storedSuspects: StoredSuspects;
@@ -120,8 +128,14 @@
    * period is nearly over.
    */
   async stop(): Promise<void> {
-    const { shutdownSequence, timers, callerServer, forwarder, log } =
-      this.#options;
+    const {
+      shutdownSequence,
+      timers,
+      callerServer,
+      forwarder,
+      tunnelServer,
+      log,
+    } = this.#options;
     if (shutdownSequence.hasStarted) {
       return;
     }
@@ -130,9 +144,10 @@
     callerServer.startDraining();
     await shutdownSequence.waitUntilDrained(
       timers,
-      () => forwarder.running,
+      () => forwarder.running + tunnelServer.activeCount,
       () => {
         callerServer.closeIdleConnections();
+        tunnelServer.closeIdle();
       },
     );
     log.write('stop', { running: forwarder.running });
@@ -148,6 +163,7 @@
     this.#metricsServer.close();
     fleetReplica.stop();
     connectionPool.close();
+    this.#options.tunnelServer.close();
     await peerMesh.stop();
     timers.stop();
   }
@@ -194,6 +210,10 @@
       permitRefusals.remove(change.endpoint);
       peerMesh.flushSoon();
     });
+    this.#options.endpointPaths.onChanged(change => {
+      log.write('endpoint-path', { ...change });
+      this.#closeAffectedConnections(change);
+    });
     this.#options.suspects.onChanged(change => {
       peerMesh.flushSoon();
       this.#options.storedSuspects.onChanged(change);
@@ -211,6 +231,34 @@
     });
   }
 
+  /**
+   * Closes idle connections on a path that loses everything, and detours around one
+   * that is back. A path that only refuses new connections keeps the open ones.
+   */
+  #closeAffectedConnections({
+    address,
+    isCut,
+    kind,
+    isIsolated,
+  }: PathChange): void {
+    const { connectionPool, endpointDirectory } = this.#options;
+    const isAffected = (id: EndpointId) => {
+      const entry = endpointDirectory.get(id);
+      return (
+        entry?.address.host === address.host &&
+        entry.address.port === address.port
+      );
+    };
+    if (!isCut) {
+      connectionPool.closeIdlePaths('peer', isAffected);
+    } else if (kind === 'timeout') {
+      connectionPool.closeIdlePaths(
+        'direct',
+        isIsolated ? () => true : isAffected,
+      );
+    }
+  }
+
   #onDirectoryEvents(events: readonly DirectoryEvent[]): void {
     const { connectionPool, fleetState, log, endpointDirectory, timers } =
       this.#options;
@@ -305,6 +353,21 @@
       'Contents that ran during a crash of an endpoint.',
       () => this.#options.suspects.size,
     );
+    gatewayMetrics.registerGauge(
+      'cut_endpoints',
+      'Endpoints that this router reaches only through other routers.',
+      () => this.#options.endpointPaths.cutCount,
+    );
+    gatewayMetrics.registerGauge(
+      'tunnels',
+      'Connections to endpoints that are open for other routers.',
+      () => this.#options.tunnelServer.openCount,
+    );
+    gatewayMetrics.registerGauge(
+      'tunnels_opened',
+      'Connections to endpoints that were opened for other routers.',
+      () => this.#options.tunnelServer.openedCount,
+    );
     gatewayMetrics.registerGauge(
       'limited_endpoints',
       'Endpoints that state the rate of requests that they accept.',
--- /dev/null
+++ b/packages/gateway/src/tunnels/tunnel-client.ts
@@ -0,0 +1,104 @@
+/** Connects to an endpoint through another router, by HTTP CONNECT at the port for peers. */
+import { request } from 'node:http';
+
+import type { RouterIdentity } from '@sesamegrade/core/membership/router-table';
+import type { Address } from '@sesamegrade/core/types/endpoint';
+import { fail, succeed } from '@sesamegrade/core/types/result';
+import type { Result } from '@sesamegrade/core/types/result';
+import type { Milliseconds } from '@sesamegrade/core/types/units';
+import { newNonce } from '@sesamegrade/router/peers/peer-proof';
+import type { PeerProof } from '@sesamegrade/router/peers/peer-proof';
+import type {
+  DialCallback,
+  Dialing,
+  EndpointSocket,
+} from '../endpoints/endpoint-dialer';
+import { MAX_OVERHEAD_BYTES } from '../endpoints/endpoint-dialer';
+import { BoundedSocket } from '../http/bounded-socket';
+import { credentialsOf } from './tunnel-credentials';
+
+const STATUS_OK = 200;
+
+export class TunnelClient {
+  readonly #proof: PeerProof;
+
+  constructor(proof: PeerProof) {
+    this.#proof = proof;
+  }
+
+  /** Fails with a `TunnelRefusedError` if the peer answers that there is no connection. */
+  dial(
+    peer: RouterIdentity,
+    address: Address,
+    timeout: Milliseconds,
+    callback: DialCallback,
+  ): Dialing {
+    const socket = new BoundedSocket({
+      address: peer.address,
+      connectTimeout: timeout,
+      maxBytes: MAX_OVERHEAD_BYTES,
+    });
+    const target = `${address.host}:${address.port}`;
+    const connect = request({
+      method: 'CONNECT',
+      path: target,
+      headers: {
+        host: target,
+        'proxy-authorization': credentialsOf(
+          this.#proof.connectionParameters(peer.id, newNonce()),
+        ),
+      },
+      createConnection: () => socket,
+    });
+    let isDone = false;
+    const finish = (result: Result<EndpointSocket, Error>) => {
+      if (isDone) {
+        return;
+      }
+      isDone = true;
+      clearTimeout(timer);
+      if (!result.ok) {
+        socket.destroy();
+      }
+      callback(result);
+    };
+    const timer = setTimeout(() => {
+      finish(fail(new TunnelTimeoutError()));
+    }, timeout);
+    connect.once('connect', ({ statusCode = 0 }, _socket, head: Buffer) => {
+      if (statusCode !== STATUS_OK) {
+        finish(fail(new TunnelRefusedError(statusCode)));
+        return;
+      }
+      socket.resetCount();
+      if (head.length > 0) {
+        socket.unshift(head);
+      }
+      finish(succeed({ socket, via: peer.id }));
+    });
+    connect.on('error', error => {
+      finish(fail(error));
+    });
+    connect.end();
+    return {
+      cancel: () => {
+        finish(fail(new TunnelTimeoutError()));
+      },
+    };
+  }
+}
+
+/** A peer answered that it makes no connection; the status says why. */
+export class TunnelRefusedError extends Error {
+  readonly code = 'TUNNEL_REFUSED';
+  readonly status: number;
+
+  constructor(status: number) {
+    super(`the peer answered ${status}`);
+    this.status = status;
+  }
+}
+
+class TunnelTimeoutError extends Error {
+  readonly code = 'TUNNEL_TIMEOUT';
+}
--- /dev/null
+++ b/packages/gateway/src/tunnels/tunnel-server.ts
@@ -0,0 +1,219 @@
+/**
+ * Connects other routers to endpoints that they do not reach themselves. Only
+ * addresses of the endpoint directory are connected to, and only directly, so that
+ * routers which each lack a path cannot send each other in circles.
+ */
+import type { IncomingMessage } from 'node:http';
+import type { Socket } from 'node:net';
+
+import type { EndpointPaths } from '@sesamegrade/core/endpoint-paths/endpoint-paths';
+import type { EndpointDirectory } from '@sesamegrade/core/endpoints/endpoint-directory';
+import type { TimerService } from '@sesamegrade/core/time/timer-service';
+import type { Address } from '@sesamegrade/core/types/endpoint';
+import { elapsed, milliseconds, seconds } from '@sesamegrade/core/types/units';
+import type { Instant, Milliseconds } from '@sesamegrade/core/types/units';
+import type { PeerProof } from '@sesamegrade/router/peers/peer-proof';
+import type { EndpointDialer } from '../endpoints/endpoint-dialer';
+import type { BoundedSocket } from '../http/bounded-socket';
+import type { DecisionLog } from '../logs/decision-log';
+import type { ShutdownSequence } from '../process/shutdown-sequence';
+import { parseCredentials } from './tunnel-credentials';
+
+/** Tunnels at one router, of two sockets each; a VM has at least 1,869 for all purposes. */
+const MAX_TUNNELS = 400;
+const DIAL_TIMEOUT: Milliseconds = milliseconds(150);
+/** Time without bytes after which a tunnel counts as idle. */
+const IDLE_AFTER: Milliseconds = seconds(1);
+
+export const TunnelStatus = {
+  established: 200,
+  unauthorized: 407,
+  unknownEndpoint: 403,
+  endpointRefused: 502,
+  unavailable: 503,
+  endpointTimeout: 504,
+} as const;
+
+export interface TunnelServerOptions {
+  readonly peerProof: PeerProof;
+  readonly directDialer: EndpointDialer;
+  readonly endpointDirectory: EndpointDirectory;
+  readonly endpointPaths: EndpointPaths;
+  readonly shutdownSequence: ShutdownSequence;
+  readonly timers: TimerService;
+  readonly log: DecisionLog;
+}
+
+interface Tunnel {
+  readonly client: Socket;
+  lastBytesAt: Instant;
+}
+
+export class TunnelServer {
+  readonly #options: TunnelServerOptions;
+  readonly #tunnels = new Set<Tunnel>();
+  #openedCount = 0;
+
+  constructor(options: TunnelServerOptions) {
+    this.#options = options;
+  }
+
+  /** Number of tunnels that were established since the start. */
+  get openedCount(): number {
+    return this.#openedCount;
+  }
+
+  /** Number of tunnels that are open. */
+  get openCount(): number {
+    return this.#tunnels.size;
+  }
+
+  /** Number of tunnels on which bytes passed lately. */
+  get activeCount(): number {
+    const now = this.#options.timers.now();
+    return [...this.#tunnels].filter(
+      ({ lastBytesAt }) => elapsed(lastBytesAt, now) < IDLE_AFTER,
+    ).length;
+  }
+
+  /** Closes the tunnels on which no bytes passed lately. */
+  closeIdle(): void {
+    const now = this.#options.timers.now();
+    for (const { client, lastBytesAt } of this.#tunnels) {
+      if (elapsed(lastBytesAt, now) >= IDLE_AFTER) {
+        client.end();
+      }
+    }
+  }
+
+  /** Closes all tunnels at once. */
+  close(): void {
+    for (const { client } of this.#tunnels) {
+      client.destroy();
+    }
+  }
+
+  /** Answers a CONNECT request of a peer. */
+  accept(request: IncomingMessage, client: Socket): void {
+    const { peerProof, directDialer } = this.#options;
+    client.on('error', () => undefined);
+    const credentials = parseCredentials(
+      request.headers['proxy-authorization'],
+    );
+    const peer = peerProof.authenticateClient(credentials);
+    if (!peer) {
+      refuse(client, TunnelStatus.unauthorized);
+      return;
+    }
+    const address = this.#endpointAddress(request.url ?? '');
+    if (!address) {
+      refuse(client, TunnelStatus.unknownEndpoint);
+      return;
+    }
+    if (!this.#isAvailable()) {
+      refuse(client, TunnelStatus.unavailable);
+      return;
+    }
+    const dialing = directDialer.dial(
+      { address, timeout: DIAL_TIMEOUT },
+      result => {
+        if (!result.ok) {
+          const { failure } = result;
+          refuse(
+            client,
+            'code' in failure && failure.code === 'ECONNREFUSED'
+              ? TunnelStatus.endpointRefused
+              : TunnelStatus.endpointTimeout,
+          );
+          return;
+        }
+        const { socket: endpoint } = result.value;
+        if (client.destroyed) {
+          endpoint.destroy();
+          return;
+        }
+        this.#options.log.write('tunnel', {
+          peer: peer.identity.id,
+          address: `${address.host}:${address.port}`,
+        });
+        this.#join(client, endpoint);
+      },
+    );
+    client.once('close', () => {
+      dialing.cancel();
+    });
+  }
+
+  #isAvailable(): boolean {
+    const { endpointPaths, shutdownSequence } = this.#options;
+    return (
+      !shutdownSequence.hasStarted &&
+      !endpointPaths.isIsolated &&
+      this.#tunnels.size < MAX_TUNNELS
+    );
+  }
+
+  #endpointAddress(target: string): Address | undefined {
+    return this.#options.endpointDirectory
+      .all()
+      .map(({ address }) => address)
+      .find(({ host, port }) => `${host}:${port}` === target);
+  }
+
+  #join(client: Socket, endpoint: BoundedSocket): void {
+    const { timers } = this.#options;
+    const tunnel: Tunnel = { client, lastBytesAt: timers.now() };
+    const onBytes = () => {
+      tunnel.lastBytesAt = timers.now();
+    };
+    this.#openedCount += 1;
+    this.#tunnels.add(tunnel);
+    client.once('close', () => {
+      this.#tunnels.delete(tunnel);
+    });
+    client.setNoDelay(true);
+    client.write(`HTTP/1.1 ${TunnelStatus.established} Established\r\n\r\n`);
+    endpoint.on('data', () => {
+      endpoint.resetCount();
+    });
+    forward(endpoint, client, onBytes, () => endpoint.wasReset());
+    forward(client, endpoint, onBytes, () => false);
+  }
+}
+
+/** Passes on the bytes of a socket, its end or its reset. */
+function forward(
+  source: Socket,
+  sink: Socket,
+  onBytes: () => void,
+  wasReset: () => boolean,
+): void {
+  source.on('data', (chunk: Buffer) => {
+    onBytes();
+    if (!sink.write(chunk)) {
+      source.pause();
+    }
+  });
+  sink.on('drain', () => {
+    source.resume();
+  });
+  source.on('end', () => {
+    if (wasReset()) {
+      sink.resetAndDestroy();
+    } else {
+      sink.end();
+    }
+  });
+  source.on('error', () => {
+    sink.resetAndDestroy();
+  });
+  source.on('close', () => {
+    if (!source.readableEnded) {
+      sink.destroy();
+    }
+  });
+}
+
+function refuse(client: Socket, status: number): void {
+  client.end(`HTTP/1.1 ${status} Refused\r\nConnection: close\r\n\r\n`);
+}
--- a/packages/router/src/peers/peer-server.ts
+++ b/packages/router/src/peers/peer-server.ts
@@ -1,7 +1,7 @@
 /** Accepts connections of peers and sends them gossip. */
 import { createServer } from 'node:http';
-import type { Server } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import type { IncomingMessage, Server } from 'node:http';
+import type { AddressInfo, Socket } from 'node:net';
 
 import { TRPCError } from '@trpc/server';
 import { applyWSSHandler } from '@trpc/server/adapters/ws';
@@ -47,6 +47,8 @@
    * full state when it connects again.
    */
   readonly disconnectsOnLoss?: boolean;
+  /** Takes over the connection of a CONNECT request; absent if this router opens no tunnels. */
+  readonly onConnect?: (request: IncomingMessage, socket: Socket) => void;
   readonly listener: PeerServerListener;
 }
 
@@ -71,6 +73,13 @@
     this.#http.on('connection', socket => {
       options.meter.track(socket);
     });
+    const { onConnect } = options;
+    if (onConnect) {
+      this.#http.on('connect', (request: IncomingMessage) => {
+        options.meter.untrack(request.socket);
+        onConnect(request, request.socket);
+      });
+    }
     this.#sockets = new WebSocketServer({
       server: this.#http,
       maxPayload: MAX_REQUEST_BYTES,
--- a/packages/router/src/peers/socket-meter.ts
+++ b/packages/router/src/peers/socket-meter.ts
@@ -19,12 +19,19 @@
   track(socket: Socket): void {
     this.#open.add(socket);
     socket.once('close', () => {
-      this.#open.delete(socket);
+      if (!this.#open.delete(socket)) {
+        return;
+      }
       this.#read += socket.bytesRead;
       this.#written += socket.bytesWritten;
     });
   }
 
+  /** Stops counting a socket, as it no longer carries messages between routers. */
+  untrack(socket: Socket): void {
+    this.#open.delete(socket);
+  }
+
   /** Bytes since the start, without TCP and IP headers. */
   total(): SocketBytes {
     let read = this.#read;
