--- a/packages/gateway/src/tunnels/tunnel-server.ts
+++ b/packages/gateway/src/tunnels/tunnel-server.ts
@@ -176,18 +176,24 @@
     endpoint.on('data', () => {
       endpoint.resetCount();
     });
-    forward(endpoint, client, onBytes, () => endpoint.wasReset());
-    forward(client, endpoint, onBytes, () => false);
+    forward(endpoint, client, onBytes);
+    forward(client, endpoint, onBytes);
+    endpoint.on('end', () => {
+      if (endpoint.wasReset()) {
+        client.resetAndDestroy();
+      } else {
+        client.end();
+      }
+    });
+    // Routers do not close one direction only.
+    client.on('end', () => {
+      endpoint.destroy();
+    });
   }
 }
 
-/** Passes on the bytes of a socket, its end or its reset. */
-function forward(
-  source: Socket,
-  sink: Socket,
-  onBytes: () => void,
-  wasReset: () => boolean,
-): void {
+/** Passes on the bytes of a socket, its reset, and its close before its end. */
+function forward(source: Socket, sink: Socket, onBytes: () => void): void {
   source.on('data', (chunk: Buffer) => {
     onBytes();
     if (!sink.write(chunk)) {
@@ -197,13 +203,6 @@
   sink.on('drain', () => {
     source.resume();
   });
-  source.on('end', () => {
-    if (wasReset()) {
-      sink.resetAndDestroy();
-    } else {
-      sink.end();
-    }
-  });
   source.on('error', () => {
     sink.resetAndDestroy();
   });
