Give brittle endpoints no more requests at a time than they can run

What callers saw: endpoints that fall over when they have to reject more than a number a second (Server-Brittle) were made to fall over by routers that each sent what their late view of the load allowed, and tried again at the next one: 3 and 6 falls in 7.5 s of three servers, where 2.3 are tolerated.

Cause: as for limits of the rate, a fact about an endpoint that each router judges alone.

Change: one module for what endpoints state. EndpointLimits holds two StatedRates, requests and rejections, which spread alike; a permit for a brittle endpoint is a place that is given back at the end of the attempt, or lapses at the request's deadline. The issuer gives out no more places than slots, less what ran before it counted, and fewer for some seconds after a rejection. Answers that come too late give their permit back.

Found on the way: a refused query stood for later ones for 250 ms, so that 5 routers used less than half of what the servers could run (443 and 363 of 900); it now stands for 1 ms a router of the fleet. A refusal could name 0 seconds (seen once, in the test of six limited servers); it names 40 ms at least, as other refusals do.

--- a/packages/core/src/endpoint-limits/permit-issuer.test.ts
+++ b/packages/core/src/endpoint-limits/permit-issuer.test.ts
@@ -15,6 +15,8 @@
 const router = routerId('r');
 const second = (value: number) => instant(value * 1000);
 
+const newIssuer = () => new PermitIssuer({ share: () => 1, running: () => 0 });
+
 let queryCount = 0;
 
 function queryOf(fields: Partial<PermitQuery> = {}): PermitQuery {
@@ -22,10 +24,11 @@
   return {
     request: requestId(String(queryCount)),
     service: serviceId('s'),
-    endpoints: [{ id: endpointId('e'), perSecond: 2 }],
+    endpoints: [{ id: endpointId('e'), perSecond: 2, concurrent: undefined }],
     rank: 0,
     team: teamId('t'),
     maxWait: milliseconds(0),
+    lifetime: milliseconds(1000),
     ...fields,
   };
 }
@@ -47,8 +50,10 @@
 describe('PermitIssuer', () => {
   for (const perSecond of [0.3, 2.3, 40, 200]) {
     it(`issues at most ${perSecond} permits a second beyond a small burst, and nearly as many`, () => {
-      const issuer = new PermitIssuer(() => 1);
-      const endpoints = [{ id: endpointId('e'), perSecond }];
+      const issuer = newIssuer();
+      const endpoints = [
+        { id: endpointId('e'), perSecond, concurrent: undefined },
+      ];
       const grantedAt: number[] = [];
       for (let now = 0; now < 40_000; now += 3) {
         if (
@@ -68,14 +73,16 @@
   }
 
   it('has no burst for a limit that it did not know before', () => {
-    const issuer = new PermitIssuer(() => 1);
+    const issuer = newIssuer();
     expect(ask(issuer, {}, second(100)).answer?.kind).to.equal('refused');
     expect(ask(issuer, {}, second(100.5)).answer?.kind).to.equal('granted');
   });
 
   it('still issues one permit now and then for an endpoint that accepts nothing', () => {
-    const issuer = new PermitIssuer(() => 1);
-    const endpoints = [{ id: endpointId('e'), perSecond: 0 }];
+    const issuer = newIssuer();
+    const endpoints = [
+      { id: endpointId('e'), perSecond: 0, concurrent: undefined },
+    ];
     let granted = 0;
     for (let at = 0; at < 100; at += 1) {
       const { answer } = ask(issuer, { endpoints }, second(at));
@@ -85,7 +92,7 @@
   });
 
   it('grants the most urgent waiting query first, then the team with the fewest recent permits', () => {
-    const issuer = new PermitIssuer(() => 1);
+    const issuer = newIssuer();
     const maxWait = milliseconds(10_000);
     ask(issuer, { maxWait, team: teamId('large') }, second(0));
     issuer.tick(second(0.5));
@@ -111,7 +118,7 @@
   });
 
   it('refuses at once what would wait too long, with the time until its turn', () => {
-    const issuer = new PermitIssuer(() => 1);
+    const issuer = newIssuer();
     const maxWait = milliseconds(1100);
     const first = ask(issuer, { maxWait }, second(0));
     const next = ask(issuer, { maxWait }, second(0));
@@ -126,7 +133,7 @@
   });
 
   it('refuses what has waited as long as it may', () => {
-    const issuer = new PermitIssuer(() => 1);
+    const issuer = newIssuer();
     const waiting = ask(issuer, { maxWait: milliseconds(600) }, second(0));
     ask(issuer, { maxWait: milliseconds(600), rank: -1 }, second(0.1));
     issuer.tick(second(0.5));
@@ -135,7 +142,7 @@
   });
 
   it('tells many routers to ask again later, so that their queries do not grow with the fleet', () => {
-    const issuer = new PermitIssuer(() => 1);
+    const issuer = newIssuer();
     const waits: number[] = [];
     for (let index = 0; index < 370; index += 1) {
       issuer.request(
--- a/packages/core/src/endpoint-limits/permit-issuer.ts
+++ b/packages/core/src/endpoint-limits/permit-issuer.ts
@@ -4,6 +4,7 @@
  * permit, queries wait: the most urgent first, then the team with the fewest
  * recent permits. A query that would wait too long is refused at once.
  */
+import { DrainRate } from '../limits/drain-rate';
 import { WaitingQueue } from '../limits/waiting-queue';
 import type { WaitingRequest } from '../limits/waiting-queue';
 import type { EndpointId, RequestId, RouterId, ServiceId } from '../types/ids';
@@ -13,32 +14,18 @@
   LimitedEndpoint,
   PermitAnswer,
   PermitQuery,
+  PermitReturn,
 } from './permit-query';
+import { EndpointPermits } from './endpoint-permits';
 import { RecentGrants } from './recent-grants';
-import { TokenBucket } from './token-bucket';
 
-/**
- * Lowest rate at which permits are issued. An endpoint that accepts nothing gets
- * one request now and then, as only its responses can show the end of that.
- */
-const MIN_RATE_PER_SECOND = 0.1;
-/** Time after which a bucket that nobody asks for is dropped. */
-const BUCKET_LIFETIME: Milliseconds = seconds(60);
-/** Time for which a router that asked counts as one that asks again. */
-const ASKER_LIFETIME: Milliseconds = seconds(20);
-/** Queries a second beyond a multiple of the permits that an endpoint is worth. */
-const MIN_QUERIES_PER_SECOND = 5;
-const QUERIES_PER_PERMIT = 3;
+/** Time after which the permits of an endpoint that nobody asks for are dropped. */
+const UNUSED_LIFETIME: Milliseconds = seconds(60);
 const MAX_RETRY_AFTER: Milliseconds = seconds(30);
+/** Lowest estimate of the permits a millisecond by which a queue gets shorter. */
+const MIN_DRAIN_RATE = 0.001;
 const MS_PER_SECOND = 1000;
 
-interface Bucket {
-  readonly tokens: TokenBucket;
-  /** When each router last asked for the endpoint. */
-  readonly askers: Map<RouterId, Instant>;
-  usedAt: Instant;
-}
-
 interface WaitingQuery {
   readonly query: PermitQuery;
   readonly answer: (answer: PermitAnswer) => void;
@@ -46,20 +33,27 @@
 
 interface Waiting {
   readonly queue: WaitingQueue;
+  readonly drainRate: DrainRate;
   readonly queries: Map<RequestId, WaitingQuery>;
 }
 
+export interface PermitIssuerOptions {
+  /** Share of each limit that this issuer may use. */
+  readonly share: () => number;
+  /** Estimated number of requests of the whole fleet at an endpoint. */
+  readonly running: (endpoint: EndpointId) => number;
+}
+
 export class PermitIssuer {
-  readonly #buckets = new Map<EndpointId, Bucket>();
+  readonly #permits = new Map<EndpointId, EndpointPermits>();
   readonly #waiting = new Map<ServiceId, Waiting>();
   readonly #grants = new RecentGrants();
-  /** Share of each limit that this issuer may use. */
-  readonly #share: () => number;
+  readonly #options: PermitIssuerOptions;
   #now: Instant | undefined;
   #sequence = 0;
 
-  constructor(share: () => number) {
-    this.#share = share;
+  constructor(options: PermitIssuerOptions) {
+    this.#options = options;
   }
 
   /** Whether queries wait for permits. */
@@ -76,7 +70,7 @@
   ): void {
     this.#now = now;
     for (const endpoint of query.endpoints) {
-      this.#bucket(endpoint, now).askers.set(router, now);
+      this.#permitsOf(endpoint, now).recordAsker(router, now);
     }
     const waiting = this.#waitingOf(query.service);
     this.#sequence += 1;
@@ -103,6 +97,16 @@
     }
   }
 
+  /** Takes a permit back; returns false if this issuer has not issued it. */
+  release(
+    { request, endpoint, wasRejected }: PermitReturn,
+    now: Instant,
+  ): boolean {
+    return (
+      this.#permits.get(endpoint)?.release(request, wasRejected, now) ?? false
+    );
+  }
+
   /** Grants what has become possible and refuses what has waited too long. */
   tick(now: Instant): void {
     this.#now = now;
@@ -116,9 +120,9 @@
         }
       }
     }
-    for (const [endpoint, { usedAt }] of this.#buckets) {
-      if (elapsed(usedAt, now) > BUCKET_LIFETIME) {
-        this.#buckets.delete(endpoint);
+    for (const [endpoint, permits] of this.#permits) {
+      if (permits.isUnusedSince(UNUSED_LIFETIME, now)) {
+        this.#permits.delete(endpoint);
       }
     }
   }
@@ -131,35 +135,38 @@
           ahead +
           (this.#now === undefined ? 0 : this.#grants.count(team, this.#now)),
       );
-      waiting = { queue, queries: new Map() };
+      waiting = {
+        queue,
+        drainRate: new DrainRate(MIN_DRAIN_RATE),
+        queries: new Map(),
+      };
       this.#waiting.set(service, waiting);
     }
     return waiting;
   }
 
-  #bucket({ id, perSecond }: LimitedEndpoint, now: Instant): Bucket {
-    const rate = Math.max(MIN_RATE_PER_SECOND, perSecond * this.#share());
-    let bucket = this.#buckets.get(id);
-    if (!bucket) {
-      bucket = {
-        tokens: new TokenBucket(rate, now),
-        askers: new Map(),
-        usedAt: now,
-      };
-      this.#buckets.set(id, bucket);
-    }
-    bucket.usedAt = now;
-    bucket.tokens.refill(rate, now);
-    return bucket;
+  #permitsOf(endpoint: LimitedEndpoint, now: Instant): EndpointPermits {
+    const { share, running } = this.#options;
+    const { id } = endpoint;
+    const permits =
+      this.#permits.get(id) ?? new EndpointPermits(running(id), now);
+    this.#permits.set(id, permits);
+    permits.update(endpoint, share(), now);
+    return permits;
   }
 
   #grantWaiting(waiting: Waiting, now: Instant): void {
     for (const { entry } of waiting.queue.inOrder()) {
       const waitingQuery = waiting.queries.get(entry.request);
       const endpoint = waitingQuery?.query.endpoints.find(each =>
-        this.#bucket(each, now).tokens.take(),
+        this.#permitsOf(each, now).take(
+          entry.request,
+          waitingQuery.query.lifetime,
+          now,
+        ),
       );
       if (waitingQuery && endpoint) {
+        waiting.drainRate.recordStart(now);
         this.#grants.record(entry.team, now);
         waiting.queue.remove(entry.request);
         waiting.queries.delete(entry.request);
@@ -188,16 +195,33 @@
     query: PermitQuery,
     now: Instant,
   ): Milliseconds {
-    const buckets = query.endpoints.map(each => this.#bucket(each, now));
+    const permits = query.endpoints.map(each => this.#permitsOf(each, now));
     if (query.maxWait === 0) {
       return milliseconds(
-        Math.min(...buckets.map(each => timeToAskAgain(each, now))),
+        Math.min(...permits.map(each => each.timeToAskAgain(now))),
       );
     }
     const position = positionOf(waiting.queue.inOrder(), query.request);
-    const rate = buckets.reduce((sum, each) => sum + each.tokens.perSecond, 0);
-    const first = Math.min(...buckets.map(each => each.tokens.timeUntil(1)));
-    return milliseconds(first + (position / rate) * MS_PER_SECOND);
+    const first = Math.min(...permits.map(each => each.timeUntilNext()));
+    return milliseconds(
+      first + this.#timeToPass(position, waiting, permits, now),
+    );
+  }
+
+  /** Expected time until a number of queries have got their permits. */
+  #timeToPass(
+    queries: number,
+    { drainRate }: Waiting,
+    permits: readonly EndpointPermits[],
+    now: Instant,
+  ): Milliseconds {
+    const rate = permits.reduce(
+      (sum, each) => sum + (each.rate ?? Number.NaN),
+      0,
+    );
+    return Number.isNaN(rate)
+      ? drainRate.expectedWait(queries, now)
+      : milliseconds((queries / rate) * MS_PER_SECOND);
   }
 }
 
@@ -210,19 +234,3 @@
     queue.findIndex(({ entry }) => entry.request === request),
   );
 }
-
-/**
- * Spreads the queries of the routers that ask for an endpoint, so that their number
- * depends on its limit and not on the size of the fleet.
- */
-function timeToAskAgain({ tokens, askers }: Bucket, now: Instant): number {
-  for (const [router, askedAt] of askers) {
-    if (elapsed(askedAt, now) > ASKER_LIFETIME) {
-      askers.delete(router);
-    }
-  }
-  const queriesPerSecond =
-    MIN_QUERIES_PER_SECOND + QUERIES_PER_PERMIT * tokens.perSecond;
-  const spread = ((askers.size - 1) / queriesPerSecond) * MS_PER_SECOND;
-  return tokens.timeUntil(1) + spread;
-}
--- a/packages/core/src/endpoint-limits/permit-refusals.ts
+++ b/packages/core/src/endpoint-limits/permit-refusals.ts
@@ -3,8 +3,11 @@
 import { addTime, elapsed, milliseconds } from '../types/units';
 import type { Instant, Milliseconds } from '../types/units';
 
-/** Longest time for which one refused query of a service stands for later ones of no higher rank. */
-const MAX_SERVICE_REFUSAL: Milliseconds = milliseconds(250);
+/**
+ * Longest time for which one refused query of a service stands for later ones of no
+ * higher rank, for each router of the fleet: the issuer answers 1,000 queries a second.
+ */
+const SERVICE_REFUSAL_MS_PER_ROUTER = 1;
 
 interface ServiceRefusal {
   readonly rank: number;
@@ -16,6 +19,12 @@
 export class PermitRefusals {
   readonly #endpoints = new Map<EndpointId, Instant>();
   readonly #services = new Map<ServiceId, ServiceRefusal>();
+  readonly #routers: () => number;
+
+  /** `routers` returns the number of routers of the fleet. */
+  constructor(routers: () => number) {
+    this.#routers = routers;
+  }
 
   /** Records that an endpoint has no permits for a while. */
   addEndpoint(
@@ -37,7 +46,9 @@
       rank,
       until: addTime(
         now,
-        milliseconds(Math.min(retryAfter, MAX_SERVICE_REFUSAL)),
+        milliseconds(
+          Math.min(retryAfter, this.#routers() * SERVICE_REFUSAL_MS_PER_ROUTER),
+        ),
       ),
       expectedAt: addTime(now, retryAfter),
     });
--- a/packages/core/src/endpoint-limits/reserve-permits.test.ts
+++ b/packages/core/src/endpoint-limits/reserve-permits.test.ts
@@ -26,10 +26,13 @@
                 {
                   request: requestId('q'),
                   service: serviceId('s'),
-                  endpoints: [{ id: endpointId('e'), perSecond }],
+                  endpoints: [
+                    { id: endpointId('e'), perSecond, concurrent: undefined },
+                  ],
                   rank: 0,
                   team: teamId('t'),
                   maxWait: milliseconds(0),
+                  lifetime: milliseconds(1000),
                 },
                 instant(now),
               );
--- a/packages/core/src/endpoint-limits/reserve-permits.ts
+++ b/packages/core/src/endpoint-limits/reserve-permits.ts
@@ -42,10 +42,12 @@
 
   request({ endpoints }: PermitQuery, now: Instant): PermitAnswer {
     let shortest = Number.POSITIVE_INFINITY;
-    for (const { id, perSecond } of endpoints) {
+    for (const { id, perSecond, concurrent } of endpoints) {
+      // Without a limit of the rate a request is taken to run for a second.
+      const rate = perSecond ?? concurrent ?? 0;
       const period =
         (this.#routers() * MS_PER_SECOND) /
-        Math.max(MIN_RATE_PER_SECOND, perSecond * RESERVE_SHARE);
+        Math.max(MIN_RATE_PER_SECOND, rate * RESERVE_SHARE);
       const turns = this.#turnsOf(id, now);
       const position = turns.phase + elapsed(turns.startedAt, now) / period;
       const turn = Math.floor(position);
--- a/packages/core/src/endpoint-limits/endpoint-limits.test.ts
+++ b/packages/core/src/endpoint-limits/stated-rates.test.ts
@@ -3,7 +3,7 @@
 
 import { endpointId } from '../types/ids';
 import { instant } from '../types/units';
-import { EndpointLimits } from './endpoint-limits';
+import { StatedRates } from './stated-rates';
 
 const endpoint = { id: endpointId('e'), startedAt: 5 };
 const START = instant(0);
@@ -13,7 +13,7 @@
 
 describe('the limits that endpoints state', () => {
   it('holds from the first response that names it until a later request is answered without', () => {
-    const limits = new EndpointLimits();
+    const limits = new StatedRates();
     limits.onStatement(endpoint, limit(2.5), START, instant(100));
     expect(limits.perSecond(endpoint)).to.equal(2.5);
     limits.onStatement(endpoint, none, instant(200), instant(300));
@@ -21,14 +21,14 @@
   });
 
   it('survives the response to a request that was sent before it was stated', () => {
-    const limits = new EndpointLimits();
+    const limits = new StatedRates();
     limits.onStatement(endpoint, limit(2), START, instant(100));
     limits.onStatement(endpoint, none, instant(50), instant(900));
     expect(limits.perSecond(endpoint)).to.equal(2);
   });
 
   it('is not the limit of an instance that started later', () => {
-    const limits = new EndpointLimits();
+    const limits = new StatedRates();
     limits.onStatement(endpoint, limit(2), START, START);
     expect(limits.perSecond({ ...endpoint, startedAt: 6 })).to.equal(undefined);
     limits.onStatement(
@@ -42,7 +42,7 @@
   });
 
   it('ignores malformed values, and takes one above every load for none', () => {
-    const limits = new EndpointLimits();
+    const limits = new StatedRates();
     limits.onStatement(endpoint, limit(2), START, START);
     limits.onStatement(endpoint, { kind: 'malformed' }, instant(1), instant(2));
     expect(limits.perSecond(endpoint)).to.equal(2);
@@ -66,7 +66,7 @@
       fc.property(
         fc.array(fc.oneof(step, message), { maxLength: 40 }),
         steps => {
-          const routers = [0, 1, 2].map(() => new EndpointLimits());
+          const routers = [0, 1, 2].map(() => new StatedRates());
           steps.forEach((each, index) => {
             const now = instant(index);
             if ('from' in each) {
--- a/packages/core/src/forwarding/endpoint-chooser.test.ts
+++ b/packages/core/src/forwarding/endpoint-chooser.test.ts
@@ -64,7 +64,7 @@
     locations,
     holds,
     endpointLimits: new EndpointLimits(),
-    permitRefusals: new PermitRefusals(),
+    permitRefusals: new PermitRefusals(() => 1),
     random: new Random(1),
     zone: zoneId('near'),
     unreported: () => 0,
--- a/packages/core/src/forwarding/endpoint-chooser.ts
+++ b/packages/core/src/forwarding/endpoint-chooser.ts
@@ -120,7 +120,7 @@
     const { endpointDirectory, endpointLimits } = this.#options;
     const known = endpointDirectory.usable(query.service);
     return this.#untried(known, query, now).filter(
-      entry => endpointLimits.perSecond(entry) === undefined,
+      entry => endpointLimits.of(entry) === undefined,
     ).length;
   }
 
@@ -136,7 +136,7 @@
         entry =>
           !query.tried.has(entry.id) &&
           holds.remaining(entry.id, now) === 0 &&
-          endpointLimits.perSecond(entry) !== undefined,
+          endpointLimits.of(entry) !== undefined,
       );
     const healthy = limited.filter(({ id }) => health.accepts(id));
     return healthy.length > 0 ? healthy : limited;
--- a/packages/core/src/forwarding/fleet-state.ts
+++ b/packages/core/src/forwarding/fleet-state.ts
@@ -2,8 +2,10 @@
  * State of the fleet that a router derives from its own attempts; a listener
  * sends changes to peers.
  */
-import type { EndpointLimits } from '../endpoint-limits/endpoint-limits';
-import type { RequestLimitStatement } from '../endpoint-limits/request-limit-statement';
+import type {
+  EndpointLimits,
+  LimitStatement,
+} from '../endpoint-limits/endpoint-limits';
 import type { EndpointDirectory } from '../endpoints/endpoint-directory';
 import type { EndpointEntry } from '../endpoints/endpoint-entry';
 import type { RefusalHolds } from '../endpoints/refusal-holds';
@@ -43,11 +45,10 @@
 }
 
 /** What the head of a response says about the endpoint itself. */
-export interface EndpointStatement {
+export interface EndpointStatement extends LimitStatement {
   readonly status: number;
   readonly isLeaving: boolean;
   readonly retryAfter: Milliseconds | undefined;
-  readonly requestLimit: RequestLimitStatement;
 }
 
 export interface FleetStateOptions {
@@ -140,7 +141,7 @@
       holds.hold(entry.id, statement.retryAfter, now());
     }
     if (sentAt !== undefined) {
-      endpointLimits.onStatement(entry, statement.requestLimit, sentAt, now());
+      endpointLimits.onStatement(entry, statement, sentAt, now());
     }
   }
 
--- a/packages/core/src/peers/peer-updates.ts
+++ b/packages/core/src/peers/peer-updates.ts
@@ -49,7 +49,8 @@
   surveyed: 's',
   suspects: 'x',
   trials: 'y',
-  limits: 'r',
+  requestLimits: 'r',
+  rejectionLimits: 'k',
 } as const;
 
 export interface PeerUpdatesOptions {
@@ -194,7 +195,9 @@
       topics[UpdateTopic.trials] = suspects.takeTrials(now);
     }
     if (endpointLimits.hasChanges) {
-      topics[UpdateTopic.limits] = endpointLimits.takeChanges();
+      topics[UpdateTopic.requestLimits] = endpointLimits.requests.takeChanges();
+      topics[UpdateTopic.rejectionLimits] =
+        endpointLimits.rejections.takeChanges();
     }
     if (this.#hasNewVersion && this.#version) {
       topics[UpdateTopic.version] = [versionEntry(this.#version)];
@@ -229,7 +232,8 @@
       [UpdateTopic.parts]: takeFirst(locations.pairs(), MAX_SENT_PARTS),
       [UpdateTopic.surveyed]: surveyed.map(id => [id]),
       [UpdateTopic.suspects]: suspects.fullState(now),
-      [UpdateTopic.limits]: endpointLimits.fullState(),
+      [UpdateTopic.requestLimits]: endpointLimits.requests.fullState(),
+      [UpdateTopic.rejectionLimits]: endpointLimits.rejections.fullState(),
       ...(this.#version
         ? { [UpdateTopic.version]: [versionEntry(this.#version)] }
         : {}),
@@ -245,7 +249,16 @@
       feedUpdates.receive(topics, now) +
       suspects.receive(topics[UpdateTopic.suspects], this.#isRelay, now) +
       suspects.receiveTrials(topics[UpdateTopic.trials], this.#isRelay, now) +
-      endpointLimits.receive(topics[UpdateTopic.limits], this.#isRelay, now) +
+      endpointLimits.requests.receive(
+        topics[UpdateTopic.requestLimits],
+        this.#isRelay,
+        now,
+      ) +
+      endpointLimits.rejections.receive(
+        topics[UpdateTopic.rejectionLimits],
+        this.#isRelay,
+        now,
+      ) +
       forEachValidEntry(topics[UpdateTopic.parts], partSchema, entry => {
         this.#applyPart(promptPartId(entry[0]), endpointId(entry[1]), entry[2]);
       }) +
--- a/packages/gateway/src/composition/gateway-container.ts
+++ b/packages/gateway/src/composition/gateway-container.ts
@@ -171,7 +171,10 @@
     health: asFunction(newHealth).singleton(),
     holds: asFunction(() => new RefusalHolds()).singleton(),
     endpointLimits: asFunction(() => new EndpointLimits()).singleton(),
-    permitRefusals: asFunction(() => new PermitRefusals()).singleton(),
+    permitRefusals: asFunction(
+      ({ routerDirectory }: GatewayCradle) =>
+        new PermitRefusals(() => routerDirectory.fleetSize),
+    ).singleton(),
     fleetPermits: asClass(FleetPermits).singleton(),
     attemptPlacement: asClass(AttemptPlacement).singleton(),
     routerDirectory: asFunction(() => new RouterDirectory()).singleton(),
--- a/packages/gateway/src/endpoints/endpoint-protocol.ts
+++ b/packages/gateway/src/endpoints/endpoint-protocol.ts
@@ -2,7 +2,7 @@
  * Interface to the protocol of endpoints. An adapter implements it with the
  * header names and body formats of its platform.
  */
-import type { RequestLimitStatement } from '@sesamegrade/core/endpoint-limits/request-limit-statement';
+import type { LimitStatement } from '@sesamegrade/core/endpoint-limits/endpoint-limits';
 import type { Address } from '@sesamegrade/core/types/endpoint';
 import type {
   EndpointId,
@@ -43,7 +43,7 @@
 export type BodyFraming = 'none' | 'length' | 'chunked' | 'connection';
 
 /** The head of an endpoint's response. */
-export interface ResponseHead {
+export interface ResponseHead extends LimitStatement {
   readonly status: number;
   /** Headers that are passed on to the caller; without connection headers and Content-Length. */
   readonly headers: HeaderList;
@@ -63,8 +63,6 @@
   readonly keepAliveTimeout: Milliseconds | undefined;
   /** Whether the endpoint states that it is about to stop. */
   readonly isLeaving: boolean;
-  /** What the endpoint states about the rate of requests that it accepts. */
-  readonly requestLimit: RequestLimitStatement;
   /** Time for which the endpoint wants no more requests from this router. */
   readonly retryAfter: Milliseconds | undefined;
 }
--- a/packages/gateway/src/forwarding/attempt-placement.ts
+++ b/packages/gateway/src/forwarding/attempt-placement.ts
@@ -17,11 +17,14 @@
 import { milliseconds } from '@sesamegrade/core/types/units';
 import type { Milliseconds } from '@sesamegrade/core/types/units';
 import type { GatewaySettings } from '@sesamegrade/settings/gateway-schema';
-import type { FleetPermits, PermitSource } from '../permits/fleet-permits';
+import type { FleetPermits, IssuedPermit } from '../permits/fleet-permits';
 
 /** Share of the latency goal for which a request may wait for a permit. */
 const MAX_WAIT_PER_GOAL = 0.5;
 
+/** Time beyond the deadline of a request after which its permit lapses. */
+const LIFETIME_MARGIN: Milliseconds = milliseconds(500);
+
 /** What decides how long and before whom a request waits. */
 export interface PlacementClaim {
   readonly team: TeamId;
@@ -35,8 +38,8 @@
   | {
       readonly kind: 'endpoint';
       readonly choice: Extract<EndpointChoice, { kind: 'endpoint' }>;
-      /** Who issued the permit; undefined if the endpoint has no limit. */
-      readonly permit: PermitSource | undefined;
+      /** Undefined if the endpoint has no limit. */
+      readonly permit: IssuedPermit | undefined;
     }
   | {
       readonly kind: 'none';
@@ -67,7 +70,7 @@
       const choice = chooser.choose(query, timers.now());
       const isLimited =
         choice.kind === 'endpoint' &&
-        endpointLimits.perSecond(choice.entry) !== undefined;
+        endpointLimits.of(choice.entry) !== undefined;
       if (choice.kind === 'endpoint' && !isLimited) {
         return { kind: 'endpoint', choice, permit: undefined };
       }
@@ -77,14 +80,14 @@
       ) {
         return this.#placeAtAny(query, claim, choice);
       }
-      const { answer, source } = await this.#requestPermit(
+      const { answer, permit } = await this.#requestPermit(
         query,
         claim,
         [choice.entry],
         milliseconds(0),
       );
       if (answer.kind === 'granted') {
-        return { kind: 'endpoint', choice, permit: source };
+        return { kind: 'endpoint', choice, permit };
       }
       permitRefusals.addEndpoint(
         choice.entry.id,
@@ -115,7 +118,7 @@
     }
     const preferredId =
       preferred.kind === 'endpoint' ? preferred.entry.id : undefined;
-    const { answer, source } = await this.#requestPermit(
+    const { answer, permit } = await this.#requestPermit(
       query,
       claim,
       preferredFirst(entries, preferredId),
@@ -136,15 +139,17 @@
       { ...query, only: answer.endpoint },
       timers.now(),
     );
-    return choice.kind === 'none'
-      ? // The endpoint has left meanwhile.
-        this.place(query, claim)
-      : { kind: 'endpoint', choice, permit: source };
+    if (choice.kind === 'endpoint') {
+      return { kind: 'endpoint', choice, permit };
+    }
+    // The endpoint has left meanwhile.
+    permit?.release(false);
+    return this.place(query, claim);
   }
 
   #requestPermit(
     { service }: ChoiceQuery,
-    { rank, team }: PlacementClaim,
+    { rank, team, remaining }: PlacementClaim,
     entries: readonly EndpointEntry[],
     maxWait: Milliseconds,
   ): ReturnType<FleetPermits['request']> {
@@ -153,13 +158,11 @@
     const query: PermitQuery = {
       request: requestId(`${settings.router.id}/${this.#queryCount}`),
       service,
-      endpoints: entries.map(entry => ({
-        id: entry.id,
-        perSecond: endpointLimits.perSecond(entry) ?? 0,
-      })),
+      endpoints: entries.flatMap(entry => endpointLimits.of(entry) ?? []),
       rank,
       team,
       maxWait,
+      lifetime: milliseconds(remaining + LIFETIME_MARGIN),
     };
     return fleetPermits.request(query);
   }
--- a/packages/gateway/src/forwarding/forwarder.ts
+++ b/packages/gateway/src/forwarding/forwarder.ts
@@ -309,6 +309,7 @@
       }
       const placement = await this.#place(request);
       if (exchange.hasDisconnected) {
+        releaseUnused(placement);
         return;
       }
       if (placement.kind === 'none') {
@@ -320,7 +321,7 @@
         this.#options.log.write('permit', {
           request: head.requestId,
           endpoint: choice.entry.id,
-          source: permit,
+          source: permit.source,
         });
       }
       engine = choice.entry.id;
@@ -331,6 +332,7 @@
       }
       attempt = this.#startAttempt(request, relay, choice);
       const result = await attempt.done;
+      permit?.release(isRejectionForRoom(result));
       await request.crashGuard.recordEnd(choice.entry, {
         result,
         events: relay.events - eventsBefore,
@@ -402,7 +404,7 @@
       this.#refuse(request.exchange, request.head, {
         kind: 'not-run',
         cause: 'no-permit',
-        retryAfter,
+        retryAfter: milliseconds(Math.max(MIN_RETRY_AFTER, retryAfter)),
       });
     }
   }
@@ -721,6 +723,16 @@
   }
 }
 
+function releaseUnused(placement: Placement): void {
+  if (placement.kind === 'endpoint') {
+    placement.permit?.release(false);
+  }
+}
+
+function isRejectionForRoom(result: AttemptResult): boolean {
+  return result.kind === 'declined' && result.decline === 'full';
+}
+
 function bodyLimit(limits: CallerLimits | undefined): number {
   return limits?.bodyBytes ?? DEFAULT_MAX_BODY_BYTES;
 }
--- a/packages/gateway/src/peers/peer-mesh.ts
+++ b/packages/gateway/src/peers/peer-mesh.ts
@@ -153,6 +153,9 @@
         options.tunnelServer.accept(request, socket);
       },
       permit: (peer, query) => options.fleetPermits.answerPeer(peer, query),
+      releasePermit: permit => {
+        options.fleetPermits.releaseForPeer(permit);
+      },
       listener: {
         onSubscribed: identity => {
           this.#onSubscribed(identity);
@@ -513,6 +516,14 @@
       : Promise.reject(new Error(`${relay} is not connected`));
   }
 
+  /** Gives a permit back to a relay; rejects if it is not connected. */
+  releasePermit(relay: RouterId, permit: unknown): Promise<unknown> {
+    const peer = this.#peers.get(relay);
+    return peer?.isConnected
+      ? peer.link.releasePermit(permit)
+      : Promise.reject(new Error(`${relay} is not connected`));
+  }
+
   /** Sends pending updates after a short delay, together with those that arrive meanwhile. */
   flushSoon(): void {
     this.#updateSender.flushSoon();
--- a/packages/gateway/src/permits/fleet-permits.ts
+++ b/packages/gateway/src/permits/fleet-permits.ts
@@ -8,17 +8,20 @@
   permitAnswerSchema,
   permitMessage,
   permitQuerySchema,
+  permitReturnSchema,
 } from '@sesamegrade/core/endpoint-limits/permit-query';
 import type {
   PermitAnswer,
   PermitQuery,
+  PermitReturn,
 } from '@sesamegrade/core/endpoint-limits/permit-query';
 import { ReservePermits } from '@sesamegrade/core/endpoint-limits/reserve-permits';
+import type { LoadEstimate } from '@sesamegrade/core/engines/load-estimate';
 import type { RouterDirectory } from '@sesamegrade/core/peers/router-directory';
 import type { Random } from '@sesamegrade/core/random/random';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
 import { routerId } from '@sesamegrade/core/types/ids';
-import type { RouterId } from '@sesamegrade/core/types/ids';
+import type { EndpointId, RouterId } from '@sesamegrade/core/types/ids';
 import { addTime, elapsed, milliseconds } from '@sesamegrade/core/types/units';
 import type { Instant, Milliseconds } from '@sesamegrade/core/types/units';
 import type { GatewaySettings } from '@sesamegrade/settings/gateway-schema';
@@ -46,6 +49,7 @@
   readonly settings: GatewaySettings;
   readonly endpointLimits: EndpointLimits;
   readonly routerDirectory: RouterDirectory;
+  readonly loads: LoadEstimate;
   readonly peerMesh: PeerMesh;
   readonly timers: TimerService;
   readonly random: Random;
@@ -53,12 +57,18 @@
   readonly gatewayMetrics: GatewayMetrics;
 }
 
-/** Who answered a query: the issuer, or this router from the reserve. */
-export type PermitSource = RouterId | 'reserve';
+/** A permit that a request holds until its attempt ends. */
+export interface IssuedPermit {
+  /** The router that was asked, or this router's part of the reserve. */
+  readonly source: RouterId | 'reserve';
+  /** Gives the permit back; `wasRejected` if the endpoint had no room for the request. */
+  readonly release: (wasRejected: boolean) => void;
+}
 
-export interface SourcedAnswer {
+export interface PermitResult {
   readonly answer: PermitAnswer;
-  readonly source: PermitSource;
+  /** Undefined if the query was refused. */
+  readonly permit: IssuedPermit | undefined;
 }
 
 export class FleetPermits {
@@ -72,7 +82,10 @@
   constructor(options: FleetPermitsOptions) {
     this.#options = options;
     this.#self = routerId(options.settings.router.id);
-    this.#issuer = new PermitIssuer(() => this.#share());
+    this.#issuer = new PermitIssuer({
+      share: () => this.#share(),
+      running: id => options.loads.total(id, options.timers.now()),
+    });
     this.#reserve = new ReservePermits(
       options.random,
       () => options.routerDirectory.fleetSize,
@@ -80,12 +93,34 @@
   }
 
   /** Obtains a permit or learns why there is none; never rejects. */
-  async request(query: PermitQuery): Promise<SourcedAnswer> {
+  async request(query: PermitQuery): Promise<PermitResult> {
     const { gatewayMetrics } = this.#options;
-    const result = await this.#requestOf(query);
-    const origin = result.source === 'reserve' ? 'reserve' : 'issuer';
-    gatewayMetrics.recordPermit(origin, result.answer.kind);
-    return result;
+    const { answer, source } = await this.#requestOf(query);
+    const origin = source === 'reserve' ? 'reserve' : 'issuer';
+    gatewayMetrics.recordPermit(origin, answer.kind);
+    if (answer.kind === 'refused') {
+      return { answer, permit: undefined };
+    }
+    const release = (wasRejected: boolean) => {
+      this.#release(query, answer.endpoint, source, wasRejected);
+    };
+    return { answer, permit: { source, release } };
+  }
+
+  /** Takes a permit back that a peer holds; one that another relay issued is passed on to it. */
+  releaseForPeer(message: unknown): void {
+    const parsed = permitReturnSchema.safeParse(message);
+    if (!parsed.success) {
+      return;
+    }
+    const { permit, isForwarded } = parsed.data;
+    const { peerMesh, timers } = this.#options;
+    const isKnown = this.#issuer.release(permit, timers.now());
+    const [first] = peerMesh.relays;
+    if (!isKnown && !isForwarded && first !== undefined) {
+      void this.#send(first, permit, true);
+    }
+    this.#issuer.tick(timers.now());
   }
 
   /**
@@ -111,7 +146,46 @@
     return this.#issue(query, peer);
   }
 
-  async #requestOf(query: PermitQuery): Promise<SourcedAnswer> {
+  #release(
+    query: PermitQuery,
+    endpoint: EndpointId,
+    source: RouterId | 'reserve',
+    wasRejected: boolean,
+  ): void {
+    const limits = query.endpoints.find(({ id }) => id === endpoint);
+    if (source === 'reserve' || limits?.concurrent === undefined) {
+      return;
+    }
+    const { timers } = this.#options;
+    const permit = { request: query.request, endpoint, wasRejected };
+    if (source === this.#self) {
+      this.#issuer.release(permit, timers.now());
+      this.#issuer.tick(timers.now());
+    } else {
+      void this.#send(source, permit, false);
+    }
+  }
+
+  /** Gives a permit back to a relay; one that is lost lapses there. */
+  async #send(
+    relay: RouterId,
+    permit: PermitReturn,
+    isForwarded: boolean,
+  ): Promise<void> {
+    try {
+      await this.#options.peerMesh.releasePermit(relay, {
+        ...permit,
+        isForwarded,
+      });
+    } catch {
+      this.#options.log.write('permit-lost', { relay, ...permit });
+    }
+  }
+
+  async #requestOf(query: PermitQuery): Promise<{
+    readonly answer: PermitAnswer;
+    readonly source: RouterId | 'reserve';
+  }> {
     const { peerMesh, timers } = this.#options;
     const begin = timers.now();
     for (const relay of peerMesh.relays) {
@@ -124,6 +198,9 @@
       if (answer && isFresh) {
         return { answer, source: relay };
       }
+      if (answer?.kind === 'granted') {
+        this.#release(query, answer.endpoint, relay, false);
+      }
     }
     return {
       answer: this.#reserve.request(query, timers.now()),
@@ -152,21 +229,36 @@
       return undefined;
     }
     const timeout = milliseconds(query.maxWait + ANSWER_TIMEOUT);
-    const response = await withTimeout(
-      peerMesh.requestPermit(relay, permitMessage(query, isForwarded)),
-      timers,
-      timeout,
+    const pending = peerMesh.requestPermit(
+      relay,
+      permitMessage(query, isForwarded),
     );
+    const response = await withTimeout(pending, timers, timeout);
     const answer = permitAnswerSchema.safeParse(response);
     if (answer.success) {
       this.#silentUntil.delete(relay);
       return answer.data;
     }
+    this.#returnLateAnswer(pending, query, relay);
     this.#silentUntil.set(relay, addTime(timers.now(), SILENT_RELAY_PAUSE));
     log.write('permit-issuer-silent', { relay, isForwarded });
     return undefined;
   }
 
+  #returnLateAnswer(
+    pending: Promise<unknown>,
+    query: PermitQuery,
+    relay: RouterId,
+  ): void {
+    const onAnswer = (response: unknown) => {
+      const answer = permitAnswerSchema.safeParse(response);
+      if (answer.success && answer.data.kind === 'granted') {
+        this.#release(query, answer.data.endpoint, relay, false);
+      }
+    };
+    void pending.then(onAnswer, () => undefined);
+  }
+
   #issue(query: PermitQuery, router: RouterId): Promise<PermitAnswer> {
     return new Promise(resolve => {
       this.#issuer.request(query, router, resolve, this.#options.timers.now());
--- a/packages/gateway/src/process/gateway-process.ts
+++ b/packages/gateway/src/process/gateway-process.ts
@@ -371,7 +371,12 @@
     gatewayMetrics.registerGauge(
       'limited_endpoints',
       'Endpoints that state the rate of requests that they accept.',
-      () => this.#options.endpointLimits.size,
+      () => this.#options.endpointLimits.requests.size,
+    );
+    gatewayMetrics.registerGauge(
+      'brittle_endpoints',
+      'Endpoints that state how many rejections make them fall over.',
+      () => this.#options.endpointLimits.rejections.size,
     );
     gatewayMetrics.registerGauge(
       'endpoints',
--- a/packages/measure/src/request-limits/limit-strategy.ts
+++ b/packages/measure/src/request-limits/limit-strategy.ts
@@ -109,16 +109,18 @@
   }
 }
 
+const newIssuer = () => new PermitIssuer({ share: () => 1, running: () => 0 });
+
 /** One router issues a permit for each request; the others use a reserve while it is gone. */
 export class IssuedPermits extends LimitStrategy {
-  #issuer = new PermitIssuer(() => 1);
+  #issuer = newIssuer();
   readonly #reserves = new Map<number, ReservePermits>();
   readonly #askAgainAt = new Map<number, number>();
   #queries = 0;
 
   override onLeaderLost(until: Instant): void {
     super.onLeaderLost(until);
-    this.#issuer = new PermitIssuer(() => 1);
+    this.#issuer = newIssuer();
   }
 
   override accepts(router: number, now: Instant): boolean {
@@ -129,10 +131,17 @@
     const query = {
       request: requestId(String(this.#queries)),
       service: serviceId('s'),
-      endpoints: [{ id: ENDPOINT, perSecond: this.fleet.perSecond }],
+      endpoints: [
+        {
+          id: ENDPOINT,
+          perSecond: this.fleet.perSecond,
+          concurrent: undefined,
+        },
+      ],
       rank: 0,
       team: teamId('t'),
       maxWait: milliseconds(0),
+      lifetime: milliseconds(1000),
     };
     if (now < this.leaderLostUntil) {
       return this.#reserveOf(router).request(query, now).kind === 'granted';
--- a/packages/router/src/peers/peer-link.ts
+++ b/packages/router/src/peers/peer-link.ts
@@ -103,6 +103,11 @@
     return this.#client.permit.mutate(query);
   }
 
+  /** Gives a permit back to the peer; rejects when the connection is lost. */
+  releasePermit(permit: unknown): Promise<unknown> {
+    return this.#client.releasePermit.mutate(permit);
+  }
+
   async close(): Promise<void> {
     this.#closed = true;
     this.#socket?.terminate();
--- a/packages/router/src/peers/peer-routes.ts
+++ b/packages/router/src/peers/peer-routes.ts
@@ -19,6 +19,8 @@
   closeFeed(context: PeerContext, feed: PeerFeed): void;
   /** Answers a query for a permit; undefined if it is malformed. */
   permit(context: PeerContext, query: unknown): Promise<unknown>;
+  /** Takes a permit back. */
+  releasePermit(permit: unknown): void;
   /** The complete configuration, in the form that the receiver's replica accepts. */
   snapshot(): unknown;
 }
@@ -40,6 +42,11 @@
       // The host checks the query, as it knows the schema.
       .input((query: unknown) => query)
       .mutation(({ ctx, input }) => host.permit(ctx, input)),
+    releasePermit: trpc.procedure
+      .input((permit: unknown) => permit)
+      .mutation(({ input }) => {
+        host.releasePermit(input);
+      }),
   });
 }
 
--- a/packages/router/src/peers/peer-server.ts
+++ b/packages/router/src/peers/peer-server.ts
@@ -42,6 +42,8 @@
   readonly snapshot: () => unknown;
   /** Answers a peer's query for a permit; absent if this router issues none. */
   readonly permit?: (peer: RouterId, query: unknown) => Promise<unknown>;
+  /** Takes a permit back that this router issued. */
+  readonly releasePermit?: (permit: unknown) => void;
   /**
    * Whether a peer that missed a message is disconnected, so that it receives the
    * full state when it connects again.
@@ -154,6 +156,9 @@
       permit: ({ peer }, query) =>
         this.#options.permit?.(peer.identity.id, query) ??
         Promise.resolve(undefined),
+      releasePermit: permit => {
+        this.#options.releasePermit?.(permit);
+      },
     });
     applyWSSHandler({
       wss: this.#sockets,
