--- a/packages/gateway/src/permits/fleet-permits.ts
+++ b/packages/gateway/src/permits/fleet-permits.ts
@@ -117,7 +117,8 @@
     const { peerMesh, timers } = this.#options;
     const isKnown = this.#issuer.release(permit, timers.now());
     const [first] = peerMesh.relays;
-    if (!isKnown && !isForwarded && first !== undefined) {
+    const isFirst = first === undefined || first === this.#self;
+    if (!isKnown && !isForwarded && !isFirst) {
       void this.#send(first, permit, true);
     }
     this.#issuer.tick(timers.now());
