Let only a router that reaches others prove the end of an endpoint

Reading the fix again: a router that is cut off by refused connections and does not know yet answers 502 to a peer that asks it for a tunnel, and the peer takes that for the proof of a crash and condemns what ran there. A peer now says so only if it reaches another endpoint, one of the same service and one of another being tried; else it answers 503, which proves nothing, and the next peer is asked.

Before, tunnel-server.test.ts, 'proves nothing if the router reaches no other endpoint either': 502 instead of 503. After: passes. What remains: a peer that is cut from only the same endpoint as the asker still proves its end.

--- a/packages/gateway/src/tunnels/tunnel-server.ts
+++ b/packages/gateway/src/tunnels/tunnel-server.ts
@@ -14,6 +14,7 @@
 import type { Instant, Milliseconds } from '@sesamegrade/core/types/units';
 import type { PeerProof } from '@sesamegrade/router/peers/peer-proof';
 import type { EndpointDialer } from '../endpoints/endpoint-dialer';
+import { probeEndpoint } from '../endpoints/endpoint-probe';
 import type { BoundedSocket } from '../http/bounded-socket';
 import type { DecisionLog } from '../logs/decision-log';
 import type { ShutdownSequence } from '../process/shutdown-sequence';
@@ -118,13 +119,7 @@
       { address, timeout: DIAL_TIMEOUT },
       result => {
         if (!result.ok) {
-          const { failure } = result;
-          refuse(
-            client,
-            'code' in failure && failure.code === 'ECONNREFUSED'
-              ? TunnelStatus.endpointRefused
-              : TunnelStatus.endpointTimeout,
-          );
+          void this.#refuseUnreachable(client, address, result.failure);
           return;
         }
         const { socket: endpoint } = result.value;
@@ -144,6 +139,45 @@
     });
   }
 
+  /**
+   * Answers that there is no connection. A refused one proves that the endpoint has
+   * ended only if this router reaches others, as its own paths may be cut.
+   */
+  async #refuseUnreachable(
+    client: Socket,
+    address: Address,
+    failure: Error,
+  ): Promise<void> {
+    const isRefused = 'code' in failure && failure.code === 'ECONNREFUSED';
+    if (!isRefused) {
+      refuse(client, TunnelStatus.endpointTimeout);
+      return;
+    }
+    const isProof = await this.#reachesAnother(address);
+    refuse(
+      client,
+      isProof ? TunnelStatus.endpointRefused : TunnelStatus.unavailable,
+    );
+  }
+
+  /** Whether another endpoint of the same service, or one of another service, accepts a connection. */
+  async #reachesAnother(address: Address): Promise<boolean> {
+    const { endpointDirectory, directDialer } = this.#options;
+    const all = endpointDirectory.all();
+    const service = all.find(entry => isSame(entry.address, address))?.service;
+    const others = all.filter(entry => !isSame(entry.address, address));
+    const witnesses = [
+      others.find(entry => entry.service === service),
+      others.find(entry => entry.service !== service),
+    ].filter(entry => entry !== undefined);
+    const results = await Promise.all(
+      witnesses.map(entry =>
+        probeEndpoint(directDialer, entry.address, DIAL_TIMEOUT),
+      ),
+    );
+    return results.includes('listening') || witnesses.length === 0;
+  }
+
   #isAvailable(): boolean {
     const { endpointPaths, shutdownSequence } = this.#options;
     return (
@@ -213,6 +247,10 @@
   });
 }
 
+function isSame(left: Address, right: Address): boolean {
+  return left.host === right.host && left.port === right.port;
+}
+
 function refuse(client: Socket, status: number): void {
   client.end(`HTTP/1.1 ${status} Refused\r\nConnection: close\r\n\r\n`);
 }
