Soak endpoints that state limits beside restarts

An endpoint states 1, 2 or 4 requests a second for 7 s; from 3 s on its arrivals in any 4 s are compared with 1.5 times that and 5, plus 4 for each router that was ended or frozen since, as endpoints cannot tell their arrivals apart and the rule excuses them.

--- a/packages/stand-ins/src/deployment/broken-stream.ts
+++ b/packages/stand-ins/src/deployment/broken-stream.ts
@@ -33,13 +33,18 @@
   request: ScriptedRequest,
   framing: StreamFraming,
   body: string,
+  headers: readonly string[] = [],
 ): string {
   switch (framing) {
     case 'length':
-      return responseHead(request, [`Content-Length: ${body.length}`]) + body;
+      return (
+        responseHead(request, [...headers, `Content-Length: ${body.length}`]) +
+        body
+      );
     case 'chunked':
     case 'chunked-close': {
-      const extra = framing === 'chunked' ? [] : ['Connection: close'];
+      const extra =
+        framing === 'chunked' ? headers : [...headers, 'Connection: close'];
       const middle = Math.floor(body.length / 2);
       const chunks = [body.slice(0, middle), body.slice(middle)]
         .filter(part => part !== '')
@@ -47,7 +52,7 @@
       return streamHead(request, extra) + chunks.join('') + LAST_CHUNK;
     }
     case 'connection':
-      return responseHead(request) + body;
+      return responseHead(request, headers) + body;
   }
 }
 
@@ -82,6 +87,7 @@
   events: readonly string[],
   random: Random,
   brokenShare: number,
+  headers: readonly string[] = [],
 ): void {
   const last = Number(request.headers.get('last-event-id') ?? 0);
   const framing = random.pick(STREAM_FRAMINGS);
@@ -89,7 +95,7 @@
     .map((text, index) => event(index + 1, text))
     .slice(last)
     .join('');
-  const bytes = streamBytes(request, framing, body);
+  const bytes = streamBytes(request, framing, body, headers);
   const cut: StreamCut | undefined =
     random.fraction() < brokenShare
       ? {
@@ -104,12 +110,13 @@
 export function sendEndlessStream(
   request: ScriptedRequest,
   socket: Socket,
+  headers: readonly string[] = [],
 ): void {
   const block = event(1, 'x'.repeat(16_000));
   const send = () => {
     while (!socket.destroyed && socket.write(block));
   };
   socket.on('drain', send);
-  socket.write(responseHead(request));
+  socket.write(responseHead(request, headers));
   send();
 }
--- a/packages/stand-ins/src/soak/soak-invariant-checker.test.ts
+++ b/packages/stand-ins/src/soak/soak-invariant-checker.test.ts
@@ -68,6 +68,24 @@
     expect(violatedPromises(checker)).to.deep.equal(['leaving']);
   });
 
+  it('finds an endpoint that got more than it had stated, and excuses restarted routers', () => {
+    const play = (disturbances: readonly number[]) => {
+      const checker = new SoakInvariantChecker();
+      checker.recordLimit({ endpoint: 'e', perSecond: 1, from: 0, to: 9000 });
+      for (let count = 0; count < 12; count += 1) {
+        checker.recordArrival('e', 1000 + count);
+        checker.recordArrival('e', 4000 + count);
+      }
+      disturbances.forEach(at => {
+        checker.recordDisturbance(at);
+      });
+      return checker.violations().map(({ promise }) => promise);
+    };
+    expect(play([])).to.deep.equal(['limit']);
+    expect(play([900])).to.deep.equal(['limit']);
+    expect(play([3500])).to.deep.equal([]);
+  });
+
   it('finds content that goes on to end endpoints once every router must know it', () => {
     const checker = new SoakInvariantChecker();
     const crash = (count: number) => {
--- a/packages/stand-ins/src/soak/soak-invariant-checker.ts
+++ b/packages/stand-ins/src/soak/soak-invariant-checker.ts
@@ -35,12 +35,22 @@
     | 'leaving'
     | 'whole-stream'
     | 'alive'
-    | 'crashing-content';
-  /** The request, the router for `alive`, or the content for `crashing-content`. */
+    | 'crashing-content'
+    | 'limit';
+  /** The request, the router for `alive`, the content for `crashing-content`, or the endpoint for `limit`. */
   readonly request: string;
   readonly detail: string;
 }
 
+/** A time in which an endpoint states how many requests a second it accepts. */
+export interface SoakLimit {
+  readonly endpoint: string;
+  readonly perSecond: number;
+  /** Milliseconds since the start of the soak. */
+  readonly from: number;
+  readonly to: number;
+}
+
 /** What ends endpoints: the same request each time, or a part of new prompts. */
 export type CrashingContent = 'request' | 'part';
 
@@ -54,6 +64,14 @@
 
 /** Time after which an endpoint that is known to be leaving receives no more requests. */
 const LEAVING_BOUND_MS = 2000;
+/** Time after which routers keep a limit, and the window in which arrivals are counted. */
+const LIMIT_LEARN_MS = 3000;
+const LIMIT_WINDOW_MS = 4000;
+/** Arrivals tolerated in the window, as a multiple of the limit, and more. */
+const LIMIT_FACTOR = 1.5;
+const LIMIT_SLACK = 5;
+/** Arrivals of a router that has just restarted or was frozen, which are excused. */
+const EXCUSED_PER_DISTURBANCE = 4;
 const STATUS_OK = 200;
 const STREAM_EVENTS = 6;
 /** Status codes with which a router guarantees that the request did not run. */
@@ -66,6 +84,9 @@
   readonly #streams: SoakStream[] = [];
   readonly #leaving = new Map<string, number>();
   readonly #deaths: SoakViolation[] = [];
+  readonly #limits: SoakLimit[] = [];
+  readonly #arrivals = new Map<string, number[]>();
+  readonly #disturbances: number[] = [];
   readonly #crashes = { request: 0, part: 0 };
   #crashesWithFaults: Readonly<Record<CrashingContent, number>> | undefined;
 
@@ -82,6 +103,22 @@
     this.#runs.set(run.request, runs);
   }
 
+  /** Records a request that reached an endpoint, also one that it rejects. */
+  recordArrival(endpoint: string, at: number): void {
+    const arrivals = this.#arrivals.get(endpoint) ?? [];
+    arrivals.push(at);
+    this.#arrivals.set(endpoint, arrivals);
+  }
+
+  recordLimit(limit: SoakLimit): void {
+    this.#limits.push(limit);
+  }
+
+  /** Records that a router is ended or frozen at a time. */
+  recordDisturbance(at: number): void {
+    this.#disturbances.push(at);
+  }
+
   recordResponse(response: SoakResponse): void {
     this.#responses.push(response);
   }
@@ -140,6 +177,7 @@
       ...this.#lateRuns(),
       ...this.#deaths,
       ...this.#lateCrashes(),
+      ...this.#limits.flatMap(limit => this.#exceededLimit(limit)),
     ];
   }
 
@@ -160,6 +198,31 @@
     });
   }
 
+  #exceededLimit({
+    endpoint,
+    perSecond,
+    from,
+    to,
+  }: SoakLimit): SoakViolation[] {
+    const tolerated =
+      LIMIT_FACTOR * perSecond * (LIMIT_WINDOW_MS / 1000) + LIMIT_SLACK;
+    const arrivals = (this.#arrivals.get(endpoint) ?? []).filter(
+      at => at >= from + LIMIT_LEARN_MS && at < to,
+    );
+    for (const start of arrivals) {
+      const end = start + LIMIT_WINDOW_MS;
+      const count = arrivals.filter(at => at >= start && at < end).length;
+      const excused = this.#disturbances.filter(
+        at => at >= start - LIMIT_LEARN_MS && at < end,
+      ).length;
+      if (count > tolerated + excused * EXCUSED_PER_DISTURBANCE) {
+        const detail = `${count} in 4 s from ${Math.round(start)} at ${perSecond} a second, ${excused} disturbances`;
+        return [{ promise: 'limit', request: endpoint, detail }];
+      }
+    }
+    return [];
+  }
+
   #repeatedRuns(): SoakViolation[] {
     return [...this.#atMostOnce]
       .map(request => this.#runs.get(request) ?? [])
--- a/packages/stand-ins/src/soak/soak.ts
+++ b/packages/stand-ins/src/soak/soak.ts
@@ -55,6 +55,9 @@
 const REQUEST_INTERVAL_MS = 20;
 const FAULT_INTERVAL_MS = 500;
 const DEADLINE_MS = 1500;
+/** Time for which an endpoint states a limit, and the limits in requests a second. */
+const LIMIT_MS = 7000;
+const LIMITS = [1, 2, 4];
 const MAX_FAULT_MS = 1500;
 /** Time without a store fault after which every router has read the store again. */
 const STABLE_STORE_MS = 1200;
@@ -99,6 +102,7 @@
   readonly #folder = mkdtempSync(join(tmpdir(), 'soak-'));
   readonly #faults: string[] = [];
   readonly #pending: Promise<void>[] = [];
+  readonly #limits = new Map<string, number>();
   readonly #startedAt = performance.now();
   #nextServer = 0;
   #version = 1;
@@ -322,9 +326,11 @@
     return (scriptedRequest, socket) => {
       const id = scriptedRequest.headers.get('sesamegrade-request-id') ?? '';
       const sample = this.#random.fraction();
+      const headers = this.#statedLimit(name);
+      this.#checker.recordArrival(name, this.#now());
       const { lost, duplicated, truncated, rejected } = FAULTY_RESPONSE_SHARES;
       if (sample < rejected) {
-        socket.write(notExecutedResponse(scriptedRequest));
+        socket.write(notExecutedResponse(scriptedRequest, 503, headers));
         return;
       }
       this.#checker.recordRun({ request: id, endpoint: name, at: this.#now() });
@@ -335,7 +341,7 @@
         return;
       }
       if (scriptedRequest.target.endsWith('/endless')) {
-        sendEndlessStream(scriptedRequest, socket);
+        sendEndlessStream(scriptedRequest, socket, headers);
         return;
       }
       if (STREAM_TARGET.test(scriptedRequest.target)) {
@@ -346,12 +352,15 @@
           events,
           this.#random,
           BROKEN_STREAM_SHARE,
+          headers,
         );
         return;
       }
       const response = completeResponse(
         scriptedRequest,
         SoakInvariantChecker.responseBody(id),
+        STATUS_OK,
+        headers,
       );
       if (sample < rejected + lost) {
         socket.destroy();
@@ -366,6 +375,30 @@
     };
   }
 
+  #statedLimit(name: string): string[] {
+    const limit = this.#limits.get(name);
+    return limit === undefined ? [] : [`Server-Limit: ${limit}`];
+  }
+
+  /** Lets an endpoint state a limit for a while. */
+  async #limitServer(): Promise<void> {
+    const name = this.#random.pick([...this.#servers.keys()]);
+    if (this.#limits.has(name)) {
+      return;
+    }
+    const perSecond = this.#random.pick(LIMITS);
+    this.#limits.set(name, perSecond);
+    const from = this.#now();
+    await pause(LIMIT_MS);
+    this.#limits.delete(name);
+    this.#checker.recordLimit({
+      endpoint: name,
+      perSecond,
+      from,
+      to: this.#now(),
+    });
+  }
+
   async #addServer(): Promise<void> {
     this.#nextServer += 1;
     const name = `s-${this.#nextServer}`;
@@ -387,8 +420,10 @@
       'configuration',
       'leave',
       'kill-all',
+      'limit',
     ] as const);
     this.#faults.push(kind);
+    this.#recordDisturbance(kind);
     switch (kind) {
       case 'term':
         return router.restart('SIGTERM');
@@ -416,6 +451,17 @@
         return;
       case 'leave':
         return this.#replaceServer();
+      case 'limit':
+        return this.#limitServer();
+    }
+  }
+
+  #recordDisturbance(kind: string): void {
+    const count = kind === 'kill-all' ? this.#routers.length : 1;
+    if (['term', 'kill', 'freeze', 'kill-all'].includes(kind)) {
+      for (let router = 0; router < count; router += 1) {
+        this.#checker.recordDisturbance(this.#now());
+      }
     }
   }
 
