Give up an endpoint that two other routers did not reach either

A refusal of the own path is not passed on as the endpoint's.

Test: path-dialing.test.ts, 'gives up an endpoint that two other routers did not reach in time either', failed before; the other six hold before and after.

--- a/packages/gateway/src/tunnels/path-dialing.ts
+++ b/packages/gateway/src/tunnels/path-dialing.ts
@@ -30,6 +30,9 @@
 /** Timeout of a connection through another router, which itself waits for the endpoint. */
 const PEER_TIMEOUT: Milliseconds = milliseconds(250);
 
+/** Other routers that do not reach the endpoint in time, after which no more are asked. */
+const MAX_TIMED_OUT_PEERS = 2;
+
 /** How the connection came about; `cut` is what became of the direct one, if it was tried. */
 export type DialingEnd =
   | { readonly kind: 'direct' }
@@ -41,8 +44,8 @@
 export interface PathDialingOptions {
   readonly request: DialRequest;
   readonly mode: PathMode;
-  readonly directDialer: EndpointDialer;
-  readonly tunnelClient: TunnelClient;
+  readonly directDialer: Pick<EndpointDialer, 'dial'>;
+  readonly tunnelClient: Pick<TunnelClient, 'dial'>;
   readonly timers: TimerService;
   /** The routers to ask, in order. */
   readonly peers: () => readonly RouterIdentity[];
@@ -60,7 +63,9 @@
   #pendingPeers = 0;
   #directState: 'idle' | 'pending' | 'failed' = 'idle';
   #directError: Error | undefined;
-  #isConfirmedUnreachable = false;
+  /** Whether another router was refused a connection. */
+  #isConfirmedEnded = false;
+  #timedOutPeers = 0;
   #isDone = false;
 
   constructor(options: PathDialingOptions) {
@@ -113,7 +118,7 @@
 
   #askNextPeer(): void {
     const peer = this.#peers?.[this.#nextPeer];
-    if (!peer || this.#isDone || this.#isConfirmedUnreachable) {
+    if (!peer || this.#isDone || this.#isUnreachable) {
       this.#startDirectAfterPeers();
       this.#failIfExhausted();
       return;
@@ -144,10 +149,10 @@
   }
 
   #onPeerFailed(peer: RouterId, error: Error, number: number): void {
-    const isRefused =
-      error instanceof TunnelRefusedError &&
-      error.status === TunnelStatus.endpointRefused;
-    this.#isConfirmedUnreachable ||= isRefused;
+    const isRefused = statusOf(error) === TunnelStatus.endpointRefused;
+    this.#isConfirmedEnded ||= isRefused;
+    const hasTimedOut = statusOf(error) === TunnelStatus.endpointTimeout;
+    this.#timedOutPeers += hasTimedOut ? 1 : 0;
     this.#options.onPeerEnd(peer, isRefused);
     if (this.#nextPeer === number) {
       this.#askNextPeer();
@@ -169,28 +174,38 @@
     return isRefusal(this.#directError) ? 'refused' : 'timeout';
   }
 
+  /** Whether asking further routers is of no use. */
+  get #isUnreachable(): boolean {
+    return this.#isConfirmedEnded || this.#timedOutPeers >= MAX_TIMED_OUT_PEERS;
+  }
+
   #failIfExhausted(): void {
-    const hasPeersLeft =
-      this.#peers !== undefined &&
-      !this.#isConfirmedUnreachable &&
-      this.#nextPeer < this.#peers.length;
-    if (
-      this.#isDone ||
-      this.#directState !== 'failed' ||
-      this.#pendingPeers > 0 ||
-      hasPeersLeft
-    ) {
+    if (this.#isDone || this.#directState !== 'failed') {
       return;
     }
-    const hasAsked = (this.#peers?.length ?? 0) > 0;
-    if (this.#isConfirmedUnreachable) {
-      this.#finish({ kind: 'unreachable' }, fail(refusal()));
-    } else if (hasAsked) {
-      // Nobody says whether the endpoint or only the path to it has failed.
-      this.#finish({ kind: 'failed' }, fail(new DialingFailedError('NO_PATH')));
-    } else {
-      this.#finish({ kind: 'failed' }, fail(this.#directError ?? refusal()));
+    if (this.#isUnreachable) {
+      const failure = this.#isConfirmedEnded
+        ? new DialingFailedError('ECONNREFUSED')
+        : this.#unprovenFailure();
+      this.#finish({ kind: 'unreachable' }, fail(failure));
+      return;
+    }
+    const asked = this.#peers?.length ?? 0;
+    if (this.#pendingPeers > 0 || this.#nextPeer < asked) {
+      return;
     }
+    const failure =
+      asked > 0
+        ? this.#unprovenFailure()
+        : (this.#directError ?? new DialingFailedError('NO_PATH'));
+    this.#finish({ kind: 'failed' }, fail(failure));
+  }
+
+  /** The direct failure, but no refusal that only the path may have caused. */
+  #unprovenFailure(): Error {
+    return this.#directError && !isRefusal(this.#directError)
+      ? this.#directError
+      : new DialingFailedError('NO_PATH');
   }
 
   #finish(end: DialingEnd, result: Result<EndpointSocket, Error>): void {
@@ -217,6 +232,10 @@
   }
 }
 
+function statusOf(error: Error): number | undefined {
+  return error instanceof TunnelRefusedError ? error.status : undefined;
+}
+
 function discard(result: Result<EndpointSocket, Error>): void {
   if (result.ok) {
     result.value.socket.destroy();
@@ -229,10 +248,6 @@
   );
 }
 
-function refusal(): Error {
-  return new DialingFailedError('ECONNREFUSED');
-}
-
 class DialingFailedError extends Error {
   readonly code: string;
 
