Let a limited endpoint of the soak outlast its limit

A limited endpoint now rejects content that would end it and is not the one that leaves, and 2 arrivals are excused.

--- a/packages/stand-ins/src/soak/soak-invariant-checker.ts
+++ b/packages/stand-ins/src/soak/soak-invariant-checker.ts
@@ -71,7 +71,7 @@
 const LIMIT_FACTOR = 1.5;
 const LIMIT_SLACK = 5;
 /** Arrivals of a router that has just restarted or was frozen, which are excused. */
-const EXCUSED_PER_DISTURBANCE = 4;
+const EXCUSED_PER_DISTURBANCE = 2;
 const STATUS_OK = 200;
 const STREAM_EVENTS = 6;
 /** Status codes with which a router guarantees that the request did not run. */
--- a/packages/stand-ins/src/soak/soak.ts
+++ b/packages/stand-ins/src/soak/soak.ts
@@ -329,12 +329,14 @@
       const headers = this.#statedLimit(name);
       this.#checker.recordArrival(name, this.#now());
       const { lost, duplicated, truncated, rejected } = FAULTY_RESPONSE_SHARES;
-      if (sample < rejected) {
+      const isCrashing = scriptedRequest.target.includes(CRASHING_WORD);
+      // An endpoint with a limit has to outlast it.
+      if (sample < rejected || (isCrashing && this.#limits.has(name))) {
         socket.write(notExecutedResponse(scriptedRequest, 503, headers));
         return;
       }
       this.#checker.recordRun({ request: id, endpoint: name, at: this.#now() });
-      if (scriptedRequest.target.includes(CRASHING_WORD)) {
+      if (isCrashing) {
         const isPart = STREAM_TARGET.test(scriptedRequest.target);
         this.#checker.recordCrash(isPart ? 'part' : 'request');
         this.#pending.push(this.#endServer(name));
@@ -478,7 +480,8 @@
   /** Adds an endpoint, then lets the oldest one leave. */
   async #replaceServer(): Promise<void> {
     await this.#addServer();
-    const [name, server] = [...this.#servers][0] ?? [];
+    const [name, server] =
+      [...this.#servers].find(([id]) => !this.#limits.has(id)) ?? [];
     if (!name || !server) {
       return;
     }
