Let a peer prove the end of an endpoint only by others of its service

A peer now tries up to two others of the same service, and another service only if there is none; else it answers 503 and the next peer is asked. If a whole service has ended, no refusal proves it any more; the entries' lapse and other instances at the addresses still do.

Before, tunnel-server.test.ts, 'proves nothing if the router reaches only another service': 502 instead of 503. After: passes, and so do the tests of crashing content.

--- a/packages/gateway/src/tunnels/tunnel-server.test.ts
+++ b/packages/gateway/src/tunnels/tunnel-server.test.ts
@@ -78,11 +78,11 @@
     await endpoint.stop();
   });
 
-  function list(addresses: readonly Address[]) {
+  function list(addresses: readonly Address[], services = ['s']) {
     endpointDirectory.replace(
       addresses.map((address, index) => ({
         id: endpointId(`e-${index}`),
-        service: serviceId('s'),
+        service: serviceId(services[index] ?? 's'),
         address,
         zone: zoneId('z'),
         slots: 1,
@@ -207,6 +207,23 @@
       );
     });
 
+    // Guards against a router that is partitioned from one service only, and keeps
+    // others from reaching that service.
+    it('proves nothing if the router reaches only another service', async () => {
+      list(
+        [refusing, { ...refusing, host: '127.0.0.2' }, endpointAddress()],
+        ['s', 's', 'other'],
+      );
+      expect(await dial('secret', refusing)).to.equal(TunnelStatus.unavailable);
+    });
+
+    it('tells so if it reaches another service and the endpoint is the only one of its own', async () => {
+      list([refusing, endpointAddress()], ['s', 'other']);
+      expect(await dial('secret', refusing)).to.equal(
+        TunnelStatus.endpointRefused,
+      );
+    });
+
     // Guards against content that is condemned as a router that is cut off itself,
     // and does not know yet, confirms the end of an endpoint.
     it('proves nothing if the router reaches no other endpoint either', async () => {
--- a/packages/gateway/src/tunnels/tunnel-server.ts
+++ b/packages/gateway/src/tunnels/tunnel-server.ts
@@ -23,6 +23,8 @@
 /** Tunnels at one router, of two sockets each; a VM has at least 1,869 for all purposes. */
 const MAX_TUNNELS = 400;
 const DIAL_TIMEOUT: Milliseconds = milliseconds(150);
+/** Other endpoints that are tried to find out whether this router's own paths are cut. */
+const MAX_WITNESSES = 2;
 /** Time without bytes after which a tunnel counts as idle. */
 const IDLE_AFTER: Milliseconds = seconds(1);
 
@@ -141,7 +143,7 @@
 
   /**
    * Answers that there is no connection. A refused one proves that the endpoint has
-   * ended only if this router reaches others, as its own paths may be cut.
+   * ended only if this router reaches others of its service, as its own paths may be cut.
    */
   async #refuseUnreachable(
     client: Socket,
@@ -160,16 +162,17 @@
     );
   }
 
-  /** Whether another endpoint of the same service, or one of another service, accepts a connection. */
+  /** Whether another endpoint of the service accepts a connection; one of any if there is no other. */
   async #reachesAnother(address: Address): Promise<boolean> {
     const { endpointDirectory, directDialer } = this.#options;
     const all = endpointDirectory.all();
     const service = all.find(entry => isSame(entry.address, address))?.service;
     const others = all.filter(entry => !isSame(entry.address, address));
-    const witnesses = [
-      others.find(entry => entry.service === service),
-      others.find(entry => entry.service !== service),
-    ].filter(entry => entry !== undefined);
+    const siblings = others.filter(entry => entry.service === service);
+    const witnesses = (siblings.length > 0 ? siblings : others).slice(
+      0,
+      MAX_WITNESSES,
+    );
     const results = await Promise.all(
       witnesses.map(entry =>
         probeEndpoint(directDialer, entry.address, DIAL_TIMEOUT),
