Prove the end of a whole service by all routers that are asked

In its logs the crashes after the faults are proved by lapsed entries, 0.6 s or more later, where they were proved by refused connections before: all four endpoints were down, so that no peer reached another one.

A peer whose connection and all others of the service are refused now answers 500, unless it reaches no other service either (503). The next peer is asked, so that a router is served by any that reaches the service, and if all that were asked answer so, the endpoint has ended.

What remains: if all of eight asked peers are cut off from the same service, and reach another one, they prove its end falsely.

--- a/packages/gateway/src/tunnels/path-dialing.test.ts
+++ b/packages/gateway/src/tunnels/path-dialing.test.ts
@@ -121,6 +121,26 @@
     expect(result).to.have.nested.property('failure.code', 'NO_PATH');
   });
 
+  // Guards against content that is condemned late while all endpoints of a service are down.
+  it('fails as refused if the whole service refuses all routers that were asked', () => {
+    dial();
+    direct?.(connectError('ECONNREFUSED'));
+    for (let index = 0; index < peers.length; index += 1) {
+      expect(result).to.equal(undefined);
+      asked[index]?.answer(refusal(TunnelStatus.serviceRefused));
+    }
+    expect(end).to.deep.equal({ kind: 'unreachable' });
+    expect(result).to.have.nested.property('failure.code', 'ECONNREFUSED');
+  });
+
+  it('goes on to ask while only one router says that the whole service refuses', () => {
+    dial();
+    direct?.(connectError('ECONNREFUSED'));
+    asked[0]?.answer(refusal(TunnelStatus.serviceRefused));
+    asked[1]?.answer(succeed({ socket: socket(), via: routerId('r-1') }));
+    expect(end).to.deep.equal({ kind: 'peer', cut: 'refused' });
+  });
+
   // Guards against requests that wait for every other router while an endpoint is dark.
   it('gives up an endpoint that two other routers did not reach in time either', () => {
     dial();
--- a/packages/gateway/src/tunnels/path-dialing.ts
+++ b/packages/gateway/src/tunnels/path-dialing.ts
@@ -66,6 +66,8 @@
   /** Whether another router was refused a connection. */
   #isConfirmedEnded = false;
   #timedOutPeers = 0;
+  /** Routers that no endpoint of the service accepts connections from. */
+  #refusedPeers = 0;
   #isDone = false;
 
   constructor(options: PathDialingOptions) {
@@ -153,6 +155,8 @@
     this.#isConfirmedEnded ||= isRefused;
     const hasTimedOut = statusOf(error) === TunnelStatus.endpointTimeout;
     this.#timedOutPeers += hasTimedOut ? 1 : 0;
+    const isServiceRefused = statusOf(error) === TunnelStatus.serviceRefused;
+    this.#refusedPeers += isServiceRefused ? 1 : 0;
     this.#options.onPeerEnd(peer, isRefused);
     if (this.#nextPeer === number) {
       this.#askNextPeer();
@@ -194,6 +198,12 @@
     if (this.#pendingPeers > 0 || this.#nextPeer < asked) {
       return;
     }
+    if (asked > 0 && this.#refusedPeers === asked) {
+      // Either the whole service has ended, or all of these routers are cut off from it.
+      const refusal = new DialingFailedError('ECONNREFUSED');
+      this.#finish({ kind: 'unreachable' }, fail(refusal));
+      return;
+    }
     const failure =
       asked > 0
         ? this.#unprovenFailure()
--- a/packages/gateway/src/tunnels/tunnel-server.ts
+++ b/packages/gateway/src/tunnels/tunnel-server.ts
@@ -7,6 +7,7 @@
 import type { Socket } from 'node:net';
 
 import type { EndpointPaths } from '@sesamegrade/core/endpoint-paths/endpoint-paths';
+import type { EndpointEntry } from '@sesamegrade/core/endpoints/endpoint-entry';
 import type { EndpointDirectory } from '@sesamegrade/core/endpoints/endpoint-directory';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
 import type { Address } from '@sesamegrade/core/types/endpoint';
@@ -24,7 +25,7 @@
 const MAX_TUNNELS = 400;
 const DIAL_TIMEOUT: Milliseconds = milliseconds(150);
 /** Other endpoints that are tried to find out whether this router's own paths are cut. */
-const MAX_WITNESSES = 2;
+const MAX_WITNESSES = 3;
 /** Time without bytes after which a tunnel counts as idle. */
 const IDLE_AFTER: Milliseconds = seconds(1);
 
@@ -32,7 +33,10 @@
   established: 200,
   unauthorized: 407,
   unknownEndpoint: 403,
+  /** The endpoint refuses connections, and others of its service accept them. */
   endpointRefused: 502,
+  /** All endpoints of the service refuse connections to this router. */
+  serviceRefused: 500,
   unavailable: 503,
   endpointTimeout: 504,
 } as const;
@@ -155,30 +159,37 @@
       refuse(client, TunnelStatus.endpointTimeout);
       return;
     }
-    const isProof = await this.#reachesAnother(address);
-    refuse(
-      client,
-      isProof ? TunnelStatus.endpointRefused : TunnelStatus.unavailable,
-    );
+    refuse(client, await this.#statusOfRefusal(address));
   }
 
-  /** Whether another endpoint of the service accepts a connection; one of any if there is no other. */
-  async #reachesAnother(address: Address): Promise<boolean> {
-    const { endpointDirectory, directDialer } = this.#options;
+  async #statusOfRefusal(address: Address): Promise<number> {
+    const { endpointDirectory } = this.#options;
     const all = endpointDirectory.all();
     const service = all.find(entry => isSame(entry.address, address))?.service;
     const others = all.filter(entry => !isSame(entry.address, address));
     const siblings = others.filter(entry => entry.service === service);
-    const witnesses = (siblings.length > 0 ? siblings : others).slice(
-      0,
-      MAX_WITNESSES,
-    );
+    const strangers = others.filter(entry => entry.service !== service);
+    if (await this.#reachesAny(siblings)) {
+      return TunnelStatus.endpointRefused;
+    }
+    if (strangers.length > 0 && !(await this.#reachesAny(strangers))) {
+      return TunnelStatus.unavailable;
+    }
+    return siblings.length > 0
+      ? TunnelStatus.serviceRefused
+      : TunnelStatus.endpointRefused;
+  }
+
+  async #reachesAny(entries: readonly EndpointEntry[]): Promise<boolean> {
+    const { directDialer } = this.#options;
     const results = await Promise.all(
-      witnesses.map(entry =>
-        probeEndpoint(directDialer, entry.address, DIAL_TIMEOUT),
-      ),
+      entries
+        .slice(0, MAX_WITNESSES)
+        .map(({ address }) =>
+          probeEndpoint(directDialer, address, DIAL_TIMEOUT),
+        ),
     );
-    return results.includes('listening') || witnesses.length === 0;
+    return results.includes('listening');
   }
 
   #isAvailable(): boolean {
