Forget permits and paths of endpoints that are gone or were restarted

Found reading the change: the issuer kept the places of an instance that had ended until the deadlines of its requests, so that a brittle endpoint that is back got none for up to the longest timeout; cut paths to addresses that are gone stayed counted and could keep a router isolated; refused permits outlived their endpoint.

--- a/packages/core/src/endpoint-limits/permit-issuer.test.ts
+++ b/packages/core/src/endpoint-limits/permit-issuer.test.ts
@@ -141,6 +141,23 @@
     expect(waiting.answer?.kind).to.equal('refused');
   });
 
+  // Guards against an endpoint that stays without permits after a restart, as those of
+  // its former instance have not lapsed.
+  it('issues all permits of an endpoint again that was restarted', () => {
+    const issuer = newIssuer();
+    const endpoints = [
+      { id: endpointId('e'), perSecond: undefined, concurrent: 2 },
+    ];
+    const kind = () => ask(issuer, { endpoints }, second(0)).answer?.kind;
+    expect([kind(), kind(), kind()]).to.deep.equal([
+      'granted',
+      'granted',
+      'refused',
+    ]);
+    issuer.remove(endpointId('e'));
+    expect(kind()).to.equal('granted');
+  });
+
   it('tells many routers to ask again later, so that their queries do not grow with the fleet', () => {
     const issuer = newIssuer();
     const waits: number[] = [];
--- a/packages/core/src/endpoint-limits/permit-issuer.ts
+++ b/packages/core/src/endpoint-limits/permit-issuer.ts
@@ -107,6 +107,11 @@
     );
   }
 
+  /** Forgets the permits of an endpoint that is gone or was restarted, whose requests have ended. */
+  remove(endpoint: EndpointId): void {
+    this.#permits.delete(endpoint);
+  }
+
   /** Grants what has become possible and refuses what has waited too long. */
   tick(now: Instant): void {
     this.#now = now;
--- a/packages/core/src/endpoint-paths/endpoint-paths.test.ts
+++ b/packages/core/src/endpoint-paths/endpoint-paths.test.ts
@@ -45,6 +45,14 @@
     expect(paths.isIsolated).to.equal(false);
   });
 
+  it('does not count the paths to endpoints that are gone', () => {
+    const paths = new EndpointPaths();
+    paths.recordPeer(address(1), 'timeout', at(0));
+    paths.recordPeer(address(2), 'timeout', at(10));
+    paths.retain([address(2)]);
+    expect([paths.isIsolated, paths.cutCount]).to.deep.equal([false, 1]);
+  });
+
   it('reports the beginning and the end of a cut once', () => {
     const changes: PathChange[] = [];
     const paths = new EndpointPaths();
--- a/packages/core/src/endpoint-paths/endpoint-paths.ts
+++ b/packages/core/src/endpoint-paths/endpoint-paths.ts
@@ -43,7 +43,7 @@
 export class EndpointPaths {
   readonly #cuts = new Map<string, CutPath>();
   readonly #unreachableUntil = new Map<string, Instant>();
-  #cutsInARow = new Set<string>();
+  readonly #cutsInARow = new Set<string>();
   #retryAt: Instant | undefined;
   #listener: ((change: PathChange) => void) | undefined;
 
@@ -125,6 +125,23 @@
     }
   }
 
+  /** Forgets the paths to all other addresses, as their endpoints are gone. */
+  retain(addresses: readonly Address[]): void {
+    const keys = new Set(addresses.map(address => keyOf(address)));
+    for (const rows of [this.#cuts, this.#unreachableUntil]) {
+      for (const key of rows.keys()) {
+        if (!keys.has(key)) {
+          rows.delete(key);
+        }
+      }
+    }
+    for (const key of this.#cutsInARow) {
+      if (!keys.has(key)) {
+        this.#cutsInARow.delete(key);
+      }
+    }
+  }
+
   /** Records that neither this router nor others reached the endpoint. */
   recordUnreachable(address: Address, now: Instant): void {
     const key = keyOf(address);
--- a/packages/gateway/src/permits/fleet-permits.ts
+++ b/packages/gateway/src/permits/fleet-permits.ts
@@ -107,6 +107,11 @@
     return { answer, permit: { source, release } };
   }
 
+  /** Forgets an endpoint that is gone or was restarted. */
+  forget(endpoint: EndpointId): void {
+    this.#issuer.remove(endpoint);
+  }
+
   /** Takes a permit back that a peer holds; one that another relay issued is passed on to it. */
   releaseForPeer(message: unknown): void {
     const parsed = permitReturnSchema.safeParse(message);
--- a/packages/gateway/src/process/gateway-process.ts
+++ b/packages/gateway/src/process/gateway-process.ts
@@ -30,6 +30,7 @@
 import type { DecisionLog } from '../logs/decision-log';
 import type { GatewayMetrics } from '../metrics/gateway-metrics';
 import type { PeerMesh } from '../peers/peer-mesh';
+import type { FleetPermits } from '../permits/fleet-permits';
 import type { FleetReplica } from '../store/fleet-replica';
 import type { FleetReadiness } from '../store/fleet-readiness';
 import type { StoredSuspects } from '../store/stored-suspects';
@@ -49,6 +50,7 @@
   readonly endpointDirectory: EndpointDirectory;
   readonly endpointLimits: EndpointLimits;
   readonly permitRefusals: PermitRefusals;
+  readonly fleetPermits: FleetPermits;
   readonly fleetState: FleetState;
   readonly forwarder: Forwarder;
   readonly shutdownSequence: ShutdownSequence;
@@ -275,13 +277,25 @@
       }
       if (event.kind === 'gone') {
         connectionPool.closeIdle(event.id);
+        this.#forgetPermits(event.id);
         fleetState.forget(event.id);
         surveyPlan.remove(event.id);
       } else if (event.kind === 'restarted') {
         connectionPool.closeIdle(event.entry.id);
+        this.#forgetPermits(event.entry.id);
         fleetState.forget(event.entry.id);
       }
     }
+    this.#options.endpointPaths.retain(
+      endpointDirectory.all().map(({ address }) => address),
+    );
+  }
+
+  /** The requests of an endpoint that is gone or was restarted have ended. */
+  #forgetPermits(endpoint: EndpointId): void {
+    const { fleetPermits, permitRefusals } = this.#options;
+    fleetPermits.forget(endpoint);
+    permitRefusals.remove(endpoint);
   }
 
   #announceDeparture({
