--- a/packages/core/src/endpoint-limits/permit-refusals.ts
+++ b/packages/core/src/endpoint-limits/permit-refusals.ts
@@ -5,7 +5,7 @@
 
 /**
  * Longest time for which one refused query of a service stands for later ones of no
- * higher rank, for each router of the fleet: the issuer answers 1,000 queries a second.
+ * higher rank, for each router of the fleet. It bounds the queries that the issuer answers.
  */
 const SERVICE_REFUSAL_MS_PER_ROUTER = 1;
 
--- a/packages/core/src/endpoint-limits/stated-rates.ts
+++ b/packages/core/src/endpoint-limits/stated-rates.ts
@@ -14,7 +14,7 @@
 import type { Instant } from '../types/units';
 import type { RateStatement } from './rate-statement';
 
-/** Limit above which a statement is the same as none: the largest fleet sends 6,100 requests a second. */
+/** Rate above which a statement is the same as none, as no fleet sends more. */
 const MAX_LIMIT_PER_SECOND = 10_000;
 const MAX_REVISION = 1_000_000_000;
 
--- a/packages/gateway/src/tunnels/path-monitor.ts
+++ b/packages/gateway/src/tunnels/path-monitor.ts
@@ -6,7 +6,7 @@
 import type { Milliseconds } from '@sesamegrade/core/types/units';
 import type { PathDialer } from './path-dialer';
 
-/** Silence after which a path is checked; most responses begin earlier. */
+/** Silence after which a path is checked. */
 const SUSPICIOUS_SILENCE: Milliseconds = milliseconds(500);
 
 export interface PathMonitorOptions {
--- a/packages/gateway/src/tunnels/tunnel-server.ts
+++ b/packages/gateway/src/tunnels/tunnel-server.ts
@@ -21,7 +21,7 @@
 import type { ShutdownSequence } from '../process/shutdown-sequence';
 import { parseCredentials } from './tunnel-credentials';
 
-/** Tunnels at one router, of two sockets each; a VM has at least 1,869 for all purposes. */
+/** Tunnels at one router; each takes two file descriptors. */
 const MAX_TUNNELS = 400;
 const DIAL_TIMEOUT: Milliseconds = milliseconds(150);
 /** Other endpoints that are tried to find out whether this router's own paths are cut. */
