--- a/review/lib/server.mjs
+++ b/review/lib/server.mjs
@@ -9,10 +9,19 @@
   runs = [];
 
   /** `answer(request, socket, run)` writes the answer; `run.sent` counts what was made. */
-  constructor({ id, service, zone, slots = 64, answer, record }) {
+  constructor({
+    id,
+    service,
+    zone,
+    version = 'v1',
+    slots = 64,
+    answer,
+    record,
+  }) {
     this.id = id;
     this.service = service;
     this.zone = zone;
+    this.version = version;
     this.slots = slots;
     this.answer = answer;
     this.record = record;
@@ -36,7 +45,7 @@
       service: this.service,
       address: this.address,
       zone: this.zone,
-      version: '1',
+      version: this.version,
       slots: this.slots,
       state: 'ready',
       warmupMs: 0,
@@ -143,6 +152,7 @@
 
 export const LAST_CHUNK = '0\r\n\r\n';
 
-export function event(id) {
-  return `id: ${id}\ndata: piece ${id}\n\n`;
+/** One event; `origin` is part of its data. */
+export function event(id, origin = '') {
+  return `id: ${id}\ndata: piece ${id}${origin && ` by ${origin}`}\n\n`;
 }
--- a/review/lib/stream-server.mjs
+++ b/review/lib/stream-server.mjs
@@ -1,5 +1,5 @@
 /**
- * Program of a model server in a process of its own. Its argument is JSON with id, service, zone, backlog,
+ * Program of a model server in a process of its own. Its argument is JSON with id, service, zone, version, backlog,
  * `events` (how many a stream has), `periodMs` (between events), `pauseAfter` and `pauseMs` (a pause, as of a
  * request that is preempted). A request whose target ends in `unframed` is answered without a length.
  */
@@ -14,6 +14,7 @@
   ...options,
   record: text => process.send({ record: text }),
   answer: (request, socket, run) => {
+    run.sent = Number(request.headers.get('last-event-id') ?? 0);
     const isUnframed = request.target.endsWith('unframed');
     socket.write(
       answerHead(run, [
@@ -33,7 +34,7 @@
         return;
       }
       run.sent += 1;
-      const text = event(run.sent);
+      const text = event(run.sent, options.version);
       socket.write(isUnframed ? text : chunk(text));
       if (run.sent < events) {
         startTimer(next, run.sent === pauseAfter ? pauseMs : periodMs);
