--- a/review/lib/case.mjs
+++ b/review/lib/case.mjs
@@ -98,7 +98,12 @@
     record('the case did not end in time');
     void finish(EXIT_NOT_RUN);
   }, LIMIT_MS);
+  let hasFinished = false;
   const finish = async code => {
+    if (hasFinished) {
+      return;
+    }
+    hasFinished = true;
     globalThis.clearTimeout(limit);
     await Promise.all((context.routers ?? []).map(router => router.stop()));
     stops.forEach(stop => {
@@ -111,6 +116,12 @@
     writeFileSync(file, `${lines.join('\n')}\n`);
     process.exit(code);
   };
+  for (const event of ['SIGINT', 'SIGTERM', 'uncaughtException']) {
+    process.on(event, cause => {
+      record(`the case could not run: ${cause?.stack ?? cause}`);
+      void finish(EXIT_NOT_RUN);
+    });
+  }
   try {
     record(hasTrouble ? 'with the disruption' : 'without the disruption');
     context.store = await new Store().start('127.0.0.1');
--- a/review/lib/router.mjs
+++ b/review/lib/router.mjs
@@ -33,7 +33,7 @@
   #isSupervised = true;
   #hasSignalled = new WeakSet();
   #buffer = '';
-  /** How each process ended that nobody had signalled. */
+  /** How each process ended that nobody had signalled, and how long after its start. */
   ownEnds = [];
   /** Log lines as objects. */
   lines = [];
@@ -100,6 +100,7 @@
       },
     );
     this.#child = child;
+    const startedAt = Date.now();
     record(`router ${name}: process started`);
     child.stdout.on('data', bytes => {
       this.#onOutput(String(bytes));
@@ -114,7 +115,10 @@
     child.once('exit', (code, signal) => {
       record(`router ${name}: process ended, ${signal ?? `exit code ${code}`}`);
       if (!this.#hasSignalled.has(child)) {
-        this.ownEnds.push(signal ?? `exit code ${code}`);
+        this.ownEnds.push({
+          how: signal ?? `exit code ${code}`,
+          afterMs: Date.now() - startedAt,
+        });
       }
       if (this.#isSupervised) {
         setTimeout(() => {
