Judge review/1 only after every bound and excuse of its rule

The case shows that a restarted router goes back to an older manifest. It now judges only requests sent 7 s or more after the acknowledgement: configApplyMs and stretchMaxMs together, by when revokeMs is over and the router in touch.

--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -22,7 +22,11 @@
  * front-4 reads the store for all.
  */
 const ROUTER = 1;
-const CONFIG_APPLY_MS = 2000;
+/**
+ * Requests are judged from then on after the acknowledgement: `configApplyMs` + `stretchMaxMs`, by when
+ * `revokeMs` is over and the router is in touch, its start and late answer being over for `contactMs`.
+ */
+const JUDGED_FROM_MS = 7000;
 const WATCH_MS = 15_000;
 const REVOKED_KEY = 'key-that-is-taken-away';
 
@@ -74,7 +78,7 @@
     });
     router.signal('SIGTERM');
     const changedAt = await changed;
-    await pause(CONFIG_APPLY_MS + 500);
+    await pause(JUDGED_FROM_MS);
 
     const violations = [];
     while (Date.now() < changedAt + WATCH_MS) {
