--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -15,7 +15,7 @@
 const EVENTS = 15;
 const STREAMS = 60;
 /** Servers by the version of their software, in the middle of a release. */
-const VERSIONS = ['v1', 'v1', 'v1', 'v1.1', 'v1.1', 'v1.1'];
+const VERSIONS = ['v1.1', 'v1.1', 'v1', 'v1', 'v1', 'v1'];
 /** Streams with events of two versions that the rule allows. */
 const MAX_MIXED = 2;
 
