--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -30,6 +30,11 @@
         },
       ],
       '@typescript-eslint/consistent-type-imports': 'error',
+      // `void` hides a rejection, which ends the process; `BackgroundTasks` reports it.
+      '@typescript-eslint/no-floating-promises': [
+        'error',
+        { ignoreVoid: false },
+      ],
       '@typescript-eslint/restrict-template-expressions': [
         'error',
         { allowNumber: true },
--- a/packages/cli/src/commands/operator-commands.test.ts
+++ b/packages/cli/src/commands/operator-commands.test.ts
@@ -4,6 +4,7 @@
 
 import { ConfigurationReplica } from '@sesamegrade/core/configuration/configuration-replica';
 import { Random } from '@sesamegrade/core/random/random';
+import { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
 import { EventBuffer } from '@sesamegrade/core/timeline/event-buffer';
 import { HybridClock } from '@sesamegrade/core/timeline/hybrid-clock';
 import { ConfigurationStore } from '@sesamegrade/router/operators/configuration-store';
@@ -54,6 +55,10 @@
   });
 }
 
+const backgroundTasks = new BackgroundTasks(({ error }) => {
+  throw error;
+});
+
 describe('operator commands', () => {
   const timers = new SystemTimerService();
   const clock = new HybridClock(() => timers.wallTime());
@@ -68,6 +73,7 @@
     configuration: replica,
     platform,
     timers,
+    backgroundTasks,
   });
   const server = new OperatorServer({
     address: { host: '127.0.0.1', port: 0 },
@@ -77,6 +83,7 @@
     configurationStore: store,
     events,
     timers,
+    backgroundTasks,
   });
   let origin = '';
 
--- a/packages/cli/src/platform-router.ts
+++ b/packages/cli/src/platform-router.ts
@@ -7,6 +7,7 @@
 import { formatFailure, parseIni } from '@sesamegrade/settings/parse';
 import { gatewaySettingsSchema } from '@sesamegrade/settings/gateway-schema';
 
+const EXIT_FAILURE = 1;
 const EXIT_SETTINGS = 2;
 
 async function run(): Promise<void> {
@@ -27,9 +28,14 @@
     process.env[settings.peers.secret_env] ?? '',
   ).cradle;
   process.once('SIGTERM', () => {
-    void gateway.stop().finally(() => {
-      process.exit(0);
-    });
+    gateway.stop().then(
+      () => {
+        process.exit(0);
+      },
+      (error: unknown) => {
+        exitWithError(error);
+      },
+    );
   });
   const settingsWatcher = new SettingsFileWatcher({
     file,
@@ -45,4 +51,11 @@
   settingsWatcher.start();
 }
 
-void run();
+function exitWithError(error: unknown): never {
+  const text =
+    error instanceof Error ? (error.stack ?? error.message) : String(error);
+  process.stderr.write(`${text}\n`);
+  process.exit(EXIT_FAILURE);
+}
+
+run().catch(exitWithError);
--- a/packages/core/src/endpoints/endpoint-entry.ts
+++ b/packages/core/src/endpoints/endpoint-entry.ts
@@ -1,8 +1,13 @@
 /** An endpoint as the store lists it. */
+import { z } from 'zod';
+
 import type { Address } from '../types/endpoint';
 import type { EndpointId, ServiceId, ZoneId } from '../types/ids';
 import type { Milliseconds } from '../types/units';
 
+/** Id of an endpoint: the key of its row, which is also sent in headers. */
+export const endpointKeySchema = z.string().regex(/^[!-~]{1,200}$/u);
+
 /** One entry of the store's list of endpoints. */
 export interface EndpointEntry {
   readonly id: EndpointId;
--- a/packages/core/src/membership/vm-entry.ts
+++ b/packages/core/src/membership/vm-entry.ts
@@ -4,6 +4,8 @@
  */
 import { z } from 'zod';
 
+import { hostSchema, portSchema } from '../types/address';
+
 /**
  * Highest accepted incarnation; as Unix milliseconds it lies in the year 2248.
  */
@@ -18,8 +20,8 @@
 
 const COMMON_FIELDS = {
   vm: nameSchema,
-  host: nameSchema,
-  port: z.int().min(1).max(65_535),
+  host: hostSchema,
+  port: portSchema,
   zone: nameSchema,
   state: z.enum(['live', 'leaving']),
   incarnation: incarnationSchema,
--- a/packages/core/src/peers/feed-updates.ts
+++ b/packages/core/src/peers/feed-updates.ts
@@ -10,12 +10,14 @@
   EndpointReplica,
   EndpointRow,
 } from '../endpoints/endpoint-replica';
+import { endpointKeySchema } from '../endpoints/endpoint-entry';
 import type { EndpointEntry } from '../endpoints/endpoint-entry';
 import type { TopicEntries } from '../gossip/gossip-scheduler';
 import type { RouteTable } from '../routes/route-table';
 import type { FeedCoverage } from '../store/feed-coverage';
 import { FIRST_ERA, revision, storeEra } from '../store/feed-position';
 import type { FeedPosition, StoreEra } from '../store/feed-position';
+import { hostSchema, portSchema } from '../types/address';
 import { endpointId, routerId, serviceId, zoneId } from '../types/ids';
 import type { RouterId } from '../types/ids';
 import { addTime, elapsed, milliseconds } from '../types/units';
@@ -24,13 +26,12 @@
 
 const nameSchema = z.string().min(1).max(200);
 const countSchema = z.int().min(0);
-const MAX_PORT = 65_535;
 
 /** Service, host, port, zone, slots, whether it leaves, warm-up time and start time. */
 const entrySchema = z.tuple([
   nameSchema,
-  nameSchema,
-  z.int().min(1).max(MAX_PORT),
+  hostSchema,
+  portSchema,
   nameSchema,
   z.number().min(0),
   z.boolean(),
@@ -40,7 +41,7 @@
 /** Era, key and revision of a row, and the entry; null if it was removed. */
 const rowSchema = z.tuple([
   countSchema,
-  nameSchema,
+  endpointKeySchema,
   countSchema,
   entrySchema.nullable(),
 ]);
--- a/packages/gateway/src/callers/gateway-caller-server.ts
+++ b/packages/gateway/src/callers/gateway-caller-server.ts
@@ -6,6 +6,7 @@
 import Koa from 'koa';
 
 import type { Address } from '@sesamegrade/core/types/endpoint';
+import type { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
 import type { CallerLimits } from '@sesamegrade/core/routes/fleet-configuration';
 import type { Forwarder } from '../forwarding/forwarder';
@@ -29,6 +30,7 @@
   readonly forwarder: Forwarder;
   readonly log: DecisionLog;
   readonly timers: TimerService;
+  readonly backgroundTasks: BackgroundTasks;
 }
 
 export class GatewayCallerServer {
@@ -59,7 +61,9 @@
         noDelay: true,
       },
       (request, response) => {
-        void handle(request, response);
+        options.backgroundTasks.run('caller-request', () =>
+          handle(request, response),
+        );
       },
     );
     this.#server.on('connection', socket => {
--- a/packages/gateway/src/composition/gateway-container.ts
+++ b/packages/gateway/src/composition/gateway-container.ts
@@ -34,6 +34,7 @@
 import type { RouterIdentity } from '@sesamegrade/core/membership/router-table';
 import { Random } from '@sesamegrade/core/random/random';
 import { RouteTable } from '@sesamegrade/core/routes/route-table';
+import { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
 import { incarnation, routerId, zoneId } from '@sesamegrade/core/types/ids';
 import { seconds } from '@sesamegrade/core/types/units';
@@ -85,6 +86,7 @@
   readonly timers: TimerService;
   readonly random: Random;
   readonly log: DecisionLog;
+  readonly backgroundTasks: BackgroundTasks;
   readonly gatewayMetrics: GatewayMetrics;
   readonly routes: RouteTable;
   readonly endpointDirectory: EndpointDirectory;
@@ -160,6 +162,7 @@
       ({ logger, timers }: GatewayCradle) =>
         new DecisionLog({ logger, timers }),
     ).singleton(),
+    backgroundTasks: asFunction(newBackgroundTasks).singleton(),
     gatewayMetrics: asFunction(() => new GatewayMetrics()).singleton(),
     routes: asFunction(() => new RouteTable()).singleton(),
     endpointDirectory: asFunction(
@@ -277,6 +280,16 @@
   });
 }
 
+function newBackgroundTasks({ log }: GatewayCradle): BackgroundTasks {
+  return new BackgroundTasks(({ task, error }) => {
+    log.write('task-failed', {
+      task,
+      error:
+        error instanceof Error ? (error.stack ?? error.message) : String(error),
+    });
+  });
+}
+
 function newIdentity({ settings, timers }: GatewayCradle): RouterIdentity {
   const { router } = settings;
   return {
--- a/packages/gateway/src/endpoints/cache-survey.ts
+++ b/packages/gateway/src/endpoints/cache-survey.ts
@@ -9,6 +9,7 @@
 import type { PeerUpdates } from '@sesamegrade/core/peers/peer-updates';
 import type { RouterDirectory } from '@sesamegrade/core/peers/router-directory';
 import type { RouteTable } from '@sesamegrade/core/routes/route-table';
+import type { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
 import { routerId } from '@sesamegrade/core/types/ids';
 import type { EndpointId } from '@sesamegrade/core/types/ids';
@@ -38,6 +39,7 @@
   readonly connectionPool: ConnectionPool;
   readonly endpointProtocol: EndpointProtocol;
   readonly timers: TimerService;
+  readonly backgroundTasks: BackgroundTasks;
   readonly log: DecisionLog;
 }
 
@@ -49,9 +51,14 @@
   }
 
   /** Requests the lists that are due; does nothing until the engines and the routers are known. */
-  async tick(now: Instant): Promise<void> {
-    const { surveyPlan, routerDirectory, fleetReadiness, endpointDirectory } =
-      this.#options;
+  tick(now: Instant): void {
+    const {
+      surveyPlan,
+      routerDirectory,
+      fleetReadiness,
+      endpointDirectory,
+      backgroundTasks,
+    } = this.#options;
     if (!fleetReadiness.isReady || !routerDirectory.isListRead) {
       return;
     }
@@ -66,7 +73,9 @@
       .takeEnginesToQuery(routers, now)
       .map(id => endpointDirectory.get(id))
       .filter((entry): entry is EndpointEntry => entry !== undefined);
-    await Promise.all(engines.map(engine => this.#survey(engine)));
+    for (const engine of engines) {
+      backgroundTasks.run('cache-survey', () => this.#survey(engine));
+    }
   }
 
   /**
--- a/packages/gateway/src/endpoints/endpoint-connection.ts
+++ b/packages/gateway/src/endpoints/endpoint-connection.ts
@@ -2,6 +2,7 @@
 import { Client } from 'undici';
 import type { Dispatcher } from 'undici';
 
+import { formatAddress } from '@sesamegrade/core/types/address';
 import type { Address } from '@sesamegrade/core/types/endpoint';
 import type { RouterId } from '@sesamegrade/core/types/ids';
 import { elapsed, milliseconds } from '@sesamegrade/core/types/units';
@@ -76,8 +77,7 @@
   ) {
     this.#connectTimeout = connectTimeout;
     this.#dialer = dialer;
-    const { host, port } = address;
-    this.#client = new Client(`http://${host}:${port}`, {
+    this.#client = new Client(`http://${formatAddress(address)}`, {
       pipelining: 1,
       maxHeaderSize: MAX_HEAD_BYTES,
       headersTimeout: 0,
--- a/packages/gateway/src/forwarding/forwarder.ts
+++ b/packages/gateway/src/forwarding/forwarder.ts
@@ -19,6 +19,7 @@
   RouteDecision,
   RouteTable,
 } from '@sesamegrade/core/routes/route-table';
+import type { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
 import { addTime, elapsed, milliseconds } from '@sesamegrade/core/types/units';
 import type { Instant, Milliseconds } from '@sesamegrade/core/types/units';
@@ -94,6 +95,7 @@
   readonly shutdownSequence: ShutdownSequence;
   readonly timers: TimerService;
   readonly random: Random;
+  readonly backgroundTasks: BackgroundTasks;
   readonly log: DecisionLog;
   readonly gatewayMetrics: GatewayMetrics;
 }
@@ -467,7 +469,8 @@
       },
     );
     const cancelCheck = this.#options.pathMonitor.watch(entry);
-    void attempt.done.then(() => {
+    this.#options.backgroundTasks.run('attempt-end', async () => {
+      await attempt.done;
       silenceWatch?.stop();
       cancelExpiry();
       cancelCheck();
--- a/packages/gateway/src/peers/fleet-snapshot.ts
+++ b/packages/gateway/src/peers/fleet-snapshot.ts
@@ -5,21 +5,23 @@
 import { z } from 'zod';
 
 import type { EndpointDirectory } from '@sesamegrade/core/endpoints/endpoint-directory';
+import { endpointKeySchema } from '@sesamegrade/core/endpoints/endpoint-entry';
 import type { EndpointEntry } from '@sesamegrade/core/endpoints/endpoint-entry';
+import { forEachValidEntry } from '@sesamegrade/core/peers/entry-lists';
+import { hostSchema, portSchema } from '@sesamegrade/core/types/address';
 import { endpointId, serviceId, zoneId } from '@sesamegrade/core/types/ids';
 import { milliseconds } from '@sesamegrade/core/types/units';
 
-const MAX_PORT = 65_535;
 /** Above the 140 engines of the largest deployment. */
 const MAX_ENDPOINTS = 10_000;
 const nameSchema = z.string().min(1).max(200);
 
 const entrySchema = z
   .object({
-    id: nameSchema,
+    id: endpointKeySchema,
     service: nameSchema,
-    host: nameSchema,
-    port: z.int().min(1).max(MAX_PORT),
+    host: hostSchema,
+    port: portSchema,
     zone: nameSchema,
     slots: z.number().min(0),
     leaving: z.boolean(),
@@ -44,9 +46,27 @@
   /** The configuration as the operator wrote it; empty when the sender has none. */
   raw: z.instanceof(Uint8Array),
   /** Absent when the sender has not read the list of endpoints. */
-  endpoints: z.array(entrySchema).max(MAX_ENDPOINTS).optional(),
+  endpoints: z
+    .array(z.unknown())
+    .max(MAX_ENDPOINTS)
+    .transform(entries => validEntries(entries))
+    .optional(),
 });
 
+/** The valid entries of a list, and the number of the others. */
+export interface SnapshotEndpoints {
+  readonly entries: readonly EndpointEntry[];
+  readonly malformed: number;
+}
+
+function validEntries(list: readonly unknown[]): SnapshotEndpoints {
+  const entries: EndpointEntry[] = [];
+  const malformed = forEachValidEntry(list, entrySchema, entry => {
+    entries.push(entry);
+  });
+  return { entries, malformed };
+}
+
 /**
  * Returns the endpoints in the snapshot's format; those that accept no new
  * requests are marked as leaving.
--- a/packages/gateway/src/peers/peer-mesh.ts
+++ b/packages/gateway/src/peers/peer-mesh.ts
@@ -14,6 +14,7 @@
 import type { Random } from '@sesamegrade/core/random/random';
 import type { RouteTable } from '@sesamegrade/core/routes/route-table';
 import type { FeedCoverage } from '@sesamegrade/core/store/feed-coverage';
+import type { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
 import { HybridClock } from '@sesamegrade/core/timeline/hybrid-clock';
 import { routerId } from '@sesamegrade/core/types/ids';
@@ -88,6 +89,7 @@
   readonly timers: TimerService;
   readonly random: Random;
   readonly fleetPermits: FleetPermits;
+  readonly backgroundTasks: BackgroundTasks;
   readonly log: DecisionLog;
 }
 
@@ -118,6 +120,7 @@
       proof: this.#proof,
       meter: this.#meter,
       random: options.random,
+      backgroundTasks: options.backgroundTasks,
       log: options.log,
       addresses: () => options.settingsReloader.current.peers.seeds,
       onIdentified: identity => {
@@ -202,7 +205,7 @@
         this.#seedLinks.connectAll();
       }
     });
-    void this.#joinFleet();
+    this.#startJoining();
   }
 
   async stop(): Promise<void> {
@@ -221,10 +224,14 @@
   registerAgain(): void {
     const { timers, random } = this.#options;
     timers.after(milliseconds(random.fraction() * MAX_REGISTER_DELAY), () => {
-      void this.#joinFleet();
+      this.#startJoining();
     });
   }
 
+  #startJoining(): void {
+    this.#options.backgroundTasks.run('join-fleet', () => this.#joinFleet());
+  }
+
   /**
    * Connects to the routers of the store's rows. A router without a row writes it
    * and reads the rows once more, as others may have written theirs meanwhile.
@@ -277,7 +284,7 @@
    * as this router may know the wrong relays.
    */
   #rereadRowsIfAlone(now: Instant): void {
-    const { coverage, settings, peerUpdates } = this.#options;
+    const { coverage, settings, peerUpdates, backgroundTasks } = this.#options;
     const { latest } = coverage.endpoints;
     const isAlone =
       !peerUpdates.isRelay && latest?.origin === routerId(settings.router.id);
@@ -285,7 +292,7 @@
       this.#listReadAt !== undefined &&
       elapsed(this.#listReadAt, now) > LIST_REFRESH_PERIOD;
     if (isAlone && isDue) {
-      void this.#rereadRows();
+      backgroundTasks.run('reread-routers', () => this.#rereadRows());
     }
   }
 
@@ -370,7 +377,7 @@
     for (const [id, peer] of this.#peers) {
       if (!wanted.has(id)) {
         this.#peers.delete(id);
-        void peer.link.close();
+        this.#closeLink(peer.link);
       }
     }
   }
@@ -394,7 +401,7 @@
       return;
     }
     if (known) {
-      void known.link.close();
+      this.#closeLink(known.link);
     }
     const { timers, random, log } = this.#options;
     const link = new PeerLink({
@@ -426,6 +433,10 @@
     });
   }
 
+  #closeLink(link: PeerLink): void {
+    this.#options.backgroundTasks.run('peer-close', () => link.close());
+  }
+
   #onLinkChange(id: RouterId, connected: boolean): void {
     const peer = this.#peers.get(id);
     if (!peer || peer.isConnected === connected) {
@@ -442,7 +453,7 @@
   }
 
   #onFrame(id: RouterId, frame: GossipFrame): void {
-    const { peerUpdates, feedUpdates, fleetReplica, timers, log } =
+    const { peerUpdates, feedUpdates, fleetReplica, timers, backgroundTasks } =
       this.#options;
     const now = timers.now();
     this.#clock.receive(frame.h);
@@ -451,9 +462,7 @@
       peer.lastReceivedAt = now;
     }
     const { version, malformed } = peerUpdates.receive(id, frame.t, now);
-    if (malformed > 0) {
-      log.write('peer-malformed', { peer: id, entries: malformed });
-    }
+    this.#logMalformed(id, malformed);
     if (peerUpdates.isUrgent || peerUpdates.hasNewParts) {
       this.flushSoon();
     } else if (peerUpdates.hasNewLoads) {
@@ -462,7 +471,13 @@
     fleetReplica.onPeerEra(feedUpdates.newestEra);
     const isNewer = version !== undefined && this.#isNewer(version);
     if (peer && (isNewer || !this.#options.endpointDirectory.isLoaded)) {
-      void this.#fetchSnapshot(peer);
+      backgroundTasks.run('fetch-snapshot', () => this.#fetchSnapshot(peer));
+    }
+  }
+
+  #logMalformed(peer: RouterId, entries: number): void {
+    if (entries > 0) {
+      this.#options.log.write('peer-malformed', { peer, entries });
     }
   }
 
@@ -495,7 +510,8 @@
         fleetReplica.applyConfiguration(raw, 'peer');
       }
       if (endpoints) {
-        fleetReplica.applyPeerEndpoints(endpoints, peer.identity.id);
+        this.#logMalformed(peer.identity.id, endpoints.malformed);
+        fleetReplica.applyPeerEndpoints(endpoints.entries, peer.identity.id);
       }
     } catch (error) {
       log.write('peer-fetch-failed', {
--- a/packages/gateway/src/peers/seed-links.ts
+++ b/packages/gateway/src/peers/seed-links.ts
@@ -4,6 +4,7 @@
  */
 import type { RouterIdentity } from '@sesamegrade/core/membership/router-table';
 import type { Random } from '@sesamegrade/core/random/random';
+import type { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
 import type { Address } from '@sesamegrade/core/types/endpoint';
 import type { RouterId } from '@sesamegrade/core/types/ids';
 import { PeerLink } from '@sesamegrade/router/peers/peer-link';
@@ -17,6 +18,7 @@
   readonly proof: PeerProof;
   readonly meter: SocketMeter;
   readonly random: Random;
+  readonly backgroundTasks: BackgroundTasks;
   readonly log: DecisionLog;
   /** The seed addresses in force, which a reload may change. */
   readonly addresses: () => readonly Address[];
@@ -47,7 +49,7 @@
   /** Closes all connections to seeds. */
   close(): void {
     for (const link of this.#links.values()) {
-      void link.close();
+      this.#options.backgroundTasks.run('seed-close', () => link.close());
     }
     this.#links.clear();
   }
--- a/packages/gateway/src/permits/fleet-permits.ts
+++ b/packages/gateway/src/permits/fleet-permits.ts
@@ -19,6 +19,7 @@
 import type { LoadEstimate } from '@sesamegrade/core/engines/load-estimate';
 import type { RouterDirectory } from '@sesamegrade/core/peers/router-directory';
 import type { Random } from '@sesamegrade/core/random/random';
+import type { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
 import { routerId } from '@sesamegrade/core/types/ids';
 import type { EndpointId, RouterId } from '@sesamegrade/core/types/ids';
@@ -52,6 +53,7 @@
   readonly loads: LoadEstimate;
   readonly peerMesh: PeerMesh;
   readonly timers: TimerService;
+  readonly backgroundTasks: BackgroundTasks;
   readonly random: Random;
   readonly log: DecisionLog;
   readonly gatewayMetrics: GatewayMetrics;
@@ -124,7 +126,7 @@
     const [first] = peerMesh.relays;
     const isFirst = first === undefined || first === this.#self;
     if (!isKnown && !isForwarded && !isFirst) {
-      void this.#send(first, permit, true);
+      this.#startSend(first, permit, true);
     }
     this.#issuer.tick(timers.now());
   }
@@ -168,10 +170,20 @@
       this.#issuer.release(permit, timers.now());
       this.#issuer.tick(timers.now());
     } else {
-      void this.#send(source, permit, false);
+      this.#startSend(source, permit, false);
     }
   }
 
+  #startSend(
+    relay: RouterId,
+    permit: PermitReturn,
+    isForwarded: boolean,
+  ): void {
+    this.#options.backgroundTasks.run('permit-return', () =>
+      this.#send(relay, permit, isForwarded),
+    );
+  }
+
   /** Gives a permit back to a relay; one that is lost lapses there. */
   async #send(
     relay: RouterId,
@@ -262,7 +274,9 @@
         this.#release(query, answer.data.endpoint, relay, false);
       }
     };
-    void pending.then(onAnswer, () => undefined);
+    this.#options.backgroundTasks.run('late-permit', () =>
+      pending.then(onAnswer, () => undefined),
+    );
   }
 
   #issue(query: PermitQuery, router: RouterId): Promise<PermitAnswer> {
@@ -305,9 +319,15 @@
     const cancel = timers.after(timeout, () => {
       resolve(undefined);
     });
-    promise.then(resolve, () => {
-      resolve(undefined);
-    });
-    void promise.then(cancel, cancel);
+    promise.then(
+      value => {
+        cancel();
+        resolve(value);
+      },
+      () => {
+        cancel();
+        resolve(undefined);
+      },
+    );
   });
 }
--- a/packages/gateway/src/process/admin-server.ts
+++ b/packages/gateway/src/process/admin-server.ts
@@ -4,6 +4,7 @@
 
 import Koa from 'koa';
 
+import type { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
 import type { Address } from '@sesamegrade/core/types/endpoint';
 
 export interface AdminResponse {
@@ -20,7 +21,7 @@
 export class AdminServer {
   readonly #server: Server;
 
-  constructor(routes: AdminRoutes) {
+  constructor(routes: AdminRoutes, tasks: BackgroundTasks) {
     const app = new Koa();
     const handlers = new Map(Object.entries(routes));
     app.use(async context => {
@@ -32,7 +33,7 @@
     });
     const handle = app.callback();
     this.#server = createServer((request, response) => {
-      void handle(request, response);
+      tasks.run('admin-request', () => handle(request, response));
     });
   }
 
--- a/packages/gateway/src/process/gateway-process.ts
+++ b/packages/gateway/src/process/gateway-process.ts
@@ -17,6 +17,7 @@
 import type { PeerUpdates } from '@sesamegrade/core/peers/peer-updates';
 import type { RelayedSuspects } from '@sesamegrade/core/poison/relayed-suspects';
 import type { RouteTable } from '@sesamegrade/core/routes/route-table';
+import type { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
 import type { EndpointId } from '@sesamegrade/core/types/ids';
 import { milliseconds } from '@sesamegrade/core/types/units';
@@ -65,6 +66,7 @@
   readonly suspects: RelayedSuspects;
   readonly crashDetector: CrashDetector;
   readonly storedSuspects: StoredSuspects;
+  readonly backgroundTasks: BackgroundTasks;
   readonly log: DecisionLog;
   readonly gatewayMetrics: GatewayMetrics;
 }
@@ -76,18 +78,24 @@
 
   constructor(options: GatewayProcessOptions) {
     this.#options = options;
-    this.#readinessServer = new AdminServer({
-      [options.settings.router.ready_path]: () =>
-        this.isReady
-          ? { status: 200, body: 'ready' }
-          : { status: 503, body: 'not ready' },
-    });
-    this.#metricsServer = new AdminServer({
-      '/metrics': async () => ({
-        status: 200,
-        body: await options.gatewayMetrics.text(),
-      }),
-    });
+    this.#readinessServer = new AdminServer(
+      {
+        [options.settings.router.ready_path]: () =>
+          this.isReady
+            ? { status: 200, body: 'ready' }
+            : { status: 503, body: 'not ready' },
+      },
+      options.backgroundTasks,
+    );
+    this.#metricsServer = new AdminServer(
+      {
+        '/metrics': async () => ({
+          status: 200,
+          body: await options.gatewayMetrics.text(),
+        }),
+      },
+      options.backgroundTasks,
+    );
     this.#registerGauges();
   }
 
@@ -117,7 +125,7 @@
       fleetState.tick(now);
       this.#options.suspects.tick(now);
       fleetReplica.tick(now);
-      void this.#options.cacheSurvey.tick(now);
+      this.#options.cacheSurvey.tick(now);
     });
     fleetReplica.onDirectoryChange(events => {
       this.#onDirectoryEvents(events);
--- a/packages/gateway/src/process/shutdown-sequence.test.ts
+++ b/packages/gateway/src/process/shutdown-sequence.test.ts
@@ -19,7 +19,7 @@
   const observed: Observed = { stoppedAt: undefined, closedIdleAt: undefined };
   const sequence = new ShutdownSequence(() => GRACE);
   sequence.start(timers.now());
-  void sequence
+  sequence
     .waitUntilDrained(
       timers,
       () => running(timers.now()),
@@ -29,6 +29,9 @@
     )
     .then(() => {
       observed.stoppedAt = timers.now();
+    })
+    .catch((error: unknown) => {
+      throw error;
     });
   for (
     let step = 0;
--- a/packages/gateway/src/store/feed-reader.test.ts
+++ b/packages/gateway/src/store/feed-reader.test.ts
@@ -4,6 +4,7 @@
 import { FeedCoverage } from '@sesamegrade/core/store/feed-coverage';
 import { revision, storeEra } from '@sesamegrade/core/store/feed-position';
 import type { Revision } from '@sesamegrade/core/store/feed-position';
+import { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
 import { ManualTimerService } from '@sesamegrade/core/time/manual-timer-service';
 import { fail, succeed } from '@sesamegrade/core/types/result';
 import { routerId } from '@sesamegrade/core/types/ids';
@@ -86,6 +87,9 @@
     bound: BOUND,
     timers,
     random,
+    backgroundTasks: new BackgroundTasks(({ error }) => {
+      throw error;
+    }),
     isReader: () => isOnDuty,
     log: { write: () => undefined } as unknown as DecisionLog,
     listener,
--- a/packages/gateway/src/store/feed-reader.ts
+++ b/packages/gateway/src/store/feed-reader.ts
@@ -6,6 +6,7 @@
 import type { Random } from '@sesamegrade/core/random/random';
 import type { FeedCoverage } from '@sesamegrade/core/store/feed-coverage';
 import type { StoreEra } from '@sesamegrade/core/store/feed-position';
+import type { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
 import { elapsed, milliseconds } from '@sesamegrade/core/types/units';
 import type { Milliseconds } from '@sesamegrade/core/types/units';
@@ -41,6 +42,7 @@
   readonly listener: FeedListener;
   readonly timers: TimerService;
   readonly random: Random;
+  readonly backgroundTasks: BackgroundTasks;
   readonly log: DecisionLog;
   /** Whether this router reads for the fleet and watches the table all the time. */
   readonly isReader: () => boolean;
@@ -64,7 +66,7 @@
   }
 
   start(): void {
-    void this.#run();
+    this.#options.backgroundTasks.run('feed-reader', () => this.#run());
   }
 
   stop(): void {
@@ -101,7 +103,7 @@
       }
       // After a pause or a failure it matters first whether the store responds at all.
       const mayWait = !wasWaiting && this.#failureCount === 0;
-      const failure = await this.#read(mayWait);
+      const failure = await this.#tryRead(mayWait);
       if (failure) {
         await this.#onFailure(failure);
       }
@@ -131,6 +133,16 @@
     return hasWaited || isForced;
   }
 
+  /** A page that cannot be applied is read once more, as part of the whole table. */
+  async #tryRead(mayWait: boolean): Promise<StoreFailure | undefined> {
+    try {
+      return await this.#read(mayWait);
+    } catch (error) {
+      const detail = error instanceof Error ? error.message : String(error);
+      return { kind: 'malformed', detail };
+    }
+  }
+
   async #read(mayWait: boolean): Promise<StoreFailure | undefined> {
     const { source, listener, coverage, bound, log } = this.#options;
     const maxWait = milliseconds(mayWait ? bound * POLL_SHARE : 0);
--- a/packages/gateway/src/store/fleet-replica.ts
+++ b/packages/gateway/src/store/fleet-replica.ts
@@ -17,6 +17,7 @@
 import type { FeedCoverage } from '@sesamegrade/core/store/feed-coverage';
 import { FIRST_ERA } from '@sesamegrade/core/store/feed-position';
 import type { StoreEra } from '@sesamegrade/core/store/feed-position';
+import type { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
 import { endpointId } from '@sesamegrade/core/types/ids';
 import type { RouterId } from '@sesamegrade/core/types/ids';
@@ -40,6 +41,7 @@
   readonly fleetReadiness: FleetReadiness;
   readonly timers: TimerService;
   readonly random: Random;
+  readonly backgroundTasks: BackgroundTasks;
   readonly log: DecisionLog;
   readonly settings: GatewaySettings;
 }
@@ -72,9 +74,10 @@
 
   constructor(options: FleetReplicaOptions) {
     this.#options = options;
-    const { timers, random, log, coverage, settings } = options;
+    const { timers, random, backgroundTasks, log, coverage, settings } =
+      options;
     const isReader = () => this.#isReader;
-    const shared = { timers, random, log, isReader };
+    const shared = { timers, random, backgroundTasks, log, isReader };
     this.#configurationReader = new FeedReader({
       ...shared,
       source: options.configurationFeed,
--- a/packages/gateway/src/store/stored-suspects.test.ts
+++ b/packages/gateway/src/store/stored-suspects.test.ts
@@ -3,6 +3,7 @@
 import { RelayedSuspects } from '@sesamegrade/core/poison/relayed-suspects';
 import { crashId } from '@sesamegrade/core/poison/suspect';
 import { FIRST_ERA, revision } from '@sesamegrade/core/store/feed-position';
+import { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
 import { ManualTimerService } from '@sesamegrade/core/time/manual-timer-service';
 import { fingerprint, routerId } from '@sesamegrade/core/types/ids';
 import { fail, succeed } from '@sesamegrade/core/types/result';
@@ -48,6 +49,9 @@
       routerRows: table,
       suspects,
       timers,
+      backgroundTasks: new BackgroundTasks(({ error }) => {
+        throw error;
+      }),
       log: { write: () => undefined } as unknown as DecisionLog,
     });
     suspects.onChanged(change => {
--- a/packages/gateway/src/store/stored-suspects.ts
+++ b/packages/gateway/src/store/stored-suspects.ts
@@ -9,6 +9,7 @@
   RelayedSuspects,
   SuspectChange,
 } from '@sesamegrade/core/poison/relayed-suspects';
+import type { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
 import type { Fingerprint } from '@sesamegrade/core/types/ids';
 import { milliseconds, seconds } from '@sesamegrade/core/types/units';
@@ -32,6 +33,7 @@
   readonly routerRows: RowTable;
   readonly suspects: RelayedSuspects;
   readonly timers: TimerService;
+  readonly backgroundTasks: BackgroundTasks;
   readonly log: DecisionLog;
 }
 
@@ -69,7 +71,9 @@
     const { id, wasCondemned } = change;
     if (wasCondemned || this.#options.suspects.suspicion(id) === 'condemned') {
       this.#pending.add(id);
-      void this.#writePending();
+      this.#options.backgroundTasks.run('suspect-write', () =>
+        this.#writePending(),
+      );
     }
   }
 
--- a/packages/gateway/src/tunnels/tunnel-client.ts
+++ b/packages/gateway/src/tunnels/tunnel-client.ts
@@ -2,6 +2,7 @@
 import { request } from 'node:http';
 
 import type { RouterIdentity } from '@sesamegrade/core/membership/router-table';
+import { formatAddress } from '@sesamegrade/core/types/address';
 import type { Address } from '@sesamegrade/core/types/endpoint';
 import { fail, succeed } from '@sesamegrade/core/types/result';
 import type { Result } from '@sesamegrade/core/types/result';
@@ -38,7 +39,7 @@
       connectTimeout: timeout,
       maxBytes: MAX_OVERHEAD_BYTES,
     });
-    const target = `${address.host}:${address.port}`;
+    const target = formatAddress(address);
     const connect = request({
       method: 'CONNECT',
       path: target,
--- a/packages/gateway/src/tunnels/tunnel-server.test.ts
+++ b/packages/gateway/src/tunnels/tunnel-server.test.ts
@@ -7,6 +7,7 @@
 import { EndpointPaths } from '@sesamegrade/core/endpoint-paths/endpoint-paths';
 import { EndpointDirectory } from '@sesamegrade/core/endpoints/endpoint-directory';
 import type { RouterIdentity } from '@sesamegrade/core/membership/router-table';
+import { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
 import type { Address } from '@sesamegrade/core/types/endpoint';
 import {
   endpointId,
@@ -65,6 +66,9 @@
       endpointPaths: paths,
       shutdownSequence,
       timers,
+      backgroundTasks: new BackgroundTasks(({ error }) => {
+        throw error;
+      }),
       log: { write: () => undefined } as unknown as DecisionLog,
     });
     http.on('connect', request => {
--- a/packages/gateway/src/tunnels/tunnel-server.ts
+++ b/packages/gateway/src/tunnels/tunnel-server.ts
@@ -9,7 +9,9 @@
 import type { EndpointPaths } from '@sesamegrade/core/endpoint-paths/endpoint-paths';
 import type { EndpointEntry } from '@sesamegrade/core/endpoints/endpoint-entry';
 import type { EndpointDirectory } from '@sesamegrade/core/endpoints/endpoint-directory';
+import type { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
+import { formatAddress } from '@sesamegrade/core/types/address';
 import type { Address } from '@sesamegrade/core/types/endpoint';
 import { elapsed, milliseconds, seconds } from '@sesamegrade/core/types/units';
 import type { Instant, Milliseconds } from '@sesamegrade/core/types/units';
@@ -48,6 +50,7 @@
   readonly endpointPaths: EndpointPaths;
   readonly shutdownSequence: ShutdownSequence;
   readonly timers: TimerService;
+  readonly backgroundTasks: BackgroundTasks;
   readonly log: DecisionLog;
 }
 
@@ -125,7 +128,10 @@
       { address, timeout: DIAL_TIMEOUT },
       result => {
         if (!result.ok) {
-          void this.#refuseUnreachable(client, address, result.failure);
+          const { failure } = result;
+          this.#options.backgroundTasks.run('tunnel-refusal', () =>
+            this.#refuseUnreachable(client, address, failure),
+          );
           return;
         }
         const { socket: endpoint } = result.value;
@@ -135,7 +141,7 @@
         }
         this.#options.log.write('tunnel', {
           peer: peer.identity.id,
-          address: `${address.host}:${address.port}`,
+          address: formatAddress(address),
         });
         this.#join(client, endpoint);
       },
@@ -205,7 +211,7 @@
     return this.#options.endpointDirectory
       .all()
       .map(({ address }) => address)
-      .find(({ host, port }) => `${host}:${port}` === target);
+      .find(address => formatAddress(address) === target);
   }
 
   #join(client: Socket, endpoint: BoundedSocket): void {
--- a/packages/measure/src/peers/peer-fleet.ts
+++ b/packages/measure/src/peers/peer-fleet.ts
@@ -6,6 +6,7 @@
 import { MembershipTopic } from '@sesamegrade/core/membership/membership-topic';
 import { RouterTable } from '@sesamegrade/core/membership/router-table';
 import { Random } from '@sesamegrade/core/random/random';
+import { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
 import { NoopEventRecorder } from '@sesamegrade/core/timeline/event';
 import { HybridClock } from '@sesamegrade/core/timeline/hybrid-clock';
 import type { Address } from '@sesamegrade/core/types/endpoint';
@@ -127,6 +128,9 @@
       ...parts,
       timers,
       random,
+      backgroundTasks: new BackgroundTasks(({ error }) => {
+        throw error;
+      }),
     });
     const bound = await network.start();
     // The router's entry, which peers receive, now has the port that was assigned.
--- a/packages/router/src/callers/caller-server.ts
+++ b/packages/router/src/callers/caller-server.ts
@@ -7,6 +7,7 @@
 import type { Context } from 'koa';
 
 import { refuseUnaccepted } from '@sesamegrade/core/requests/outcome';
+import type { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
 import type { Address } from '@sesamegrade/core/types/endpoint';
 import { requestId } from '@sesamegrade/core/types/ids';
@@ -37,6 +38,7 @@
 export interface CallerServerOptions {
   readonly settings: Settings;
   readonly timers: TimerService;
+  readonly backgroundTasks: BackgroundTasks;
   readonly keys: TeamKeys;
   readonly requestParser: RequestParser;
   readonly dispatcher: RequestDispatcher;
@@ -99,7 +101,9 @@
         keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
       },
       (request, response) => {
-        void handler(request, response);
+        this.#options.backgroundTasks.run('caller-request', () =>
+          handler(request, response),
+        );
       },
     );
     server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
--- a/packages/router/src/composition/container.ts
+++ b/packages/router/src/composition/container.ts
@@ -5,6 +5,7 @@
 import { Random } from '@sesamegrade/core/random/random';
 import { EventBuffer } from '@sesamegrade/core/timeline/event-buffer';
 import { HybridClock } from '@sesamegrade/core/timeline/hybrid-clock';
+import { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
 import { milliseconds, seconds } from '@sesamegrade/core/types/units';
 import type { Secrets } from '@sesamegrade/settings/load';
 import type { Settings } from '@sesamegrade/settings/schema';
@@ -49,6 +50,7 @@
         }),
     ).singleton(),
     logger: asFunction(() => createLogger(settings)).singleton(),
+    backgroundTasks: asFunction(newBackgroundTasks).singleton(),
     statsd: asFunction(() => createStatsd(settings)).singleton(),
     counters: asClass(Counters).singleton(),
     platform: asFunction(newPlatformClient).singleton(),
@@ -62,6 +64,16 @@
   return container;
 }
 
+function newBackgroundTasks({ logger }: Cradle): BackgroundTasks {
+  return new BackgroundTasks(({ task, error }) => {
+    logger.error('task failed', {
+      task,
+      error:
+        error instanceof Error ? (error.stack ?? error.message) : String(error),
+    });
+  });
+}
+
 function newPlatformClient({ settings }: Cradle): PlatformClient {
   return new HttpPlatformClient({
     origin: settings.platform.url,
@@ -81,5 +93,6 @@
     configurationStore: cradle.configurationStore,
     events: cradle.events,
     timers: cradle.timers,
+    backgroundTasks: cradle.backgroundTasks,
   });
 }
--- a/packages/router/src/composition/cradle.ts
+++ b/packages/router/src/composition/cradle.ts
@@ -27,6 +27,7 @@
 import type { PoolAdmissionStep } from '@sesamegrade/core/policies/pool-admission-step';
 import type { Random } from '@sesamegrade/core/random/random';
 import type { RequestFlow } from '@sesamegrade/core/requests/request-flow';
+import type { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
 import type { EventBuffer } from '@sesamegrade/core/timeline/event-buffer';
 import type { HybridClock } from '@sesamegrade/core/timeline/hybrid-clock';
 import type { Secrets } from '@sesamegrade/settings/load';
@@ -73,6 +74,7 @@
   readonly clock: HybridClock;
   readonly events: EventBuffer;
   readonly logger: Logger;
+  readonly backgroundTasks: BackgroundTasks;
   readonly statsd: StatsD;
   readonly counters: Counters;
   readonly platform: PlatformClient;
--- a/packages/router/src/composition/register-fleet.ts
+++ b/packages/router/src/composition/register-fleet.ts
@@ -154,5 +154,6 @@
     clock: cradle.clock,
     timers: cradle.timers,
     random: cradle.random,
+    backgroundTasks: cradle.backgroundTasks,
   });
 }
--- a/packages/router/src/composition/register-requests.ts
+++ b/packages/router/src/composition/register-requests.ts
@@ -27,8 +27,13 @@
   container.register({
     flow: asFunction(newFlow).singleton(),
     dispatcher: asFunction(
-      ({ flow, timers, counters }: Cradle) =>
-        new RequestDispatcher({ flow, timers, counter: counters }),
+      ({ flow, timers, counters, backgroundTasks }: Cradle) =>
+        new RequestDispatcher({
+          flow,
+          timers,
+          counter: counters,
+          backgroundTasks,
+        }),
     ).singleton(),
     orderManager: asFunction(newOrderManager).singleton(),
     orderCommandRunner: asClass(OrderCommandRunner).singleton(),
@@ -84,11 +89,14 @@
 function newBufferedRelay({
   settings,
   orderCommandRunner,
+  backgroundTasks,
 }: Cradle): BufferedRelay {
   return new BufferedRelay({
     maxResponseBytes: settings.limits.answer_bytes,
     onResponse: ({ exchange }, response) => {
-      void orderCommandRunner.onResponse(exchange.request, response);
+      backgroundTasks.run('order-response', () =>
+        orderCommandRunner.onResponse(exchange.request, response),
+      );
     },
   });
 }
@@ -102,6 +110,7 @@
     streamRelay,
     bufferedRelay,
     timers,
+    backgroundTasks: cradle.backgroundTasks,
     resumeGrace: milliseconds(settings.limits.resume_grace_ms),
     post: message => {
       dispatcher.post(message);
--- a/packages/router/src/dispatch/request-dispatcher.ts
+++ b/packages/router/src/dispatch/request-dispatcher.ts
@@ -7,6 +7,7 @@
   RequestMessage,
 } from '@sesamegrade/core/requests/types';
 import type { StreamPosition } from '@sesamegrade/core/streams/event-id';
+import type { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
 import type { RequestId } from '@sesamegrade/core/types/ids';
 import { milliseconds } from '@sesamegrade/core/types/units';
@@ -36,6 +37,7 @@
 export interface RequestDispatcherOptions {
   readonly flow: RequestFlow;
   readonly timers: TimerService;
+  readonly backgroundTasks: BackgroundTasks;
   readonly counter: RequestCounter;
 }
 
@@ -45,6 +47,7 @@
 export class RequestDispatcher {
   readonly #flow: RequestFlow;
   readonly #timers: TimerService;
+  readonly #backgroundTasks: BackgroundTasks;
   readonly #counter: RequestCounter;
   readonly #exchanges = new Map<RequestId, Exchange>();
   readonly #idleWaiters = new Set<() => void>();
@@ -54,6 +57,7 @@
   constructor(options: RequestDispatcherOptions) {
     this.#flow = options.flow;
     this.#timers = options.timers;
+    this.#backgroundTasks = options.backgroundTasks;
     this.#counter = options.counter;
   }
 
@@ -143,7 +147,7 @@
         return;
       case 'resume':
         this.#timers.after(command.after, () => {
-          void this.#attemptRunner?.resume({ ...command, exchange });
+          this.#runAttempt(runner => runner.resume({ ...command, exchange }));
         });
         return;
       case 'cancel':
@@ -177,7 +181,14 @@
       });
       return;
     }
-    void this.#attemptRunner?.send(task);
+    this.#runAttempt(runner => runner.send(task));
+  }
+
+  #runAttempt(work: (runner: AttemptRunner) => Promise<void>): void {
+    const runner = this.#attemptRunner;
+    if (runner) {
+      this.#backgroundTasks.run('attempt', () => work(runner));
+    }
   }
 
   #countAndRemove(message: RequestMessage): void {
--- a/packages/router/src/endpoints/attempt-runner.ts
+++ b/packages/router/src/endpoints/attempt-runner.ts
@@ -1,5 +1,6 @@
 /** Runs attempts: sends, relays, resumes and cancels them, and posts the results to the request flow. */
 import type { RequestMessage } from '@sesamegrade/core/requests/types';
+import type { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
 import type { Address } from '@sesamegrade/core/types/endpoint';
 import type { AttemptId, EndpointId } from '@sesamegrade/core/types/ids';
@@ -29,6 +30,7 @@
   readonly streamRelay: ResponseRelay;
   readonly bufferedRelay: ResponseRelay;
   readonly timers: TimerService;
+  readonly backgroundTasks: BackgroundTasks;
   /** Time after a cancelled attempt during which its stream can still be resumed. */
   readonly resumeGrace: Milliseconds;
   readonly post: (message: RequestMessage) => void;
@@ -97,7 +99,9 @@
       return;
     }
     this.#options.timers.after(this.#options.resumeGrace, () => {
-      void this.#deleteStream(attempt, endpoint);
+      this.#options.backgroundTasks.run('stream-delete', () =>
+        this.#deleteStream(attempt, endpoint),
+      );
     });
   }
 
--- a/packages/router/src/endpoints/endpoint-prober.ts
+++ b/packages/router/src/endpoints/endpoint-prober.ts
@@ -1,5 +1,6 @@
 /** Probes endpoints after a failed attempt, to find out whether they crashed. */
 import type { CrashObserver } from '@sesamegrade/core/policies/crash-observer';
+import type { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
 import type { EndpointId } from '@sesamegrade/core/types/ids';
 import { milliseconds } from '@sesamegrade/core/types/units';
@@ -11,6 +12,7 @@
   readonly directory: FleetDirectory;
   readonly client: EndpointClient;
   readonly timers: TimerService;
+  readonly backgroundTasks: BackgroundTasks;
 }
 
 const PROBE_QUEUE_PERIOD = milliseconds(10);
@@ -32,7 +34,7 @@
   start(): () => void {
     return this.#options.timers.every(PROBE_QUEUE_PERIOD, () => {
       for (const endpoint of this.#options.crashObserver.takeProbes()) {
-        void this.#probe(endpoint);
+        this.#options.backgroundTasks.run('probe', () => this.#probe(endpoint));
       }
     });
   }
--- a/packages/router/src/endpoints/stream-relay.ts
+++ b/packages/router/src/endpoints/stream-relay.ts
@@ -63,7 +63,7 @@
     const { body } = task.response;
     const { callerResponse } = task.exchange;
     const decoder = new TextDecoder();
-    return new Promise(resolve => {
+    return new Promise((resolve, reject) => {
       body.on('data', (chunk: Uint8Array) => {
         collector.feed(decoder.decode(chunk, { stream: true }));
         const writability = this.#deliver(task, collector);
@@ -73,12 +73,12 @@
           resolve(CONNECTION_LOST);
         } else if (writability === 'full') {
           body.pause();
-          void callerResponse.waitForDrain().then(drainResult => {
+          callerResponse.waitForDrain().then(drainResult => {
             if (drainResult === 'gone') {
               resolve(CALLER_LEFT);
             }
             body.resume();
-          });
+          }, reject);
         }
       });
       body.once('end', () => {
--- a/packages/router/src/engine-orders/engine-command-runner.ts
+++ b/packages/router/src/engine-orders/engine-command-runner.ts
@@ -7,6 +7,7 @@
 } from '@sesamegrade/core/engine-orders/engine-row';
 import type { LeaseCommand } from '@sesamegrade/core/leases/lease';
 import type { LeaseManager } from '@sesamegrade/core/leases/lease-manager';
+import type { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
 import type {
   EndpointId,
@@ -27,6 +28,7 @@
   readonly client: EndpointClient;
   readonly directory: FleetDirectory;
   readonly timers: TimerService;
+  readonly backgroundTasks: BackgroundTasks;
 }
 
 const TICK_PERIOD = milliseconds(100);
@@ -70,6 +72,10 @@
     this.#runCommands();
   }
 
+  #run(task: string, work: () => Promise<void>): void {
+    this.#options.backgroundTasks.run(task, work);
+  }
+
   #runCommands(): void {
     const { leaseManager, engineGroups } = this.#options;
     for (const command of leaseManager.takeCommands()) {
@@ -77,7 +83,9 @@
     }
     for (const { reconciler } of engineGroups) {
       for (const command of reconciler.takeCommands()) {
-        void this.#runEngineCommand(reconciler, command);
+        this.#run('engine-order', () =>
+          this.#runEngineCommand(reconciler, command),
+        );
       }
     }
   }
@@ -85,10 +93,10 @@
   #runLeaseCommand(command: LeaseCommand): void {
     switch (command.kind) {
       case 'write':
-        void this.#write(command);
+        this.#run('lease-write', () => this.#write(command));
         return;
       case 'read':
-        void this.#read(command);
+        this.#run('lease-read', () => this.#read(command));
         return;
       case 'taken':
         this.#heldLeases.set(command.lease, command.fence);
--- a/packages/router/src/fleet/vm-list-poller.ts
+++ b/packages/router/src/fleet/vm-list-poller.ts
@@ -6,6 +6,7 @@
 import type { AffinityTable } from '@sesamegrade/core/placement/affinity-table';
 import type { HealthObserver } from '@sesamegrade/core/policies/health-observer';
 import type { SuspectRegistry } from '@sesamegrade/core/poison/suspect-registry';
+import type { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
 import { milliseconds } from '@sesamegrade/core/types/units';
 import type { Instant } from '@sesamegrade/core/types/units';
@@ -16,6 +17,7 @@
   readonly platform: PlatformClient;
   readonly settings: Settings;
   readonly timers: TimerService;
+  readonly backgroundTasks: BackgroundTasks;
   readonly endpoints: EndpointTable;
   readonly routers: RouterTable;
   readonly loads: LoadView;
@@ -54,7 +56,7 @@
     const pollPeriod = milliseconds(settings.platform.list_poll_ms);
     const cancels = [
       timers.every(pollPeriod, () => {
-        void this.#read();
+        this.#startRead();
       }),
       timers.every(HEALTH_CHECK_PERIOD, now => {
         this.#options.healthObserver.tick(now);
@@ -64,7 +66,7 @@
         this.#maintainTables(now);
       }),
     ];
-    void this.#read();
+    this.#startRead();
     return () => {
       for (const cancel of cancels) {
         cancel();
@@ -72,6 +74,10 @@
     };
   }
 
+  #startRead(): void {
+    this.#options.backgroundTasks.run('vm-list', () => this.#read());
+  }
+
   async #read(): Promise<void> {
     if (this.#isReading) {
       return;
--- a/packages/router/src/operators/configuration-store.ts
+++ b/packages/router/src/operators/configuration-store.ts
@@ -4,6 +4,7 @@
   Proposal,
   ProposalOutcome,
 } from '@sesamegrade/core/configuration/proposal';
+import type { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
 import type { ChangeId } from '@sesamegrade/core/types/ids';
 import { milliseconds } from '@sesamegrade/core/types/units';
@@ -22,25 +23,28 @@
   readonly configuration: ConfigurationReplica;
   readonly platform: PlatformClient;
   readonly timers: TimerService;
+  readonly backgroundTasks: BackgroundTasks;
 }
 
 export class ConfigurationStore {
   readonly #configuration: ConfigurationReplica;
   readonly #platform: PlatformClient;
   readonly #timers: TimerService;
+  readonly #backgroundTasks: BackgroundTasks;
   readonly #pending = new Map<ChangeId, ResolveProposal[]>();
 
   constructor(options: ConfigurationStoreOptions) {
     this.#configuration = options.configuration;
     this.#platform = options.platform;
     this.#timers = options.timers;
+    this.#backgroundTasks = options.backgroundTasks;
   }
 
   /** Starts to poll the table; returns a function that stops it. */
   start(): () => void {
-    void this.#run();
+    this.#startRun();
     return this.#timers.every(TICK_PERIOD, () => {
-      void this.#run();
+      this.#startRun();
     });
   }
 
@@ -53,10 +57,14 @@
     }
     return new Promise(resolve => {
       this.#pending.set(changeId, [...(pending ?? []), resolve]);
-      void this.#run();
+      this.#startRun();
     });
   }
 
+  #startRun(): void {
+    this.#backgroundTasks.run('configuration-calls', () => this.#run());
+  }
+
   /** Runs table calls until the replica has no further command. */
   async #run(): Promise<void> {
     let hasCalled = true;
--- a/packages/router/src/operators/operator-server.test.ts
+++ b/packages/router/src/operators/operator-server.test.ts
@@ -2,6 +2,7 @@
 
 import { ConfigurationReplica } from '@sesamegrade/core/configuration/configuration-replica';
 import { Random } from '@sesamegrade/core/random/random';
+import { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
 import { NoopEventRecorder } from '@sesamegrade/core/timeline/event';
 import { EventBuffer } from '@sesamegrade/core/timeline/event-buffer';
 import { HybridClock } from '@sesamegrade/core/timeline/hybrid-clock';
@@ -33,6 +34,10 @@
   }
 }
 
+const backgroundTasks = new BackgroundTasks(({ error }) => {
+  throw error;
+});
+
 describe('OperatorServer', () => {
   const timers = new SystemTimerService();
   const clock = new HybridClock(() => timers.wallTime());
@@ -50,6 +55,7 @@
     configuration,
     platform,
     timers,
+    backgroundTasks,
   });
   const server = new OperatorServer({
     address: { host: '127.0.0.1', port: 0 },
@@ -59,6 +65,7 @@
     configurationStore,
     events,
     timers,
+    backgroundTasks,
   });
   let origin = '';
   let client = new OperatorClient({ origin, token: TOKEN });
--- a/packages/router/src/operators/operator-server.ts
+++ b/packages/router/src/operators/operator-server.ts
@@ -17,6 +17,7 @@
   SETTING_NAMES,
   SETTINGS,
 } from '@sesamegrade/core/configuration/setting';
+import type { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
 import type { EventBuffer } from '@sesamegrade/core/timeline/event-buffer';
 import type { Address } from '@sesamegrade/core/types/endpoint';
@@ -52,6 +53,7 @@
   readonly configurationStore: ConfigurationStore;
   readonly events: EventBuffer;
   readonly timers: TimerService;
+  readonly backgroundTasks: BackgroundTasks;
 }
 
 /** A request body that is not a JSON object. */
@@ -83,7 +85,9 @@
     app.use(router.routes()).use(router.allowedMethods());
     const handle = app.callback();
     this.#server = createServer((request, response) => {
-      void handle(request, response);
+      options.backgroundTasks.run('operator-request', () =>
+        handle(request, response),
+      );
     });
   }
 
--- a/packages/router/src/orders/order-command-runner.ts
+++ b/packages/router/src/orders/order-command-runner.ts
@@ -4,6 +4,7 @@
 import { MAX_INLINE_RESULT_BYTES } from '@sesamegrade/core/orders/order-row';
 import type { RecordedResult } from '@sesamegrade/core/orders/order-row';
 import type { Request } from '@sesamegrade/core/requests/types';
+import type { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
 import type { RequestId } from '@sesamegrade/core/types/ids';
 import { milliseconds } from '@sesamegrade/core/types/units';
@@ -18,6 +19,7 @@
   readonly orderManager: OrderManager;
   readonly platform: PlatformClient;
   readonly timers: TimerService;
+  readonly backgroundTasks: BackgroundTasks;
   readonly dispatcher: RequestDispatcher;
 }
 
@@ -28,6 +30,7 @@
   readonly #orderManager: OrderManager;
   readonly #platform: PlatformClient;
   readonly #timers: TimerService;
+  readonly #backgroundTasks: BackgroundTasks;
   readonly #dispatcher: RequestDispatcher;
 
   constructor(options: OrderCommandRunnerOptions) {
@@ -35,6 +38,7 @@
     this.#orderManager = options.orderManager;
     this.#platform = options.platform;
     this.#timers = options.timers;
+    this.#backgroundTasks = options.backgroundTasks;
     this.#dispatcher = options.dispatcher;
   }
 
@@ -134,19 +138,25 @@
     }
   }
 
+  #run(task: string, work: () => Promise<void>): void {
+    this.#backgroundTasks.run(task, work);
+  }
+
   #runCommand(command: OrderCommand): void {
     switch (command.kind) {
       case 'write':
-        void this.#write(command);
+        this.#run('order-write', () => this.#write(command));
         return;
       case 'read':
-        void this.#read(command);
+        this.#run('order-read', () => this.#read(command));
         return;
       case 'send':
         this.#dispatcher.post({ kind: 'recorded', request: command.request });
         return;
       case 'replay':
-        void this.#replay(command.request, command.result);
+        this.#run('order-replay', () =>
+          this.#replay(command.request, command.result),
+        );
         return;
       case 'refuse':
         this.#dispatcher.post({
--- a/packages/router/src/peers/peer-link.ts
+++ b/packages/router/src/peers/peer-link.ts
@@ -4,6 +4,7 @@
 
 import type { RouterIdentity } from '@sesamegrade/core/membership/router-table';
 import type { Random } from '@sesamegrade/core/random/random';
+import { formatAddress } from '@sesamegrade/core/types/address';
 import type { Address } from '@sesamegrade/core/types/endpoint';
 import type { RouterId } from '@sesamegrade/core/types/ids';
 import { binaryEncoder, feedMessageSchema } from './peer-message';
@@ -53,9 +54,8 @@
   constructor(options: PeerLinkOptions) {
     this.#options = options;
     this.address = options.address;
-    const { host, port } = options.address;
     this.#connection = createWSClient({
-      url: `ws://${host}:${port}/`,
+      url: `ws://${formatAddress(options.address)}/`,
       WebSocket: this.#socketClass(),
       connectionParams: () => this.#connectionParameters(),
       retryDelayMs: attempt => this.#retryDelay(attempt),
--- a/packages/router/src/peers/peer-message.ts
+++ b/packages/router/src/peers/peer-message.ts
@@ -10,6 +10,7 @@
 } from '@sesamegrade/core/membership/vm-entry';
 import { timestampSchema } from '@sesamegrade/core/timeline/hybrid-clock';
 import type { HybridTimestamp } from '@sesamegrade/core/timeline/hybrid-clock';
+import { hostSchema, portSchema } from '@sesamegrade/core/types/address';
 import { incarnation, routerId, zoneId } from '@sesamegrade/core/types/ids';
 
 const MAX_TOPICS = 32;
@@ -23,8 +24,8 @@
     id: nameSchema,
     incarnation: incarnationSchema,
     zone: nameSchema,
-    host: nameSchema,
-    port: z.int().min(1).max(65_535),
+    host: hostSchema,
+    port: portSchema,
     power: z.number().min(0).max(MAX_POWER).optional(),
   })
   .transform((message): RouterIdentity => ({
--- a/packages/router/src/peers/peer-network.test.ts
+++ b/packages/router/src/peers/peer-network.test.ts
@@ -12,6 +12,7 @@
 import { MembershipTopic } from '@sesamegrade/core/membership/membership-topic';
 import { RouterTable } from '@sesamegrade/core/membership/router-table';
 import { Random } from '@sesamegrade/core/random/random';
+import { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
 import { NoopEventRecorder } from '@sesamegrade/core/timeline/event';
 import { HybridClock } from '@sesamegrade/core/timeline/hybrid-clock';
 import { incarnation, routerId, zoneId } from '@sesamegrade/core/types/ids';
@@ -48,7 +49,15 @@
     configurationTopic,
     clock,
   };
-  const network = new PeerNetwork({ secret, ...components, timers, random });
+  const network = new PeerNetwork({
+    secret,
+    ...components,
+    timers,
+    random,
+    backgroundTasks: new BackgroundTasks(({ error }) => {
+      throw error;
+    }),
+  });
   const bound = await network.start();
   // The identity sent to peers must contain the port that was selected.
   Object.assign(address, bound);
--- a/packages/router/src/peers/peer-network.ts
+++ b/packages/router/src/peers/peer-network.ts
@@ -5,6 +5,7 @@
 import { jsonSize } from '@sesamegrade/core/gossip/json-size';
 import type { RouterTable } from '@sesamegrade/core/membership/router-table';
 import type { Random } from '@sesamegrade/core/random/random';
+import type { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
 import type {
   Cancel,
   TimerService,
@@ -36,6 +37,7 @@
   readonly configurationTopic: ConfigurationTopic;
   readonly clock: HybridClock;
   readonly timers: TimerService;
+  readonly backgroundTasks: BackgroundTasks;
   readonly random: Random;
 }
 
@@ -151,7 +153,7 @@
         address.port === link.address.port;
       if (!isSame) {
         this.#links.delete(peer);
-        void link.close();
+        this.#options.backgroundTasks.run('peer-close', () => link.close());
       }
     }
     for (const [peer, address] of addresses) {
--- a/packages/settings/src/gateway-schema.ts
+++ b/packages/settings/src/gateway-schema.ts
@@ -1,6 +1,7 @@
 /** Schema of the settings file of a router that uses a deployment's platform. */
 import { z } from 'zod';
 
+import { parseAddress } from '@sesamegrade/core/types/address';
 import type { Address } from '@sesamegrade/core/types/endpoint';
 import { milliseconds, seconds } from '@sesamegrade/core/types/units';
 
@@ -11,13 +12,12 @@
 
 /** An address as `IP:PORT`; port 0 is allowed. */
 const address = text.transform((value, context): Address => {
-  const colon = value.lastIndexOf(':');
-  const port = Number(value.slice(colon + 1));
-  if (colon <= 0 || !Number.isInteger(port) || port < 0 || port > MAX_PORT) {
+  const parsed = parseAddress(value);
+  if (!parsed) {
     context.addIssue({ code: 'custom', message: 'expected IP:PORT' });
     return z.NEVER;
   }
-  return { host: value.slice(0, colon), port };
+  return parsed;
 });
 
 /** Comma-separated addresses; empty entries are ignored. */
--- a/packages/stand-ins/src/deployment/row-store-server.ts
+++ b/packages/stand-ins/src/deployment/row-store-server.ts
@@ -53,7 +53,9 @@
 
   constructor() {
     this.#server = createServer((request, response) => {
-      void this.#serve(request, response);
+      this.#serve(request, response).catch((error: unknown) => {
+        response.destroy(error instanceof Error ? error : undefined);
+      });
     });
   }
 
--- a/packages/stand-ins/src/engine/engine-order-handler.ts
+++ b/packages/stand-ins/src/engine/engine-order-handler.ts
@@ -64,7 +64,9 @@
       return false;
     }
     if (this.#desired.weights !== previousWeights) {
-      void this.#loadWeights();
+      this.#loadWeights().catch((error: unknown) => {
+        console.error(error);
+      });
     } else if (!this.#desired.loading) {
       this.#onModels(this.#desired.models);
     }
--- a/packages/stand-ins/src/http/http-stand-in.ts
+++ b/packages/stand-ins/src/http/http-stand-in.ts
@@ -45,7 +45,9 @@
   async start(): Promise<Address> {
     const server = createServer({ keepAliveTimeout: 60_000 });
     server.on('request', (request, response) => {
-      void this.#serve(request, response);
+      this.#serve(request, response).catch((error: unknown) => {
+        response.destroy(error instanceof Error ? error : undefined);
+      });
     });
     server.on('connection', socket => {
       socket.setNoDelay(true);
--- a/packages/stand-ins/src/soak/soak.ts
+++ b/packages/stand-ins/src/soak/soak.ts
@@ -86,6 +86,8 @@
 const PROPAGATION_MS = 3000;
 /** How often each router gets each such content after that time. */
 const LAST_SENDS = 5;
+/** Addresses of entries that another program writes. */
+const FOREIGN_ADDRESSES = ['http://127.0.0.1:80', '10.0.0.300:80', 'a:b:80'];
 const CRASHING_WORD = 'crashing';
 const CRASHING_PART = 'bad';
 const STREAM_TARGET = /^\/(?:draft|summary)\//u;
@@ -409,6 +411,14 @@
     this.#store.write('servers', name, serverEntry(server.address));
   }
 
+  /** Writes an entry that names no usable endpoint, for an engine or a plain service. */
+  #writeForeignEntry(): void {
+    const address = this.#random.pick(FOREIGN_ADDRESSES);
+    const service = this.#random.pick(['registry', 'drafting']);
+    const name = `foreign-${this.#faults.length}`;
+    this.#store.write('servers', name, serverEntry(address, { service }));
+  }
+
   /** Injects one fault. Faults overlap, as they can last longer than the interval between them. */
   async #injectFault(): Promise<void> {
     const router = this.#random.pick(this.#routers);
@@ -423,6 +433,7 @@
       'leave',
       'kill-all',
       'limit',
+      'foreign-entry',
     ] as const);
     this.#faults.push(kind);
     this.#recordDisturbance(kind);
@@ -447,6 +458,9 @@
         await pause(durationMs);
         this.#store.fault = 'none';
         return;
+      case 'foreign-entry':
+        this.#writeForeignEntry();
+        return;
       case 'configuration':
         this.#version += 1;
         this.#store.write('op', 'config', manifest(this.#version));
