--- a/packages/core/src/endpoints/endpoint-directory.test.ts
+++ b/packages/core/src/endpoints/endpoint-directory.test.ts
@@ -17,6 +17,7 @@
   leaving: false,
   warmUp: milliseconds(0),
   startedAt: 100,
+  softwareVersion: undefined,
   ...fields,
 });
 
--- a/packages/core/src/endpoints/endpoint-entry.ts
+++ b/packages/core/src/endpoints/endpoint-entry.ts
@@ -2,7 +2,12 @@
 import { z } from 'zod';
 
 import type { Address } from '../types/endpoint';
-import type { EndpointId, ServiceId, ZoneId } from '../types/ids';
+import type {
+  EndpointId,
+  ServiceId,
+  SoftwareVersion,
+  ZoneId,
+} from '../types/ids';
 import type { Milliseconds } from '../types/units';
 
 /** Id of an endpoint: the key of its row, which is also sent in headers. */
@@ -20,6 +25,8 @@
   readonly warmUp: Milliseconds;
   /** Unix milliseconds of the endpoint's start; undefined if the entry does not contain it. */
   readonly startedAt: number | undefined;
+  /** Undefined if the entry, or a peer of an older build that passed it on, does not name it. */
+  readonly softwareVersion: SoftwareVersion | undefined;
 }
 
 /** A change of the list; `entry` is undefined if it was removed or cannot be read. */
--- a/packages/core/src/endpoints/endpoint-replica.test.ts
+++ b/packages/core/src/endpoints/endpoint-replica.test.ts
@@ -28,6 +28,7 @@
           leaving: false,
           warmUp: milliseconds(0),
           startedAt: undefined,
+          softwareVersion: undefined,
         },
 });
 
--- a/packages/core/src/endpoints/endpoint-replica.ts
+++ b/packages/core/src/endpoints/endpoint-replica.ts
@@ -17,6 +17,8 @@
   readonly id: EndpointId;
   readonly revision: Revision;
   readonly entry: EndpointEntry | undefined;
+  /** Whether it was passed on by a peer of an older build, which omits some of the fields. */
+  readonly isPartial?: boolean;
 }
 
 /** Receives what the changed rows mean for the endpoints. */
@@ -26,6 +28,8 @@
   readonly #directory: EndpointDirectory;
   readonly #coverage: FeedCoverage;
   readonly #versions = new RowVersions();
+  /** Endpoints whose entry lacks fields that the store has. */
+  readonly #partial = new Set<EndpointId>();
   #listener: DirectoryListener | undefined;
   #era: StoreEra = FIRST_ERA;
   #baseRevision: Revision | undefined;
@@ -49,6 +53,11 @@
     return this.#baseRevision;
   }
 
+  /** Whether an entry lacks fields, so that the table should be read again. */
+  get isPartial(): boolean {
+    return this.#partial.size > 0;
+  }
+
   setListener(listener: DirectoryListener): void {
     this.#listener = listener;
   }
@@ -94,9 +103,19 @@
 
   /** Applies a change of this era; returns false if the same or a newer one is known. */
   applyChange(row: EndpointRow, now: Instant): boolean {
-    if (!this.#versions.accept(row.id, row.revision)) {
+    const isPartial = row.isPartial ?? false;
+    const completes =
+      !isPartial &&
+      this.#partial.has(row.id) &&
+      this.#versions.get(row.id) === row.revision;
+    if (!this.#versions.accept(row.id, row.revision) && !completes) {
       return false;
     }
+    if (isPartial && row.entry) {
+      this.#partial.add(row.id);
+    } else {
+      this.#partial.delete(row.id);
+    }
     const { latest } = this.#coverage;
     const events = this.#directory.apply(row, now, latest?.confirmedAt);
     this.#listener?.(events);
@@ -110,6 +129,7 @@
     isRestored: boolean,
   ): void {
     this.#versions.reset();
+    this.#partial.clear();
     this.#era = era;
     this.#baseRevision = listRevision;
     for (const row of rows) {
--- a/packages/core/src/forwarding/endpoint-chooser.test.ts
+++ b/packages/core/src/forwarding/endpoint-chooser.test.ts
@@ -35,6 +35,7 @@
   leaving: false,
   warmUp: milliseconds(0),
   startedAt: undefined,
+  softwareVersion: undefined,
 });
 
 const prompt: Prompt = {
--- a/packages/core/src/forwarding/endpoint-chooser.ts
+++ b/packages/core/src/forwarding/endpoint-chooser.ts
@@ -17,12 +17,17 @@
 import { milliseconds } from '../types/units';
 import type { Instant, Milliseconds } from '../types/units';
 
+/** Returns whether an endpoint may run a request. */
+export type EndpointFilter = (entry: EndpointEntry) => boolean;
+
 export interface ChoiceQuery {
   readonly service: ServiceId;
   readonly prompt: Prompt | undefined;
   /** Endpoints at which the request was already attempted. */
   readonly tried: ReadonlySet<EndpointId>;
   readonly repeatable: boolean;
+  /** The endpoints that may be chosen; all if undefined. */
+  readonly accepts?: EndpointFilter | undefined;
   /** The only endpoint that may be chosen, as it has granted a permit. */
   readonly only?: EndpointId;
 }
@@ -48,6 +53,7 @@
 export interface UntriedQuery {
   readonly service: ServiceId;
   readonly tried: ReadonlySet<EndpointId>;
+  readonly accepts?: EndpointFilter | undefined;
 }
 
 export interface EndpointChooserOptions {
@@ -135,6 +141,7 @@
       .filter(
         entry =>
           !query.tried.has(entry.id) &&
+          isAccepted(query, entry) &&
           holds.remaining(entry.id, now) === 0 &&
           endpointLimits.of(entry) !== undefined,
       );
@@ -161,15 +168,16 @@
 
   #untried(
     known: readonly EndpointEntry[],
-    { tried }: UntriedQuery,
+    query: UntriedQuery,
     now: Instant,
   ): EndpointEntry[] {
     const { holds, permitRefusals } = this.#options;
     return known.filter(
-      ({ id }) =>
-        !tried.has(id) &&
-        holds.remaining(id, now) === 0 &&
-        permitRefusals.remaining(id, now) === 0,
+      entry =>
+        !query.tried.has(entry.id) &&
+        isAccepted(query, entry) &&
+        holds.remaining(entry.id, now) === 0 &&
+        permitRefusals.remaining(entry.id, now) === 0,
     );
   }
 
@@ -257,6 +265,10 @@
   }
 }
 
+function isAccepted({ accepts }: UntriedQuery, entry: EndpointEntry): boolean {
+  return accepts === undefined || accepts(entry);
+}
+
 /** Returns the first entry; the list must not be empty. */
 function first(pool: readonly EndpointEntry[]): EndpointEntry {
   const [entry] = pool;
--- a/packages/core/src/outliers/service-health.test.ts
+++ b/packages/core/src/outliers/service-health.test.ts
@@ -14,6 +14,7 @@
   leaving: false,
   warmUp: milliseconds(0),
   startedAt: undefined,
+  softwareVersion: undefined,
 });
 
 const now = instant(0);
--- a/packages/core/src/peers/feed-updates.test.ts
+++ b/packages/core/src/peers/feed-updates.test.ts
@@ -9,7 +9,13 @@
 import { RouteTable } from '../routes/route-table';
 import { FeedCoverage } from '../store/feed-coverage';
 import { revision, storeEra } from '../store/feed-position';
-import { endpointId, routerId, serviceId, zoneId } from '../types/ids';
+import {
+  endpointId,
+  routerId,
+  serviceId,
+  softwareVersion,
+  zoneId,
+} from '../types/ids';
 import { instant, milliseconds, seconds } from '../types/units';
 import type { Instant } from '../types/units';
 import { FeedUpdates } from './feed-updates';
@@ -29,6 +35,7 @@
           leaving: false,
           warmUp: milliseconds(0),
           startedAt: undefined,
+          softwareVersion: undefined,
         },
 });
 
@@ -314,4 +321,52 @@
       { seed: 42, numRuns: 150 },
     );
   });
+
+  describe('between builds', () => {
+    const ROW_FIELDS = 8;
+    const versioned = (name: string, at: number): EndpointRow => {
+      const { id, revision: changedAt, entry } = row(name, at, 1);
+      return {
+        id,
+        revision: changedAt,
+        entry: entry && { ...entry, softwareVersion: softwareVersion('v1.1') },
+      };
+    };
+
+    function open() {
+      const [relay, member] = [new Router('relay', true), new Router('member')];
+      relay.replica.applyList([versioned('a', 1)], at(1), instant(0));
+      member.replica.applyList([], at(0), instant(0));
+      return { relay, member };
+    }
+
+    it('passes on the software version beside the row, whose form stays as it was', () => {
+      const { relay, member } = open();
+      const state = relay.updates.fullState(instant(0));
+      const [[, , , entry]] = state.e as [
+        [unknown, unknown, unknown, unknown[]],
+      ];
+      expect(entry).to.have.length(ROW_FIELDS);
+      expect(member.updates.receive(state, instant(0))).to.equal(0);
+      expect(member.directory.all()[0]?.softwareVersion).to.equal('v1.1');
+      expect(member.replica.isPartial).to.equal(false);
+    });
+
+    // Guards against an endpoint whose version stays unknown as an older relay omits it.
+    it('uses a row that an older build passed on, and completes it by its own list', () => {
+      const { relay, member } = open();
+      const older = { ...relay.updates.fullState(instant(0)), v: [] };
+      member.updates.receive(older, instant(0));
+      expect(member.directory.size).to.equal(1);
+      expect(member.replica.isPartial).to.equal(true);
+      const changed = member.replica.applyList(
+        [versioned('a', 1)],
+        at(1),
+        instant(1),
+      );
+      expect(changed).to.have.length(1);
+      expect(member.directory.all()[0]?.softwareVersion).to.equal('v1.1');
+      expect(member.replica.isPartial).to.equal(false);
+    });
+  });
 });
--- a/packages/core/src/peers/feed-updates.ts
+++ b/packages/core/src/peers/feed-updates.ts
@@ -18,8 +18,14 @@
 import { FIRST_ERA, revision, storeEra } from '../store/feed-position';
 import type { FeedPosition, StoreEra } from '../store/feed-position';
 import { hostSchema, portSchema } from '../types/address';
-import { endpointId, routerId, serviceId, zoneId } from '../types/ids';
-import type { RouterId } from '../types/ids';
+import {
+  endpointId,
+  routerId,
+  serviceId,
+  softwareVersion,
+  zoneId,
+} from '../types/ids';
+import type { RouterId, SoftwareVersion } from '../types/ids';
 import { addTime, elapsed, milliseconds } from '../types/units';
 import type { Instant, Milliseconds } from '../types/units';
 import { forEachValidEntry } from './entry-lists';
@@ -60,7 +66,22 @@
   z.int().min(-1),
 ]);
 
-export const FeedTopic = { rows: 'e', confirmations: 'f' } as const;
+/**
+ * Era, key and revision of a row, and the version of the endpoint's software. Older
+ * builds reject a row with more fields, and pass over a topic that they do not know.
+ */
+const versionSchema = z.tuple([
+  countSchema,
+  endpointKeySchema,
+  countSchema,
+  nameSchema,
+]);
+
+export const FeedTopic = {
+  rows: 'e',
+  versions: 'v',
+  confirmations: 'f',
+} as const;
 
 /** The tables that routers read from the store. */
 export type FeedTable = z.output<typeof confirmationSchema>[0];
@@ -120,9 +141,7 @@
   takeChanges(now: Instant): TopicEntries {
     const topics: Record<string, readonly unknown[]> = {};
     if (this.#changedRows.size > 0) {
-      topics[FeedTopic.rows] = [...this.#changedRows.values()].map(row =>
-        this.#rowEntry(row),
-      );
+      Object.assign(topics, this.#rowTopics([...this.#changedRows.values()]));
       this.#changedRows.clear();
     }
     if (this.#hasNewConfirmation()) {
@@ -148,23 +167,33 @@
       return {};
     }
     return {
-      [FeedTopic.rows]: endpointReplica.rows().map(row => this.#rowEntry(row)),
+      ...this.#rowTopics(endpointReplica.rows()),
       [FeedTopic.confirmations]: this.#confirmations(now),
     };
   }
 
   /** Applies a peer's updates; returns the number of malformed entries. */
   receive(topics: TopicEntries, now: Instant): number {
+    const versions = new Map<string, SoftwareVersion>();
+    const malformedVersions = forEachValidEntry(
+      topics[FeedTopic.versions],
+      versionSchema,
+      ([era, key, rowRevision, version]) => {
+        versions.set(rowName(era, key, rowRevision), softwareVersion(version));
+      },
+    );
     const malformedRows = forEachValidEntry(
       topics[FeedTopic.rows],
       rowSchema,
       ([era, key, rowRevision, entry]) => {
+        const version = versions.get(rowName(era, key, rowRevision));
         this.#applyRow(
           storeEra(era),
           {
             id: endpointId(key),
             revision: revision(rowRevision),
-            entry: entry ? entryOf(key, entry) : undefined,
+            entry: entry ? entryOf(key, entry, version) : undefined,
+            isPartial: version === undefined,
           },
           now,
         );
@@ -177,7 +206,7 @@
         this.#applyConfirmation(confirmation, now);
       },
     );
-    return malformedRows + malformedConfirmations;
+    return malformedVersions + malformedRows + malformedConfirmations;
   }
 
   #applyRow(era: StoreEra, row: EndpointRow, now: Instant): void {
@@ -280,6 +309,18 @@
     });
   }
 
+  #rowTopics(rows: readonly EndpointRow[]): TopicEntries {
+    const { era } = this.#options.endpointReplica;
+    return {
+      [FeedTopic.rows]: rows.map(row => this.#rowEntry(row)),
+      [FeedTopic.versions]: rows.flatMap(({ id, revision: at, entry }) =>
+        entry?.softwareVersion === undefined
+          ? []
+          : [[era, id, at, entry.softwareVersion]],
+      ),
+    };
+  }
+
   #rowEntry({ id, revision: rowRevision, entry }: EndpointRow): unknown {
     const { era } = this.#options.endpointReplica;
     return [era, id, rowRevision, entry ? entryTuple(entry) : null];
@@ -305,11 +346,16 @@
   ];
 }
 
+function rowName(era: number, key: string, rowRevision: number): string {
+  return `${era}/${key}/${rowRevision}`;
+}
+
 function entryOf(
   key: string,
   [service, host, port, zone, slots, leaving, warmUp, startedAt]: z.output<
     typeof entrySchema
   >,
+  version: SoftwareVersion | undefined,
 ): EndpointEntry {
   return {
     id: endpointId(key),
@@ -320,5 +366,6 @@
     leaving,
     warmUp: milliseconds(warmUp),
     startedAt: startedAt ?? undefined,
+    softwareVersion: version,
   };
 }
--- a/packages/core/src/peers/peer-updates.test.ts
+++ b/packages/core/src/peers/peer-updates.test.ts
@@ -162,6 +162,7 @@
       leaving: false,
       warmUp: seconds(0),
       startedAt: 100,
+      softwareVersion: undefined,
     };
     for (const { endpointDirectory } of [relay, other]) {
       endpointDirectory.replace([entry], now);
--- a/packages/core/src/types/ids.ts
+++ b/packages/core/src/types/ids.ts
@@ -37,6 +37,10 @@
 export type ConfigurationVersion = Branded<number, 'ConfigurationVersion'>;
 /** One proposed configuration change, the same over resends. */
 export type ChangeId = Branded<string, 'ChangeId'>;
+/** Version of the software of an endpoint. */
+export type SoftwareVersion = Branded<string, 'SoftwareVersion'>;
+/** Hash of the request that began a stream. */
+export type StreamKey = Branded<string, 'StreamKey'>;
 /** Number of a process start; a later start has a higher one. */
 export type Incarnation = Branded<number, 'Incarnation'>;
 
@@ -59,4 +63,6 @@
 export const configurationVersion = (value: number) =>
   value as ConfigurationVersion;
 export const changeId = (value: string) => value as ChangeId;
+export const softwareVersion = (value: string) => value as SoftwareVersion;
+export const streamKey = (value: string) => value as StreamKey;
 export const incarnation = (value: number) => value as Incarnation;
--- a/packages/gateway/src/endpoints/crash-detector.test.ts
+++ b/packages/gateway/src/endpoints/crash-detector.test.ts
@@ -47,6 +47,7 @@
       leaving: false,
       warmUp: milliseconds(0),
       startedAt: 1,
+      softwareVersion: undefined,
     };
     endpointDirectory = new EndpointDirectory();
     endpointDirectory.replace([entry], timers.now());
--- a/packages/gateway/src/forwarding/forwarder.ts
+++ b/packages/gateway/src/forwarding/forwarder.ts
@@ -10,10 +10,16 @@
 import type { AttemptResult } from '@sesamegrade/core/forwarding/attempt-result';
 import type { FleetState } from '@sesamegrade/core/forwarding/fleet-state';
 import { mayHaveRun } from '@sesamegrade/core/forwarding/attempt-result';
+import { StreamBinding } from '@sesamegrade/core/software-versions/stream-binding';
+import type { EndpointDirectory } from '@sesamegrade/core/endpoints/endpoint-directory';
+import type { EndpointEntry } from '@sesamegrade/core/endpoints/endpoint-entry';
 import { subjectPart } from '@sesamegrade/core/prompts/prompt-chain';
 import type { RelayedSuspects } from '@sesamegrade/core/poison/relayed-suspects';
 import type { Random } from '@sesamegrade/core/random/random';
-import type { CallerLimits } from '@sesamegrade/core/routes/fleet-configuration';
+import type {
+  CallerLimits,
+  Route,
+} from '@sesamegrade/core/routes/fleet-configuration';
 import { pickTarget } from '@sesamegrade/core/routes/route-table';
 import type {
   RouteDecision,
@@ -84,6 +90,7 @@
   readonly chooser: EndpointChooser;
   readonly attemptPlacement: AttemptPlacement;
   readonly fleetState: FleetState;
+  readonly endpointDirectory: EndpointDirectory;
   readonly connectionPool: ConnectionPool;
   readonly endpointPaths: EndpointPaths;
   readonly pathMonitor: PathMonitor;
@@ -111,6 +118,9 @@
   readonly expiresAt: Instant;
   readonly crashGuard: CrashGuard;
   readonly tried: Set<EndpointId>;
+  /** Binds a stream that may be resumed to the software version that began it. */
+  readonly binding: StreamBinding;
+  readonly accepts: (entry: EndpointEntry) => boolean;
   /** Attempts that may have run. */
   possibleRuns: number;
   /** Attempts that provably did not run. */
@@ -245,6 +255,7 @@
       route.timeout,
       head.callerTimeout ?? route.timeout,
     );
+    const binding = new StreamBinding();
     const request: ForwardedRequest = {
       exchange,
       head,
@@ -263,6 +274,8 @@
         prompt: head.prompt,
       }),
       tried: new Set(),
+      binding,
+      accepts: entry => binding.accepts(entry),
       possibleRuns: 0,
       notRun: 0,
     };
@@ -274,7 +287,7 @@
     const { exchange, head, decision } = request;
     const { route } = decision;
     let attempt: Attempt | undefined;
-    let engine: EndpointId | undefined;
+    let current: EndpointEntry | undefined;
     const relay = new ResponseRelay({
       exchange,
       resume: () => {
@@ -284,14 +297,17 @@
         attempt?.abort(result);
       },
       onFirstAttemptEvent: () => {
-        if (engine !== undefined && head.prompt) {
-          this.#options.fleetState.onPromptRead(engine, head.prompt);
+        if (current && head.prompt) {
+          this.#options.fleetState.onPromptRead(current.id, head.prompt);
         }
       },
       onSoundProgress: () => {
         request.crashGuard.recordSound();
       },
       onFirstEvent: () => {
+        if (current) {
+          this.#onStreamBegun(request, current);
+        }
         this.#options.gatewayMetrics.recordFirstEvent(
           route.id,
           elapsed(request.arrivedAt, this.#options.timers.now()),
@@ -326,7 +342,7 @@
           source: permit.source,
         });
       }
-      engine = choice.entry.id;
+      current = choice.entry;
       const startedAt = this.#options.timers.now();
       const eventsBefore = relay.events;
       if (decision.kind === 'trial') {
@@ -356,6 +372,20 @@
     }
   }
 
+  /** The first event decides which endpoints can continue the stream. */
+  #onStreamBegun(
+    { binding, decision }: ForwardedRequest,
+    entry: EndpointEntry,
+  ): void {
+    if (!isResumable(decision.route)) {
+      return;
+    }
+    const { endpointDirectory } = this.#options;
+    binding.bind(
+      entry.softwareVersion ?? endpointDirectory.get(entry.id)?.softwareVersion,
+    );
+  }
+
   #refuseSuspect(
     request: ForwardedRequest,
     relay: ResponseRelay,
@@ -380,6 +410,7 @@
         service: request.service,
         prompt: request.head.prompt,
         tried: request.tried,
+        accepts: request.accepts,
         repeatable: route.repeatable,
       },
       {
@@ -732,6 +763,11 @@
   }
 }
 
+/** Whether a stream of the route may go on at another endpoint. */
+function isResumable(route: Route): boolean {
+  return route.answer.kind === 'stream' && route.repeatable;
+}
+
 function isRejectionForRoom(result: AttemptResult): boolean {
   return result.kind === 'declined' && result.decline === 'full';
 }
--- a/packages/gateway/src/peers/fleet-snapshot.ts
+++ b/packages/gateway/src/peers/fleet-snapshot.ts
@@ -9,7 +9,12 @@
 import type { EndpointEntry } from '@sesamegrade/core/endpoints/endpoint-entry';
 import { forEachValidEntry } from '@sesamegrade/core/peers/entry-lists';
 import { hostSchema, portSchema } from '@sesamegrade/core/types/address';
-import { endpointId, serviceId, zoneId } from '@sesamegrade/core/types/ids';
+import {
+  endpointId,
+  serviceId,
+  softwareVersion,
+  zoneId,
+} from '@sesamegrade/core/types/ids';
 import { milliseconds } from '@sesamegrade/core/types/units';
 
 /** Above the 140 engines of the largest deployment. */
@@ -27,6 +32,7 @@
     leaving: z.boolean(),
     warmUp: z.number().min(0),
     startedAt: z.number().optional(),
+    softwareVersion: nameSchema.optional(),
   })
   .transform((entry): EndpointEntry => ({
     id: endpointId(entry.id),
@@ -37,6 +43,10 @@
     leaving: entry.leaving,
     warmUp: milliseconds(entry.warmUp),
     startedAt: entry.startedAt,
+    softwareVersion:
+      entry.softwareVersion === undefined
+        ? undefined
+        : softwareVersion(entry.softwareVersion),
   }));
 
 export const fleetSnapshotSchema = z.object({
@@ -87,5 +97,6 @@
     leaving: !endpointDirectory.isUsable(entry.id),
     warmUp: entry.warmUp,
     startedAt: entry.startedAt,
+    softwareVersion: entry.softwareVersion,
   }));
 }
--- a/packages/gateway/src/store/fleet-replica.ts
+++ b/packages/gateway/src/store/fleet-replica.ts
@@ -21,7 +21,8 @@
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
 import { endpointId } from '@sesamegrade/core/types/ids';
 import type { RouterId } from '@sesamegrade/core/types/ids';
-import type { Instant } from '@sesamegrade/core/types/units';
+import { elapsed, seconds } from '@sesamegrade/core/types/units';
+import type { Instant, Milliseconds } from '@sesamegrade/core/types/units';
 import type { GatewaySettings } from '@sesamegrade/settings/gateway-schema';
 import type { DecisionLog } from '../logs/decision-log';
 import type { DeploymentCodec } from './deployment-codec';
@@ -46,6 +47,9 @@
   readonly settings: GatewaySettings;
 }
 
+/** Minimum time between two reads of the endpoints whose entries lack fields. */
+const COMPLETION_PERIOD: Milliseconds = seconds(1);
+
 /** Source of a configuration. */
 export type ConfigurationOrigin = 'store' | 'peer';
 
@@ -69,6 +73,8 @@
   #era: StoreEra = FIRST_ERA;
   /** Era in which the configuration in force was read. */
   #appliedEra: StoreEra = FIRST_ERA;
+  /** When the endpoints were last read as entries lacked fields. */
+  #completedAt: Instant | undefined;
   /** The configuration in force as the operator wrote it. */
   #raw: Uint8Array | undefined;
 
@@ -105,7 +111,7 @@
           this.#onEndpointList(page);
         },
         onChanges: page => {
-          this.#onEndpointChanges(page);
+          this.applyEndpointChanges(page);
         },
         onRecovered: () => {
           options.endpointDirectory.onStoreAvailable(timers.now());
@@ -163,6 +169,11 @@
     this.#endpointReader.stop();
   }
 
+  /** Whether this router reads the store for the fleet. */
+  get isReader(): boolean {
+    return this.#isReader;
+  }
+
   /** Begins or ends to watch the store for the fleet. */
   setReader(isReader: boolean): void {
     if (this.#isReader === isReader) {
@@ -185,12 +196,26 @@
   }
 
   tick(now: Instant): void {
+    this.#completeEntries(now);
     const due = this.#restoredConfiguration.takeDue(now);
     if (due) {
       this.#replaceConfiguration(due.configuration, due.raw);
     }
   }
 
+  /** Reads the endpoints again if a peer of an older build passed on entries that lack fields. */
+  #completeEntries(now: Instant): void {
+    const { endpointReplica, coverage } = this.#options;
+    const isDue =
+      this.#completedAt === undefined ||
+      elapsed(this.#completedAt, now) >= COMPLETION_PERIOD;
+    if (endpointReplica.isPartial && isDue) {
+      this.#completedAt = now;
+      coverage.endpoints.reset();
+      this.#endpointReader.readNow();
+    }
+  }
+
   /** Puts a configuration in force if it can be decoded and is newer than the current one. */
   applyConfiguration(raw: Uint8Array, origin: ConfigurationOrigin): void {
     const configuration = this.#decodeConfiguration(raw, origin);
@@ -214,6 +239,19 @@
     this.#options.fleetReadiness.notifyIfReady();
   }
 
+  /** Applies endpoints that were read from the store after the position that is known. */
+  applyEndpointChanges({ rows, position }: FeedPage): void {
+    const { endpointReplica, feedUpdates, timers } = this.#options;
+    for (const feedRow of rows) {
+      const row = this.#endpointRow(feedRow);
+      if (endpointReplica.applyChange(row, timers.now())) {
+        feedUpdates.onRowRead(row);
+      }
+    }
+    feedUpdates.onTableRead('endpoints', position, timers.now());
+    this.#readListener();
+  }
+
   #decodeConfiguration(
     raw: Uint8Array,
     origin: ConfigurationOrigin,
@@ -313,18 +351,6 @@
     fleetReadiness.notifyIfReady();
   }
 
-  #onEndpointChanges({ rows, position }: FeedPage): void {
-    const { endpointReplica, feedUpdates, timers } = this.#options;
-    for (const feedRow of rows) {
-      const row = this.#endpointRow(feedRow);
-      if (endpointReplica.applyChange(row, timers.now())) {
-        feedUpdates.onRowRead(row);
-      }
-    }
-    feedUpdates.onTableRead('endpoints', position, timers.now());
-    this.#readListener();
-  }
-
   #endpointRow(row: FeedRow): EndpointRow {
     return {
       id: endpointId(row.key),
--- a/packages/gateway/src/tunnels/tunnel-server.test.ts
+++ b/packages/gateway/src/tunnels/tunnel-server.test.ts
@@ -93,6 +93,7 @@
         leaving: false,
         warmUp: milliseconds(0),
         startedAt: 1,
+        softwareVersion: undefined,
       })),
       instant(0),
     );
