--- a/packages/core/src/peers/malformed-updates.test.ts
+++ b/packages/core/src/peers/malformed-updates.test.ts
@@ -10,6 +10,8 @@
 import { RelayedSuspects } from '../poison/relayed-suspects';
 import { Random } from '../random/random';
 import { RouteTable } from '../routes/route-table';
+import { StreamOrigins } from '../software-versions/stream-origins';
+import { VersionHistory } from '../software-versions/version-history';
 import { FeedCoverage } from '../store/feed-coverage';
 import { revision, storeEra } from '../store/feed-position';
 import { formatAddress } from '../types/address';
@@ -17,6 +19,7 @@
 import { instant, seconds } from '../types/units';
 import { FeedTopic, FeedUpdates } from './feed-updates';
 import { LoadUpdates } from './load-updates';
+import { StreamUpdates } from './stream-updates';
 import { PeerUpdates, UpdateTopic } from './peer-updates';
 
 const self = routerId('self');
@@ -38,6 +41,7 @@
   );
   const position = { era: storeEra(ERA), revision: revision(1) };
   endpointReplica.applyList([], position, now);
+  const versionHistory = new VersionHistory(() => seconds(30));
   const updates = new PeerUpdates({
     loadUpdates: new LoadUpdates(new LoadEstimate()),
     feedUpdates: new FeedUpdates({
@@ -51,6 +55,10 @@
     surveyPlan: new CacheSurveyPlan(self),
     suspects: new RelayedSuspects({ self, routers: () => [peer] }),
     endpointLimits: new EndpointLimits(),
+    streamUpdates: new StreamUpdates({
+      versionHistory,
+      streamOrigins: new StreamOrigins(versionHistory),
+    }),
   });
   updates.isRelay = true;
   return { endpointDirectory, updates };
--- a/packages/core/src/peers/peer-updates.test.ts
+++ b/packages/core/src/peers/peer-updates.test.ts
@@ -10,6 +10,8 @@
 import { RelayedSuspects } from '../poison/relayed-suspects';
 import { Random } from '../random/random';
 import { RouteTable } from '../routes/route-table';
+import { StreamOrigins } from '../software-versions/stream-origins';
+import { VersionHistory } from '../software-versions/version-history';
 import { FeedCoverage } from '../store/feed-coverage';
 import {
   endpointId,
@@ -22,6 +24,7 @@
 import { instant, seconds } from '../types/units';
 import { FeedUpdates } from './feed-updates';
 import { LoadUpdates } from './load-updates';
+import { StreamUpdates } from './stream-updates';
 import { PeerUpdates } from './peer-updates';
 
 const engine = endpointId('e');
@@ -40,6 +43,7 @@
     endpoints: new FeedCoverage({ bound: seconds(2), random }),
     configuration: new FeedCoverage({ bound: seconds(2), random }),
   };
+  const versionHistory = new VersionHistory(() => seconds(30));
   const updates = new PeerUpdates({
     loadUpdates: new LoadUpdates(loads),
     feedUpdates: new FeedUpdates({
@@ -56,6 +60,10 @@
     surveyPlan,
     suspects,
     endpointLimits: new EndpointLimits(),
+    streamUpdates: new StreamUpdates({
+      versionHistory,
+      streamOrigins: new StreamOrigins(versionHistory),
+    }),
   });
   return {
     self,
--- a/packages/core/src/peers/peer-updates.ts
+++ b/packages/core/src/peers/peer-updates.ts
@@ -19,6 +19,7 @@
 import { forEachValidEntry } from './entry-lists';
 import type { FeedUpdates } from './feed-updates';
 import type { LoadUpdates } from './load-updates';
+import type { StreamUpdates } from './stream-updates';
 
 const nameSchema = z.string().min(1).max(200);
 
@@ -61,6 +62,7 @@
   readonly surveyPlan: CacheSurveyPlan;
   readonly suspects: RelayedSuspects;
   readonly endpointLimits: EndpointLimits;
+  readonly streamUpdates: StreamUpdates;
 }
 
 /** The configuration that a peer has in force. */
@@ -224,11 +226,13 @@
       feedUpdates,
       suspects,
       endpointLimits,
+      streamUpdates,
     } = this.#options;
     const surveyed = endpoints.filter(id => surveyPlan.isKnown(id));
     return {
       ...loadUpdates.fullState(peer, endpoints),
       ...feedUpdates.fullState(now),
+      ...streamUpdates.fullState(now),
       [UpdateTopic.parts]: takeFirst(locations.pairs(), MAX_SENT_PARTS),
       [UpdateTopic.surveyed]: surveyed.map(id => [id]),
       [UpdateTopic.suspects]: suspects.fullState(now),
@@ -241,12 +245,18 @@
   }
 
   receive(peer: RouterId, topics: TopicEntries, now: Instant): ReceivedUpdates {
-    const { loadUpdates, feedUpdates, suspects, endpointLimits } =
-      this.#options;
+    const {
+      loadUpdates,
+      feedUpdates,
+      streamUpdates,
+      suspects,
+      endpointLimits,
+    } = this.#options;
     let version: PeerVersion | undefined;
     const malformed =
       loadUpdates.receive(peer, topics, now) +
       feedUpdates.receive(topics, now) +
+      streamUpdates.receive(topics, now) +
       suspects.receive(topics[UpdateTopic.suspects], this.#isRelay, now) +
       suspects.receiveTrials(topics[UpdateTopic.trials], this.#isRelay, now) +
       endpointLimits.requests.receive(
--- /dev/null
+++ b/packages/core/src/software-versions/stream-origins.test.ts
@@ -0,0 +1,70 @@
+import { expect } from 'chai';
+
+import { requestId, serviceId, softwareVersion } from '../types/ids';
+import { instant, seconds } from '../types/units';
+import { keyOfStream, StreamOrigins } from './stream-origins';
+import { VersionHistory } from './version-history';
+
+const service = serviceId('s');
+const other = serviceId('other');
+const v1 = softwareVersion('v1');
+const LIFETIME = seconds(30);
+const MAX = 100;
+
+describe('StreamOrigins', () => {
+  let history: VersionHistory;
+  let origins: StreamOrigins;
+
+  const record = (version: string, at: number) => {
+    history.record({
+      service,
+      version: softwareVersion(version),
+      lastSeenAt: instant(at),
+    });
+  };
+
+  beforeEach(() => {
+    history = new VersionHistory(() => LIFETIME);
+    origins = new StreamOrigins(history);
+    record('v1', 0);
+  });
+
+  it('tells of streams once, and only while their service has several versions', () => {
+    origins.begin(requestId('a'), service, v1, instant(0));
+    origins.begin(requestId('b'), other, v1, instant(0));
+    expect(origins.takeUntold(MAX, instant(0))).to.deep.equal([]);
+    record('v2', 1000);
+    expect(origins.takeUntold(MAX, instant(1000))).to.deep.equal([
+      { key: keyOfStream(requestId('a')), version: 'v1' },
+    ]);
+    expect(origins.takeUntold(MAX, instant(1000))).to.deep.equal([]);
+  });
+
+  it('tells of all streams again when the router that stores them is another one', () => {
+    record('v2', 0);
+    origins.begin(requestId('a'), service, v1, instant(0));
+    origins.takeUntold(MAX, instant(0));
+    origins.tellAgain();
+    expect(origins.takeUntold(MAX, instant(0))).to.have.length(1);
+  });
+
+  it('forgets streams that can no longer be resumed', () => {
+    for (let at = 0; at <= 200_000; at += 100) {
+      origins.begin(requestId(`own-${at}`), service, v1, instant(at));
+      origins.add(
+        { key: keyOfStream(requestId(`told-${at}`)), version: v1 },
+        instant(at),
+      );
+    }
+    expect(origins.size).to.be.at.most(300 + 2 * 302);
+    const recent = keyOfStream(requestId('told-175000'));
+    expect(origins.versionOf(recent)).to.equal('v1');
+  });
+
+  it('keeps requests with similar ids apart', () => {
+    const keys = Array.from({ length: 100_000 }, (_value, index) =>
+      keyOfStream(requestId(index.toString(16))),
+    );
+    expect(new Set(keys).size).to.equal(keys.length);
+  });
+});
--- /dev/null
+++ b/packages/core/src/software-versions/version-history.ts
@@ -0,0 +1,143 @@
+/**
+ * The software versions that the endpoints of each service had within the longest
+ * life of a stream. While a service had one version only, every stream of it began at
+ * that version.
+ */
+import type { EndpointEntry } from '../endpoints/endpoint-entry';
+import { addTime, elapsed, milliseconds, seconds } from '../types/units';
+import type { Instant, Milliseconds } from '../types/units';
+import type { ServiceId, SoftwareVersion } from '../types/ids';
+
+/** When a version of a service was last in use. */
+export interface VersionUse {
+  readonly service: ServiceId;
+  /** Undefined for endpoints that name no version. */
+  readonly version: SoftwareVersion | undefined;
+  readonly lastSeenAt: Instant;
+}
+
+export type StreamVersion =
+  /** The service had this version only. */
+  | { readonly kind: 'single'; readonly version: SoftwareVersion }
+  /** It had several, or one that is not named. */
+  | { readonly kind: 'several' }
+  /** This router does not know long enough which versions it had. */
+  | { readonly kind: 'unknown' };
+
+export class VersionHistory {
+  readonly #uses = new Map<
+    ServiceId,
+    Map<SoftwareVersion | undefined, Instant>
+  >();
+  readonly #lifetime: () => Milliseconds;
+  #observedSince: Instant | undefined;
+  #isComplete = false;
+
+  /** `lifetime` returns the longest time from the begin of a stream to its last resumption. */
+  constructor(lifetime: () => Milliseconds) {
+    this.#lifetime = lifetime;
+  }
+
+  get lifetime(): Milliseconds {
+    return this.#lifetime();
+  }
+
+  /** Records the endpoints that exist now. */
+  observe(entries: readonly EndpointEntry[], now: Instant): void {
+    this.#observedSince ??= now;
+    for (const { service, softwareVersion } of entries) {
+      this.record({ service, version: softwareVersion, lastSeenAt: now });
+    }
+    this.#removeExpired(now);
+  }
+
+  /** Records a use that another router observed. */
+  record({ service, version, lastSeenAt }: VersionUse): void {
+    const uses = this.#uses.get(service) ?? new Map<never, Instant>();
+    const known = uses.get(version);
+    if (known === undefined || elapsed(known, lastSeenAt) > 0) {
+      uses.set(version, lastSeenAt);
+    }
+    this.#uses.set(service, uses);
+  }
+
+  /** Records that all uses within the lifetime of a stream are known by now. */
+  markComplete(): void {
+    this.#isComplete = true;
+  }
+
+  /** Whether every version that was in use within the lifetime of a stream is known. */
+  isComplete(now: Instant): boolean {
+    this.#isComplete ||=
+      this.#observedSince !== undefined &&
+      elapsed(this.#observedSince, now) >= this.lifetime;
+    return this.#isComplete;
+  }
+
+  /** Since when every version in use is known; undefined before the first observation. */
+  knownSince(now: Instant): Instant | undefined {
+    return this.isComplete(now)
+      ? addTime(now, milliseconds(0 - this.lifetime))
+      : this.#observedSince;
+  }
+
+  /** Whether streams of several versions of a service may run. */
+  isMixed(service: ServiceId, now: Instant): boolean {
+    return this.versions(service, now).length > 1;
+  }
+
+  versions(service: ServiceId, now: Instant): (SoftwareVersion | undefined)[] {
+    return this.uses(now)
+      .filter(use => use.service === service)
+      .map(({ version }) => version);
+  }
+
+  /** All uses within the lifetime of a stream. */
+  uses(now: Instant): VersionUse[] {
+    this.#removeExpired(now);
+    return [...this.#uses].flatMap(([service, uses]) =>
+      [...uses].map(([version, lastSeenAt]) => ({
+        service,
+        version,
+        lastSeenAt,
+      })),
+    );
+  }
+
+  /** The version at which any stream of the service began that still lives. */
+  versionOfStreams(service: ServiceId, now: Instant): StreamVersion {
+    if (!this.isComplete(now)) {
+      return { kind: 'unknown' };
+    }
+    const [version, ...others] = this.versions(service, now);
+    return version === undefined || others.length > 0
+      ? { kind: 'several' }
+      : { kind: 'single', version };
+  }
+
+  #removeExpired(now: Instant): void {
+    const { lifetime } = this;
+    for (const [service, uses] of this.#uses) {
+      for (const [version, lastSeenAt] of uses) {
+        if (elapsed(lastSeenAt, now) > lifetime) {
+          uses.delete(version);
+        }
+      }
+      if (uses.size === 0) {
+        this.#uses.delete(service);
+      }
+    }
+  }
+}
+
+/** Lower bound of the lifetime, also before the routes are known. */
+const MIN_LIFETIME: Milliseconds = seconds(30);
+
+/** Longest life of a stream on routes with these timeouts: it may be resumed once at its end. */
+export function streamLifetime(
+  timeouts: readonly Milliseconds[],
+): Milliseconds {
+  return milliseconds(
+    Math.max(MIN_LIFETIME, ...timeouts.map(time => 2 * time)),
+  );
+}
--- a/packages/gateway/src/callers/caller-protocol.ts
+++ b/packages/gateway/src/callers/caller-protocol.ts
@@ -25,6 +25,8 @@
   readonly prompt: Prompt | undefined;
   /** Id of the last event that the caller received of an earlier response. */
   readonly lastEventId: number | undefined;
+  /** Earlier request of the caller whose response brought the first event of the stream that this one resumes. */
+  readonly begunBy: RequestId | undefined;
   /** The caller's headers that are forwarded to the endpoint. */
   readonly forwardedHeaders: HeaderList;
 }
--- a/packages/gateway/src/composition/gateway-container.ts
+++ b/packages/gateway/src/composition/gateway-container.ts
@@ -34,6 +34,12 @@
 import type { RouterIdentity } from '@sesamegrade/core/membership/router-table';
 import { Random } from '@sesamegrade/core/random/random';
 import { RouteTable } from '@sesamegrade/core/routes/route-table';
+import { StreamUpdates } from '@sesamegrade/core/peers/stream-updates';
+import { StreamOrigins } from '@sesamegrade/core/software-versions/stream-origins';
+import {
+  streamLifetime,
+  VersionHistory,
+} from '@sesamegrade/core/software-versions/version-history';
 import { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
 import { incarnation, routerId, zoneId } from '@sesamegrade/core/types/ids';
@@ -60,11 +66,15 @@
 import { SettingsReloader } from '../process/settings-reloader';
 import { ShutdownSequence } from '../process/shutdown-sequence';
 import type { DeploymentCodec } from '../store/deployment-codec';
+import { EndpointConfirmation } from '../store/endpoint-confirmation';
 import type { FeedSource } from '../store/feed-source';
 import { FleetReplica } from '../store/fleet-replica';
 import { FleetReadiness } from '../store/fleet-readiness';
 import { StoredSuspects } from '../store/stored-suspects';
 import type { RowTable } from '../store/row-table';
+import { StoredVersions } from '../streams/stored-versions';
+import { StreamLedger } from '../streams/stream-ledger';
+import { StreamResumption } from '../streams/stream-resumption';
 import { PathDialer } from '../tunnels/path-dialer';
 import { PathMonitor } from '../tunnels/path-monitor';
 import { TunnelClient } from '../tunnels/tunnel-client';
@@ -78,6 +88,7 @@
   readonly configurationFeed: FeedSource;
   readonly endpointFeed: FeedSource;
   readonly routerRows: RowTable;
+  readonly streamRows: RowTable;
 }
 
 export interface GatewayCradle extends Deployment {
@@ -104,6 +115,13 @@
   readonly suspects: RelayedSuspects;
   readonly crashDetector: CrashDetector;
   readonly storedSuspects: StoredSuspects;
+  readonly versionHistory: VersionHistory;
+  readonly storedVersions: StoredVersions;
+  readonly streamOrigins: StreamOrigins;
+  readonly streamUpdates: StreamUpdates;
+  readonly streamLedger: StreamLedger;
+  readonly streamResumption: StreamResumption;
+  readonly endpointConfirmation: EndpointConfirmation;
   readonly chooser: EndpointChooser;
   readonly directDialer: EndpointDialer;
   readonly endpointDialer: PathDialer;
@@ -153,6 +171,7 @@
     configurationFeed: asValue(deployment.configurationFeed),
     endpointFeed: asValue(deployment.endpointFeed),
     routerRows: asValue(deployment.routerRows),
+    streamRows: asValue(deployment.streamRows),
     logger: asFunction(newLogger).singleton(),
     timers: asFunction(() => new SystemTimerService()).singleton(),
     random: asFunction(
@@ -192,6 +211,18 @@
     ).singleton(),
     crashDetector: asClass(CrashDetector).singleton(),
     storedSuspects: asClass(StoredSuspects).singleton(),
+    versionHistory: asFunction(newVersionHistory).singleton(),
+    storedVersions: asClass(StoredVersions).singleton(),
+    streamOrigins: asFunction(
+      ({ versionHistory }: GatewayCradle) => new StreamOrigins(versionHistory),
+    ).singleton(),
+    streamUpdates: asFunction(
+      ({ streamOrigins, versionHistory }: GatewayCradle) =>
+        new StreamUpdates({ streamOrigins, versionHistory }),
+    ).singleton(),
+    streamLedger: asClass(StreamLedger).singleton(),
+    streamResumption: asClass(StreamResumption).singleton(),
+    endpointConfirmation: asClass(EndpointConfirmation).singleton(),
     chooser: asFunction(newChooser).singleton(),
     directDialer: asFunction(() => new DirectDialer()).singleton(),
     endpointDialer: asClass(PathDialer).singleton(),
@@ -249,6 +280,7 @@
         surveyPlan,
         suspects,
         endpointLimits,
+        streamUpdates,
       }: GatewayCradle) =>
         new PeerUpdates({
           loadUpdates,
@@ -258,6 +290,7 @@
           surveyPlan,
           suspects,
           endpointLimits,
+          streamUpdates,
         }),
     ).singleton(),
     surveyPlan: asFunction(
@@ -290,6 +323,16 @@
   });
 }
 
+function newVersionHistory({ routes }: GatewayCradle): VersionHistory {
+  return new VersionHistory(() =>
+    streamLifetime(
+      (routes.configuration?.routes ?? [])
+        .filter(({ answer }) => answer.kind === 'stream')
+        .map(({ timeout }) => timeout),
+    ),
+  );
+}
+
 function newIdentity({ settings, timers }: GatewayCradle): RouterIdentity {
   const { router } = settings;
   return {
--- a/packages/gateway/src/forwarding/forwarder.ts
+++ b/packages/gateway/src/forwarding/forwarder.ts
@@ -16,6 +16,7 @@
 import { subjectPart } from '@sesamegrade/core/prompts/prompt-chain';
 import type { RelayedSuspects } from '@sesamegrade/core/poison/relayed-suspects';
 import type { Random } from '@sesamegrade/core/random/random';
+import { rendezvousWeight } from '@sesamegrade/core/hashing/rendezvous';
 import type {
   CallerLimits,
   Route,
@@ -30,7 +31,12 @@
 import { addTime, elapsed, milliseconds } from '@sesamegrade/core/types/units';
 import type { Instant, Milliseconds } from '@sesamegrade/core/types/units';
 import { teamId } from '@sesamegrade/core/types/ids';
-import type { EndpointId, ServiceId } from '@sesamegrade/core/types/ids';
+import type {
+  EndpointId,
+  RequestId,
+  ServiceId,
+  SoftwareVersion,
+} from '@sesamegrade/core/types/ids';
 import type { CallerExchange } from '../callers/caller-exchange';
 import type {
   RequestHead,
@@ -47,6 +53,7 @@
 import type { FleetReadiness } from '../store/fleet-readiness';
 import type { GatewayMetrics } from '../metrics/gateway-metrics';
 import type { AttemptPlacement, Placement } from './attempt-placement';
+import type { StreamResumption } from '../streams/stream-resumption';
 import { CrashGuard } from './crash-guard';
 import { ResponseRelay } from './response-relay';
 import { SilenceWatch } from './silence-watch';
@@ -80,6 +87,8 @@
  */
 const MAX_START_WAIT = milliseconds(600);
 const START_WAIT_SHARE = 0.25;
+/** Salt of the hash that picks the service of a stream. */
+const TARGET_KEY = 'target';
 /** Stands for the team of requests that need no key. */
 const NO_TEAM = teamId('');
 
@@ -91,6 +100,7 @@
   readonly attemptPlacement: AttemptPlacement;
   readonly fleetState: FleetState;
   readonly endpointDirectory: EndpointDirectory;
+  readonly streamResumption: StreamResumption;
   readonly connectionPool: ConnectionPool;
   readonly endpointPaths: EndpointPaths;
   readonly pathMonitor: PathMonitor;
@@ -242,7 +252,13 @@
   ): Promise<void> {
     const { random } = this.#options;
     const { route } = decision;
-    const target = pickTarget(route, random.fraction());
+    const target = pickTarget(
+      route,
+      // A stream that is resumed goes to the service that began it.
+      isResumable(route)
+        ? fractionOf(head.begunBy ?? head.requestId)
+        : random.fraction(),
+    );
     if (!target) {
       this.#refuse(
         exchange,
@@ -256,6 +272,21 @@
       head.callerTimeout ?? route.timeout,
     );
     const binding = new StreamBinding();
+    if (isResumable(route) && isResumption(head)) {
+      const version = await this.#versionOfStream(head, target.service);
+      if (exchange.hasDisconnected) {
+        return;
+      }
+      if (version === undefined) {
+        this.#refuse(
+          exchange,
+          head,
+          this.#notRunRefusal('unknown-stream', milliseconds(timeout)),
+        );
+        return;
+      }
+      binding.bind(version);
+    }
     const request: ForwardedRequest = {
       exchange,
       head,
@@ -372,18 +403,37 @@
     }
   }
 
+  async #versionOfStream(
+    head: RequestHead,
+    service: ServiceId,
+  ): Promise<SoftwareVersion | undefined> {
+    const { streamResumption, log } = this.#options;
+    const version = await streamResumption.versionOf(service, head.begunBy);
+    log.write('stream-resumed', {
+      request: head.requestId,
+      begunBy: head.begunBy,
+      service,
+      version,
+    });
+    return version;
+  }
+
   /** The first event decides which endpoints can continue the stream. */
   #onStreamBegun(
-    { binding, decision }: ForwardedRequest,
+    { binding, decision, head, service }: ForwardedRequest,
     entry: EndpointEntry,
   ): void {
     if (!isResumable(decision.route)) {
       return;
     }
-    const { endpointDirectory } = this.#options;
+    const { endpointDirectory, streamResumption } = this.#options;
     binding.bind(
       entry.softwareVersion ?? endpointDirectory.get(entry.id)?.softwareVersion,
     );
+    const begunBy = isResumption(head) ? head.begunBy : head.requestId;
+    if (begunBy !== undefined) {
+      streamResumption.recordBegin(begunBy, service, binding.version);
+    }
   }
 
   #refuseSuspect(
@@ -768,6 +818,16 @@
   return route.answer.kind === 'stream' && route.repeatable;
 }
 
+/** Whether the caller has events of the stream already. */
+function isResumption({ lastEventId }: RequestHead): boolean {
+  return lastEventId !== undefined && lastEventId > 0;
+}
+
+/** Returns a fraction in [0, 1) that is the same for each resumption of a stream. */
+function fractionOf(request: RequestId): number {
+  return rendezvousWeight(request, TARGET_KEY) / 2 ** 32;
+}
+
 function isRejectionForRoom(result: AttemptResult): boolean {
   return result.kind === 'declined' && result.decline === 'full';
 }
--- a/packages/gateway/src/peers/peer-mesh.ts
+++ b/packages/gateway/src/peers/peer-mesh.ts
@@ -39,6 +39,7 @@
 import type { RowTable } from '../store/row-table';
 import type { TunnelServer } from '../tunnels/tunnel-server';
 import type { StoredSuspects } from '../store/stored-suspects';
+import type { StoredVersions } from '../streams/stored-versions';
 import { fleetSnapshotSchema, snapshotEndpoints } from './fleet-snapshot';
 import { UpdateSender } from './update-sender';
 import { SeedLinks } from './seed-links';
@@ -79,6 +80,7 @@
   readonly tunnelServer: TunnelServer;
   readonly routerRows: RowTable;
   readonly storedSuspects: StoredSuspects;
+  readonly storedVersions: StoredVersions;
   readonly peerUpdates: PeerUpdates;
   readonly feedUpdates: FeedUpdates;
   readonly routerDirectory: RouterDirectory;
@@ -133,7 +135,7 @@
       timers: options.timers,
       send: topics => {
         for (const peer of this.#subscribers) {
-          this.#send(peer, {
+          this.sendTo(peer, {
             ...topics,
             ...options.peerUpdates.takeChangesFor(peer),
           });
@@ -271,11 +273,13 @@
   }
 
   /** Applies the list of routers; returns whether this router's own row is among them. */
-  #onRows({ rows }: FeedPage): boolean {
+  #onRows(page: FeedPage): boolean {
+    const { rows } = page;
     const { routerDirectory, timers } = this.#options;
     this.#listReadAt = timers.now();
     routerDirectory.markListRead();
     this.#options.storedSuspects.onRows(rows);
+    this.#options.storedVersions.onRows(page);
     return rows.filter(row => this.#onRow(row.value)).length > 0;
   }
 
@@ -337,7 +341,7 @@
   #sendFullState(peer: RouterId): void {
     const { peerUpdates, endpointDirectory, timers } = this.#options;
     const endpoints = endpointDirectory.all().map(({ id }) => id);
-    this.#send(peer, peerUpdates.fullState(peer, endpoints, timers.now()));
+    this.sendTo(peer, peerUpdates.fullState(peer, endpoints, timers.now()));
   }
 
   #addRouter(identity: RouterIdentity): void {
@@ -550,8 +554,9 @@
     this.#updateSender.flushLoadsSoon();
   }
 
-  #send(peer: RouterId, topics: GossipFrame['t']): void {
-    this.#server.send(peer, { h: this.#clock.next(), t: topics });
+  /** Sends updates to one peer at once; returns false if it does not receive them. */
+  sendTo(peer: RouterId, topics: GossipFrame['t']): boolean {
+    return this.#server.send(peer, { h: this.#clock.next(), t: topics });
   }
 
   /** Resets silent connections and removes routers that stay unreachable. */
--- a/packages/gateway/src/process/gateway-process.ts
+++ b/packages/gateway/src/process/gateway-process.ts
@@ -17,6 +17,7 @@
 import type { PeerUpdates } from '@sesamegrade/core/peers/peer-updates';
 import type { RelayedSuspects } from '@sesamegrade/core/poison/relayed-suspects';
 import type { RouteTable } from '@sesamegrade/core/routes/route-table';
+import type { StreamOrigins } from '@sesamegrade/core/software-versions/stream-origins';
 import type { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
 import type { EndpointId } from '@sesamegrade/core/types/ids';
@@ -35,6 +36,8 @@
 import type { FleetReplica } from '../store/fleet-replica';
 import type { FleetReadiness } from '../store/fleet-readiness';
 import type { StoredSuspects } from '../store/stored-suspects';
+import type { StoredVersions } from '../streams/stored-versions';
+import type { StreamLedger } from '../streams/stream-ledger';
 import type { TunnelServer } from '../tunnels/tunnel-server';
 import type { ShutdownSequence } from './shutdown-sequence';
 import { AdminServer } from './admin-server';
@@ -66,6 +69,9 @@
   readonly suspects: RelayedSuspects;
   readonly crashDetector: CrashDetector;
   readonly storedSuspects: StoredSuspects;
+  readonly storedVersions: StoredVersions;
+  readonly streamLedger: StreamLedger;
+  readonly streamOrigins: StreamOrigins;
   readonly backgroundTasks: BackgroundTasks;
   readonly log: DecisionLog;
   readonly gatewayMetrics: GatewayMetrics;
@@ -119,12 +125,14 @@
       host: router.callers.host,
       port: router.metrics_port,
     });
+    this.#options.streamLedger.start();
     timers.every(TICK_PERIOD, now => {
       const { endpointDirectory, fleetState } = this.#options;
       this.#onDirectoryEvents(endpointDirectory.tick(now));
       fleetState.tick(now);
       this.#options.suspects.tick(now);
       fleetReplica.tick(now);
+      this.#options.storedVersions.tick(now);
       this.#options.cacheSurvey.tick(now);
     });
     fleetReplica.onDirectoryChange(events => {
@@ -233,6 +241,7 @@
     });
     fleetReplica.onRestored(() => {
       peerMesh.registerAgain();
+      this.#options.streamOrigins.tellAgain();
     });
     fleetReplica.onConfiguration(({ version, limits }, era) => {
       peerUpdates.onVersionChanged({ version, era });
--- a/packages/gateway/src/store/feed-source.ts
+++ b/packages/gateway/src/store/feed-source.ts
@@ -19,6 +19,8 @@
   readonly rows: readonly FeedRow[];
   /** Position after which to read changes. */
   readonly position: FeedPosition;
+  /** Time on the store's steady clock, in milliseconds; undefined if the store does not name it. */
+  readonly storeTime?: number | undefined;
 }
 
 export type StoreFailure =
--- a/packages/gateway/src/store/row-table.ts
+++ b/packages/gateway/src/store/row-table.ts
@@ -1,8 +1,13 @@
 /** A small table in the platform's store that belongs to the router fleet itself. */
-import type { StoreEra } from '@sesamegrade/core/store/feed-position';
+import type { Revision, StoreEra } from '@sesamegrade/core/store/feed-position';
 import type { Result } from '@sesamegrade/core/types/result';
 import type { FeedPage, StoreFailure } from './feed-source';
 
+/** The row has another revision than expected, so that nothing was written. */
+export interface RowConflict {
+  readonly kind: 'conflict';
+}
+
 export abstract class RowTable {
   /** Reads every row. */
   abstract readAll(): Promise<Result<FeedPage, StoreFailure>>;
@@ -12,4 +17,11 @@
     key: string,
     value: Uint8Array,
   ): Promise<Result<StoreEra, StoreFailure>>;
+
+  /** Writes one row if it has the expected revision; 0 stands for a row that does not exist. */
+  abstract replace(
+    key: string,
+    value: Uint8Array,
+    expected: Revision,
+  ): Promise<Result<StoreEra, StoreFailure | RowConflict>>;
 }
--- a/packages/gateway/src/store/stored-suspects.test.ts
+++ b/packages/gateway/src/store/stored-suspects.test.ts
@@ -32,6 +32,13 @@
     this.rows.set(key, value);
     return Promise.resolve(succeed(FIRST_ERA));
   }
+
+  override replace(
+    key: string,
+    value: Uint8Array,
+  ): ReturnType<RowTable['put']> {
+    return this.put(key, value);
+  }
 }
 
 describe('StoredSuspects', () => {
--- /dev/null
+++ b/packages/gateway/src/streams/stream-ledger.ts
@@ -0,0 +1,256 @@
+/**
+ * Stores at which software versions streams began, while a service has several: the relay
+ * that reads the store for the fleet writes them in batches. Any router, also one that
+ * has lost its memory, reads them when a caller resumes a stream that it does not know.
+ */
+import { z } from 'zod';
+
+import { nameSchema } from '@sesamegrade/core/membership/vm-entry';
+import type { StreamUpdates } from '@sesamegrade/core/peers/stream-updates';
+import { streamKey, softwareVersion } from '@sesamegrade/core/types/ids';
+import type {
+  RouterId,
+  SoftwareVersion,
+  StreamKey,
+} from '@sesamegrade/core/types/ids';
+import type {
+  StreamOrigin,
+  StreamOrigins,
+} from '@sesamegrade/core/software-versions/stream-origins';
+import type { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
+import type { TimerService } from '@sesamegrade/core/time/timer-service';
+import { elapsed, milliseconds, seconds } from '@sesamegrade/core/types/units';
+import type { Instant, Milliseconds } from '@sesamegrade/core/types/units';
+import type { DecisionLog } from '../logs/decision-log';
+import type { PeerMesh } from '../peers/peer-mesh';
+import type { FleetReplica } from '../store/fleet-replica';
+import type { RowTable } from '../store/row-table';
+
+/** Period in which new origins are sent to the writer and written by it. */
+const FLUSH_PERIOD: Milliseconds = milliseconds(100);
+/** Largest number of origins in a message between routers. */
+const MAX_SENT = 1000;
+/** Largest number of origins in a row, which keeps it below 64 KiB. */
+const MAX_PER_ROW = 1500;
+/** Time after which a new row is begun. */
+const ROW_SPAN: Milliseconds = seconds(1);
+/** Rows that are used in turn; they hold more than the streams of the largest deployment. */
+const ROWS = 96;
+const KEY_PREFIX = 'streams-';
+/** Origins that wait to be written; the oldest are dropped beyond. */
+const MAX_UNWRITTEN = 20_000;
+/** Minimum time between two reads of the table. */
+const READ_PERIOD: Milliseconds = milliseconds(250);
+
+const rowSchema = z.object({
+  /** Number of the row; rises with each new one. */
+  number: z.int().min(0),
+  /** Keys of streams by the version at which they began. */
+  streams: z.record(nameSchema, z.array(nameSchema)),
+});
+
+export interface StreamLedgerOptions {
+  readonly streamRows: RowTable;
+  readonly streamOrigins: StreamOrigins;
+  readonly streamUpdates: StreamUpdates;
+  readonly fleetReplica: Pick<FleetReplica, 'isReader'>;
+  readonly peerMesh: Pick<PeerMesh, 'relays' | 'sendTo'>;
+  readonly timers: TimerService;
+  readonly backgroundTasks: BackgroundTasks;
+  readonly log: DecisionLog;
+}
+
+/** The row that is being filled. */
+interface OpenRow {
+  readonly number: number;
+  readonly begunAt: Instant;
+  readonly origins: StreamOrigin[];
+}
+
+export class StreamLedger {
+  readonly #options: StreamLedgerOptions;
+  readonly #unwritten: StreamOrigin[] = [];
+  #row: OpenRow | undefined;
+  #lastNumber: number | undefined;
+  #isWriting = false;
+  #writer: RouterId | undefined;
+  #reading: Promise<boolean> | undefined;
+  #readAt: Instant | undefined;
+
+  constructor(options: StreamLedgerOptions) {
+    this.#options = options;
+    options.streamUpdates.onOrigins(origins => {
+      this.#unwritten.push(...origins);
+    });
+  }
+
+  start(): void {
+    this.#options.timers.every(FLUSH_PERIOD, now => {
+      this.#flush(now);
+    });
+  }
+
+  /**
+   * Returns the version at which a stream began; undefined if it is not stored. Looks
+   * twice, as the origin of a stream that has just begun may still be on its way.
+   */
+  async versionOf(key: StreamKey): Promise<SoftwareVersion | undefined> {
+    const { streamOrigins, timers } = this.#options;
+    for (let look = 0; look < 2; look += 1) {
+      const known = streamOrigins.versionOf(key);
+      if (known !== undefined) {
+        return known;
+      }
+      const readAt = this.#readAt;
+      const wait =
+        readAt === undefined
+          ? 0
+          : Math.max(0, READ_PERIOD - elapsed(readAt, timers.now()));
+      await this.#pause(milliseconds(wait));
+      await this.#readOnce();
+    }
+    return streamOrigins.versionOf(key);
+  }
+
+  #flush(now: Instant): void {
+    const { streamOrigins, fleetReplica, peerMesh, backgroundTasks } =
+      this.#options;
+    const [writer] = peerMesh.relays;
+    if (writer !== this.#writer) {
+      this.#writer = writer;
+      streamOrigins.tellAgain();
+    }
+    const untold = streamOrigins.takeUntold(MAX_SENT, now);
+    if (fleetReplica.isReader) {
+      this.#unwritten.push(...untold);
+    } else {
+      this.#unwritten.length = 0;
+      if (untold.length > 0 && !this.#send(untold)) {
+        streamOrigins.tellAgain();
+      }
+    }
+    this.#unwritten.splice(0, this.#unwritten.length - MAX_UNWRITTEN);
+    if (this.#unwritten.length > 0 && !this.#isWriting) {
+      this.#isWriting = true;
+      backgroundTasks.run('stream-rows', async () => {
+        try {
+          await this.#write();
+        } finally {
+          this.#isWriting = false;
+        }
+      });
+    }
+  }
+
+  #send(origins: readonly StreamOrigin[]): boolean {
+    const { peerMesh, streamUpdates } = this.#options;
+    return (
+      this.#writer !== undefined &&
+      peerMesh.sendTo(this.#writer, streamUpdates.originsMessage(origins))
+    );
+  }
+
+  async #write(): Promise<void> {
+    const { streamRows, timers, log } = this.#options;
+    if (this.#lastNumber === undefined) {
+      // Continues after the rows of the writer before.
+      const wasRead = await this.#readOnce();
+      if (!wasRead) {
+        return;
+      }
+    }
+    const row = this.#openRow(timers.now());
+    row.origins.push(
+      ...this.#unwritten.splice(0, MAX_PER_ROW - row.origins.length),
+    );
+    const written = await streamRows.put(
+      `${KEY_PREFIX}${row.number % ROWS}`,
+      new TextEncoder().encode(JSON.stringify(rowDocument(row))),
+    );
+    if (!written.ok) {
+      log.write('streams-not-stored', { failure: written.failure });
+      this.#unwritten.unshift(...row.origins);
+      this.#row = undefined;
+    }
+  }
+
+  #openRow(now: Instant): OpenRow {
+    const isFull =
+      !this.#row ||
+      this.#row.origins.length >= MAX_PER_ROW ||
+      elapsed(this.#row.begunAt, now) >= ROW_SPAN;
+    if (this.#row && !isFull) {
+      return this.#row;
+    }
+    const number = (this.#lastNumber ?? 0) + 1;
+    this.#lastNumber = number;
+    this.#row = { number, begunAt: now, origins: [] };
+    return this.#row;
+  }
+
+  /** Reads the table and returns whether that worked; calls at the same time share one read. */
+  #readOnce(): Promise<boolean> {
+    this.#reading ??= this.#read().finally(() => {
+      this.#reading = undefined;
+    });
+    return this.#reading;
+  }
+
+  async #read(): Promise<boolean> {
+    const { streamRows, streamOrigins, timers, log } = this.#options;
+    const now = timers.now();
+    this.#readAt = now;
+    const page = await streamRows.readAll();
+    if (!page.ok) {
+      log.write('streams-not-read', { failure: page.failure });
+      return false;
+    }
+    let last = this.#lastNumber ?? 0;
+    for (const { key, value } of page.value.rows) {
+      const row = value && parseRow(value);
+      if (!row) {
+        log.write('stored-streams-malformed', { key });
+        continue;
+      }
+      last = Math.max(last, row.number);
+      for (const [version, keys] of Object.entries(row.streams)) {
+        for (const stream of keys) {
+          streamOrigins.add(
+            { key: streamKey(stream), version: softwareVersion(version) },
+            now,
+          );
+        }
+      }
+    }
+    this.#lastNumber = last;
+    return true;
+  }
+
+  #pause(length: Milliseconds): Promise<void> {
+    return new Promise(resolve => {
+      this.#options.timers.after(length, () => {
+        resolve();
+      });
+    });
+  }
+}
+
+function rowDocument({ number, origins }: OpenRow): z.output<typeof rowSchema> {
+  const streams: Record<string, string[]> = {};
+  for (const { key, version } of origins) {
+    (streams[version] ??= []).push(key);
+  }
+  return { number, streams };
+}
+
+function parseRow(value: Uint8Array): z.output<typeof rowSchema> | undefined {
+  try {
+    const parsed = rowSchema.safeParse(
+      JSON.parse(new TextDecoder().decode(value)),
+    );
+    return parsed.success ? parsed.data : undefined;
+  } catch {
+    // Not JSON: the row was not written by a router.
+    return undefined;
+  }
+}
--- a/packages/stand-ins/src/deployment/row-store-server.ts
+++ b/packages/stand-ins/src/deployment/row-store-server.ts
@@ -2,6 +2,7 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import { performance } from 'node:perf_hooks';
 
 interface StoredRow {
   readonly table: string;
@@ -37,6 +38,7 @@
 
 const STATUS_OK = 200;
 const STATUS_GONE = 410;
+const STATUS_PRECONDITION_FAILED = 412;
 const STATUS_BUSY = 503;
 
 export class RowStoreServer {
@@ -189,7 +191,7 @@
         rows,
         hasMore: false,
         ver: this.#version,
-        nowMs: 0,
+        nowMs: steadyTime(),
       });
     } else {
       this.#feed(url.searchParams, response);
@@ -197,9 +199,18 @@
   }
 
   #transact(body: string, response: ServerResponse): void {
-    const { writes } = JSON.parse(body) as {
+    const { expectRev, writes } = JSON.parse(body) as {
+      readonly expectRev: readonly Pick<StoredRow, 'table' | 'key' | 'ver'>[];
       readonly writes: readonly Omit<StoredRow, 'ver'>[];
     };
+    const isAsExpected = expectRev.every(
+      ({ table, key, ver }) =>
+        (this.#rows.get(`${table}/${key}`)?.ver ?? 0) === ver,
+    );
+    if (!isAsExpected) {
+      respond(response, STATUS_PRECONDITION_FAILED, { rows: [] });
+      return;
+    }
     for (const { table, key, value } of writes) {
       this.#put({ table, key, value, ver: (this.#version += 1) });
     }
@@ -207,7 +218,10 @@
       response.destroy();
       return;
     }
-    respond(response, STATUS_OK, { ver: this.#version, nowMs: 0 });
+    respond(response, STATUS_OK, {
+      ver: this.#version,
+      nowMs: steadyTime(),
+    });
   }
 
   #feed(query: URLSearchParams, response: ServerResponse): void {
@@ -243,10 +257,18 @@
     const rows = this.#history.filter(
       row => row.table === table && row.ver > after,
     );
-    respond(response, STATUS_OK, { rows, ver: this.#version, nowMs: 0 });
+    respond(response, STATUS_OK, {
+      rows,
+      ver: this.#version,
+      nowMs: steadyTime(),
+    });
   }
 }
 
+function steadyTime(): number {
+  return Math.round(performance.now());
+}
+
 function respond(
   response: ServerResponse,
   status: number,
--- a/packages/stand-ins/src/soak/soak-invariant-checker.test.ts
+++ b/packages/stand-ins/src/soak/soak-invariant-checker.test.ts
@@ -35,8 +35,8 @@
   });
 
   it('finds a stream that is mixed, or complete without all its events', () => {
-    const events = SoakInvariantChecker.streamEvents('a').map((text, index) =>
-      event(index + 1, text),
+    const events = SoakInvariantChecker.streamEvents('a', 'v1').map(
+      (text, index) => event(index + 1, text),
     );
     const whole = events.join('');
     const part = events.slice(0, 2).join('');
@@ -59,6 +59,19 @@
     }
   });
 
+  it('finds a stream with events of two software versions', () => {
+    const [first = ''] = SoakInvariantChecker.streamEvents('a', 'v1');
+    const [, second = ''] = SoakInvariantChecker.streamEvents('a', 'v2');
+    const checker = new SoakInvariantChecker();
+    checker.recordStream({
+      request: 'a',
+      body: event(1, first) + event(2, second),
+      isComplete: false,
+      isFramed: true,
+    });
+    expect(violatedPromises(checker)).to.deep.equal(['one-version']);
+  });
+
   it('finds a request that ran at an endpoint more than two seconds after it left', () => {
     const checker = new SoakInvariantChecker();
     checker.recordLeaving('e', 1000);
--- a/packages/stand-ins/src/soak/soak-invariant-checker.ts
+++ b/packages/stand-ins/src/soak/soak-invariant-checker.ts
@@ -34,6 +34,7 @@
     | 'own-answer'
     | 'leaving'
     | 'whole-stream'
+    | 'one-version'
     | 'alive'
     | 'crashing-content'
     | 'limit';
@@ -74,6 +75,9 @@
 const EXCUSED_PER_DISTURBANCE = 2;
 const STATUS_OK = 200;
 const STREAM_EVENTS = 6;
+/** Stands before the software version in each event. */
+const MARK_PREFIX = ' by ';
+const VERSION_MARK = / by v\d+/gu;
 /** Status codes with which a router guarantees that the request did not run. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
@@ -152,11 +156,11 @@
     return `answer to ${request}`;
   }
 
-  /** Returns the data of the events of the stream that answers a request. */
-  static streamEvents(request: string): string[] {
+  /** Returns the data of the events of a stream, which endpoints of each software version mark. */
+  static streamEvents(request: string, version: string): string[] {
     return Array.from(
       { length: STREAM_EVENTS },
-      (_value, index) => `part ${index + 1} of ${request}`,
+      (_value, index) => `part ${index + 1} of ${request} by ${version}`,
     );
   }
 
@@ -270,7 +274,16 @@
 /** A stream holds the events of its request in order; a complete one holds no part of an event, and all events if its end is marked. */
 function falseStream(stream: SoakStream): SoakViolation[] {
   const { request, body, isComplete, isFramed } = stream;
-  const expected = SoakInvariantChecker.streamEvents(request)
+  const versions = new Set(body.match(VERSION_MARK));
+  if (versions.size > 1) {
+    const detail = JSON.stringify(body);
+    return [{ promise: 'one-version', request, detail }];
+  }
+  const [mark = ''] = versions;
+  const expected = SoakInvariantChecker.streamEvents(
+    request,
+    mark.slice(MARK_PREFIX.length),
+  )
     .map((text, index) => event(index + 1, text))
     .join('');
   const endsWithinEvent = body !== '' && !body.endsWith('\n\n');
--- a/packages/stand-ins/src/soak/soak.ts
+++ b/packages/stand-ins/src/soak/soak.ts
@@ -76,6 +76,8 @@
 const STREAM_SHARE = 0.4;
 /** Share of the streams that an endpoint breaks off. */
 const BROKEN_STREAM_SHARE = 0.3;
+/** Requests in which a caller tries to get the whole of a stream. */
+const MAX_STREAM_ATTEMPTS = 3;
 /** Share of the streams that do not end and whose caller reads nothing and leaves. */
 const ENDLESS_SHARE = 0.05;
 /** Share of the requests that end the endpoint that runs them, for each of two contents. */
@@ -104,10 +106,12 @@
   readonly #folder = mkdtempSync(join(tmpdir(), 'soak-'));
   readonly #faults: string[] = [];
   readonly #pending: Promise<void>[] = [];
+  readonly #softwareVersions = new Map<string, string>();
   readonly #limits = new Map<string, number>();
   readonly #startedAt = performance.now();
   #nextServer = 0;
   #version = 1;
+  #softwareVersion = 1;
   #requestCount = 0;
 
   constructor(options: SoakOptions) {
@@ -248,28 +252,74 @@
     };
   }
 
-  /** Requests a stream; the caller may read slowly or leave. */
+  /**
+   * Requests a stream; the caller may read slowly or leave, and resumes one that may be
+   * resumed at any router.
+   */
   async #sendStreamRequest(): Promise<void> {
+    const path = this.#random.pick(['draft', 'summary'] as const);
+    const isEndless = this.#random.fraction() < ENDLESS_SHARE;
+    const first = this.#newRequestId();
+    this.#checker.recordRequest(first, path === 'summary');
+    let received = '';
+    for (let attempt = 0; attempt < MAX_STREAM_ATTEMPTS; attempt += 1) {
+      const id = attempt === 0 ? first : this.#newRequestId();
+      const response = await this.#requestStream(
+        `/${path}/${isEndless ? 'endless' : '1'}`,
+        id,
+        received === '' ? {} : resumption(first, received),
+        isEndless,
+      );
+      if (!response || isEndless) {
+        return;
+      }
+      const { status, headers, body, isComplete } = response;
+      if (status !== STATUS_OK) {
+        this.#checker.recordResponse({ request: id, status, body });
+        return;
+      }
+      this.#checker.recordStream({
+        request: first,
+        body: received + body,
+        isComplete,
+        isFramed:
+          headers['content-length'] !== undefined ||
+          headers['transfer-encoding'] !== undefined,
+      });
+      received += body.slice(0, body.lastIndexOf('\n\n') + 2);
+      if (isComplete || received === '' || path === 'summary') {
+        return;
+      }
+    }
+  }
+
+  #newRequestId(): string {
     this.#requestCount += 1;
-    const id = `${this.#options.seed.toString(16)}-${this.#requestCount}`;
+    return `${this.#options.seed.toString(16)}-${this.#requestCount}`;
+  }
+
+  #requestStream(
+    path: string,
+    id: string,
+    headers: Readonly<Record<string, string>>,
+    leaves: boolean,
+  ): ReturnType<typeof callOverHttp> {
     const router = this.#random.pick(this.#routers);
-    const path = this.#random.pick(['draft', 'summary'] as const);
     const pauseMs = this.#random.pick([0, 0, 100, 400]);
-    const isEndless = this.#random.fraction() < ENDLESS_SHARE;
-    this.#checker.recordRequest(id, path === 'summary');
-    const response = await callOverHttp({
+    return callOverHttp({
       url: `http://${router.callerAddress}`,
-      path: `/${path}/${isEndless ? 'endless' : '1'}`,
+      path,
       headers: {
         host: TEST_HOST,
         'sesamegrade-request-id': id,
         'sesamegrade-deadline-ms': String(DEADLINE_MS),
         authorization: `Bearer ${TEST_KEY}`,
+        ...headers,
       },
       onResponse: received => {
         received.pause();
         setTimeout(() => {
-          if (isEndless) {
+          if (leaves) {
             received.destroy();
           } else {
             received.resume();
@@ -277,22 +327,6 @@
         }, pauseMs);
       },
     });
-    if (!response || isEndless) {
-      return;
-    }
-    const { status, headers, body, isComplete } = response;
-    if (status !== STATUS_OK) {
-      this.#checker.recordResponse({ request: id, status, body });
-      return;
-    }
-    this.#checker.recordStream({
-      request: id,
-      body,
-      isComplete,
-      isFramed:
-        headers['content-length'] !== undefined ||
-        headers['transfer-encoding'] !== undefined,
-    });
   }
 
   async #sendRequest(): Promise<void> {
@@ -324,7 +358,7 @@
     }
   }
 
-  #endpointScript(name: string): Script {
+  #endpointScript(name: string, version: string): Script {
     return (scriptedRequest, socket) => {
       const id = scriptedRequest.headers.get('sesamegrade-request-id') ?? '';
       const sample = this.#random.fraction();
@@ -349,7 +383,8 @@
         return;
       }
       if (STREAM_TARGET.test(scriptedRequest.target)) {
-        const events = SoakInvariantChecker.streamEvents(id);
+        const origin = scriptedRequest.headers.get('resumes') ?? id;
+        const events = SoakInvariantChecker.streamEvents(origin, version);
         sendRandomStream(
           scriptedRequest,
           socket,
@@ -406,9 +441,16 @@
   async #addServer(): Promise<void> {
     this.#nextServer += 1;
     const name = `s-${this.#nextServer}`;
-    const server = await new ScriptedServer(this.#endpointScript(name)).start();
+    const version = `v${this.#softwareVersion}`;
+    const script = this.#endpointScript(name, version);
+    const server = await new ScriptedServer(script).start();
     this.#servers.set(name, server);
-    this.#store.write('servers', name, serverEntry(server.address));
+    this.#softwareVersions.set(name, version);
+    this.#store.write(
+      'servers',
+      name,
+      serverEntry(server.address, { version }),
+    );
   }
 
   /** Writes an entry that names no usable endpoint, for an engine or a plain service. */
@@ -434,6 +476,7 @@
       'kill-all',
       'limit',
       'foreign-entry',
+      'release',
     ] as const);
     this.#faults.push(kind);
     this.#recordDisturbance(kind);
@@ -461,6 +504,8 @@
       case 'foreign-entry':
         this.#writeForeignEntry();
         return;
+      case 'release':
+        return this.#release();
       case 'configuration':
         this.#version += 1;
         this.#store.write('op', 'config', manifest(this.#version));
@@ -491,6 +536,14 @@
     }
   }
 
+  /** Replaces half of the endpoints by ones of a newer software version. */
+  async #release(): Promise<void> {
+    this.#softwareVersion += 1;
+    for (let count = 0; count < SERVERS / 2; count += 1) {
+      await this.#replaceServer();
+    }
+  }
+
   /** Adds an endpoint, then lets the oldest one leave. */
   async #replaceServer(): Promise<void> {
     await this.#addServer();
@@ -500,7 +553,10 @@
       return;
     }
     this.#servers.delete(name);
-    const entry = serverEntry(server.address, { state: 'draining' });
+    const entry = serverEntry(server.address, {
+      state: 'draining',
+      version: this.#softwareVersions.get(name),
+    });
     this.#store.write('servers', name, entry);
     await this.#waitForStableStore();
     this.#checker.recordLeaving(name, this.#now());
@@ -508,3 +564,9 @@
     await server.stop();
   }
 }
+
+/** Headers with which a caller resumes a stream after the events that it has. */
+function resumption(first: string, received: string): Record<string, string> {
+  const ids = [...received.matchAll(/^id: (\d+)$/gmu)];
+  return { resumes: first, 'last-event-id': ids.at(-1)?.[1] ?? '0' };
+}
