--- a/packages/core/src/peers/peer-updates.test.ts
+++ b/packages/core/src/peers/peer-updates.test.ts
@@ -22,10 +22,10 @@
 } from '../types/ids';
 import type { RouterId } from '../types/ids';
 import { instant, seconds } from '../types/units';
-import { FeedUpdates } from './feed-updates';
-import { LoadUpdates } from './load-updates';
-import { StreamUpdates } from './stream-updates';
-import { PeerUpdates } from './peer-updates';
+import { FeedTopic, FeedUpdates } from './feed-updates';
+import { LoadTopic, LoadUpdates } from './load-updates';
+import { StreamTopic, StreamUpdates } from './stream-updates';
+import { PeerUpdates, UpdateTopic } from './peer-updates';
 
 const engine = endpointId('e');
 const part = promptPartId('p');
@@ -201,6 +201,14 @@
     expect(newcomer.locations.isAt(part, engine)).to.equal(true);
   });
 
+  // Guards against two parts of the state that take each other's entries for their own.
+  it('gives each topic a name of its own', () => {
+    const names = [UpdateTopic, FeedTopic, LoadTopic, StreamTopic].flatMap(
+      topics => Object.values<string>(topics),
+    );
+    expect(new Set(names).size).to.equal(names.length);
+  });
+
   it('accepts any entries without throwing and counts the malformed ones', () => {
     const { updates, self } = createRouter('r');
     const topics = fc.dictionary(
--- a/packages/core/src/peers/stream-updates.ts
+++ b/packages/core/src/peers/stream-updates.ts
@@ -25,7 +25,7 @@
   z.number().min(0),
 ]);
 
-export const StreamTopic = { origins: 'o', versionUses: 'h' } as const;
+export const StreamTopic = { origins: 'b', versionUses: 'h' } as const;
 
 export interface StreamUpdatesOptions {
   readonly streamOrigins: StreamOrigins;
--- a/packages/gateway/src/composition/gateway-container.ts
+++ b/packages/gateway/src/composition/gateway-container.ts
@@ -26,6 +26,7 @@
 import { FeedUpdates } from '@sesamegrade/core/peers/feed-updates';
 import type { FeedTable } from '@sesamegrade/core/peers/feed-updates';
 import { LoadUpdates } from '@sesamegrade/core/peers/load-updates';
+import { StoreClock } from '@sesamegrade/core/store/store-clock';
 import { FeedCoverage } from '@sesamegrade/core/store/feed-coverage';
 import { PeerUpdates } from '@sesamegrade/core/peers/peer-updates';
 import { RouterDirectory } from '@sesamegrade/core/peers/router-directory';
@@ -142,6 +143,7 @@
   readonly peerUpdates: PeerUpdates;
   readonly coverage: Readonly<Record<FeedTable, FeedCoverage>>;
   readonly endpointReplica: EndpointReplica;
+  readonly storeClock: StoreClock;
   readonly loadUpdates: LoadUpdates;
   readonly feedUpdates: FeedUpdates;
   readonly surveyPlan: CacheSurveyPlan;
@@ -255,6 +257,7 @@
     fleetReadiness: asClass(FleetReadiness).singleton(),
     fleetReplica: asClass(FleetReplica).singleton(),
     coverage: asFunction(newCoverage).singleton(),
+    storeClock: asFunction(() => new StoreClock()).singleton(),
     endpointReplica: asFunction(
       ({ endpointDirectory, coverage }: GatewayCradle) =>
         new EndpointReplica(endpointDirectory, coverage.endpoints),
--- a/packages/gateway/src/peers/peer-mesh.ts
+++ b/packages/gateway/src/peers/peer-mesh.ts
@@ -13,6 +13,7 @@
 import type { RouterDirectory } from '@sesamegrade/core/peers/router-directory';
 import type { Random } from '@sesamegrade/core/random/random';
 import type { RouteTable } from '@sesamegrade/core/routes/route-table';
+import { storeEra } from '@sesamegrade/core/store/feed-position';
 import type { FeedCoverage } from '@sesamegrade/core/store/feed-coverage';
 import type { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
@@ -150,7 +151,7 @@
       disconnectsOnLoss: true,
       snapshot: () => ({
         version: options.routes.version ?? 0,
-        era: options.fleetReplica.era,
+        era: options.fleetReplica.configurationEra,
         raw: options.fleetReplica.rawConfiguration ?? new Uint8Array(0),
         endpoints: snapshotEndpoints(options.endpointDirectory),
       }),
@@ -485,12 +486,12 @@
     }
   }
 
-  /** Whether a peer's configuration is of the same era of the store and newer. */
+  /** Whether a peer's configuration is newer and not of an earlier era of the store. */
   #isNewer({ version, era }: PeerVersion): boolean {
     const { routes, fleetReplica } = this.#options;
     return (
       routes.version === undefined ||
-      (era === fleetReplica.era && version > routes.version)
+      (era >= fleetReplica.configurationEra && version > routes.version)
     );
   }
 
@@ -511,7 +512,7 @@
       }
       const { version, era, raw, endpoints } = parsed.data;
       if (this.#isNewer({ version, era }) && raw.length > 0) {
-        fleetReplica.applyConfiguration(raw, 'peer');
+        fleetReplica.applyPeerConfiguration(raw, storeEra(era));
       }
       if (endpoints) {
         this.#logMalformed(peer.identity.id, endpoints.malformed);
--- a/packages/gateway/src/store/endpoint-confirmation.ts
+++ b/packages/gateway/src/store/endpoint-confirmation.ts
@@ -59,16 +59,17 @@
   }
 
   async #read(): Promise<boolean> {
-    const { endpointFeed, coverage, fleetReplica } = this.#options;
+    const { endpointFeed, coverage, fleetReplica, timers } = this.#options;
     const after = coverage.endpoints.position;
     if (after === undefined || !fleetReplica.isHealthy) {
       return false;
     }
+    const sentAt = timers.now();
     const changes = await endpointFeed.readChanges(after.revision, NO_WAIT);
     if (!changes.ok || changes.value.position.era !== after.era) {
       return false;
     }
-    fleetReplica.applyEndpointChanges(changes.value);
+    fleetReplica.applyEndpointChanges(changes.value, sentAt);
     return true;
   }
 }
--- a/packages/gateway/src/store/feed-reader.test.ts
+++ b/packages/gateway/src/store/feed-reader.test.ts
@@ -2,6 +2,7 @@
 
 import { Random } from '@sesamegrade/core/random/random';
 import { FeedCoverage } from '@sesamegrade/core/store/feed-coverage';
+import { StoreClock } from '@sesamegrade/core/store/store-clock';
 import { revision, storeEra } from '@sesamegrade/core/store/feed-position';
 import type { Revision } from '@sesamegrade/core/store/feed-position';
 import { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
@@ -84,6 +85,7 @@
   const reader = new FeedReader({
     source,
     coverage,
+    clock: new StoreClock(),
     bound: BOUND,
     timers,
     random,
--- a/packages/gateway/src/store/feed-reader.ts
+++ b/packages/gateway/src/store/feed-reader.ts
@@ -5,11 +5,12 @@
  */
 import type { Random } from '@sesamegrade/core/random/random';
 import type { FeedCoverage } from '@sesamegrade/core/store/feed-coverage';
+import type { StoreClock } from '@sesamegrade/core/store/store-clock';
 import type { StoreEra } from '@sesamegrade/core/store/feed-position';
 import type { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
 import { elapsed, milliseconds } from '@sesamegrade/core/types/units';
-import type { Milliseconds } from '@sesamegrade/core/types/units';
+import type { Instant, Milliseconds } from '@sesamegrade/core/types/units';
 import type { DecisionLog } from '../logs/decision-log';
 import type { FeedPage, FeedSource, StoreFailure } from './feed-source';
 
@@ -26,10 +27,10 @@
 const POLL_SHARE = 0.4;
 
 export interface FeedListener {
-  /** Receives all rows as of one position. */
-  onList(page: FeedPage): void;
+  /** Receives all rows as of one position; `madeAt` is when the store read them. */
+  onList(page: FeedPage, madeAt: Instant): void;
   /** Receives the rows that changed since the last page. */
-  onChanges(page: FeedPage): void;
+  onChanges(page: FeedPage, madeAt: Instant): void;
   /** The store responded again after one or more failures. */
   onRecovered(): void;
 }
@@ -37,6 +38,7 @@
 export interface FeedReaderOptions {
   readonly source: FeedSource;
   readonly coverage: FeedCoverage;
+  readonly clock: StoreClock;
   /** Time within which a change of the table must be known. */
   readonly bound: Milliseconds;
   readonly listener: FeedListener;
@@ -144,7 +146,8 @@
   }
 
   async #read(mayWait: boolean): Promise<StoreFailure | undefined> {
-    const { source, listener, coverage, bound, log } = this.#options;
+    const { source, listener, coverage, bound, timers, log } = this.#options;
+    const sentAt = timers.now();
     const maxWait = milliseconds(mayWait ? bound * POLL_SHARE : 0);
     const after = coverage.position;
     const result =
@@ -170,15 +173,23 @@
         era,
         before: this.#era,
       });
+      this.#options.clock.reset();
     }
     this.#era = era;
+    const { storeTime } = page;
+    const receivedAt = timers.now();
+    const madeAt = this.#options.clock.madeAt({
+      storeTime,
+      sentAt,
+      receivedAt,
+    });
     if (after === undefined) {
-      listener.onList(page);
+      listener.onList(page, madeAt);
     } else if (isRestored || era !== after.era) {
       // The revisions read so far are given out again, so only the whole table tells what exists.
       coverage.reset();
     } else {
-      listener.onChanges(page);
+      listener.onChanges(page, madeAt);
     }
     return undefined;
   }
--- a/packages/gateway/src/store/fleet-replica.ts
+++ b/packages/gateway/src/store/fleet-replica.ts
@@ -16,6 +16,7 @@
 import type { RouteTable } from '@sesamegrade/core/routes/route-table';
 import type { FeedCoverage } from '@sesamegrade/core/store/feed-coverage';
 import { FIRST_ERA } from '@sesamegrade/core/store/feed-position';
+import type { StoreClock } from '@sesamegrade/core/store/store-clock';
 import type { StoreEra } from '@sesamegrade/core/store/feed-position';
 import type { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
@@ -40,6 +41,7 @@
   readonly coverage: Readonly<Record<FeedTable, FeedCoverage>>;
   readonly feedUpdates: FeedUpdates;
   readonly fleetReadiness: FleetReadiness;
+  readonly storeClock: StoreClock;
   readonly timers: TimerService;
   readonly random: Random;
   readonly backgroundTasks: BackgroundTasks;
@@ -53,7 +55,16 @@
 /** Source of a configuration. */
 export type ConfigurationOrigin = 'store' | 'peer';
 
-/** A configuration with the store's era that this router last read. */
+/** How a configuration came into force. */
+interface ConfigurationChange {
+  /** The version in force before. */
+  readonly before: number | undefined;
+  readonly origin: ConfigurationOrigin;
+  /** Era of the store that it was read in. */
+  readonly era: StoreEra;
+}
+
+/** A configuration with the store's era that it was read in. */
 type ConfigurationListener = (
   configuration: FleetConfiguration,
   era: StoreEra,
@@ -83,18 +94,19 @@
     const { timers, random, backgroundTasks, log, coverage, settings } =
       options;
     const isReader = () => this.#isReader;
-    const shared = { timers, random, backgroundTasks, log, isReader };
+    const clock = options.storeClock;
+    const shared = { timers, random, clock, backgroundTasks, log, isReader };
     this.#configurationReader = new FeedReader({
       ...shared,
       source: options.configurationFeed,
       coverage: coverage.configuration,
       bound: settings.bounds.configuration_ms,
       listener: {
-        onList: page => {
-          this.#onConfigurationRows(page);
+        onList: (page, madeAt) => {
+          this.#onConfigurationRows(page, madeAt);
         },
-        onChanges: page => {
-          this.#onConfigurationRows(page);
+        onChanges: (page, madeAt) => {
+          this.#onConfigurationRows(page, madeAt);
         },
         onRecovered: () => {
           this.#endpointReader.readNow();
@@ -107,11 +119,11 @@
       coverage: coverage.endpoints,
       bound: settings.bounds.departure_ms,
       listener: {
-        onList: page => {
-          this.#onEndpointList(page);
+        onList: (page, madeAt) => {
+          this.#onEndpointList(page, madeAt);
         },
-        onChanges: page => {
-          this.applyEndpointChanges(page);
+        onChanges: (page, madeAt) => {
+          this.applyEndpointChanges(page, madeAt);
         },
         onRecovered: () => {
           options.endpointDirectory.onStoreAvailable(timers.now());
@@ -124,6 +136,11 @@
     });
   }
 
+  /** Era of the store in which the configuration in force was read, by this router or a peer. */
+  get configurationEra(): StoreEra {
+    return this.#appliedEra;
+  }
+
   /** Era of the store that this router last read a configuration from. */
   get era(): StoreEra {
     return this.#era;
@@ -216,15 +233,21 @@
     }
   }
 
-  /** Puts a configuration in force if it can be decoded and is newer than the current one. */
-  applyConfiguration(raw: Uint8Array, origin: ConfigurationOrigin): void {
-    const configuration = this.#decodeConfiguration(raw, origin);
+  /** Puts a peer's configuration in force if it can be decoded and is newer than the current one. */
+  applyPeerConfiguration(raw: Uint8Array, era: StoreEra): void {
+    const configuration = this.#decodeConfiguration(raw, 'peer');
     if (!configuration) {
       return;
     }
     const before = this.#options.routes.version;
+    if (before !== undefined && era < this.#appliedEra) {
+      return;
+    }
     if (this.#options.routes.apply(configuration)) {
-      this.#onApplied(configuration, raw, before, origin);
+      if (era >= this.#era) {
+        this.#restoredConfiguration.clear();
+      }
+      this.#onApplied(configuration, raw, { before, origin: 'peer', era });
     }
   }
 
@@ -240,7 +263,7 @@
   }
 
   /** Applies endpoints that were read from the store after the position that is known. */
-  applyEndpointChanges({ rows, position }: FeedPage): void {
+  applyEndpointChanges({ rows, position }: FeedPage, madeAt: Instant): void {
     const { endpointReplica, feedUpdates, timers } = this.#options;
     for (const feedRow of rows) {
       const row = this.#endpointRow(feedRow);
@@ -248,7 +271,7 @@
         feedUpdates.onRowRead(row);
       }
     }
-    feedUpdates.onTableRead('endpoints', position, timers.now());
+    feedUpdates.onTableRead('endpoints', position, madeAt);
     this.#readListener();
   }
 
@@ -267,8 +290,8 @@
     return decoded.value;
   }
 
-  #onConfigurationRows({ rows, position }: FeedPage): void {
-    const { codec, timers, feedUpdates } = this.#options;
+  #onConfigurationRows({ rows, position }: FeedPage, madeAt: Instant): void {
+    const { codec, feedUpdates } = this.#options;
     const isRestored = position.era > this.#era && this.#raw !== undefined;
     this.#era = position.era;
     for (const { key, value } of rows) {
@@ -276,7 +299,7 @@
         this.#onStoredConfiguration(value);
       }
     }
-    feedUpdates.onTableRead('configuration', position, timers.now());
+    feedUpdates.onTableRead('configuration', position, madeAt);
     this.#readListener();
     if (isRestored) {
       this.#eraListener();
@@ -284,19 +307,32 @@
   }
 
   #onStoredConfiguration(raw: Uint8Array): void {
-    const { routes, timers } = this.#options;
+    const { routes, timers, log } = this.#options;
     const configuration = this.#decodeConfiguration(raw, 'store');
     const before = routes.version;
     if (!configuration) {
       return;
     }
     if (before !== undefined && configuration.version < before) {
-      this.#restoredConfiguration.hold({ configuration, raw }, timers.now());
+      if (this.#era > this.#appliedEra) {
+        this.#restoredConfiguration.hold({ configuration, raw }, timers.now());
+      } else {
+        // The response was under way while a peer passed on a newer version.
+        log.write('configuration-late', {
+          version: configuration.version,
+          inForce: before,
+          era: this.#era,
+        });
+      }
       return;
     }
     this.#restoredConfiguration.clear();
     if (routes.apply(configuration)) {
-      this.#onApplied(configuration, raw, before, 'store');
+      this.#onApplied(configuration, raw, {
+        before,
+        origin: 'store',
+        era: this.#era,
+      });
     } else if (this.#era > this.#appliedEra) {
       // After a restore another configuration may have the same version.
       this.#replaceConfiguration(configuration, raw);
@@ -310,32 +346,35 @@
     const { routes } = this.#options;
     const before = routes.version;
     routes.replace(configuration);
-    this.#onApplied(configuration, raw, before, 'store');
+    this.#onApplied(configuration, raw, {
+      before,
+      origin: 'store',
+      era: this.#era,
+    });
   }
 
   #onApplied(
     configuration: FleetConfiguration,
     raw: Uint8Array,
-    before: number | undefined,
-    origin: ConfigurationOrigin,
+    { before, origin, era }: ConfigurationChange,
   ): void {
     const { routes, log, timers, fleetReadiness } = this.#options;
     this.#raw = raw;
-    this.#appliedEra = this.#era;
+    this.#appliedEra = era;
     routes.recordConfirmation(timers.now());
     log.write('configuration', {
       origin,
       before,
       version: configuration.version,
-      era: this.#era,
+      era,
       routes: configuration.routes.length,
       teams: configuration.teams.length,
     });
-    this.#configurationListener(configuration, this.#era);
+    this.#configurationListener(configuration, era);
     fleetReadiness.notifyIfReady();
   }
 
-  #onEndpointList({ rows, position }: FeedPage): void {
+  #onEndpointList({ rows, position }: FeedPage, madeAt: Instant): void {
     const { endpointReplica, feedUpdates, timers, fleetReadiness } =
       this.#options;
     const changed = endpointReplica.applyList(
@@ -346,7 +385,7 @@
     for (const row of changed) {
       feedUpdates.onRowRead(row);
     }
-    feedUpdates.onTableRead('endpoints', position, timers.now());
+    feedUpdates.onTableRead('endpoints', position, madeAt);
     this.#readListener();
     fleetReadiness.notifyIfReady();
   }
