--- a/packages/core/src/endpoints/endpoint-directory.ts
+++ b/packages/core/src/endpoints/endpoint-directory.ts
@@ -88,6 +88,11 @@
     return this.#rows.get(id)?.entry;
   }
 
+  /** Whether the entry of an endpoint is gone while it stays in use for a short time. */
+  hasLapsed(id: EndpointId): boolean {
+    return this.#rows.get(id)?.lapsesAt !== undefined;
+  }
+
   /** Whether new requests may be sent to an endpoint. */
   isUsable(id: EndpointId): boolean {
     const row = this.#rows.get(id);
--- a/packages/core/src/endpoints/endpoint-replica.ts
+++ b/packages/core/src/endpoints/endpoint-replica.ts
@@ -4,7 +4,7 @@
  * caller learns which ones peers may not know.
  */
 import type { FeedCoverage } from '../store/feed-coverage';
-import { FIRST_ERA, revision } from '../store/feed-position';
+import { comparePositions, FIRST_ERA, revision } from '../store/feed-position';
 import type { FeedPosition, Revision, StoreEra } from '../store/feed-position';
 import { RowVersions } from '../store/row-versions';
 import type { EndpointId } from '../types/ids';
@@ -21,6 +21,12 @@
   readonly isPartial?: boolean;
 }
 
+/** A row with the era of the store that it belongs to. */
+interface EarlyRow {
+  readonly era: StoreEra;
+  readonly row: EndpointRow;
+}
+
 /** Receives what the changed rows mean for the endpoints. */
 export type DirectoryListener = (events: readonly DirectoryEvent[]) => void;
 
@@ -30,6 +36,8 @@
   readonly #versions = new RowVersions();
   /** Endpoints whose entry lacks fields that the store has. */
   readonly #partial = new Set<EndpointId>();
+  /** Rows of peers that arrived before the list of their era. */
+  readonly #early = new Map<EndpointId, EarlyRow>();
   #listener: DirectoryListener | undefined;
   #era: StoreEra = FIRST_ERA;
   #baseRevision: Revision | undefined;
@@ -67,7 +75,7 @@
     return this.#directory.all().map(entry => ({
       id: entry.id,
       revision: this.#versions.get(entry.id) ?? revision(0),
-      entry,
+      entry: this.#directory.hasLapsed(entry.id) ? undefined : entry,
     }));
   }
 
@@ -101,6 +109,54 @@
     return [...rows, ...removed].filter(row => this.applyChange(row, now));
   }
 
+  /**
+   * Applies the complete table as a peer knows it; returns the rows that changed. A
+   * removal that was passed on before the peer was connected shows only here.
+   */
+  applyPeerList(
+    rows: readonly EndpointRow[],
+    position: FeedPosition,
+    now: Instant,
+  ): EndpointRow[] {
+    const isComparable =
+      this.#baseRevision !== undefined && position.era === this.#era;
+    if (isComparable) {
+      return this.applyList(rows, position, now);
+    }
+    for (const row of rows) {
+      this.applyPeerRow(row, position.era, now);
+    }
+    return [];
+  }
+
+  /**
+   * Applies a row that a peer passed on; returns false if it is not new. One that comes
+   * before the list of its era is applied again after that list, which may be older.
+   */
+  applyPeerRow(row: EndpointRow, era: StoreEra, now: Instant): boolean {
+    const hasList = this.#baseRevision !== undefined;
+    if (hasList && era === this.#era) {
+      return this.applyChange(row, now);
+    }
+    if (hasList && era < this.#era) {
+      return false;
+    }
+    const known = this.#early.get(row.id);
+    const isNewer =
+      !known ||
+      comparePositions(
+        { era, revision: row.revision },
+        { era: known.era, revision: known.row.revision },
+      ) > 0;
+    if (isNewer) {
+      this.#early.set(row.id, { era, row });
+      if (!hasList && this.#directory.isLoaded) {
+        this.#listener?.(this.#directory.apply(row, now));
+      }
+    }
+    return false;
+  }
+
   /** Applies a change of this era; returns false if the same or a newer one is known. */
   applyChange(row: EndpointRow, now: Instant): boolean {
     const isPartial = row.isPartial ?? false;
@@ -144,5 +200,13 @@
       isRestored ? 'restored' : 'current',
     );
     this.#listener?.(events);
+    for (const [id, early] of this.#early) {
+      if (early.era <= era) {
+        this.#early.delete(id);
+      }
+      if (early.era === era) {
+        this.applyChange(early.row, now);
+      }
+    }
   }
 }
--- a/packages/core/src/peers/feed-updates.ts
+++ b/packages/core/src/peers/feed-updates.ts
@@ -16,7 +16,7 @@
 import type { RouteTable } from '../routes/route-table';
 import type { FeedCoverage } from '../store/feed-coverage';
 import { FIRST_ERA, revision, storeEra } from '../store/feed-position';
-import type { FeedPosition, StoreEra } from '../store/feed-position';
+import type { FeedPosition, Revision, StoreEra } from '../store/feed-position';
 import { hostSchema, portSchema } from '../types/address';
 import {
   endpointId,
@@ -77,8 +77,12 @@
   nameSchema,
 ]);
 
+/** Era and revision as of which the rows of the message are the complete table. */
+const listSchema = z.tuple([countSchema, countSchema]);
+
 export const FeedTopic = {
   rows: 'e',
+  list: 'w',
   versions: 'v',
   confirmations: 'f',
 } as const;
@@ -90,6 +94,7 @@
 
 const FEED_TABLES: readonly FeedTable[] = ['endpoints', 'configuration'];
 const NO_VERSION = -1;
+const FIRST_REVISION = revision(0);
 /** Age of the last confirmation that was sent above which a new one is sent without delay. */
 const STALE_AFTER: Milliseconds = milliseconds(700);
 
@@ -145,7 +150,10 @@
       this.#changedRows.clear();
     }
     if (this.#hasNewConfirmation()) {
-      const confirmations = this.#confirmations(now);
+      const confirmations = this.#confirmations(
+        this.#options.endpointReplica.baseRevision,
+        now,
+      );
       if (confirmations.length > 0) {
         topics[FeedTopic.confirmations] = confirmations;
       }
@@ -162,13 +170,19 @@
 
   /** All rows and confirmations, for a peer that has just subscribed to this relay. */
   fullState(now: Instant): TopicEntries {
-    const { endpointReplica } = this.#options;
+    const { endpointReplica, coverage } = this.#options;
     if (!this.#isRelay || endpointReplica.baseRevision === undefined) {
       return {};
     }
+    const { position } = coverage.endpoints;
     return {
+      [FeedTopic.list]: position ? [[position.era, position.revision]] : [],
       ...this.#rowTopics(endpointReplica.rows()),
-      [FeedTopic.confirmations]: this.#confirmations(now),
+      // With the complete table a peer has every change before.
+      [FeedTopic.confirmations]: this.#confirmations(
+        position ? FIRST_REVISION : endpointReplica.baseRevision,
+        now,
+      ),
     };
   }
 
@@ -182,23 +196,37 @@
         versions.set(rowName(era, key, rowRevision), softwareVersion(version));
       },
     );
+    const rows: { readonly era: StoreEra; readonly row: EndpointRow }[] = [];
     const malformedRows = forEachValidEntry(
       topics[FeedTopic.rows],
       rowSchema,
       ([era, key, rowRevision, entry]) => {
         const version = versions.get(rowName(era, key, rowRevision));
-        this.#applyRow(
-          storeEra(era),
-          {
+        rows.push({
+          era: storeEra(era),
+          row: {
             id: endpointId(key),
             revision: revision(rowRevision),
             entry: entry ? entryOf(key, entry, version) : undefined,
             isPartial: version === undefined,
           },
-          now,
-        );
+        });
       },
     );
+    const malformedLists = forEachValidEntry(
+      topics[FeedTopic.list],
+      listSchema,
+      ([era, listRevision]) => {
+        const position = {
+          era: storeEra(era),
+          revision: revision(listRevision),
+        };
+        this.#applyList(rows.splice(0), position, now);
+      },
+    );
+    for (const { era, row } of rows) {
+      this.#applyRow(era, row, now);
+    }
     const malformedConfirmations = forEachValidEntry(
       topics[FeedTopic.confirmations],
       confirmationSchema,
@@ -206,15 +234,39 @@
         this.#applyConfirmation(confirmation, now);
       },
     );
-    return malformedVersions + malformedRows + malformedConfirmations;
+    return (
+      malformedVersions +
+      malformedRows +
+      malformedLists +
+      malformedConfirmations
+    );
+  }
+
+  #applyList(
+    rows: readonly { readonly era: StoreEra; readonly row: EndpointRow }[],
+    position: FeedPosition,
+    now: Instant,
+  ): void {
+    this.#recordEra(position.era);
+    const listed = rows
+      .filter(({ era }) => era === position.era)
+      .map(({ row }) => row);
+    const changed = this.#options.endpointReplica.applyPeerList(
+      listed,
+      position,
+      now,
+    );
+    if (this.#isRelay) {
+      for (const row of changed) {
+        this.#changedRows.set(row.id, row);
+      }
+    }
   }
 
   #applyRow(era: StoreEra, row: EndpointRow, now: Instant): void {
     const { endpointReplica } = this.#options;
     this.#recordEra(era);
-    const isComparable =
-      era === endpointReplica.era && endpointReplica.baseRevision !== undefined;
-    const isNew = isComparable && endpointReplica.applyChange(row, now);
+    const isNew = endpointReplica.applyPeerRow(row, era, now);
     if (isNew && this.#isRelay) {
       this.#changedRows.set(row.id, row);
     }
@@ -274,9 +326,12 @@
     }
   }
 
-  /** A relay passes on the latest confirmations, others only those of their own reads. */
-  #confirmations(now: Instant): Confirmation[] {
-    const { self, coverage, endpointReplica, routes } = this.#options;
+  /**
+   * A relay passes on the latest confirmations, others only those of their own reads.
+   * `base` is the revision after which every change was passed on.
+   */
+  #confirmations(base: Revision | undefined, now: Instant): Confirmation[] {
+    const { self, coverage, routes } = this.#options;
     const confirmations: Confirmation[] = [];
     for (const table of FEED_TABLES) {
       const { latest, position } = coverage[table];
@@ -284,12 +339,11 @@
       if (!latest || !position || !isSent) {
         continue;
       }
-      const base = this.#isRelay ? 0 : (endpointReplica.baseRevision ?? 0);
       confirmations.push([
         table,
         latest.origin,
         position.era,
-        base,
+        base ?? FIRST_REVISION,
         position.revision,
         Math.max(0, elapsed(latest.confirmedAt, now)),
         routes.version ?? NO_VERSION,
--- a/packages/gateway/src/store/fleet-replica.test.ts
+++ b/packages/gateway/src/store/fleet-replica.test.ts
@@ -41,6 +41,8 @@
 const TICK_PERIOD: Milliseconds = milliseconds(250);
 /** Longest time for which a response of the store is under way. */
 const MAX_DELAY_MS = 600;
+/** Time after which a restored configuration is in force, and some for the reads before it. */
+const SETTLE_MS = 16_000;
 
 type Table = 'configuration' | 'endpoints';
 type History = readonly (FeedRow & { readonly table: Table })[];
@@ -402,6 +404,24 @@
   });
 }
 
+const EVENTS = [
+  'configure',
+  'configure',
+  'endpoint',
+  'endpoint',
+  'remove',
+  'restart',
+  'late',
+  'prompt',
+  'link-down',
+  'link-up',
+  'outage',
+  'recovery',
+  'compact',
+  'copy',
+  'restore',
+] as const;
+
 describe('FleetReplica', () => {
   // Guards against a late response that passes for that of a restored store.
   it('ignores an older version that arrives after a peer passed on a newer one', async () => {
@@ -413,4 +433,98 @@
     await world.pass(15_000);
     expect(world.member.routes.version).to.equal(7);
   });
+
+  // Guards against a row that is lost between a late list and a peer's confirmation.
+  it('keeps a row that a peer passed on before a late, older list', async () => {
+    for (let seed = 1; seed <= 40; seed += 1) {
+      const world = new World(seed);
+      await world.pass(1000);
+      world.isLate = true;
+      world.restartMember();
+      await world.pass(STEP);
+      world.store.write('endpoints', 'e-1', { slots: 9 });
+      await world.pass(3000);
+      expect(world.member.content(), `seed ${seed}`).to.deep.equal(['e-1:9']);
+    }
+  });
+
+  it('ends at the newest rows and never steps back, in any order of reads, news, restarts and restores', async () => {
+    for (let seed = 1; seed <= 60; seed += 1) {
+      const world = new World(seed);
+      const { random, store } = world;
+      let version = 1;
+      let copy = store.history;
+      const series: string[] = [];
+      await world.pass(500);
+      for (let step = 0; step < 30; step += 1) {
+        const event = random.pick(EVENTS);
+        series.push(event);
+        switch (event) {
+          case 'configure':
+            version += 1;
+            store.write('configuration', 'config', { version });
+            break;
+          case 'endpoint':
+            store.write('endpoints', `e-${random.integer(1, 3)}`, {
+              slots: random.integer(1, 99),
+            });
+            break;
+          case 'remove':
+            store.write('endpoints', `e-${random.integer(1, 3)}`, undefined);
+            break;
+          case 'restart':
+            world.restartMember();
+            break;
+          case 'late':
+            world.isLate = true;
+            break;
+          case 'prompt':
+            world.isLate = false;
+            break;
+          case 'link-down':
+            world.isLinkDown = true;
+            break;
+          case 'link-up':
+            world.reconnect();
+            break;
+          case 'outage':
+            store.isAvailable = false;
+            break;
+          case 'recovery':
+            store.isAvailable = true;
+            break;
+          case 'compact':
+            store.compact();
+            break;
+          case 'copy':
+            copy = store.history;
+            break;
+          case 'restore':
+            store.restore(copy);
+        }
+        await world.pass(random.pick([25, 200, 700, 2000]));
+      }
+      world.reconnect();
+      store.isAvailable = true;
+      await world.pass(SETTLE_MS);
+      const [row] = store.rows('configuration');
+      const newest = JSON.parse(new TextDecoder().decode(row?.value)) as {
+        version: number;
+      };
+      const endpoints = store
+        .rows('endpoints')
+        .map(({ key, value }) => {
+          const { slots } = JSON.parse(new TextDecoder().decode(value)) as {
+            slots: number;
+          };
+          return `${key}:${slots}`;
+        })
+        .sort();
+      const detail = `seed ${seed}: ${series.join(' ')}`;
+      for (const router of [world.relay, world.member]) {
+        expect(router.routes.version, detail).to.equal(newest.version);
+        expect(router.content(), detail).to.deep.equal(endpoints);
+      }
+    }
+  });
 });
