--- a/packages/core/src/forwarding/attempt-result.ts
+++ b/packages/core/src/forwarding/attempt-result.ts
@@ -10,8 +10,8 @@
   /** The complete response was passed on to the caller. */
   | { readonly kind: 'delivered'; readonly status: number }
   /**
-   * The response ended with its connection and may be complete, but the caller's
-   * response had begun with chunks, whose end would claim that it is.
+   * The response ended with its connection: it is complete only if the endpoint closed
+   * that, and not the system as a process ended.
    */
   | { readonly kind: 'unproven-end' }
   /** The connection was lost, or the response was not a valid response to this request. */
@@ -33,6 +33,8 @@
 
 export type AttemptFailure =
   | 'reset'
+  /** The connection was closed as the endpoint, or a router between, ended or was not reached any more. */
+  | 'process-end'
   /** The response belongs to another request. */
   | 'foreign-answer'
   /**
--- a/packages/core/src/poison/attempt-evidence.ts
+++ b/packages/core/src/poison/attempt-evidence.ts
@@ -20,6 +20,7 @@
 
 const BROKEN_OFF: ReadonlySet<AttemptFailure> = new Set<AttemptFailure>([
   'reset',
+  'process-end',
   'malformed',
   'partial-event',
   'no-event',
--- a/packages/gateway/src/callers/caller-exchange.ts
+++ b/packages/gateway/src/callers/caller-exchange.ts
@@ -76,11 +76,6 @@
     return this.#responseStarted;
   }
 
-  /** Whether the end of the started response is marked by more than the end of the connection. */
-  get hasFramedResponse(): boolean {
-    return this.#responseStarted && !this.#isUnframed;
-  }
-
   /** Calls the listener when the caller disconnects; at once if it has done so. */
   onDisconnect(listener: () => void): void {
     if (this.#disconnected) {
@@ -139,7 +134,8 @@
     if (this.method === 'HEAD') {
       this.#sendComplete(status, headers, EMPTY_BODY, length);
     } else if (framing === 'connection') {
-      this.startResponse(head);
+      // Nothing proves that the body is complete, so that no length may claim it.
+      this.#startResponse(head, true);
       this.write(body);
       this.end();
     } else {
@@ -148,17 +144,19 @@
   }
 
   /**
-   * Sends the head of a response of unknown length; `write` and `end` follow. If
-   * the endpoint marks the end of the body only by closing the connection, so
-   * does the router: a last chunk would claim a completeness that the endpoint
-   * never announced.
+   * Sends the head of a response of unknown length in chunks; `write` and `end` follow.
+   * The last chunk tells the caller that the response is complete, also if the endpoint
+   * marks that only by closing its connection: a process that ends sends none.
    */
-  startResponse({ status, headers, framing }: ResponseHead): void {
+  startResponse(head: ResponseHead): void {
+    this.#startResponse(head, false);
+  }
+
+  #startResponse({ status, headers }: ResponseHead, closes: boolean): void {
     if (this.#disconnected || this.#responseStarted) {
       return;
     }
     this.#responseStarted = true;
-    const closes = framing === 'connection';
     if (closes) {
       this.#response.removeHeader('transfer-encoding');
       this.#response.shouldKeepAlive = false;
--- a/packages/gateway/src/composition/gateway-container.ts
+++ b/packages/gateway/src/composition/gateway-container.ts
@@ -52,6 +52,7 @@
 import { GatewayCallerServer } from '../callers/gateway-caller-server';
 import type { CallerProtocol } from '../callers/caller-protocol';
 import { CacheSurvey } from '../endpoints/cache-survey';
+import { ConnectionEnd } from '../endpoints/connection-end';
 import { ConnectionPool } from '../endpoints/connection-pool';
 import { CrashDetector } from '../endpoints/crash-detector';
 import { DirectDialer } from '../endpoints/endpoint-dialer';
@@ -133,6 +134,7 @@
   readonly identity: RouterIdentity;
   readonly peerProof: PeerProof;
   readonly connectionPool: ConnectionPool;
+  readonly connectionEnd: ConnectionEnd;
   readonly forwarder: Forwarder;
   readonly shutdownSequence: ShutdownSequence;
   readonly settingsReloader: SettingsReloader;
@@ -230,6 +232,7 @@
     endpointDialer: asClass(PathDialer).singleton(),
     endpointPaths: asFunction(() => new EndpointPaths()).singleton(),
     pathMonitor: asClass(PathMonitor).singleton(),
+    connectionEnd: asClass(ConnectionEnd).singleton(),
     tunnelClient: asFunction(
       ({ peerProof }: GatewayCradle) => new TunnelClient(peerProof),
     ).singleton(),
--- a/packages/gateway/src/endpoints/attempt.ts
+++ b/packages/gateway/src/endpoints/attempt.ts
@@ -29,6 +29,8 @@
   abstract onData(chunk: Buffer): boolean;
   /** Called when the response is complete; returns the result of the attempt. */
   abstract onComplete(head: ResponseHead): AttemptResult;
+  /** Passes on the end of a response after all whose end was `unproven-end`. */
+  abstract finish(head: ResponseHead): AttemptResult;
 }
 
 export interface AttemptOptions {
--- a/packages/gateway/src/forwarding/event-stream-sink.ts
+++ b/packages/gateway/src/forwarding/event-stream-sink.ts
@@ -66,15 +66,19 @@
   }
 
   override onComplete(head: ResponseHead): AttemptResult {
-    const { exchange } = this.#options;
     const failure = this.#failureAtEnd(head);
     if (failure) {
       return { kind: 'broken', breakage: failure };
     }
+    return head.framing === 'connection'
+      ? { kind: 'unproven-end' }
+      : this.finish(head);
+  }
+
+  override finish(head: ResponseHead): AttemptResult {
+    const { exchange } = this.#options;
     if (!exchange.hasResponseStarted) {
       exchange.startResponse(head);
-    } else if (head.framing === 'connection' && exchange.hasFramedResponse) {
-      return { kind: 'unproven-end' };
     }
     if (this.#splitter.tail.length > 0) {
       exchange.write(this.#splitter.tail);
--- a/packages/gateway/src/forwarding/forwarder.ts
+++ b/packages/gateway/src/forwarding/forwarder.ts
@@ -44,6 +44,7 @@
   CallerRefusal,
 } from '../callers/caller-protocol';
 import { Attempt } from '../endpoints/attempt';
+import type { ConnectionEnd } from '../endpoints/connection-end';
 import type { ConnectionPool } from '../endpoints/connection-pool';
 import type { CrashDetector } from '../endpoints/crash-detector';
 import type { PathMonitor } from '../tunnels/path-monitor';
@@ -104,6 +105,7 @@
   readonly connectionPool: ConnectionPool;
   readonly endpointPaths: EndpointPaths;
   readonly pathMonitor: PathMonitor;
+  readonly connectionEnd: ConnectionEnd;
   readonly callerProtocol: CallerProtocol;
   readonly endpointProtocol: EndpointProtocol;
   readonly suspects: RelayedSuspects;
@@ -380,7 +382,7 @@
         request.crashGuard.recordTrial();
       }
       attempt = this.#startAttempt(request, relay, choice);
-      const result = await attempt.done;
+      const result = await this.#settle(relay, choice.entry, attempt);
       permit?.release(isRejectionForRoom(result));
       await request.crashGuard.recordEnd(choice.entry, {
         result,
@@ -403,6 +405,29 @@
     }
   }
 
+  /**
+   * Waits for the end of an attempt. One that only the end of its connection marks is
+   * passed on if the endpoint made it; the caller's response then ends with a mark.
+   */
+  async #settle(
+    relay: ResponseRelay,
+    entry: EndpointEntry,
+    attempt: Attempt,
+  ): Promise<AttemptResult> {
+    const result = await attempt.done;
+    const { responseHead, via } = attempt;
+    if (result.kind !== 'unproven-end' || !responseHead) {
+      return result;
+    }
+    const isProven = await this.#options.connectionEnd.isMadeByEndpoint(
+      entry,
+      via,
+    );
+    return isProven
+      ? relay.finish(responseHead)
+      : { kind: 'broken', breakage: 'process-end' };
+  }
+
   async #versionOfStream(
     head: RequestHead,
     service: ServiceId,
--- a/packages/gateway/src/forwarding/response-relay.ts
+++ b/packages/gateway/src/forwarding/response-relay.ts
@@ -72,6 +72,11 @@
     return this.#sink;
   }
 
+  /** Passes on the end of the last attempt's response. */
+  finish(head: ResponseHead): AttemptResult {
+    return this.#sink?.finish(head) ?? { kind: 'unproven-end' };
+  }
+
   /** Stores a complete response until it is decided whether it is passed on. */
   buffer(response: BufferedResponse): void {
     this.#bufferedResponse = response;
@@ -129,4 +134,8 @@
   override onComplete(head: ResponseHead): AttemptResult {
     return this.#sink.onComplete(head);
   }
+
+  override finish(head: ResponseHead): AttemptResult {
+    return this.#sink.finish(head);
+  }
 }
--- a/packages/gateway/src/forwarding/whole-response-sink.ts
+++ b/packages/gateway/src/forwarding/whole-response-sink.ts
@@ -47,13 +47,19 @@
 
   override onComplete(head: ResponseHead): AttemptResult {
     if (this.#isPassedOn) {
-      this.#options.exchange.end();
-      return { kind: 'delivered', status: head.status };
+      return head.framing === 'connection'
+        ? { kind: 'unproven-end' }
+        : this.finish(head);
     }
     this.#relay.buffer({ head, body: this.#takeBuffered() });
     return { kind: 'answered', status: head.status };
   }
 
+  override finish(head: ResponseHead): AttemptResult {
+    this.#options.exchange.end();
+    return { kind: 'delivered', status: head.status };
+  }
+
   #passOn(): boolean {
     this.#isPassedOn = true;
     if (this.#head) {
--- a/packages/stand-ins/src/deployment/broken-stream.ts
+++ b/packages/stand-ins/src/deployment/broken-stream.ts
@@ -96,16 +96,26 @@
     .slice(last)
     .join('');
   const bytes = streamBytes(request, framing, body, headers);
-  const cut: StreamCut | undefined =
+  const cut =
     random.fraction() < brokenShare
-      ? {
-          bytes: random.integer(0, bytes.length),
-          ending: random.pick(['close', 'reset'] as const),
-        }
+      ? randomCut(bytes, framing, random)
       : undefined;
   sendStream(socket, bytes, framing, cut);
 }
 
+/** A regular close between two events would be the end of a stream without length and chunks. */
+function randomCut(
+  bytes: string,
+  framing: StreamFraming,
+  random: Random,
+): StreamCut {
+  const length = random.integer(0, bytes.length);
+  const mayBeEnd =
+    framing === 'connection' && bytes.slice(0, length).endsWith('\n');
+  const ending = random.pick(['close', 'reset'] as const);
+  return { bytes: length, ending: mayBeEnd ? 'reset' : ending };
+}
+
 /** Sends events without length and without end, as fast as they are read. */
 export function sendEndlessStream(
   request: ScriptedRequest,
--- a/packages/stand-ins/src/deployment/scripted-server.ts
+++ b/packages/stand-ins/src/deployment/scripted-server.ts
@@ -60,6 +60,11 @@
     return this;
   }
 
+  /** Accepts no more connections; those that are open stay so. */
+  refuse(): void {
+    this.#server.close();
+  }
+
   async stop(): Promise<void> {
     for (const socket of this.#sockets) {
       socket.destroy();
