--- a/packages/gateway/src/endpoints/attempt.ts
+++ b/packages/gateway/src/endpoints/attempt.ts
@@ -196,9 +196,21 @@
     if (isSuccess && (!head.hasReceipt || head.requestId === undefined)) {
       return 'unproven-answer';
     }
+    if (head.requestId === undefined && !this.#needsNoId(head)) {
+      return 'unproven-answer';
+    }
     return head.isEncoded ? 'unproven-answer' : undefined;
   }
 
+  /**
+   * Whether a failure counts without the id of its request. On a connection that carried
+   * another one before it may be the response to that; a rejection promises that the
+   * request did not run, and always has to name it.
+   */
+  #needsNoId(head: ResponseHead): boolean {
+    return this.#isNewConnection && !rejectionOf(head);
+  }
+
   #onEnd(result: ExchangeResult): void {
     if (this.#isSettled) {
       return;
--- a/packages/gateway/src/endpoints/cache-survey.ts
+++ b/packages/gateway/src/endpoints/cache-survey.ts
@@ -154,12 +154,8 @@
             cancel();
             const isComplete =
               result.kind === 'complete' && status === STATUS_OK;
-            if (isComplete) {
-              connection.markIdle(timers.now(), undefined);
-              connectionPool.release(engine.id, connection);
-            } else {
-              connection.destroy();
-            }
+            // A late response without an id would be taken for that of a later request.
+            connection.destroy();
             resolve(isComplete ? Buffer.concat(chunks) : undefined);
           },
         },
