--- a/packages/gateway/src/forwarding/event-stream-sink.ts
+++ b/packages/gateway/src/forwarding/event-stream-sink.ts
@@ -93,8 +93,7 @@
       return 'partial-event';
     }
     // A caller that resumes may have received the last event already.
-    const mayBeEmpty =
-      this.#relay.events === 0 && this.#options.lastEventId !== undefined;
+    const mayBeEmpty = this.#relay.events === 0 && this.#options.isResumption;
     return head.framing === 'connection' &&
       this.#eventCount === 0 &&
       !mayBeEmpty
@@ -102,16 +101,15 @@
       : undefined;
   }
 
-  /** Whether the first event of a resumed stream directly follows the caller's last one. */
+  /** Whether the first event of an attempt directly follows the last one that the caller has. */
   #isContinuation(firstId: number | undefined): boolean {
     const { lastEventId, events } = this.#relay;
-    if (events === 0) {
-      return true;
-    }
+    const isFirst = events === 0 && !this.#options.isResumption;
     return (
-      firstId !== undefined &&
-      lastEventId !== undefined &&
-      firstId === lastEventId + 1
+      isFirst ||
+      (firstId !== undefined &&
+        lastEventId !== undefined &&
+        firstId === lastEventId + 1)
     );
   }
 }
--- a/packages/gateway/src/forwarding/forwarder.ts
+++ b/packages/gateway/src/forwarding/forwarder.ts
@@ -348,6 +348,7 @@
       },
       isStream: route.answer.kind === 'stream',
       lastEventId: head.lastEventId,
+      isResumption: isResumable(route) && isResumption(head),
     });
     exchange.onDisconnect(() => {
       attempt?.abort({ kind: 'caller-left' });
--- a/packages/gateway/src/forwarding/response-relay.ts
+++ b/packages/gateway/src/forwarding/response-relay.ts
@@ -10,6 +10,7 @@
 import { WholeResponseSink } from './whole-response-sink';
 
 const STATUS_OK = 200;
+const MIN_ERROR_STATUS = 400;
 
 /** A complete response that has not been passed on yet; the request may be retried instead. */
 export interface BufferedResponse {
@@ -32,6 +33,8 @@
   readonly isStream: boolean;
   /** Id of the last event that the caller received of an earlier response. */
   readonly lastEventId: number | undefined;
+  /** Whether the caller resumes a stream of which it has events. */
+  readonly isResumption: boolean;
 }
 
 export class ResponseRelay {
@@ -102,6 +105,11 @@
   }
 }
 
+/** Whether a response is a success without events. */
+function isOtherSuccess({ status }: ResponseHead): boolean {
+  return status !== STATUS_OK && status < MIN_ERROR_STATUS;
+}
+
 /** Relays a response as events or as a whole, as its head decides. */
 class RelayingSink extends ResponseSink {
   readonly #relay: ResponseRelay;
@@ -120,7 +128,12 @@
   }
 
   override onHead(head: ResponseHead): void {
-    const { isStream, exchange } = this.#options;
+    const { isStream, isResumption, exchange, abort } = this.#options;
+    if (isResumption && isOtherSuccess(head)) {
+      // Callers would append it to the events that they have.
+      abort({ kind: 'broken', breakage: 'malformed' });
+      return;
+    }
     if (isStream && head.status === STATUS_OK && exchange.method !== 'HEAD') {
       this.#sink = new EventStreamSink(this.#relay, this.#options);
     }
