--- a/packages/gateway/src/endpoints/connection-end.ts
+++ b/packages/gateway/src/endpoints/connection-end.ts
@@ -6,10 +6,13 @@
 import type { EndpointEntry } from '@sesamegrade/core/endpoints/endpoint-entry';
 import type { RouterDirectory } from '@sesamegrade/core/peers/router-directory';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
+import type { Address } from '@sesamegrade/core/types/endpoint';
 import type { RouterId } from '@sesamegrade/core/types/ids';
 import { milliseconds } from '@sesamegrade/core/types/units';
 import type { Milliseconds } from '@sesamegrade/core/types/units';
+import { TunnelRefusedError } from '../tunnels/tunnel-client';
 import type { TunnelClient } from '../tunnels/tunnel-client';
+import { TunnelStatus } from '../tunnels/tunnel-server';
 import type { ConnectionPool } from './connection-pool';
 import type { EndpointDialer } from './endpoint-dialer';
 import { probeEndpoint } from './endpoint-probe';
@@ -44,33 +47,44 @@
         resolve();
       });
     });
+    const { address } = entry;
     if (via !== undefined) {
-      return this.#isReachedThrough(via, entry);
-    }
-    if (connectionPool.hasIdle(entry.id)) {
+      const path = await this.#pathThrough(via, address);
+      if (path !== 'stopping') {
+        return path === 'open';
+      }
+    } else if (connectionPool.hasIdle(entry.id)) {
       return true;
     }
-    const { address } = entry;
     const probe = await probeEndpoint(endpointDialer, address, PROBE_TIMEOUT);
     return probe === 'listening';
   }
 
-  /** A router that stops or was restarted makes no connection, and its end proves nothing. */
-  #isReachedThrough(
+  /**
+   * A router that was restarted has closed the connection itself; one that is stopping
+   * resets those that it closes, so that this one was closed by the endpoint.
+   */
+  #pathThrough(
     via: RouterId,
-    { address }: EndpointEntry,
-  ): Promise<boolean> {
+    address: Address,
+  ): Promise<'open' | 'stopping' | 'unknown'> {
     const { tunnelClient, routerDirectory } = this.#options;
     const router = routerDirectory.get(via);
     if (!router) {
-      return Promise.resolve(false);
+      return Promise.resolve('unknown');
     }
     return new Promise(resolve => {
       tunnelClient.dial(router, address, PROBE_TIMEOUT, result => {
         if (result.ok) {
           result.value.socket.destroy();
+          resolve('open');
+          return;
         }
-        resolve(result.ok);
+        const { failure } = result;
+        const isStopping =
+          failure instanceof TunnelRefusedError &&
+          failure.status === TunnelStatus.stopping;
+        resolve(isStopping ? 'stopping' : 'unknown');
       });
     });
   }
--- a/packages/gateway/src/endpoints/connection-pool.ts
+++ b/packages/gateway/src/endpoints/connection-pool.ts
@@ -6,6 +6,8 @@
 import { EndpointConnection } from './endpoint-connection';
 import type { EndpointDialer } from './endpoint-dialer';
 
+/** Time for which an idle connection through another router is kept: that router waits for it when it stops. */
+const MAX_DETOUR_IDLE_TIME: Milliseconds = milliseconds(500);
 /** Idle connections kept per endpoint. */
 const MAX_IDLE_CONNECTIONS = 16;
 /**
@@ -127,6 +129,17 @@
     }
   }
 
+  /** Closes connections through other routers that were idle for a while. */
+  closeIdleDetours(): void {
+    const now = this.#now();
+    for (const connection of [...this.#idle.values()].flat()) {
+      const idleTime = connection.idleTime(now) ?? 0;
+      if (connection.via !== undefined && idleTime >= MAX_DETOUR_IDLE_TIME) {
+        connection.destroy();
+      }
+    }
+  }
+
   /** Closes all idle connections. */
   close(): void {
     for (const endpoint of [...this.#idle.keys()]) {
--- a/packages/gateway/src/process/gateway-process.ts
+++ b/packages/gateway/src/process/gateway-process.ts
@@ -134,6 +134,7 @@
       fleetReplica.tick(now);
       this.#options.storedVersions.tick(now);
       this.#options.cacheSurvey.tick(now);
+      this.#options.connectionPool.closeIdleDetours();
     });
     fleetReplica.onDirectoryChange(events => {
       this.#onDirectoryEvents(events);
@@ -162,14 +163,14 @@
     callerServer.startDraining();
     await shutdownSequence.waitUntilDrained(
       timers,
-      () => forwarder.running + tunnelServer.activeCount,
+      () => forwarder.running + tunnelServer.openCount,
       () => {
         callerServer.closeIdleConnections();
-        tunnelServer.closeIdle();
       },
     );
     log.write('stop', { running: forwarder.running });
     callerServer.close();
+    tunnelServer.close();
   }
 
   /** Closes every connection and timer at once. */
--- a/packages/gateway/src/tunnels/tunnel-server.ts
+++ b/packages/gateway/src/tunnels/tunnel-server.ts
@@ -10,11 +10,10 @@
 import type { EndpointEntry } from '@sesamegrade/core/endpoints/endpoint-entry';
 import type { EndpointDirectory } from '@sesamegrade/core/endpoints/endpoint-directory';
 import type { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
-import type { TimerService } from '@sesamegrade/core/time/timer-service';
 import { formatAddress } from '@sesamegrade/core/types/address';
 import type { Address } from '@sesamegrade/core/types/endpoint';
-import { elapsed, milliseconds, seconds } from '@sesamegrade/core/types/units';
-import type { Instant, Milliseconds } from '@sesamegrade/core/types/units';
+import { milliseconds } from '@sesamegrade/core/types/units';
+import type { Milliseconds } from '@sesamegrade/core/types/units';
 import type { PeerProof } from '@sesamegrade/router/peers/peer-proof';
 import type { EndpointDialer } from '../endpoints/endpoint-dialer';
 import { probeEndpoint } from '../endpoints/endpoint-probe';
@@ -28,8 +27,6 @@
 const DIAL_TIMEOUT: Milliseconds = milliseconds(150);
 /** Other endpoints that are tried to find out whether this router's own paths are cut. */
 const MAX_WITNESSES = 3;
-/** Time without bytes after which a tunnel counts as idle. */
-const IDLE_AFTER: Milliseconds = seconds(1);
 
 export const TunnelStatus = {
   established: 200,
@@ -40,6 +37,8 @@
   /** All endpoints of the service refuse connections to this router. */
   serviceRefused: 500,
   unavailable: 503,
+  /** The router is stopping; it resets what it closes itself. Older builds say `unavailable` and do not. */
+  stopping: 410,
   endpointTimeout: 504,
 } as const;
 
@@ -49,19 +48,14 @@
   readonly endpointDirectory: EndpointDirectory;
   readonly endpointPaths: EndpointPaths;
   readonly shutdownSequence: ShutdownSequence;
-  readonly timers: TimerService;
   readonly backgroundTasks: BackgroundTasks;
   readonly log: DecisionLog;
 }
 
-interface Tunnel {
-  readonly client: Socket;
-  lastBytesAt: Instant;
-}
-
 export class TunnelServer {
   readonly #options: TunnelServerOptions;
-  readonly #tunnels = new Set<Tunnel>();
+  /** The connections of peers that tunnels lead from. */
+  readonly #tunnels = new Set<Socket>();
   #openedCount = 0;
 
   constructor(options: TunnelServerOptions) {
@@ -73,33 +67,15 @@
     return this.#openedCount;
   }
 
-  /** Number of tunnels that are open. */
+  /** Number of tunnels that are open; routers close theirs soon after the last request. */
   get openCount(): number {
     return this.#tunnels.size;
   }
 
-  /** Number of tunnels on which bytes passed lately. */
-  get activeCount(): number {
-    const now = this.#options.timers.now();
-    return [...this.#tunnels].filter(
-      ({ lastBytesAt }) => elapsed(lastBytesAt, now) < IDLE_AFTER,
-    ).length;
-  }
-
-  /** Closes the tunnels on which no bytes passed lately. */
-  closeIdle(): void {
-    const now = this.#options.timers.now();
-    for (const { client, lastBytesAt } of this.#tunnels) {
-      if (elapsed(lastBytesAt, now) >= IDLE_AFTER) {
-        client.end();
-      }
-    }
-  }
-
-  /** Closes all tunnels at once. */
+  /** Resets all tunnels, as a regular close would pass for one of the endpoint. */
   close(): void {
-    for (const { client } of this.#tunnels) {
-      client.destroy();
+    for (const client of this.#tunnels) {
+      client.resetAndDestroy();
     }
   }
 
@@ -120,6 +96,10 @@
       refuse(client, TunnelStatus.unknownEndpoint);
       return;
     }
+    if (this.#options.shutdownSequence.hasStarted) {
+      refuse(client, TunnelStatus.stopping);
+      return;
+    }
     if (!this.#isAvailable()) {
       refuse(client, TunnelStatus.unavailable);
       return;
@@ -199,10 +179,8 @@
   }
 
   #isAvailable(): boolean {
-    const { endpointPaths, shutdownSequence } = this.#options;
     return (
-      !shutdownSequence.hasStarted &&
-      !endpointPaths.isIsolated &&
+      !this.#options.endpointPaths.isIsolated &&
       this.#tunnels.size < MAX_TUNNELS
     );
   }
@@ -215,23 +193,18 @@
   }
 
   #join(client: Socket, endpoint: BoundedSocket): void {
-    const { timers } = this.#options;
-    const tunnel: Tunnel = { client, lastBytesAt: timers.now() };
-    const onBytes = () => {
-      tunnel.lastBytesAt = timers.now();
-    };
     this.#openedCount += 1;
-    this.#tunnels.add(tunnel);
+    this.#tunnels.add(client);
     client.once('close', () => {
-      this.#tunnels.delete(tunnel);
+      this.#tunnels.delete(client);
     });
     client.setNoDelay(true);
     client.write(`HTTP/1.1 ${TunnelStatus.established} Established\r\n\r\n`);
     endpoint.on('data', () => {
       endpoint.resetCount();
     });
-    forward(endpoint, client, onBytes);
-    forward(client, endpoint, onBytes);
+    forward(endpoint, client);
+    forward(client, endpoint);
     endpoint.on('end', () => {
       if (endpoint.wasReset()) {
         client.resetAndDestroy();
@@ -247,9 +220,8 @@
 }
 
 /** Passes on the bytes of a socket, its reset, and its close before its end. */
-function forward(source: Socket, sink: Socket, onBytes: () => void): void {
+function forward(source: Socket, sink: Socket): void {
   source.on('data', (chunk: Buffer) => {
-    onBytes();
     if (!sink.write(chunk)) {
       source.pause();
     }
