--- a/packages/gateway/src/peers/peer-mesh.ts
+++ b/packages/gateway/src/peers/peer-mesh.ts
@@ -37,6 +37,7 @@
 import type { FleetPermits } from '../permits/fleet-permits';
 import type { FleetReplica } from '../store/fleet-replica';
 import type { FeedPage } from '../store/feed-source';
+import { parseJsonRow } from '../store/json-row';
 import type { RowTable } from '../store/row-table';
 import type { TunnelServer } from '../tunnels/tunnel-server';
 import type { StoredSuspects } from '../store/stored-suspects';
@@ -319,7 +320,7 @@
    * own with its current address.
    */
   #onRow(value: Uint8Array | undefined): boolean {
-    const identity = value && parseIdentity(value);
+    const identity = value && parseJsonRow(identitySchema, value);
     if (!identity) {
       return false;
     }
@@ -585,17 +586,6 @@
   );
 }
 
-function parseIdentity(value: Uint8Array): RouterIdentity | undefined {
-  try {
-    const text = new TextDecoder().decode(value);
-    const parsed = identitySchema.safeParse(JSON.parse(text));
-    return parsed.success ? parsed.data : undefined;
-  } catch {
-    // Not JSON: the row was not written by a router.
-    return undefined;
-  }
-}
-
 function pause(timers: TimerService, length: Milliseconds): Promise<void> {
   return new Promise(resolve => {
     timers.after(length, () => {
--- a/packages/gateway/src/store/stored-suspects.ts
+++ b/packages/gateway/src/store/stored-suspects.ts
@@ -16,6 +16,7 @@
 import type { Milliseconds } from '@sesamegrade/core/types/units';
 import type { DecisionLog } from '../logs/decision-log';
 import type { FeedRow } from './feed-source';
+import { parseJsonRow } from './json-row';
 import type { RowTable } from './row-table';
 
 const KEY_PREFIX = 'crash-suspect-';
@@ -51,7 +52,8 @@
     const { suspects, timers, log } = this.#options;
     const now = timers.now();
     for (const { key, value } of rows) {
-      const row = key.startsWith(KEY_PREFIX) && value && parseRow(value);
+      const row =
+        key.startsWith(KEY_PREFIX) && value && parseJsonRow(rowSchema, value);
       if (!row) {
         continue;
       }
@@ -115,15 +117,3 @@
     }
   }
 }
-
-function parseRow(value: Uint8Array): z.output<typeof rowSchema> | undefined {
-  try {
-    const parsed = rowSchema.safeParse(
-      JSON.parse(new TextDecoder().decode(value)),
-    );
-    return parsed.success ? parsed.data : undefined;
-  } catch {
-    // Not JSON: the row was not written by a router.
-    return undefined;
-  }
-}
--- a/packages/gateway/src/streams/stored-versions.ts
+++ b/packages/gateway/src/streams/stored-versions.ts
@@ -26,6 +26,7 @@
 import type { DecisionLog } from '../logs/decision-log';
 import type { FleetReplica } from '../store/fleet-replica';
 import type { FeedPage } from '../store/feed-source';
+import { parseJsonRow } from '../store/json-row';
 import type { RowTable } from '../store/row-table';
 
 const ROW_KEY = 'software-versions';
@@ -96,7 +97,7 @@
     const { timers, versionHistory, log } = this.#options;
     const now = timers.now();
     const row = rows.find(({ key }) => key === ROW_KEY);
-    const stored = row?.value && parseRow(row.value);
+    const stored = row?.value && parseJsonRow(rowSchema, row.value);
     if (row?.value && !stored) {
       log.write('stored-versions-malformed');
     }
@@ -235,15 +236,3 @@
 ): string {
   return JSON.stringify([service, version]);
 }
-
-function parseRow(value: Uint8Array): StoredUses | undefined {
-  try {
-    const parsed = rowSchema.safeParse(
-      JSON.parse(new TextDecoder().decode(value)),
-    );
-    return parsed.success ? parsed.data : undefined;
-  } catch {
-    // Not JSON: the row was not written by a router.
-    return undefined;
-  }
-}
--- a/packages/gateway/src/streams/stream-ledger.ts
+++ b/packages/gateway/src/streams/stream-ledger.ts
@@ -24,6 +24,7 @@
 import type { DecisionLog } from '../logs/decision-log';
 import type { PeerMesh } from '../peers/peer-mesh';
 import type { FleetReplica } from '../store/fleet-replica';
+import { parseJsonRow } from '../store/json-row';
 import type { RowTable } from '../store/row-table';
 
 /** Period in which new origins are sent to the writer and written by it. */
@@ -207,7 +208,7 @@
     }
     let last = this.#lastNumber ?? 0;
     for (const { key, value } of page.value.rows) {
-      const row = value && parseRow(value);
+      const row = value && parseJsonRow(rowSchema, value);
       if (!row) {
         log.write('stored-streams-malformed', { key });
         continue;
@@ -242,15 +243,3 @@
   }
   return { number, streams };
 }
-
-function parseRow(value: Uint8Array): z.output<typeof rowSchema> | undefined {
-  try {
-    const parsed = rowSchema.safeParse(
-      JSON.parse(new TextDecoder().decode(value)),
-    );
-    return parsed.success ? parsed.data : undefined;
-  } catch {
-    // Not JSON: the row was not written by a router.
-    return undefined;
-  }
-}
--- a/packages/gateway/src/streams/stream-resumption.test.ts
+++ b/packages/gateway/src/streams/stream-resumption.test.ts
@@ -37,6 +37,8 @@
 const TICK_PERIOD: Milliseconds = milliseconds(250);
 const ROUTERS = 4;
 const STREAM_LIFE_MS = 8000;
+/** Time within which a resumed stream goes on or is refused. */
+const MAX_ANSWER_MS = 900;
 /** Time within which peers pass on changed rows. */
 const MAX_LAG_MS = 100;
 /** Age from which the origin of a stream is stored if the store answers. */
@@ -60,6 +62,7 @@
   readonly #clock: () => number;
   #revision = 1;
   isAvailable = true;
+  isHanging = false;
 
   constructor(clock: () => number) {
     super();
@@ -67,6 +70,9 @@
   }
 
   override readAll(): ReturnType<RowTable['readAll']> {
+    if (this.isHanging) {
+      return new Promise(() => undefined);
+    }
     return Promise.resolve(
       this.isAvailable
         ? succeed({
@@ -146,6 +152,11 @@
     this.#streamRows.isAvailable = isAvailable;
   }
 
+  set isStoreHanging(isHanging: boolean) {
+    this.#versionRows.isHanging = isHanging;
+    this.#streamRows.isHanging = isHanging;
+  }
+
   get versions(): SoftwareVersion[] {
     return this.#entries.flatMap(entry => entry.softwareVersion ?? []);
   }
@@ -312,6 +323,9 @@
       resumption: new StreamResumption({
         endpointConfirmation: {
           confirm: () => {
+            if (this.#versionRows.isHanging) {
+              return new Promise(() => undefined);
+            }
             const isConfirmed =
               this.#versionRows.isAvailable && !router.isCutOff;
             if (isConfirmed) {
@@ -334,9 +348,11 @@
       }),
     };
     this.routers[index] = router;
-    const rows = await this.#versionRows.readAll();
-    if (rows.ok) {
-      storedVersions.onRows(rows.value);
+    if (!this.#versionRows.isHanging) {
+      const rows = await this.#versionRows.readAll();
+      if (rows.ok) {
+        storedVersions.onRows(rows.value);
+      }
     }
     this.#showList(router);
     timers.every(TICK_PERIOD, now => {
@@ -401,6 +417,17 @@
     expect(await fleet.resume(router(3), 'a')).to.equal(undefined);
   });
 
+  // Guards against callers that wait for a store which has fallen silent.
+  it('answers soon while the store hangs', async () => {
+    await open();
+    fleet.isStoreHanging = true;
+    const begin = fleet.now;
+    expect(await fleet.resume(router(1), 'a')).to.equal('v1');
+    await fleet.restart(all);
+    expect(await fleet.resume(router(2), 'a')).to.equal(undefined);
+    expect(fleet.now - begin).to.be.at.most(2 * MAX_ANSWER_MS);
+  });
+
   it('refuses after the loss of all memory while the store does not answer', async () => {
     await open();
     fleet.begin(router(1), 'a');
--- a/packages/gateway/src/streams/stream-resumption.ts
+++ b/packages/gateway/src/streams/stream-resumption.ts
@@ -7,7 +7,12 @@
 import { keyOfStream } from '@sesamegrade/core/software-versions/stream-origins';
 import type { StreamOrigins } from '@sesamegrade/core/software-versions/stream-origins';
 import type { VersionHistory } from '@sesamegrade/core/software-versions/version-history';
-import type { TimerService } from '@sesamegrade/core/time/timer-service';
+import type {
+  Cancel,
+  TimerService,
+} from '@sesamegrade/core/time/timer-service';
+import { milliseconds } from '@sesamegrade/core/types/units';
+import type { Milliseconds } from '@sesamegrade/core/types/units';
 import type {
   RequestId,
   ServiceId,
@@ -17,6 +22,11 @@
 import type { EndpointConfirmation } from '../store/endpoint-confirmation';
 import type { StreamLedger } from './stream-ledger';
 
+/** Time after which the store's answer to the read of the endpoints is not waited for. */
+const MAX_CONFIRMATION_TIME: Milliseconds = milliseconds(200);
+/** The same for the rows with the origins of streams, which are read twice. */
+const MAX_LOOKUP_TIME: Milliseconds = milliseconds(600);
+
 export interface StreamResumptionOptions {
   readonly endpointConfirmation: Pick<EndpointConfirmation, 'confirm'>;
   readonly routerDirectory: Pick<RouterDirectory, 'fleetSize'>;
@@ -75,7 +85,7 @@
         return version.version;
       }
     }
-    return key && streamLedger.versionOf(key);
+    return key && this.#within(MAX_LOOKUP_TIME, streamLedger.versionOf(key));
   }
 
   /**
@@ -84,9 +94,28 @@
    */
   async #isUpToDate(): Promise<boolean> {
     const { endpointConfirmation, routerDirectory, peerMesh } = this.#options;
-    if (await endpointConfirmation.confirm()) {
+    const confirmed = endpointConfirmation.confirm();
+    if (await this.#within(MAX_CONFIRMATION_TIME, confirmed)) {
       return true;
     }
     return routerDirectory.fleetSize > 1 && peerMesh.connectedCount > 0;
   }
+
+  /** Resolves with undefined if the promise takes longer. */
+  async #within<Value>(
+    limit: Milliseconds,
+    promise: Promise<Value>,
+  ): Promise<Value | undefined> {
+    let cancel: Cancel = () => undefined;
+    const timeout = new Promise<undefined>(resolve => {
+      cancel = this.#options.timers.after(limit, () => {
+        resolve(undefined);
+      });
+    });
+    try {
+      return await Promise.race([promise, timeout]);
+    } finally {
+      cancel();
+    }
+  }
 }
