--- a/packages/core/src/software-versions/stream-origins.ts
+++ b/packages/core/src/software-versions/stream-origins.ts
@@ -65,8 +65,9 @@
   ): void {
     const key = keyOfStream(request);
     this.#own.set(key, { key, version, service, beganAt: now, isTold: false });
+    const { lifetime } = this.#history;
     for (const [oldest, { beganAt }] of this.#own) {
-      const isExpired = elapsed(beganAt, now) > this.#history.lifetime;
+      const isExpired = elapsed(beganAt, now) > lifetime;
       if (!isExpired && this.#own.size <= MAX_OWN_STREAMS) {
         break;
       }
--- a/packages/gateway/src/composition/gateway-container.ts
+++ b/packages/gateway/src/composition/gateway-container.ts
@@ -34,6 +34,7 @@
 import { FleetRetryBudget } from '@sesamegrade/core/retries/fleet-retry-budget';
 import type { RouterIdentity } from '@sesamegrade/core/membership/router-table';
 import { Random } from '@sesamegrade/core/random/random';
+import type { FleetConfiguration } from '@sesamegrade/core/routes/fleet-configuration';
 import { RouteTable } from '@sesamegrade/core/routes/route-table';
 import { StreamUpdates } from '@sesamegrade/core/peers/stream-updates';
 import { StreamOrigins } from '@sesamegrade/core/software-versions/stream-origins';
@@ -330,13 +331,20 @@
 }
 
 function newVersionHistory({ routes }: GatewayCradle): VersionHistory {
-  return new VersionHistory(() =>
-    streamLifetime(
-      (routes.configuration?.routes ?? [])
-        .filter(({ answer }) => answer.kind === 'stream')
-        .map(({ timeout }) => timeout),
-    ),
-  );
+  let known: FleetConfiguration | undefined;
+  let lifetime = streamLifetime([]);
+  return new VersionHistory(() => {
+    const { configuration } = routes;
+    if (configuration && configuration !== known) {
+      known = configuration;
+      lifetime = streamLifetime(
+        configuration.routes
+          .filter(({ answer }) => answer.kind === 'stream')
+          .map(({ timeout }) => timeout),
+      );
+    }
+    return lifetime;
+  });
 }
 
 function newIdentity({ settings, timers }: GatewayCradle): RouterIdentity {
--- a/packages/gateway/src/process/gateway-process.ts
+++ b/packages/gateway/src/process/gateway-process.ts
@@ -125,7 +125,6 @@
       host: router.callers.host,
       port: router.metrics_port,
     });
-    this.#options.streamLedger.start();
     timers.every(TICK_PERIOD, now => {
       const { endpointDirectory, fleetState } = this.#options;
       this.#onDirectoryEvents(endpointDirectory.tick(now));
@@ -133,6 +132,7 @@
       this.#options.suspects.tick(now);
       fleetReplica.tick(now);
       this.#options.storedVersions.tick(now);
+      this.#options.streamLedger.tick(now);
       this.#options.cacheSurvey.tick(now);
       this.#options.connectionPool.closeIdleDetours();
     });
--- a/packages/gateway/src/streams/stream-ledger.ts
+++ b/packages/gateway/src/streams/stream-ledger.ts
@@ -10,6 +10,7 @@
 import { streamKey, softwareVersion } from '@sesamegrade/core/types/ids';
 import type {
   RouterId,
+  ServiceId,
   SoftwareVersion,
   StreamKey,
 } from '@sesamegrade/core/types/ids';
@@ -17,6 +18,7 @@
   StreamOrigin,
   StreamOrigins,
 } from '@sesamegrade/core/software-versions/stream-origins';
+import type { VersionHistory } from '@sesamegrade/core/software-versions/version-history';
 import type { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
 import { elapsed, milliseconds, seconds } from '@sesamegrade/core/types/units';
@@ -27,8 +29,8 @@
 import { parseJsonRow } from '../store/json-row';
 import type { RowTable } from '../store/row-table';
 
-/** Period in which new origins are sent to the writer and written by it. */
-const FLUSH_PERIOD: Milliseconds = milliseconds(100);
+/** Delay in which new origins are collected before they are sent to the writer or written by it. */
+const FLUSH_DELAY: Milliseconds = milliseconds(100);
 /** Largest number of origins in a message between routers. */
 const MAX_SENT = 1000;
 /** Largest number of origins in a row, which keeps it below 64 KiB. */
@@ -54,6 +56,7 @@
   readonly streamRows: RowTable;
   readonly streamOrigins: StreamOrigins;
   readonly streamUpdates: StreamUpdates;
+  readonly versionHistory: VersionHistory;
   readonly fleetReplica: Pick<FleetReplica, 'isReader'>;
   readonly peerMesh: Pick<PeerMesh, 'relays' | 'sendTo'>;
   readonly timers: TimerService;
@@ -73,6 +76,7 @@
   readonly #unwritten: StreamOrigin[] = [];
   #row: OpenRow | undefined;
   #lastNumber: number | undefined;
+  #hasTimer = false;
   #isWriting = false;
   #writer: RouterId | undefined;
   #reading: Promise<boolean> | undefined;
@@ -82,13 +86,21 @@
     this.#options = options;
     options.streamUpdates.onOrigins(origins => {
       this.#unwritten.push(...origins);
+      this.#flushSoon();
     });
   }
 
-  start(): void {
-    this.#options.timers.every(FLUSH_PERIOD, now => {
-      this.#flush(now);
-    });
+  /** Tells or writes what has changed, also after another router became the writer. */
+  tick(now: Instant): void {
+    this.#flush(now);
+  }
+
+  /** Records that a stream began whose origin others may need. */
+  onBegun(service: ServiceId): void {
+    const { versionHistory, timers } = this.#options;
+    if (versionHistory.isMixed(service, timers.now())) {
+      this.#flushSoon();
+    }
   }
 
   /**
@@ -113,6 +125,17 @@
     return streamOrigins.versionOf(key);
   }
 
+  #flushSoon(): void {
+    if (this.#hasTimer) {
+      return;
+    }
+    this.#hasTimer = true;
+    this.#options.timers.after(FLUSH_DELAY, now => {
+      this.#hasTimer = false;
+      this.#flush(now);
+    });
+  }
+
   #flush(now: Instant): void {
     const { streamOrigins, fleetReplica, peerMesh, backgroundTasks } =
       this.#options;
@@ -139,6 +162,9 @@
         } finally {
           this.#isWriting = false;
         }
+        if (this.#unwritten.length > 0) {
+          this.#flushSoon();
+        }
       });
     }
   }
--- a/packages/gateway/src/streams/stream-resumption.test.ts
+++ b/packages/gateway/src/streams/stream-resumption.test.ts
@@ -300,6 +300,7 @@
       streamRows: this.#streamRows,
       streamOrigins,
       streamUpdates: updates,
+      versionHistory,
       fleetReplica,
       peerMesh: {
         relays: [routerId('r-0')],
@@ -357,8 +358,8 @@
     this.#showList(router);
     timers.every(TICK_PERIOD, now => {
       storedVersions.tick(now);
+      streamLedger.tick(now);
     });
-    streamLedger.start();
   }
 }
 
--- a/packages/gateway/src/streams/stream-resumption.ts
+++ b/packages/gateway/src/streams/stream-resumption.ts
@@ -52,8 +52,9 @@
     version: SoftwareVersion | undefined,
   ): void {
     if (version !== undefined) {
-      const { streamOrigins, timers } = this.#options;
+      const { streamOrigins, streamLedger, timers } = this.#options;
       streamOrigins.begin(request, service, version, timers.now());
+      streamLedger.onBegun(service);
     }
   }
 
