Log what tells at which version a resumed stream began

What operators saw: the line stream-resumed named a version and not why, so that a version taken from a silent peer could not be told from one that the store had confirmed.

Ruled out: deriving it from other lines; the read of the endpoints writes none.

Change: originOf returns the evidence (memory, store, connected-peer, ledger) and what is known of the service's versions, and the line carries both with the time it took.

--- a/packages/gateway/src/forwarding/forwarder.ts
+++ b/packages/gateway/src/forwarding/forwarder.ts
@@ -433,15 +433,17 @@
     head: RequestHead,
     service: ServiceId,
   ): Promise<SoftwareVersion | undefined> {
-    const { streamResumption, log } = this.#options;
-    const version = await streamResumption.versionOf(service, head.begunBy);
+    const { streamResumption, timers, log } = this.#options;
+    const begin = timers.now();
+    const finding = await streamResumption.originOf(service, head.begunBy);
     log.write('stream-resumed', {
       request: head.requestId,
       begunBy: head.begunBy,
       service,
-      version,
+      ...finding,
+      took: Math.round(elapsed(begin, timers.now())),
     });
-    return version;
+    return finding.version;
   }
 
   /** The first event decides which endpoints can continue the stream. */
--- a/packages/gateway/src/streams/stream-resumption.test.ts
+++ b/packages/gateway/src/streams/stream-resumption.test.ts
@@ -239,8 +239,8 @@
   ): Promise<SoftwareVersion | undefined> {
     let result: { version: SoftwareVersion | undefined } | undefined;
     router.resumption
-      .versionOf(service, requestId(id))
-      .then(version => {
+      .originOf(service, requestId(id))
+      .then(({ version }) => {
         result = { version };
       })
       .catch((error: unknown) => {
--- a/packages/gateway/src/streams/stream-resumption.ts
+++ b/packages/gateway/src/streams/stream-resumption.ts
@@ -6,7 +6,10 @@
 import type { RouterDirectory } from '@sesamegrade/core/peers/router-directory';
 import { keyOfStream } from '@sesamegrade/core/software-versions/stream-origins';
 import type { StreamOrigins } from '@sesamegrade/core/software-versions/stream-origins';
-import type { VersionHistory } from '@sesamegrade/core/software-versions/version-history';
+import type {
+  StreamVersion,
+  VersionHistory,
+} from '@sesamegrade/core/software-versions/version-history';
 import type {
   Cancel,
   TimerService,
@@ -27,6 +30,25 @@
 /** The same for the rows with the origins of streams, which are read twice. */
 const MAX_LOOKUP_TIME: Milliseconds = milliseconds(600);
 
+/** What tells at which version a stream began. */
+export type OriginEvidence =
+  /** This router relayed the stream, or was told of it. */
+  | 'memory'
+  /** The service had one version, as of a read of the store that followed the request. */
+  | 'store'
+  /** The service had one version as far as this router knows, and a peer is connected. */
+  | 'connected-peer'
+  /** The stream is among those that are stored. */
+  | 'ledger';
+
+export interface OriginFinding {
+  /** Undefined if nothing tells at which version the stream began. */
+  readonly version: SoftwareVersion | undefined;
+  readonly evidence: OriginEvidence | undefined;
+  /** What this router knows of the service's versions; undefined if it was not needed. */
+  readonly history: StreamVersion['kind'] | undefined;
+}
+
 export interface StreamResumptionOptions {
   readonly endpointConfirmation: Pick<EndpointConfirmation, 'confirm'>;
   readonly routerDirectory: Pick<RouterDirectory, 'fleetSize'>;
@@ -59,13 +81,13 @@
   }
 
   /**
-   * Returns the version at which a stream began; undefined if that is not known.
-   * `begunBy` is the request that began it, if the caller names it.
+   * Finds out at which version a stream began. `begunBy` is the request that began it,
+   * if the caller names it.
    */
-  async versionOf(
+  async originOf(
     service: ServiceId,
     begunBy: RequestId | undefined,
-  ): Promise<SoftwareVersion | undefined> {
+  ): Promise<OriginFinding> {
     const {
       streamOrigins,
       streamLedger,
@@ -76,30 +98,37 @@
     const key = begunBy && keyOfStream(begunBy);
     const known = key && streamOrigins.versionOf(key);
     if (known !== undefined) {
-      return known;
+      return { version: known, evidence: 'memory', history: undefined };
     }
-    if (await this.#isUpToDate()) {
-      const now = timers.now();
-      versionHistory.observe(endpointDirectory.all(), now);
-      const version = versionHistory.versionOfStreams(service, now);
-      if (version.kind === 'single') {
-        return version.version;
-      }
+    const evidence = await this.#confirmEndpoints();
+    const now = timers.now();
+    versionHistory.observe(endpointDirectory.all(), now);
+    const history = versionHistory.versionOfStreams(service, now);
+    if (evidence && history.kind === 'single') {
+      return { version: history.version, evidence, history: history.kind };
     }
-    return key && this.#within(MAX_LOOKUP_TIME, streamLedger.versionOf(key));
+    const stored =
+      key && (await this.#within(MAX_LOOKUP_TIME, streamLedger.versionOf(key)));
+    return {
+      version: stored,
+      evidence: stored && 'ledger',
+      history: history.kind,
+    };
   }
 
   /**
-   * Whether this router knows the endpoints of each version that others already use.
-   * While the store does not answer, peers have passed on all that they know.
+   * Makes sure that this router knows the endpoints of each version that others already
+   * use. While the store does not answer, peers have passed on all that they know.
    */
-  async #isUpToDate(): Promise<boolean> {
+  async #confirmEndpoints(): Promise<OriginEvidence | undefined> {
     const { endpointConfirmation, routerDirectory, peerMesh } = this.#options;
     const confirmed = endpointConfirmation.confirm();
     if (await this.#within(MAX_CONFIRMATION_TIME, confirmed)) {
-      return true;
+      return 'store';
     }
-    return routerDirectory.fleetSize > 1 && peerMesh.connectedCount > 0;
+    return routerDirectory.fleetSize > 1 && peerMesh.connectedCount > 0
+      ? 'connected-peer'
+      : undefined;
   }
 
   /** Resolves with undefined if the promise takes longer. */
