--- a/packages/gateway/src/store/endpoint-confirmation.ts
+++ b/packages/gateway/src/store/endpoint-confirmation.ts
@@ -16,9 +16,14 @@
 const NO_WAIT: Milliseconds = milliseconds(0);
 
 export interface EndpointConfirmationOptions {
-  readonly endpointFeed: FeedSource;
-  readonly coverage: Readonly<Record<FeedTable, FeedCoverage>>;
-  readonly fleetReplica: FleetReplica;
+  readonly endpointFeed: Pick<FeedSource, 'readChanges'>;
+  readonly coverage: Readonly<
+    Pick<Record<FeedTable, FeedCoverage>, 'endpoints'>
+  >;
+  readonly fleetReplica: Pick<
+    FleetReplica,
+    'isHealthy' | 'applyEndpointChanges'
+  >;
   readonly timers: TimerService;
   readonly backgroundTasks: BackgroundTasks;
 }
