Resume a stream only if a read of the store shows the versions in use

Cause: a router that got no answer from the store within 200 ms relied on what peers had passed on if one counted as connected. A peer counts so for 2 s of silence and longer until the next check, and its last messages may be late. Silence was taken for "no new version".

Ruled out: an age limit for what peers passed on. The age in a message is counted from its arrival, so one that waited in a socket during a cut or a freeze looks fresh.

Change: the evidence is a read of the store that begins after the request, the router's own or one of a relay that it asks after 60 ms. The relay reads the store for the answer and tells the versions that it knows; a relay that the store does not answer tells nothing. Requests of 5 ms share one read. Everything else is unknown and refused at once, as before.

It gains the event of a release behind a cut. One expectation changes: a router whose store is silent answered v1 and now refuses, within the same time. The old one asked for the fault: nothing told that router what others had read meanwhile. Two new tests show that a relay's read of the store replaces the router's own, and that a relay without the store does not.

--- a/packages/core/src/peers/stream-updates.ts
+++ b/packages/core/src/peers/stream-updates.ts
@@ -11,19 +11,17 @@
   StreamOrigins,
 } from '../software-versions/stream-origins';
 import type { VersionHistory } from '../software-versions/version-history';
-import { serviceId, softwareVersion, streamKey } from '../types/ids';
-import { addTime, elapsed, milliseconds } from '../types/units';
+import {
+  recordUse,
+  useSchema,
+  usesOf,
+} from '../software-versions/version-report';
+import { softwareVersion, streamKey } from '../types/ids';
 import type { Instant } from '../types/units';
 import { forEachValidEntry } from './entry-lists';
 
 /** Key of a stream and the version at which it began. */
 const originSchema = z.tuple([nameSchema, nameSchema]);
-/** Service, version (null if not named) and time since it was last in use. */
-const useSchema = z.tuple([
-  nameSchema,
-  nameSchema.nullable(),
-  z.number().min(0),
-]);
 
 export const StreamTopic = { origins: 'b', versionUses: 'h' } as const;
 
@@ -58,13 +56,7 @@
       return {};
     }
     return {
-      [StreamTopic.versionUses]: versionHistory
-        .uses(now)
-        .map(({ service, version, lastSeenAt }) => [
-          service,
-          version ?? null,
-          Math.max(0, elapsed(lastSeenAt, now)),
-        ]),
+      [StreamTopic.versionUses]: usesOf(versionHistory, now),
     };
   }
 
@@ -88,17 +80,9 @@
       this.#originListener(origins);
     }
     const uses = topics[StreamTopic.versionUses];
-    const malformedUses = forEachValidEntry(
-      uses,
-      useSchema,
-      ([service, version, age]) => {
-        versionHistory.record({
-          service: serviceId(service),
-          version: version === null ? undefined : softwareVersion(version),
-          lastSeenAt: addTime(now, milliseconds(-age)),
-        });
-      },
-    );
+    const malformedUses = forEachValidEntry(uses, useSchema, use => {
+      recordUse(versionHistory, use, now);
+    });
     if (uses && malformedUses === 0) {
       versionHistory.markComplete();
     }
--- a/packages/gateway/src/peers/peer-mesh.ts
+++ b/packages/gateway/src/peers/peer-mesh.ts
@@ -35,6 +35,7 @@
 import type { DecisionLog } from '../logs/decision-log';
 import type { SettingsReloader } from '../process/settings-reloader';
 import type { FleetPermits } from '../permits/fleet-permits';
+import type { EndpointConfirmation } from '../store/endpoint-confirmation';
 import type { FleetReplica } from '../store/fleet-replica';
 import type { FeedPage } from '../store/feed-source';
 import { parseJsonRow } from '../store/json-row';
@@ -93,6 +94,7 @@
   readonly timers: TimerService;
   readonly random: Random;
   readonly fleetPermits: FleetPermits;
+  readonly endpointConfirmation: Pick<EndpointConfirmation, 'report'>;
   readonly backgroundTasks: BackgroundTasks;
   readonly log: DecisionLog;
 }
@@ -159,6 +161,7 @@
       onConnect: (request, socket) => {
         options.tunnelServer.accept(request, socket);
       },
+      versions: () => options.endpointConfirmation.report(),
       permit: (peer, query) => options.fleetPermits.answerPeer(peer, query),
       releasePermit: permit => {
         options.fleetPermits.releaseForPeer(permit);
@@ -530,6 +533,14 @@
     }
   }
 
+  /** Asks a relay which software versions are in use; rejects if it is not connected. */
+  requestVersions(relay: RouterId): Promise<unknown> {
+    const peer = this.#peers.get(relay);
+    return peer?.isConnected
+      ? peer.link.requestVersions()
+      : Promise.reject(new Error(`${relay} is not connected`));
+  }
+
   /** Asks a relay for a permit; rejects if it is not connected. */
   requestPermit(relay: RouterId, query: unknown): Promise<unknown> {
     const peer = this.#peers.get(relay);
--- a/packages/gateway/src/permits/fleet-permits.ts
+++ b/packages/gateway/src/permits/fleet-permits.ts
@@ -21,6 +21,7 @@
 import type { Random } from '@sesamegrade/core/random/random';
 import type { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
+import { withTimeout } from '@sesamegrade/core/time/with-timeout';
 import { routerId } from '@sesamegrade/core/types/ids';
 import type { EndpointId, RouterId } from '@sesamegrade/core/types/ids';
 import { addTime, elapsed, milliseconds } from '@sesamegrade/core/types/units';
@@ -308,26 +309,3 @@
     return connected >= QUORUM ? 1 : connected;
   }
 }
-
-/** Resolves with undefined if the promise rejects or takes too long. */
-function withTimeout(
-  promise: Promise<unknown>,
-  timers: TimerService,
-  timeout: Milliseconds,
-): Promise<unknown> {
-  return new Promise(resolve => {
-    const cancel = timers.after(timeout, () => {
-      resolve(undefined);
-    });
-    promise.then(
-      value => {
-        cancel();
-        resolve(value);
-      },
-      () => {
-        cancel();
-        resolve(undefined);
-      },
-    );
-  });
-}
--- a/packages/gateway/src/store/endpoint-confirmation.ts
+++ b/packages/gateway/src/store/endpoint-confirmation.ts
@@ -1,21 +1,46 @@
 /**
  * Makes sure that this router knows every endpoint which another one may already use,
- * by a read of the store that begins after the call.
+ * by a read of the store that begins after the call: its own, or one of a relay that it
+ * asks. A connection to a peer proves nothing, as a silent peer counts as connected for
+ * a while and its messages may be late.
  */
+import type { EndpointDirectory } from '@sesamegrade/core/endpoints/endpoint-directory';
 import type { FeedTable } from '@sesamegrade/core/peers/feed-updates';
+import {
+  applyVersionReport,
+  versionReport,
+} from '@sesamegrade/core/software-versions/version-report';
+import type { VersionReport } from '@sesamegrade/core/software-versions/version-report';
+import type { VersionHistory } from '@sesamegrade/core/software-versions/version-history';
 import type { FeedCoverage } from '@sesamegrade/core/store/feed-coverage';
 import type { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
+import { withTimeout } from '@sesamegrade/core/time/with-timeout';
+import { routerId } from '@sesamegrade/core/types/ids';
+import type { RouterId } from '@sesamegrade/core/types/ids';
 import { milliseconds } from '@sesamegrade/core/types/units';
 import type { Milliseconds } from '@sesamegrade/core/types/units';
+import type { GatewaySettings } from '@sesamegrade/settings/gateway-schema';
+import type { PeerMesh } from '../peers/peer-mesh';
 import type { FeedSource } from './feed-source';
 import type { FleetReplica } from './fleet-replica';
+import { SharedCall } from './shared-call';
 
 /** Time in which further calls share the read of the first one. */
 const BATCH_DELAY: Milliseconds = milliseconds(5);
+/** Time for the answer of the store after which the relays are asked as well. */
+const OWN_READ_TIME: Milliseconds = milliseconds(60);
 const NO_WAIT: Milliseconds = milliseconds(0);
 
+/** Who read the store. */
+export type EndpointEvidence = 'store' | 'peer';
+
+interface RouterSettings {
+  readonly router: Pick<GatewaySettings['router'], 'id'>;
+}
+
 export interface EndpointConfirmationOptions {
+  readonly settings: RouterSettings;
   readonly endpointFeed: Pick<FeedSource, 'readChanges'>;
   readonly coverage: Readonly<
     Pick<Record<FeedTable, FeedCoverage>, 'endpoints'>
@@ -24,47 +49,83 @@
     FleetReplica,
     'isHealthy' | 'applyEndpointChanges'
   >;
+  readonly endpointDirectory: Pick<EndpointDirectory, 'all'>;
+  readonly versionHistory: VersionHistory;
+  readonly peerMesh: Pick<PeerMesh, 'relays' | 'requestVersions'>;
   readonly timers: TimerService;
   readonly backgroundTasks: BackgroundTasks;
 }
 
 export class EndpointConfirmation {
   readonly #options: EndpointConfirmationOptions;
-  #waiting: ((isConfirmed: boolean) => void)[] = [];
+  readonly #ownRead: SharedCall<boolean>;
+  readonly #evidence: SharedCall<EndpointEvidence | undefined>;
 
   constructor(options: EndpointConfirmationOptions) {
     this.#options = options;
+    const { timers, backgroundTasks } = options;
+    const shared = { timers, backgroundTasks, delay: BATCH_DELAY };
+    this.#ownRead = new SharedCall({
+      ...shared,
+      name: 'endpoint-read',
+      call: () => this.#read(),
+    });
+    this.#evidence = new SharedCall({
+      ...shared,
+      name: 'endpoint-confirmation',
+      call: () => this.#obtain(),
+    });
   }
 
-  /** Resolves with whether the store answered. */
-  confirm(): Promise<boolean> {
-    return new Promise(resolve => {
-      this.#waiting.push(resolve);
-      if (this.#waiting.length === 1) {
-        this.#options.timers.after(BATCH_DELAY, () => {
-          this.#startRead();
-        });
-      }
-    });
+  /**
+   * Records every version that is in use by now. Resolves with undefined if the store
+   * answers neither this router nor a relay.
+   */
+  confirm(): Promise<EndpointEvidence | undefined> {
+    return this.#evidence.run();
   }
 
-  #startRead(): void {
-    const waiting = this.#waiting;
-    this.#waiting = [];
-    this.#options.backgroundTasks.run('endpoint-confirmation', async () => {
-      let isConfirmed = false;
-      try {
-        isConfirmed = await this.#read();
-      } finally {
-        waiting.forEach(resolve => {
-          resolve(isConfirmed);
-        });
-      }
-    });
+  /** What this router knows after a read of the store, for a peer; undefined if the store does not answer. */
+  async report(): Promise<VersionReport | undefined> {
+    const { versionHistory, timers } = this.#options;
+    const isRead = await this.#ownRead.run();
+    return isRead ? versionReport(versionHistory, timers.now()) : undefined;
+  }
+
+  async #obtain(): Promise<EndpointEvidence | undefined> {
+    const own = this.#read();
+    if (await withTimeout(own, this.#options.timers, OWN_READ_TIME)) {
+      return 'store';
+    }
+    return firstDefined([
+      own.then(isRead => (isRead ? 'store' : undefined)),
+      ...this.#relays().map(relay => this.#ask(relay)),
+    ]);
+  }
+
+  #relays(): RouterId[] {
+    const { peerMesh, settings } = this.#options;
+    const self = routerId(settings.router.id);
+    return peerMesh.relays.filter(relay => relay !== self);
+  }
+
+  async #ask(relay: RouterId): Promise<EndpointEvidence | undefined> {
+    const { peerMesh, versionHistory, timers } = this.#options;
+    const answer = await peerMesh.requestVersions(relay);
+    return applyVersionReport(answer, versionHistory, timers.now())
+      ? 'peer'
+      : undefined;
   }
 
   async #read(): Promise<boolean> {
-    const { endpointFeed, coverage, fleetReplica, timers } = this.#options;
+    const {
+      endpointFeed,
+      coverage,
+      fleetReplica,
+      endpointDirectory,
+      versionHistory,
+      timers,
+    } = this.#options;
     const after = coverage.endpoints.position;
     if (after === undefined || !fleetReplica.isHealthy) {
       return false;
@@ -75,6 +136,25 @@
       return false;
     }
     fleetReplica.applyEndpointChanges(changes.value, sentAt);
+    versionHistory.observe(endpointDirectory.all(), timers.now());
     return true;
   }
 }
+
+/** Resolves with the first value that is defined; undefined if there is none. */
+async function firstDefined<Value>(
+  promises: readonly Promise<Value | undefined>[],
+): Promise<Value | undefined> {
+  const defined = promises.map(async promise => {
+    const value = await promise;
+    if (value === undefined) {
+      throw new RangeError('no value');
+    }
+    return value;
+  });
+  try {
+    return await Promise.any(defined);
+  } catch {
+    return undefined;
+  }
+}
--- a/packages/gateway/src/streams/stream-resumption.test.ts
+++ b/packages/gateway/src/streams/stream-resumption.test.ts
@@ -25,6 +25,7 @@
   'kill-all',
   'break',
   'cut',
+  'release-behind-cut',
   'turn-away',
   'freeze',
   'heal',
@@ -104,12 +105,32 @@
     await open();
     fleet.store = 'silent';
     const begin = fleet.now;
-    expect((await fleet.resume(router(1), 'a')).version).to.equal('v1');
+    expect((await fleet.resume(router(1), 'a')).version).to.equal(undefined);
     await fleet.restart(all);
     expect((await fleet.resume(router(2), 'a')).version).to.equal(undefined);
     expect(fleet.now - begin).to.be.at.most(2 * MAX_ANSWER_MS);
   });
 
+  it('asks a relay which versions are in use while the store turns it away', async () => {
+    await open();
+    router(3).isTurnedAway = true;
+    expect(await fleet.resume(router(3), 'a')).to.include({
+      version: 'v1',
+      evidence: 'peer',
+    });
+    fleet.addEndpoint('v2');
+    expect((await fleet.resume(router(3), 'a')).version).to.equal(undefined);
+  });
+
+  it('believes no relay that the store does not answer', async () => {
+    await open();
+    fleet.store = 'rejects';
+    expect(await fleet.resume(router(3), 'a')).to.include({
+      version: undefined,
+      evidence: undefined,
+    });
+  });
+
   it('refuses after the loss of all memory while the store does not answer', async () => {
     await open();
     fleet.begin(router(1), 'a');
@@ -168,13 +189,16 @@
         }
       }
     };
-    for (let step = 0; step < 80; step += 1) {
+    const beginStreams = (name: string) => {
       fleet.routers.forEach((each, at) => {
-        const stream = fleet.begin(each, `${seed}-${step}-${at}`);
+        const stream = fleet.begin(each, `${seed}-${name}-${at}`);
         if (stream) {
           running.push({ ...stream, at });
         }
       });
+    };
+    for (let step = 0; step < 80; step += 1) {
+      beginStreams(`${step}`);
       const event = random.pick(EVENTS);
       history.push(event);
       switch (event) {
@@ -213,6 +237,16 @@
           isCalm = false;
           fleet.cut(random.integer(1, ROUTERS - 1));
           break;
+        case 'release-behind-cut': {
+          isCalm = false;
+          const cutOff = random.integer(2, ROUTERS - 1);
+          fleet.cut(cutOff);
+          fleet.addEndpoint(`v${version + 1}`);
+          await fleet.pass(random.pick([300, 1000]));
+          beginStreams(`${step}-late`);
+          await resumeAll([random.integer(0, 1)], cutOff);
+          break;
+        }
         case 'turn-away':
           isCalm = false;
           router(random.integer(1, ROUTERS - 1)).isTurnedAway = true;
--- a/packages/gateway/src/streams/stream-resumption.ts
+++ b/packages/gateway/src/streams/stream-resumption.ts
@@ -2,18 +2,14 @@
  * Finds out at which software version a stream began that a caller resumes, as only
  * endpoints of that version can continue it.
  */
-import type { EndpointDirectory } from '@sesamegrade/core/endpoints/endpoint-directory';
-import type { RouterDirectory } from '@sesamegrade/core/peers/router-directory';
 import { keyOfStream } from '@sesamegrade/core/software-versions/stream-origins';
 import type { StreamOrigins } from '@sesamegrade/core/software-versions/stream-origins';
 import type {
   StreamVersion,
   VersionHistory,
 } from '@sesamegrade/core/software-versions/version-history';
-import type {
-  Cancel,
-  TimerService,
-} from '@sesamegrade/core/time/timer-service';
+import type { TimerService } from '@sesamegrade/core/time/timer-service';
+import { withTimeout } from '@sesamegrade/core/time/with-timeout';
 import { milliseconds } from '@sesamegrade/core/types/units';
 import type { Milliseconds } from '@sesamegrade/core/types/units';
 import type {
@@ -21,12 +17,14 @@
   ServiceId,
   SoftwareVersion,
 } from '@sesamegrade/core/types/ids';
-import type { PeerMesh } from '../peers/peer-mesh';
-import type { EndpointConfirmation } from '../store/endpoint-confirmation';
+import type {
+  EndpointConfirmation,
+  EndpointEvidence,
+} from '../store/endpoint-confirmation';
 import type { StreamLedger } from './stream-ledger';
 
-/** Time after which the store's answer to the read of the endpoints is not waited for. */
-const MAX_CONFIRMATION_TIME: Milliseconds = milliseconds(200);
+/** Time after which a read of the endpoints, also one of a relay, is not waited for. */
+const MAX_CONFIRMATION_TIME: Milliseconds = milliseconds(250);
 /** The same for the rows with the origins of streams, which are read twice. */
 const MAX_LOOKUP_TIME: Milliseconds = milliseconds(600);
 
@@ -35,9 +33,7 @@
   /** This router relayed the stream, or was told of it. */
   | 'memory'
   /** The service had one version, as of a read of the store that followed the request. */
-  | 'store'
-  /** The service had one version as far as this router knows, and a peer is connected. */
-  | 'connected-peer'
+  | EndpointEvidence
   /** The stream is among those that are stored. */
   | 'ledger';
 
@@ -51,9 +47,6 @@
 
 export interface StreamResumptionOptions {
   readonly endpointConfirmation: Pick<EndpointConfirmation, 'confirm'>;
-  readonly routerDirectory: Pick<RouterDirectory, 'fleetSize'>;
-  readonly peerMesh: Pick<PeerMesh, 'connectedCount'>;
-  readonly endpointDirectory: Pick<EndpointDirectory, 'all'>;
   readonly versionHistory: VersionHistory;
   readonly streamOrigins: StreamOrigins;
   readonly streamLedger: StreamLedger;
@@ -92,7 +85,7 @@
       streamOrigins,
       streamLedger,
       versionHistory,
-      endpointDirectory,
+      endpointConfirmation,
       timers,
     } = this.#options;
     const key = begunBy && keyOfStream(begunBy);
@@ -100,52 +93,22 @@
     if (known !== undefined) {
       return { version: known, evidence: 'memory', history: undefined };
     }
-    const evidence = await this.#confirmEndpoints();
-    const now = timers.now();
-    versionHistory.observe(endpointDirectory.all(), now);
-    const history = versionHistory.versionOfStreams(service, now);
+    const evidence = await withTimeout(
+      endpointConfirmation.confirm(),
+      timers,
+      MAX_CONFIRMATION_TIME,
+    );
+    const history = versionHistory.versionOfStreams(service, timers.now());
     if (evidence && history.kind === 'single') {
       return { version: history.version, evidence, history: history.kind };
     }
     const stored =
-      key && (await this.#within(MAX_LOOKUP_TIME, streamLedger.versionOf(key)));
+      key &&
+      (await withTimeout(streamLedger.versionOf(key), timers, MAX_LOOKUP_TIME));
     return {
       version: stored,
       evidence: stored && 'ledger',
       history: history.kind,
     };
   }
-
-  /**
-   * Makes sure that this router knows the endpoints of each version that others already
-   * use. While the store does not answer, peers have passed on all that they know.
-   */
-  async #confirmEndpoints(): Promise<OriginEvidence | undefined> {
-    const { endpointConfirmation, routerDirectory, peerMesh } = this.#options;
-    const confirmed = endpointConfirmation.confirm();
-    if (await this.#within(MAX_CONFIRMATION_TIME, confirmed)) {
-      return 'store';
-    }
-    return routerDirectory.fleetSize > 1 && peerMesh.connectedCount > 0
-      ? 'connected-peer'
-      : undefined;
-  }
-
-  /** Resolves with undefined if the promise takes longer. */
-  async #within<Value>(
-    limit: Milliseconds,
-    promise: Promise<Value>,
-  ): Promise<Value | undefined> {
-    let cancel: Cancel = () => undefined;
-    const timeout = new Promise<undefined>(resolve => {
-      cancel = this.#options.timers.after(limit, () => {
-        resolve(undefined);
-      });
-    });
-    try {
-      return await Promise.race([promise, timeout]);
-    } finally {
-      cancel();
-    }
-  }
 }
--- a/packages/gateway/src/streams/testing/memory-table.ts
+++ b/packages/gateway/src/streams/testing/memory-table.ts
@@ -2,6 +2,9 @@
 import { FIRST_ERA, revision } from '@sesamegrade/core/store/feed-position';
 import type { Revision, StoreEra } from '@sesamegrade/core/store/feed-position';
 import { fail, succeed } from '@sesamegrade/core/types/result';
+import type { TimerService } from '@sesamegrade/core/time/timer-service';
+import { milliseconds } from '@sesamegrade/core/types/units';
+import type { Milliseconds } from '@sesamegrade/core/types/units';
 import type { Result } from '@sesamegrade/core/types/result';
 import type { FeedRow, StoreFailure } from '../../store/feed-source';
 import { RowTable } from '../../store/row-table';
@@ -10,9 +13,13 @@
 /** Whether the store answers a router, rejects its calls or never responds. */
 export type StoreReach = 'answers' | 'rejects' | 'silent';
 
+/** Time after which a call without a response fails. */
+const CALL_TIMEOUT: Milliseconds = milliseconds(1500);
+
 /** Makes a call of the store as far as a router reaches it. */
 export function callStore<Value, Failure = never>(
   reach: StoreReach,
+  timers: TimerService,
   answer: () => Result<Value, Failure>,
 ): Promise<Result<Value, Failure | StoreFailure>> {
   switch (reach) {
@@ -21,7 +28,11 @@
     case 'rejects':
       return Promise.resolve(fail({ kind: 'turned-away', status: 503 }));
     case 'silent':
-      return new Promise(() => undefined);
+      return new Promise(resolve => {
+        timers.after(CALL_TIMEOUT, () => {
+          resolve(fail({ kind: 'unreachable', detail: 'timeout' }));
+        });
+      });
   }
 }
 
@@ -50,6 +61,7 @@
 export interface ReachedTableOptions {
   readonly table: MemoryTable;
   readonly reach: () => StoreReach;
+  readonly timers: TimerService;
   /** The store's clock in milliseconds. */
   readonly clock: () => number;
 }
@@ -63,8 +75,8 @@
   }
 
   override readAll(): ReturnType<RowTable['readAll']> {
-    const { table, reach, clock } = this.#options;
-    return callStore(reach(), () =>
+    const { table, reach, timers, clock } = this.#options;
+    return callStore(reach(), timers, () =>
       succeed({
         rows: table.rows,
         position: { era: FIRST_ERA, revision: table.revision },
@@ -74,8 +86,8 @@
   }
 
   override put(key: string, value: Uint8Array): ReturnType<RowTable['put']> {
-    const { table, reach } = this.#options;
-    return callStore(reach(), () => {
+    const { table, reach, timers } = this.#options;
+    return callStore(reach(), timers, () => {
       table.put(key, value);
       return succeed(FIRST_ERA);
     });
@@ -86,8 +98,8 @@
     value: Uint8Array,
     expected: Revision,
   ): ReturnType<RowTable['replace']> {
-    const { table, reach } = this.#options;
-    return callStore<StoreEra, RowConflict>(reach(), () => {
+    const { table, reach, timers } = this.#options;
+    return callStore<StoreEra, RowConflict>(reach(), timers, () => {
       if (table.revisionOf(key) !== expected) {
         return fail({ kind: 'conflict' });
       }
--- a/packages/gateway/src/streams/testing/simulated-fleet.ts
+++ b/packages/gateway/src/streams/testing/simulated-fleet.ts
@@ -45,13 +45,14 @@
 export const MAX_LAG: Milliseconds = milliseconds(100);
 const STEP: Milliseconds = milliseconds(25);
 const TICK_PERIOD: Milliseconds = milliseconds(250);
-/** Time after which a silent peer no longer counts as connected. */
-const SILENCE_LIMIT: Milliseconds = milliseconds(2000);
 /** Time after which the connections to peers are back once a cut has healed. */
 const RECONNECT_TIME: Milliseconds = milliseconds(1000);
+/** Time between attempts of a router that has just started to read the list of routers. */
+const LIST_RETRY_PERIOD: Milliseconds = seconds(1);
 /** Time for which the store keeps changes. */
 const HISTORY: Milliseconds = seconds(20);
 const FIRST_ROUTER = routerId('r-0');
+const RELAYS = [FIRST_ROUTER, routerId('r-1')];
 const DEPARTURE_BOUND: Milliseconds = milliseconds(2000);
 
 export interface Stream {
@@ -66,6 +67,7 @@
   readonly directory: EndpointDirectory;
   readonly replica: EndpointReplica;
   readonly coverage: FeedCoverage;
+  readonly confirmation: EndpointConfirmation;
   readonly resumption: StreamResumption;
   readonly updates: StreamUpdates;
   /** Time by which this router learns late of changed rows. */
@@ -295,6 +297,7 @@
         new ReachedTable({
           table,
           reach: () => this.#reach(self()),
+          timers,
           clock: () => this.now,
         }),
     ) as [ReachedTable, ReachedTable];
@@ -327,9 +330,18 @@
       log,
     });
     const endpointConfirmation = new EndpointConfirmation({
+      settings: { router: { id } },
+      endpointDirectory: directory,
+      versionHistory,
+      peerMesh: {
+        relays: RELAYS,
+        requestVersions: relay => this.#requestVersions(self(), relay),
+      },
       endpointFeed: {
         readChanges: after =>
-          callStore(this.#reach(self()), () => succeed(this.#page(after))),
+          callStore(this.#reach(self()), timers, () =>
+            succeed(this.#page(after)),
+          ),
       },
       coverage: { endpoints: coverage },
       fleetReplica: {
@@ -357,35 +369,35 @@
       apartUntil: 0,
       isTurnedAway: false,
       isFrozen: false,
+      confirmation: endpointConfirmation,
       resumption: new StreamResumption({
         endpointConfirmation,
-        routerDirectory: { fleetSize: ROUTERS },
-        peerMesh: {
-          get connectedCount() {
-            return isConnected() ? 1 : 0;
-          },
-        },
-        endpointDirectory: directory,
         versionHistory,
         streamOrigins,
         streamLedger,
         timers,
       }),
     };
-    const isConnected = () =>
-      router.cutAt === undefined
-        ? router.apartUntil <= this.now
-        : this.now - router.cutAt <= SILENCE_LIMIT;
     this.routers[index] = router;
-    if (this.#reach(router) === 'answers') {
+    let hasRead = false;
+    const readRows = async () => {
       const rows = await versionRows.readAll();
       if (rows.ok) {
+        hasRead = true;
         storedVersions.onRows(rows.value);
       }
+    };
+    if (this.#reach(router) === 'answers') {
+      await readRows();
       this.#applyRows(router, this.now);
     } else {
       this.#passOnRows(router);
     }
+    timers.every(LIST_RETRY_PERIOD, () => {
+      if (!hasRead) {
+        backgroundTasks.run('read-rows', readRows);
+      }
+    });
     timers.every(TICK_PERIOD, now => {
       storedVersions.tick(now);
       streamLedger.tick(now);
@@ -399,6 +411,15 @@
       : undefined;
   }
 
+  /** Asks a peer, whose answer never comes if either router is cut off or stands still. */
+  async #requestVersions(
+    from: SimulatedRouter,
+    id: RouterId,
+  ): Promise<unknown> {
+    const answer = await this.#peer(from, id)?.confirmation.report();
+    return this.#peer(from, id) ? answer : new Promise(() => undefined);
+  }
+
   #page(after: FeedPage['position']['revision']): FeedPage {
     const rows = this.#endpoints.changes(after, this.now);
     return {
--- a/packages/router/src/peers/peer-link.ts
+++ b/packages/router/src/peers/peer-link.ts
@@ -98,6 +98,11 @@
     return this.#client.configuration.query();
   }
 
+  /** Asks which software versions are in use; rejects when the connection is lost. */
+  requestVersions(): Promise<unknown> {
+    return this.#client.versions.query();
+  }
+
   /** Asks the peer for a permit; rejects when the connection is lost. */
   requestPermit(query: unknown): Promise<unknown> {
     return this.#client.permit.mutate(query);
--- a/packages/router/src/peers/peer-routes.ts
+++ b/packages/router/src/peers/peer-routes.ts
@@ -21,11 +21,13 @@
   permit(context: PeerContext, query: unknown): Promise<unknown>;
   /** Takes a permit back. */
   releasePermit(permit: unknown): void;
+  /** The software versions in use as of a read of the store; undefined if it does not answer. */
+  versions(): Promise<unknown>;
   /** The complete configuration, in the form that the receiver's replica accepts. */
   snapshot(): unknown;
 }
 
-/** Builds the procedures: a subscription to gossip, the complete configuration, and permits. */
+/** Builds the procedures: a subscription to gossip, the complete configuration, versions and permits. */
 export function peerRoutes(host: PeerHost) {
   const trpc = initTRPC.context<PeerContext>().create();
   return trpc.router({
@@ -38,6 +40,7 @@
       }
     }),
     configuration: trpc.procedure.query(() => host.snapshot()),
+    versions: trpc.procedure.query(() => host.versions()),
     permit: trpc.procedure
       // The host checks the query, as it knows the schema.
       .input((query: unknown) => query)
--- a/packages/router/src/peers/peer-server.ts
+++ b/packages/router/src/peers/peer-server.ts
@@ -40,6 +40,8 @@
   readonly meter: SocketMeter;
   readonly timers: TimerService;
   readonly snapshot: () => unknown;
+  /** Reports the software versions in use; absent if this router does not follow them. */
+  readonly versions?: () => Promise<unknown>;
   /** Answers a peer's query for a permit; absent if this router issues none. */
   readonly permit?: (peer: RouterId, query: unknown) => Promise<unknown>;
   /** Takes a permit back that this router issued. */
@@ -153,6 +155,7 @@
         this.#closeFeed(context, feed);
       },
       snapshot: this.#options.snapshot,
+      versions: () => this.#options.versions?.() ?? Promise.resolve(undefined),
       permit: ({ peer }, query) =>
         this.#options.permit?.(peer.identity.id, query) ??
         Promise.resolve(undefined),
