Take no list of endpoints for the history of their versions after a gap

What callers saw: nothing yet; shown by a test. A stream that began at a version which came and left while a router was cut off went on at another version when it was resumed there.

Cause: a router that had observed the endpoints for the life of a stream counted its history as complete for good. After a cut the feed shows only the removal of an endpoint that it never knew, and a whole list (dropped history, restored store, a peer's list) not even that.

Ruled out: the age of the last confirmation as the mark of a gap; it is counted from the arrival of a message and misleads after a cut.

Change: the replica reports a removal of a row that it never saw, and every list after the first. The history is then incomplete until the row with the versions was read at a later position of the store, a peer that has seen every change up to there tells its versions, or the life of a stream has passed. The row is read again once a second meanwhile.

Evidence: "refuses after a cut in which an endpoint came and left" answered v1 without the change and refuses with it; unit tests of the replica and of the history. The property and the other tests of resumed streams pass.

--- a/packages/core/src/endpoints/endpoint-replica.test.ts
+++ b/packages/core/src/endpoints/endpoint-replica.test.ts
@@ -53,6 +53,25 @@
 }
 
 describe('EndpointReplica', () => {
+  // Guards against endpoints that came and left unseen, of which a list shows nothing.
+  it('reports changes that it missed, and none that it saw', () => {
+    const { replica } = open();
+    const missed: unknown[] = [];
+    replica.onMissedChanges(before => {
+      missed.push(before);
+    });
+    replica.applyList([row('a', 1, 8)], at(5), now);
+    replica.applyChange(row('b', 6, 8), now);
+    replica.applyChange(row('b', 7), now);
+    replica.applyChange(row('unreadable', 8), now);
+    replica.applyChange(row('late', 4), now);
+    expect(missed).to.deep.equal([at(8)]);
+    replica.applyChange(row('unreadable', 9), now);
+    replica.applyPeerList([row('a', 1, 8)], at(20), now);
+    replica.applyList([row('a', 1, 8)], at(3, 1), now);
+    expect(missed).to.deep.equal([at(8), at(20), at(3, 1)]);
+  });
+
   it('applies the newest change of each row, in whatever order and however often changes arrive', () => {
     const change = fc.record({
       name: fc.constantFrom('a', 'b', 'c'),
--- a/packages/core/src/endpoints/endpoint-replica.ts
+++ b/packages/core/src/endpoints/endpoint-replica.ts
@@ -27,6 +27,9 @@
   readonly row: EndpointRow;
 }
 
+/** Called when endpoints may have come and left unseen before a position. */
+export type MissedChangesListener = (before: FeedPosition) => void;
+
 /** Receives what the changed rows mean for the endpoints. */
 export type DirectoryListener = (events: readonly DirectoryEvent[]) => void;
 
@@ -39,6 +42,7 @@
   /** Rows of peers that arrived before the list of their era. */
   readonly #early = new Map<EndpointId, EarlyRow>();
   #listener: DirectoryListener | undefined;
+  #missedListener: MissedChangesListener = () => undefined;
   #era: StoreEra = FIRST_ERA;
   #baseRevision: Revision | undefined;
 
@@ -70,6 +74,10 @@
     this.#listener = listener;
   }
 
+  onMissedChanges(listener: MissedChangesListener): void {
+    this.#missedListener = listener;
+  }
+
   /** Every row with its revision, for a peer that has just subscribed. */
   rows(): EndpointRow[] {
     return this.#directory.all().map(entry => ({
@@ -90,6 +98,10 @@
   ): EndpointRow[] {
     const isRestored =
       this.#baseRevision !== undefined && position.era > this.#era;
+    if (this.#baseRevision !== undefined) {
+      // A list tells nothing of endpoints that came and left since the last change.
+      this.#missedListener(position);
+    }
     if (this.#baseRevision === undefined || isRestored) {
       this.#replace(rows, position, now, isRestored);
       return [];
@@ -160,6 +172,7 @@
   /** Applies a change of this era; returns false if the same or a newer one is known. */
   applyChange(row: EndpointRow, now: Instant): boolean {
     const isPartial = row.isPartial ?? false;
+    this.#checkRemoval(row);
     const completes =
       !isPartial &&
       this.#partial.has(row.id) &&
@@ -178,6 +191,17 @@
     return true;
   }
 
+  /** Reports the removal of a row that was never seen, as its endpoint served meanwhile. */
+  #checkRemoval({ id, entry, revision: removedAt }: EndpointRow): void {
+    const isUnseen =
+      entry === undefined &&
+      this.#versions.get(id) === undefined &&
+      removedAt > (this.#baseRevision ?? removedAt);
+    if (isUnseen) {
+      this.#missedListener({ era: this.#era, revision: removedAt });
+    }
+  }
+
   #replace(
     rows: readonly EndpointRow[],
     { era, revision: listRevision }: FeedPosition,
--- a/packages/core/src/peers/stream-updates.ts
+++ b/packages/core/src/peers/stream-updates.ts
@@ -19,6 +19,7 @@
 import { softwareVersion, streamKey } from '../types/ids';
 import type { Instant } from '../types/units';
 import { forEachValidEntry } from './entry-lists';
+import { listPosition } from './feed-updates';
 
 /** Key of a stream and the version at which it began. */
 const originSchema = z.tuple([nameSchema, nameSchema]);
@@ -84,7 +85,7 @@
       recordUse(versionHistory, use, now);
     });
     if (uses && malformedUses === 0) {
-      versionHistory.markComplete();
+      versionHistory.markComplete(listPosition(topics));
     }
     return malformedOrigins + malformedUses;
   }
--- a/packages/core/src/software-versions/version-history.test.ts
+++ b/packages/core/src/software-versions/version-history.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai';
 
 import type { EndpointEntry } from '../endpoints/endpoint-entry';
+import { FIRST_ERA, revision } from '../store/feed-position';
 import { endpointId, serviceId, softwareVersion, zoneId } from '../types/ids';
 import { instant, milliseconds, seconds } from '../types/units';
 import { streamLifetime, VersionHistory } from './version-history';
@@ -71,6 +72,28 @@
     );
   });
 
+  // Guards against a gap in the changes of the endpoints that is taken for a complete history.
+  it('is incomplete after missed changes until one who saw them tells it, or a lifetime has passed', () => {
+    const at = (number: number) => ({
+      era: FIRST_ERA,
+      revision: revision(number),
+    });
+    history.markComplete();
+    history.observe([entry('v1')], instant(0));
+    history.markMissed(at(10));
+    expect(history.isComplete(instant(0))).to.equal(false);
+    history.markComplete();
+    history.markComplete(at(9));
+    expect(history.isComplete(instant(0))).to.equal(false);
+    history.markComplete(at(10));
+    expect(history.isComplete(instant(0))).to.equal(true);
+    history.markMissed(at(20));
+    history.observe([entry('v1')], instant(1000));
+    expect(history.isComplete(instant(30_999))).to.equal(false);
+    expect(history.isComplete(instant(31_000))).to.equal(true);
+    expect(history.hasMissed).to.equal(false);
+  });
+
   it('never takes an older use for the last one', () => {
     const version = softwareVersion('v1');
     history.record({ service, version, lastSeenAt: instant(50_000) });
--- a/packages/core/src/software-versions/version-history.ts
+++ b/packages/core/src/software-versions/version-history.ts
@@ -4,6 +4,8 @@
  * that version.
  */
 import type { EndpointEntry } from '../endpoints/endpoint-entry';
+import { comparePositions } from '../store/feed-position';
+import type { FeedPosition } from '../store/feed-position';
 import { addTime, elapsed, milliseconds, seconds } from '../types/units';
 import type { Instant, Milliseconds } from '../types/units';
 import type { ServiceId, SoftwareVersion } from '../types/ids';
@@ -32,6 +34,8 @@
   readonly #lifetime: () => Milliseconds;
   #observedSince: Instant | undefined;
   #isComplete = false;
+  /** Position in the store before which versions may have come and left unseen. */
+  #missedBefore: FeedPosition | undefined;
 
   /** `lifetime` returns the longest time from the begin of a stream to its last resumption. */
   constructor(lifetime: () => Milliseconds) {
@@ -61,16 +65,44 @@
     this.#uses.set(service, uses);
   }
 
-  /** Records that all uses within the lifetime of a stream are known by now. */
-  markComplete(): void {
-    this.#isComplete = true;
+  /** Whether versions may have come and left unseen within the lifetime of a stream. */
+  get hasMissed(): boolean {
+    return this.#missedBefore !== undefined;
+  }
+
+  /** Records that not every change of the endpoints before a position was seen. */
+  markMissed(before: FeedPosition): void {
+    const known = this.#missedBefore;
+    if (known === undefined || comparePositions(before, known) > 0) {
+      this.#missedBefore = before;
+    }
+    this.#isComplete = false;
+    this.#observedSince = undefined;
+  }
+
+  /**
+   * Records that all uses within the lifetime of a stream are known, by one who had seen
+   * every change of the endpoints up to a position; undefined if that is not told.
+   */
+  markComplete(upTo?: FeedPosition): void {
+    const isCovered =
+      this.#missedBefore === undefined ||
+      (upTo !== undefined && comparePositions(upTo, this.#missedBefore) >= 0);
+    if (isCovered) {
+      this.#isComplete = true;
+      this.#missedBefore = undefined;
+    }
   }
 
   /** Whether every version that was in use within the lifetime of a stream is known. */
   isComplete(now: Instant): boolean {
-    this.#isComplete ||=
+    const isObserved =
       this.#observedSince !== undefined &&
       elapsed(this.#observedSince, now) >= this.lifetime;
+    if (isObserved) {
+      this.#isComplete = true;
+      this.#missedBefore = undefined;
+    }
     return this.#isComplete;
   }
 
--- a/packages/core/src/software-versions/version-report.ts
+++ b/packages/core/src/software-versions/version-report.ts
@@ -2,6 +2,8 @@
 import { z } from 'zod';
 
 import { nameSchema } from '../membership/vm-entry';
+import { revision, storeEra } from '../store/feed-position';
+import type { FeedPosition } from '../store/feed-position';
 import { serviceId, softwareVersion } from '../types/ids';
 import { addTime, elapsed, milliseconds } from '../types/units';
 import type { Instant } from '../types/units';
@@ -21,6 +23,9 @@
   uses: z.array(useSchema).max(MAX_USES),
   /** Whether every version within the lifetime of a stream is among them. */
   isComplete: z.boolean(),
+  /** Position in the store up to which the sender has seen every change of the endpoints. */
+  era: z.int().min(0),
+  revision: z.int().min(0),
 });
 
 export type StoredUse = z.output<typeof useSchema>;
@@ -52,9 +57,14 @@
 
 export function versionReport(
   history: VersionHistory,
+  position: FeedPosition,
   now: Instant,
 ): VersionReport {
-  return { uses: usesOf(history, now), isComplete: history.isComplete(now) };
+  return {
+    uses: usesOf(history, now),
+    isComplete: history.isComplete(now),
+    ...position,
+  };
 }
 
 /** Records what a peer reports; returns false if the message is no report. */
@@ -67,12 +77,12 @@
   if (!parsed.success) {
     return false;
   }
-  const { uses, isComplete } = parsed.data;
+  const { uses, isComplete, era, revision: upTo } = parsed.data;
   for (const use of uses) {
     recordUse(history, use, now);
   }
   if (isComplete) {
-    history.markComplete();
+    history.markComplete({ era: storeEra(era), revision: revision(upTo) });
   }
   return true;
 }
--- a/packages/gateway/src/process/gateway-process.ts
+++ b/packages/gateway/src/process/gateway-process.ts
@@ -17,6 +17,8 @@
 import type { PeerUpdates } from '@sesamegrade/core/peers/peer-updates';
 import type { RelayedSuspects } from '@sesamegrade/core/poison/relayed-suspects';
 import type { RouteTable } from '@sesamegrade/core/routes/route-table';
+import type { EndpointReplica } from '@sesamegrade/core/endpoints/endpoint-replica';
+import type { VersionHistory } from '@sesamegrade/core/software-versions/version-history';
 import type { StreamOrigins } from '@sesamegrade/core/software-versions/stream-origins';
 import type { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
@@ -52,6 +54,8 @@
   readonly timers: TimerService;
   readonly routes: RouteTable;
   readonly endpointDirectory: EndpointDirectory;
+  readonly endpointReplica: Pick<EndpointReplica, 'onMissedChanges'>;
+  readonly versionHistory: VersionHistory;
   readonly endpointLimits: EndpointLimits;
   readonly permitRefusals: PermitRefusals;
   readonly fleetPermits: FleetPermits;
@@ -117,6 +121,10 @@
       this.#options;
     const { router } = settings;
     this.#subscribePeerUpdates();
+    this.#options.endpointReplica.onMissedChanges(before => {
+      this.#options.versionHistory.markMissed(before);
+      log.write('endpoint-changes-missed', { ...before });
+    });
     fleetReplica.start();
     await callerServer.listen(router.callers);
     await peerMesh.start();
--- a/packages/gateway/src/store/endpoint-confirmation.ts
+++ b/packages/gateway/src/store/endpoint-confirmation.ts
@@ -87,9 +87,12 @@
 
   /** What this router knows after a read of the store, for a peer; undefined if the store does not answer. */
   async report(): Promise<VersionReport | undefined> {
-    const { versionHistory, timers } = this.#options;
+    const { versionHistory, coverage, timers } = this.#options;
     const isRead = await this.#ownRead.run();
-    return isRead ? versionReport(versionHistory, timers.now()) : undefined;
+    const { position } = coverage.endpoints;
+    return isRead && position
+      ? versionReport(versionHistory, position, timers.now())
+      : undefined;
   }
 
   async #obtain(): Promise<EndpointEvidence | undefined> {
--- a/packages/gateway/src/streams/stored-versions.ts
+++ b/packages/gateway/src/streams/stored-versions.ts
@@ -32,7 +32,7 @@
 const ROW_KEY = 'software-versions';
 /** Time after the start before a missing row is written: until then several routers may read for the fleet. */
 const FIRST_WRITE_DELAY: Milliseconds = seconds(3);
-/** Time between two attempts to write the row. */
+/** Time between two attempts to write the row, or to read it. */
 const RETRY_PERIOD: Milliseconds = seconds(1);
 /** Clock value of a version that is still in use. */
 const IN_USE = null;
@@ -82,6 +82,7 @@
   #read: ReadState | undefined;
   readonly #startedAt: Instant;
   #writtenAt: Instant | undefined;
+  #readAt: Instant | undefined;
   #isWriting = false;
 
   constructor(options: StoredVersionsOptions) {
@@ -125,11 +126,14 @@
     const isCurrent = stored.era === position.era && storeTime !== undefined;
     const knownFor = (storeTime ?? 0) - stored.since;
     if (isCurrent && knownFor >= versionHistory.lifetime) {
-      versionHistory.markComplete();
+      versionHistory.markComplete(position);
     }
   }
 
-  /** Writes the row if the versions in use are not those that it lists. */
+  /**
+   * Writes the row if the versions in use are not those that it lists, and reads it again
+   * after changes of the endpoints were missed.
+   */
   tick(now: Instant): void {
     const { endpointDirectory, versionHistory, backgroundTasks } =
       this.#options;
@@ -137,6 +141,10 @@
       return;
     }
     versionHistory.observe(endpointDirectory.all(), now);
+    if (versionHistory.hasMissed && this.#isReadDue(now)) {
+      this.#readAt = now;
+      backgroundTasks.run('version-row-read', () => this.#readRow());
+    }
     if (!this.#isDue(now)) {
       return;
     }
@@ -156,6 +164,12 @@
     });
   }
 
+  #isReadDue(now: Instant): boolean {
+    return (
+      this.#readAt === undefined || elapsed(this.#readAt, now) >= RETRY_PERIOD
+    );
+  }
+
   #isDue(now: Instant): boolean {
     if (this.#isWriting || !this.#options.fleetReplica.isReader) {
       return false;
@@ -182,6 +196,11 @@
     }
     // Also after a conflict or a lost response, which may have changed the row.
     this.#read = undefined;
+    await this.#readRow();
+  }
+
+  async #readRow(): Promise<void> {
+    const { routerRows } = this.#options;
     const page = await routerRows.readAll();
     if (page.ok) {
       this.onRows(page.value);
--- a/packages/gateway/src/streams/stream-resumption.test.ts
+++ b/packages/gateway/src/streams/stream-resumption.test.ts
@@ -53,6 +53,15 @@
 
   const all = Array.from({ length: ROUTERS }, (_value, index) => index);
   const router = (index: number) => fleet.routers[index]!;
+  /** Begins streams at the first router until one begins at a version. */
+  const beginAt = (version: string): Stream => {
+    for (let count = 0; ; count += 1) {
+      const stream = fleet.begin(router(0), `${version}-${count}`);
+      if (stream?.version === version) {
+        return stream;
+      }
+    }
+  };
 
   it('lets every stream go on after all routers were killed while one version served', async () => {
     await open();
@@ -100,6 +109,19 @@
     expect((await fleet.resume(router(3), 'a')).version).to.equal(undefined);
   });
 
+  // Guards against a version that came and left during a cut, of which the list shows nothing afterwards.
+  it('refuses after a cut in which an endpoint came and left', async () => {
+    await open();
+    fleet.cut(3);
+    fleet.addEndpoint('v2');
+    await fleet.pass(1000);
+    const { id } = beginAt('v2');
+    fleet.removeEndpoints('v2', 1);
+    await fleet.pass(2000);
+    fleet.heal(3);
+    expect((await fleet.resume(router(3), id)).version).to.not.equal('v1');
+  });
+
   // Guards against callers that wait for a store which has fallen silent.
   it('answers soon while the store hangs', async () => {
     await open();
--- a/packages/gateway/src/streams/testing/memory-table.ts
+++ b/packages/gateway/src/streams/testing/memory-table.ts
@@ -1,6 +1,10 @@
 /** A table of the routers in memory, and what one router reaches of it. */
 import { FIRST_ERA, revision } from '@sesamegrade/core/store/feed-position';
-import type { Revision, StoreEra } from '@sesamegrade/core/store/feed-position';
+import type {
+  FeedPosition,
+  Revision,
+  StoreEra,
+} from '@sesamegrade/core/store/feed-position';
 import { fail, succeed } from '@sesamegrade/core/types/result';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
 import { milliseconds } from '@sesamegrade/core/types/units';
@@ -44,10 +48,6 @@
     return [...this.#rows.values()];
   }
 
-  get revision(): Revision {
-    return this.#revision;
-  }
-
   revisionOf(key: string): Revision {
     return this.#rows.get(key)?.revision ?? revision(0);
   }
@@ -62,6 +62,8 @@
   readonly table: MemoryTable;
   readonly reach: () => StoreReach;
   readonly timers: TimerService;
+  /** The store's newest position. */
+  readonly position: () => FeedPosition;
   /** The store's clock in milliseconds. */
   readonly clock: () => number;
 }
@@ -75,11 +77,11 @@
   }
 
   override readAll(): ReturnType<RowTable['readAll']> {
-    const { table, reach, timers, clock } = this.#options;
+    const { table, reach, timers, position, clock } = this.#options;
     return callStore(reach(), timers, () =>
       succeed({
         rows: table.rows,
-        position: { era: FIRST_ERA, revision: table.revision },
+        position: position(),
         storeTime: clock(),
       }),
     );
--- a/packages/gateway/src/streams/testing/simulated-fleet.ts
+++ b/packages/gateway/src/streams/testing/simulated-fleet.ts
@@ -284,6 +284,9 @@
     const versionHistory = new VersionHistory(() =>
       streamLifetime([seconds(15)]),
     );
+    replica.onMissedChanges(before => {
+      versionHistory.markMissed(before);
+    });
     const streamOrigins = new StreamOrigins(versionHistory);
     const updates = new StreamUpdates({ streamOrigins, versionHistory });
     const backgroundTasks = new BackgroundTasks(({ error }) => {
@@ -298,6 +301,7 @@
           table,
           reach: () => this.#reach(self()),
           timers,
+          position: () => this.#endpoints.position(this.now),
           clock: () => this.now,
         }),
     ) as [ReachedTable, ReachedTable];
