Begin resumable streams at a new version only once the store lists it

A stream began at a version that had just joined; its endpoint left and all routers were killed before the row with the versions was written, and the stream went on at another version.

Cause: the row was written up to 250 ms after a version was seen, later if its writer was killed or the store slow, while every router used the version at once.

Ruled out: writing the row earlier alone; the writer may be killed before.

Change: routers know which versions the row lists (read by themselves or told by peers in a topic of its own, which older builds pass over). Streams of routes on which they may be resumed begin at an endpoint of a listed version; one that is not listed is used after a second, or if the service has no other. The writer writes as soon as an endpoint joins.

--- a/packages/core/src/peers/peer-updates.ts
+++ b/packages/core/src/peers/peer-updates.ts
@@ -109,6 +109,7 @@
     this.#isRelay = isRelay;
     this.#options.loadUpdates.isRelay = isRelay;
     this.#options.feedUpdates.isRelay = isRelay;
+    this.#options.streamUpdates.isRelay = isRelay;
   }
 
   /** Whether there are prompt parts to send. */
@@ -129,6 +130,7 @@
       this.#hasNewVersion ||
       this.#options.suspects.hasChanges ||
       this.#options.endpointLimits.hasChanges ||
+      this.#options.streamUpdates.hasChanges ||
       this.#options.feedUpdates.isUrgent
     );
   }
@@ -180,6 +182,7 @@
     const topics: Record<string, readonly unknown[]> = {
       ...loadUpdates.takeChanges(),
       ...feedUpdates.takeChanges(now),
+      ...this.#options.streamUpdates.takeChanges(),
     };
     if (this.#newParts.length > 0) {
       topics[UpdateTopic.parts] = this.#newParts.splice(0);
--- a/packages/core/src/peers/stream-updates.ts
+++ b/packages/core/src/peers/stream-updates.ts
@@ -10,13 +10,16 @@
   StreamOrigin,
   StreamOrigins,
 } from '../software-versions/stream-origins';
-import type { VersionHistory } from '../software-versions/version-history';
+import type {
+  RecordedVersion,
+  VersionHistory,
+} from '../software-versions/version-history';
 import {
   recordUse,
   useSchema,
   usesOf,
 } from '../software-versions/version-report';
-import { softwareVersion, streamKey } from '../types/ids';
+import { serviceId, softwareVersion, streamKey } from '../types/ids';
 import type { Instant } from '../types/units';
 import { forEachValidEntry } from './entry-lists';
 import { listPosition } from './feed-updates';
@@ -24,7 +27,14 @@
 /** Key of a stream and the version at which it began. */
 const originSchema = z.tuple([nameSchema, nameSchema]);
 
-export const StreamTopic = { origins: 'b', versionUses: 'h' } as const;
+/** Service and version (null if not named). */
+const recordedSchema = z.tuple([nameSchema, nameSchema.nullable()]);
+
+export const StreamTopic = {
+  origins: 'b',
+  versionUses: 'h',
+  recorded: 'i',
+} as const;
 
 export interface StreamUpdatesOptions {
   readonly streamOrigins: StreamOrigins;
@@ -33,6 +43,10 @@
 
 export class StreamUpdates {
   readonly #options: StreamUpdatesOptions;
+  /** Versions that the store lists and that peers were not told of yet. */
+  readonly #newRecorded: RecordedVersion[] = [];
+  /** Whether this router passes on what it receives. */
+  isRelay = false;
   #originListener: (origins: readonly StreamOrigin[]) => void = () => undefined;
 
   constructor(options: StreamUpdatesOptions) {
@@ -44,20 +58,42 @@
     this.#originListener = listener;
   }
 
+  /** Records that the store lists a version as in use. */
+  onRecorded(recorded: RecordedVersion): void {
+    this.#newRecorded.push(recorded);
+  }
+
+  /** Whether there are updates to send. */
+  get hasChanges(): boolean {
+    return this.#newRecorded.length > 0;
+  }
+
+  /** Returns and clears the updates for all peers since the last call. */
+  takeChanges(): TopicEntries {
+    return this.hasChanges
+      ? {
+          [StreamTopic.recorded]: this.#newRecorded
+            .splice(0)
+            .map(recordedEntry),
+        }
+      : {};
+  }
+
   originsMessage(origins: readonly StreamOrigin[]): TopicEntries {
     return {
       [StreamTopic.origins]: origins.map(({ key, version }) => [key, version]),
     };
   }
 
-  /** The versions that were in use lately, if all of them are known. */
+  /** The versions that the store lists, and those in use lately if all of them are known. */
   fullState(now: Instant): TopicEntries {
     const { versionHistory } = this.#options;
-    if (!versionHistory.isComplete(now)) {
-      return {};
-    }
+    const recorded = versionHistory.recorded(now).map(recordedEntry);
     return {
-      [StreamTopic.versionUses]: usesOf(versionHistory, now),
+      ...(recorded.length > 0 ? { [StreamTopic.recorded]: recorded } : {}),
+      ...(versionHistory.isComplete(now)
+        ? { [StreamTopic.versionUses]: usesOf(versionHistory, now) }
+        : {}),
     };
   }
 
@@ -87,6 +123,40 @@
     if (uses && malformedUses === 0) {
       versionHistory.markComplete(listPosition(topics));
     }
-    return malformedOrigins + malformedUses;
+    const malformedRecorded = forEachValidEntry(
+      topics[StreamTopic.recorded],
+      recordedSchema,
+      entry => {
+        this.#applyRecorded(entry, now);
+      },
+    );
+    return malformedOrigins + malformedUses + malformedRecorded;
   }
+
+  #applyRecorded(
+    [service, version]: z.output<typeof recordedSchema>,
+    now: Instant,
+  ): void {
+    const { versionHistory } = this.#options;
+    const recorded = {
+      service: serviceId(service),
+      version: version === null ? undefined : softwareVersion(version),
+    };
+    // It was in use when it was listed, also if its endpoints are not known here yet.
+    versionHistory.record({ ...recorded, lastSeenAt: now });
+    const isNew = versionHistory.markRecorded(
+      recorded.service,
+      recorded.version,
+    );
+    if (isNew && this.isRelay) {
+      this.#newRecorded.push(recorded);
+    }
+  }
+}
+
+function recordedEntry({
+  service,
+  version,
+}: RecordedVersion): z.output<typeof recordedSchema> {
+  return [service, version ?? null];
 }
--- a/packages/core/src/software-versions/version-history.ts
+++ b/packages/core/src/software-versions/version-history.ts
@@ -10,14 +10,25 @@
 import type { Instant, Milliseconds } from '../types/units';
 import type { ServiceId, SoftwareVersion } from '../types/ids';
 
-/** When a version of a service was last in use. */
-export interface VersionUse {
+/** A version that the store lists as in use. */
+export interface RecordedVersion {
   readonly service: ServiceId;
   /** Undefined for endpoints that name no version. */
   readonly version: SoftwareVersion | undefined;
+}
+
+/** When a version of a service was last in use. */
+export interface VersionUse extends RecordedVersion {
   readonly lastSeenAt: Instant;
 }
 
+interface Use {
+  lastSeenAt: Instant;
+  readonly firstSeenAt: Instant;
+  /** Whether the store lists the version as in use. */
+  isRecorded: boolean;
+}
+
 export type StreamVersion =
   /** The service had this version only. */
   | { readonly kind: 'single'; readonly version: SoftwareVersion }
@@ -27,10 +38,7 @@
   | { readonly kind: 'unknown' };
 
 export class VersionHistory {
-  readonly #uses = new Map<
-    ServiceId,
-    Map<SoftwareVersion | undefined, Instant>
-  >();
+  readonly #uses = new Map<ServiceId, Map<SoftwareVersion | undefined, Use>>();
   readonly #lifetime: () => Milliseconds;
   #observedSince: Instant | undefined;
   #isComplete = false;
@@ -57,14 +65,59 @@
 
   /** Records a use that another router observed. */
   record({ service, version, lastSeenAt }: VersionUse): void {
-    const uses = this.#uses.get(service) ?? new Map<never, Instant>();
+    const uses = this.#uses.get(service) ?? new Map<never, Use>();
     const known = uses.get(version);
-    if (known === undefined || elapsed(known, lastSeenAt) > 0) {
-      uses.set(version, lastSeenAt);
+    if (known === undefined) {
+      const isRecorded = false;
+      uses.set(version, { lastSeenAt, firstSeenAt: lastSeenAt, isRecorded });
+    } else if (elapsed(known.lastSeenAt, lastSeenAt) > 0) {
+      known.lastSeenAt = lastSeenAt;
     }
     this.#uses.set(service, uses);
   }
 
+  /**
+   * Records that the store lists a version that is known here as in use; returns whether
+   * that is new.
+   */
+  markRecorded(
+    service: ServiceId,
+    version: SoftwareVersion | undefined,
+  ): boolean {
+    const use = this.#uses.get(service)?.get(version);
+    if (use === undefined || use.isRecorded) {
+      return false;
+    }
+    use.isRecorded = true;
+    return true;
+  }
+
+  isRecorded(
+    service: ServiceId,
+    version: SoftwareVersion | undefined,
+  ): boolean {
+    return this.#uses.get(service)?.get(version)?.isRecorded ?? false;
+  }
+
+  /** When a version was first in use as far as this router knows. */
+  firstSeenAt(
+    service: ServiceId,
+    version: SoftwareVersion | undefined,
+  ): Instant | undefined {
+    return this.#uses.get(service)?.get(version)?.firstSeenAt;
+  }
+
+  /** The versions in use that the store lists. */
+  recorded(now: Instant): RecordedVersion[] {
+    return [...this.#uses].flatMap(([service, uses]) =>
+      [...uses].flatMap(([version, { isRecorded, lastSeenAt }]) =>
+        isRecorded && elapsed(lastSeenAt, now) <= MAX_OBSERVATION_AGE
+          ? [{ service, version }]
+          : [],
+      ),
+    );
+  }
+
   /** Whether versions may have come and left unseen within the lifetime of a stream. */
   get hasMissed(): boolean {
     return this.#missedBefore !== undefined;
@@ -128,7 +181,7 @@
   uses(now: Instant): VersionUse[] {
     this.#removeExpired(now);
     return [...this.#uses].flatMap(([service, uses]) =>
-      [...uses].map(([version, lastSeenAt]) => ({
+      [...uses].map(([version, { lastSeenAt }]) => ({
         service,
         version,
         lastSeenAt,
@@ -150,7 +203,7 @@
   #removeExpired(now: Instant): void {
     const { lifetime } = this;
     for (const [service, uses] of this.#uses) {
-      for (const [version, lastSeenAt] of uses) {
+      for (const [version, { lastSeenAt }] of uses) {
         if (elapsed(lastSeenAt, now) > lifetime) {
           uses.delete(version);
         }
@@ -162,6 +215,8 @@
   }
 }
 
+/** Age of the last observation up to which a version counts as in use. */
+const MAX_OBSERVATION_AGE: Milliseconds = seconds(1);
 /** Lower bound of the lifetime, also before the routes are known. */
 const MIN_LIFETIME: Milliseconds = seconds(30);
 
--- a/packages/gateway/src/composition/gateway-container.ts
+++ b/packages/gateway/src/composition/gateway-container.ts
@@ -37,6 +37,7 @@
 import type { FleetConfiguration } from '@sesamegrade/core/routes/fleet-configuration';
 import { RouteTable } from '@sesamegrade/core/routes/route-table';
 import { StreamUpdates } from '@sesamegrade/core/peers/stream-updates';
+import { StreamAdmission } from '@sesamegrade/core/software-versions/stream-admission';
 import { StreamOrigins } from '@sesamegrade/core/software-versions/stream-origins';
 import {
   streamLifetime,
@@ -119,6 +120,7 @@
   readonly crashDetector: CrashDetector;
   readonly storedSuspects: StoredSuspects;
   readonly versionHistory: VersionHistory;
+  readonly streamAdmission: StreamAdmission;
   readonly storedVersions: StoredVersions;
   readonly streamOrigins: StreamOrigins;
   readonly streamUpdates: StreamUpdates;
@@ -217,6 +219,7 @@
     crashDetector: asClass(CrashDetector).singleton(),
     storedSuspects: asClass(StoredSuspects).singleton(),
     versionHistory: asFunction(newVersionHistory).singleton(),
+    streamAdmission: asClass(StreamAdmission).singleton(),
     storedVersions: asClass(StoredVersions).singleton(),
     streamOrigins: asFunction(
       ({ versionHistory }: GatewayCradle) => new StreamOrigins(versionHistory),
--- a/packages/gateway/src/forwarding/forwarder.ts
+++ b/packages/gateway/src/forwarding/forwarder.ts
@@ -10,6 +10,7 @@
 import type { AttemptResult } from '@sesamegrade/core/forwarding/attempt-result';
 import type { FleetState } from '@sesamegrade/core/forwarding/fleet-state';
 import { mayHaveRun } from '@sesamegrade/core/forwarding/attempt-result';
+import type { StreamAdmission } from '@sesamegrade/core/software-versions/stream-admission';
 import { StreamBinding } from '@sesamegrade/core/software-versions/stream-binding';
 import type { EndpointDirectory } from '@sesamegrade/core/endpoints/endpoint-directory';
 import type { EndpointEntry } from '@sesamegrade/core/endpoints/endpoint-entry';
@@ -101,6 +102,7 @@
   readonly attemptPlacement: AttemptPlacement;
   readonly fleetState: FleetState;
   readonly endpointDirectory: EndpointDirectory;
+  readonly streamAdmission: StreamAdmission;
   readonly streamResumption: StreamResumption;
   readonly connectionPool: ConnectionPool;
   readonly endpointPaths: EndpointPaths;
@@ -252,7 +254,7 @@
     body: Buffer,
     arrivedAt: Instant,
   ): Promise<void> {
-    const { random } = this.#options;
+    const { random, streamAdmission, timers } = this.#options;
     const { route } = decision;
     const target = pickTarget(
       route,
@@ -308,7 +310,10 @@
       }),
       tried: new Set(),
       binding,
-      accepts: entry => binding.accepts(entry),
+      accepts: entry =>
+        binding.isBound || !isResumable(route)
+          ? binding.accepts(entry)
+          : streamAdmission.accepts(entry, timers.now()),
       possibleRuns: 0,
       notRun: 0,
     };
--- a/packages/gateway/src/process/gateway-process.ts
+++ b/packages/gateway/src/process/gateway-process.ts
@@ -18,6 +18,7 @@
 import type { RelayedSuspects } from '@sesamegrade/core/poison/relayed-suspects';
 import type { RouteTable } from '@sesamegrade/core/routes/route-table';
 import type { EndpointReplica } from '@sesamegrade/core/endpoints/endpoint-replica';
+import type { StreamUpdates } from '@sesamegrade/core/peers/stream-updates';
 import type { VersionHistory } from '@sesamegrade/core/software-versions/version-history';
 import type { StreamOrigins } from '@sesamegrade/core/software-versions/stream-origins';
 import type { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
@@ -74,6 +75,7 @@
   readonly crashDetector: CrashDetector;
   readonly storedSuspects: StoredSuspects;
   readonly storedVersions: StoredVersions;
+  readonly streamUpdates: Pick<StreamUpdates, 'onRecorded'>;
   readonly streamLedger: StreamLedger;
   readonly streamOrigins: StreamOrigins;
   readonly backgroundTasks: BackgroundTasks;
@@ -232,6 +234,11 @@
         peerMesh.flushSoon();
       },
     });
+    this.#options.storedVersions.onRecorded(recorded => {
+      log.write('version-recorded', { ...recorded });
+      this.#options.streamUpdates.onRecorded(recorded);
+      peerMesh.flushSoon();
+    });
     this.#options.endpointLimits.onChanged(change => {
       log.write('endpoint-limit', { ...change });
       permitRefusals.remove(change.endpoint);
@@ -296,6 +303,9 @@
     }
     fleetState.onEndpointsChanged(endpointDirectory.all(), timers.now());
     this.#options.crashDetector.onDirectoryEvents(events);
+    if (events.some(({ kind }) => kind === 'joined' || kind === 'restarted')) {
+      this.#options.storedVersions.tick(timers.now());
+    }
     for (const event of events) {
       log.write('endpoint', { ...event });
       if (event.kind === 'leaving' || event.kind === 'gone') {
--- a/packages/gateway/src/streams/stored-versions.ts
+++ b/packages/gateway/src/streams/stored-versions.ts
@@ -8,7 +8,10 @@
 
 import type { EndpointDirectory } from '@sesamegrade/core/endpoints/endpoint-directory';
 import { nameSchema } from '@sesamegrade/core/membership/vm-entry';
-import type { VersionHistory } from '@sesamegrade/core/software-versions/version-history';
+import type {
+  RecordedVersion,
+  VersionHistory,
+} from '@sesamegrade/core/software-versions/version-history';
 import { revision } from '@sesamegrade/core/store/feed-position';
 import type { Revision, StoreEra } from '@sesamegrade/core/store/feed-position';
 import type { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
@@ -69,6 +72,9 @@
   readonly log: DecisionLog;
 }
 
+/** Called for each version of which the row was not known to list it. */
+type RecordedListener = (recorded: RecordedVersion) => void;
+
 /** The row as it was last read, and how this router's clock and the store's differ. */
 interface ReadState {
   readonly revision: Revision;
@@ -84,6 +90,7 @@
   #writtenAt: Instant | undefined;
   #readAt: Instant | undefined;
   #isWriting = false;
+  #recordedListener: RecordedListener = () => undefined;
 
   constructor(options: StoredVersionsOptions) {
     this.#options = options;
@@ -93,6 +100,10 @@
     }
   }
 
+  onRecorded(listener: RecordedListener): void {
+    this.#recordedListener = listener;
+  }
+
   /** Takes the row among those of the table. */
   onRows({ rows, position, storeTime }: FeedPage): void {
     const { timers, versionHistory, log } = this.#options;
@@ -122,6 +133,7 @@
             : addTime(now, milliseconds(until - clockOffset - now)),
       });
     }
+    this.#markRecorded(stored);
     // A copy of the store that was restored lacks what was recorded since.
     const isCurrent = stored.era === position.era && storeTime !== undefined;
     const knownFor = (storeTime ?? 0) - stored.since;
@@ -130,6 +142,21 @@
     }
   }
 
+  #markRecorded({ uses }: StoredUses): void {
+    const { versionHistory } = this.#options;
+    for (const use of uses) {
+      const service = serviceId(use.service);
+      const version =
+        use.version === null ? undefined : softwareVersion(use.version);
+      if (
+        use.until === IN_USE &&
+        versionHistory.markRecorded(service, version)
+      ) {
+        this.#recordedListener({ service, version });
+      }
+    }
+  }
+
   /**
    * Writes the row if the versions in use are not those that it lists, and reads it again
    * after changes of the endpoints were missed.
--- a/packages/gateway/src/streams/stream-resumption.test.ts
+++ b/packages/gateway/src/streams/stream-resumption.test.ts
@@ -122,6 +122,24 @@
     expect((await fleet.resume(router(3), id)).version).to.not.equal('v1');
   });
 
+  // Guards against streams of a version that left before the store listed it, as all routers lost their memory.
+  it('begins no stream at a new version before the store lists it', async () => {
+    await open();
+    fleet.addEndpoint('v2');
+    await fleet.pass(MAX_LAG);
+    const begun = [0, 1, 2, 3].flatMap(index =>
+      Array.from({ length: 20 }, (_value, count) =>
+        fleet.begin(router(index), `${index}-${count}`),
+      ),
+    );
+    fleet.removeEndpoints('v2', 1);
+    await fleet.restart(all);
+    for (const stream of begun) {
+      const { version } = await fleet.resume(router(1), stream!.id);
+      expect(version).to.be.oneOf([stream!.version, undefined]);
+    }
+  });
+
   // Guards against callers that wait for a store which has fallen silent.
   it('answers soon while the store hangs', async () => {
     await open();
--- a/packages/gateway/src/streams/testing/simulated-fleet.ts
+++ b/packages/gateway/src/streams/testing/simulated-fleet.ts
@@ -8,6 +8,7 @@
 import type { EndpointRow } from '@sesamegrade/core/endpoints/endpoint-replica';
 import { StreamUpdates } from '@sesamegrade/core/peers/stream-updates';
 import type { Random } from '@sesamegrade/core/random/random';
+import { StreamAdmission } from '@sesamegrade/core/software-versions/stream-admission';
 import { StreamOrigins } from '@sesamegrade/core/software-versions/stream-origins';
 import {
   streamLifetime,
@@ -67,6 +68,7 @@
   readonly directory: EndpointDirectory;
   readonly replica: EndpointReplica;
   readonly coverage: FeedCoverage;
+  readonly admission: StreamAdmission;
   readonly confirmation: EndpointConfirmation;
   readonly resumption: StreamResumption;
   readonly updates: StreamUpdates;
@@ -185,7 +187,11 @@
     const existing = new Set(this.#endpoints.entries.map(entry => entry.id));
     const known = router.directory
       .usable(service)
-      .filter(({ id: endpoint }) => existing.has(endpoint));
+      .filter(
+        entry =>
+          existing.has(entry.id) &&
+          router.admission.accepts(entry, router.timers.now()),
+      );
     if (known.length === 0 || router.isFrozen) {
       return undefined;
     }
@@ -315,6 +321,10 @@
       backgroundTasks,
       log,
     });
+    storedVersions.onRecorded(recorded => {
+      updates.onRecorded(recorded);
+      this.#tellPeers(self());
+    });
     const streamLedger = new StreamLedger({
       streamRows,
       streamOrigins,
@@ -373,6 +383,10 @@
       apartUntil: 0,
       isTurnedAway: false,
       isFrozen: false,
+      admission: new StreamAdmission({
+        versionHistory,
+        endpointDirectory: directory,
+      }),
       confirmation: endpointConfirmation,
       resumption: new StreamResumption({
         endpointConfirmation,
@@ -415,6 +429,17 @@
       : undefined;
   }
 
+  /** Sends a router's updates to its peers. */
+  #tellPeers(from: SimulatedRouter): void {
+    const topics = from.updates.takeChanges();
+    for (const { id } of this.routers) {
+      const target = this.#peer(from, id);
+      if (target && target !== from) {
+        target.updates.receive(topics, target.timers.now());
+      }
+    }
+  }
+
   /** Asks a peer, whose answer never comes if either router is cut off or stands still. */
   async #requestVersions(
     from: SimulatedRouter,
