Date a peer's confirmation by the store's clock, not by its arrival

A router that was cut off or stood still could count its configuration and its endpoints as fresh when old messages reached it.

Cause: a confirmation of the store's tables carries its age, which the receiver counted from the arrival of the message. One that waited in a socket for 4 s looked as new as when it was sent, and the router then did not read the store itself.

Ruled out: a bound on the age of connections; the message may wait on a connection that lives.

Change: confirmations are accompanied by the time of the read on the store's clock, in a topic that older builds pass over. A router that knows the relation of the clocks takes the earlier of the two times. A time from the future shows that its own clock stood still (a suspended machine): the confirmation is not believed, and the next own read relates the clocks anew.

Evidence: two tests of feed-updates.test.ts fail without the change (age 0 instead of 4 s) and pass with it; the tests of peers, store and replica pass.

--- a/packages/core/src/peers/feed-updates.test.ts
+++ b/packages/core/src/peers/feed-updates.test.ts
@@ -9,6 +9,7 @@
 import { RouteTable } from '../routes/route-table';
 import { FeedCoverage } from '../store/feed-coverage';
 import { revision, storeEra } from '../store/feed-position';
+import { StoreClock } from '../store/store-clock';
 import {
   endpointId,
   routerId,
@@ -71,6 +72,7 @@
   readonly replica: EndpointReplica;
   readonly routes = new RouteTable();
   readonly coverage: Record<'endpoints' | 'configuration', FeedCoverage>;
+  readonly clock = new StoreClock();
   readonly updates: FeedUpdates;
 
   constructor(name: string, isRelay = false) {
@@ -85,6 +87,7 @@
       endpointReplica: this.replica,
       routes: this.routes,
       coverage: this.coverage,
+      storeClock: this.clock,
     });
     this.updates.isRelay = isRelay;
   }
@@ -196,6 +199,49 @@
     expect(member.coverage.configuration.latest?.confirmedAt).to.equal(710);
   });
 
+  // Guards against news that waited while a connection was cut and passes for that of the moment it arrives.
+  it('dates a confirmation by the clock of the store, however late it arrives', () => {
+    const store = new Store();
+    store.write('a', 1);
+    const [relay, member] = [new Router('relay', true), new Router('member')];
+    for (const router of [relay, member]) {
+      router.clock.madeAt({
+        storeTime: 5000,
+        sentAt: instant(0),
+        receivedAt: instant(4),
+      });
+      router.readList(store, instant(0));
+      router.updates.takeChanges(instant(0));
+    }
+    relay.readChanges(store, instant(1000));
+    const late = relay.updates.takeChanges(instant(1000));
+    member.updates.receive(late, instant(5000));
+    expect(member.coverage.endpoints.age(instant(5000))).to.equal(4000);
+    const relayed = relay.updates.fullState(instant(1500));
+    member.updates.receive(relayed, instant(5000));
+    expect(member.coverage.endpoints.age(instant(5000))).to.equal(4000);
+  });
+
+  it('believes no confirmation from the future, as its own clock stood still', () => {
+    const store = new Store();
+    const [relay, member] = [new Router('relay', true), new Router('member')];
+    for (const router of [relay, member]) {
+      router.clock.madeAt({
+        storeTime: 5000,
+        sentAt: instant(0),
+        receivedAt: instant(4),
+      });
+      router.readList(store, instant(0));
+      router.updates.takeChanges(instant(0));
+    }
+    relay.readChanges(store, instant(9000));
+    member.updates.receive(
+      relay.updates.takeChanges(instant(9000)),
+      instant(1000),
+    );
+    expect(member.coverage.endpoints.age(instant(1000))).to.equal(1000);
+  });
+
   it('ignores rows and confirmations of another era, and names the newest one', () => {
     const store = new Store();
     const [before, after] = [
--- a/packages/core/src/peers/feed-updates.ts
+++ b/packages/core/src/peers/feed-updates.ts
@@ -15,6 +15,7 @@
 import type { TopicEntries } from '../gossip/gossip-scheduler';
 import type { RouteTable } from '../routes/route-table';
 import type { FeedCoverage } from '../store/feed-coverage';
+import type { StoreClock } from '../store/store-clock';
 import { FIRST_ERA, revision, storeEra } from '../store/feed-position';
 import type { FeedPosition, Revision, StoreEra } from '../store/feed-position';
 import { hostSchema, portSchema } from '../types/address';
@@ -80,11 +81,22 @@
 /** Era and revision as of which the rows of the message are the complete table. */
 const listSchema = z.tuple([countSchema, countSchema]);
 
+/**
+ * Table, the router that read it, and when on the store's clock. The age in a confirmation
+ * counts from the arrival of the message, which may have waited while a connection was cut.
+ */
+const storeTimeSchema = z.tuple([
+  z.enum(['endpoints', 'configuration']),
+  nameSchema,
+  z.number(),
+]);
+
 export const FeedTopic = {
   rows: 'e',
   list: 'w',
   versions: 'v',
   confirmations: 'f',
+  storeTimes: 'm',
 } as const;
 
 /** The tables that routers read from the store. */
@@ -113,6 +125,7 @@
   readonly endpointReplica: EndpointReplica;
   readonly routes: RouteTable;
   readonly coverage: Readonly<Record<FeedTable, FeedCoverage>>;
+  readonly storeClock: StoreClock;
 }
 
 export class FeedUpdates {
@@ -166,6 +179,7 @@
       );
       if (confirmations.length > 0) {
         topics[FeedTopic.confirmations] = confirmations;
+        topics[FeedTopic.storeTimes] = this.#storeTimes(confirmations);
       }
       for (const table of FEED_TABLES) {
         const confirmedAt = this.#options.coverage[table].latest?.confirmedAt;
@@ -185,14 +199,16 @@
       return {};
     }
     const { position } = coverage.endpoints;
+    // With the complete table a peer has every change before.
+    const confirmations = this.#confirmations(
+      position ? FIRST_REVISION : endpointReplica.baseRevision,
+      now,
+    );
     return {
       [FeedTopic.list]: position ? [[position.era, position.revision]] : [],
       ...this.#rowTopics(endpointReplica.rows()),
-      // With the complete table a peer has every change before.
-      [FeedTopic.confirmations]: this.#confirmations(
-        position ? FIRST_REVISION : endpointReplica.baseRevision,
-        now,
-      ),
+      [FeedTopic.confirmations]: confirmations,
+      [FeedTopic.storeTimes]: this.#storeTimes(confirmations),
     };
   }
 
@@ -237,14 +253,25 @@
     for (const { era, row } of rows) {
       this.#applyRow(era, row, now);
     }
+    const storeTimes = new Map<string, number>();
+    const malformedTimes = forEachValidEntry(
+      topics[FeedTopic.storeTimes],
+      storeTimeSchema,
+      ([table, origin, storeTime]) => {
+        storeTimes.set(confirmationName(table, origin), storeTime);
+      },
+    );
     const malformedConfirmations = forEachValidEntry(
       topics[FeedTopic.confirmations],
       confirmationSchema,
       confirmation => {
-        this.#applyConfirmation(confirmation, now);
+        const [table, origin] = confirmation;
+        const storeTime = storeTimes.get(confirmationName(table, origin));
+        this.#applyConfirmation(confirmation, storeTime, now);
       },
     );
     return (
+      malformedTimes +
       malformedVersions +
       malformedRows +
       malformedLists +
@@ -284,6 +311,7 @@
 
   #applyConfirmation(
     [table, origin, era, base, known, age, version]: Confirmation,
+    storeTime: number | undefined,
     now: Instant,
   ): void {
     const position = { era: storeEra(era), revision: revision(known) };
@@ -294,10 +322,30 @@
     ) {
       return;
     }
-    const confirmedAt = addTime(now, milliseconds(-age));
+    const { storeClock } = this.#options;
+    if (storeTime !== undefined && storeClock.isAhead(storeTime, now)) {
+      // The clock stood still while the machine was suspended; an own read sets it anew.
+      storeClock.reset();
+      return;
+    }
+    const arrival = addTime(now, milliseconds(-age));
+    const made =
+      storeTime === undefined ? undefined : storeClock.toLocal(storeTime);
+    const confirmedAt = made !== undefined && made < arrival ? made : arrival;
     this.#recordConfirmation(table, routerId(origin), position, confirmedAt);
   }
 
+  #storeTimes(
+    confirmations: readonly Confirmation[],
+  ): z.output<typeof storeTimeSchema>[] {
+    const { coverage, storeClock } = this.#options;
+    return confirmations.flatMap(([table, origin]) => {
+      const { latest } = coverage[table];
+      const storeTime = latest && storeClock.toStore(latest.confirmedAt);
+      return storeTime === undefined ? [] : [[table, origin, storeTime]];
+    });
+  }
+
   /** Whether this router has every change up to the revision after which the sender passed all on. */
   #hasChangesBefore(
     table: FeedTable,
@@ -410,6 +458,10 @@
   ];
 }
 
+function confirmationName(table: FeedTable, origin: string): string {
+  return `${table} ${origin}`;
+}
+
 function rowName(era: number, key: string, rowRevision: number): string {
   return `${era}/${key}/${rowRevision}`;
 }
--- a/packages/core/src/peers/malformed-updates.test.ts
+++ b/packages/core/src/peers/malformed-updates.test.ts
@@ -13,6 +13,7 @@
 import { StreamOrigins } from '../software-versions/stream-origins';
 import { VersionHistory } from '../software-versions/version-history';
 import { FeedCoverage } from '../store/feed-coverage';
+import { StoreClock } from '../store/store-clock';
 import { revision, storeEra } from '../store/feed-position';
 import { formatAddress } from '../types/address';
 import { endpointId, routerId } from '../types/ids';
@@ -49,6 +50,7 @@
       endpointReplica,
       routes: new RouteTable(),
       coverage,
+      storeClock: new StoreClock(),
     }),
     locations: new PartLocations(),
     endpointDirectory,
--- a/packages/core/src/peers/peer-updates.test.ts
+++ b/packages/core/src/peers/peer-updates.test.ts
@@ -13,6 +13,7 @@
 import { StreamOrigins } from '../software-versions/stream-origins';
 import { VersionHistory } from '../software-versions/version-history';
 import { FeedCoverage } from '../store/feed-coverage';
+import { StoreClock } from '../store/store-clock';
 import {
   endpointId,
   promptPartId,
@@ -54,6 +55,7 @@
       ),
       routes: new RouteTable(),
       coverage,
+      storeClock: new StoreClock(),
     }),
     locations,
     endpointDirectory,
--- a/packages/core/src/store/store-clock.test.ts
+++ b/packages/core/src/store/store-clock.test.ts
@@ -27,6 +27,18 @@
     expect(clock.madeAt(answer(2300, 2000, 2801))).to.equal(2800);
   });
 
+  it('relates the clocks anew after its own stood still', () => {
+    const clock = new StoreClock();
+    clock.madeAt(answer(500, 1000, 1002));
+    expect(clock.isAhead(1520, instant(2000))).to.equal(false);
+    expect(clock.isAhead(5500, instant(2000))).to.equal(true);
+    clock.madeAt(answer(5500, 2000, 2002));
+    expect(clock.toLocal(5600)).to.equal(2100);
+    expect(clock.toStore(instant(2100))).to.equal(5600);
+    clock.reset();
+    expect(clock.toLocal(5600)).to.equal(undefined);
+  });
+
   it('never dates a response outside of the time of its call', () => {
     const clock = new StoreClock();
     clock.madeAt(answer(0, 1000, 1002));
--- a/packages/gateway/src/composition/gateway-container.ts
+++ b/packages/gateway/src/composition/gateway-container.ts
@@ -273,12 +273,19 @@
       ({ loads }: GatewayCradle) => new LoadUpdates(loads),
     ).singleton(),
     feedUpdates: asFunction(
-      ({ endpointReplica, routes, coverage, settings }: GatewayCradle) =>
+      ({
+        endpointReplica,
+        routes,
+        coverage,
+        storeClock,
+        settings,
+      }: GatewayCradle) =>
         new FeedUpdates({
           self: routerId(settings.router.id),
           endpointReplica,
           routes,
           coverage,
+          storeClock,
         }),
     ).singleton(),
     peerUpdates: asFunction(
--- a/packages/gateway/src/store/fleet-replica.test.ts
+++ b/packages/gateway/src/store/fleet-replica.test.ts
@@ -230,11 +230,13 @@
       this.directory,
       coverage.endpoints,
     );
+    const storeClock = new StoreClock();
     this.updates = new FeedUpdates({
       self: routerId(name),
       endpointReplica,
       routes: this.routes,
       coverage,
+      storeClock,
     });
     this.updates.isRelay = isRelay;
     this.replica = new FleetReplica({
@@ -250,7 +252,7 @@
         routes: this.routes,
         endpointDirectory: this.directory,
       }),
-      storeClock: new StoreClock(),
+      storeClock,
       timers,
       random,
       backgroundTasks: new BackgroundTasks(({ error }) => {
