Split the simulated routers of the resumption tests from their fleet

Change: one class for a router and one for the fleet; no event or check changes.

Evidence: the 11 tests of stream-resumption.test.ts pass.

Conclusion: a pure move.

--- a/packages/gateway/src/streams/stream-resumption.test.ts
+++ b/packages/gateway/src/streams/stream-resumption.test.ts
@@ -2,13 +2,9 @@
 
 import { Random } from '@sesamegrade/core/random/random';
 import { requestId } from '@sesamegrade/core/types/ids';
-import {
-  MAX_LAG,
-  ROUTERS,
-  service,
-  SimulatedFleet,
-} from './testing/simulated-fleet';
+import { ROUTERS, service, SimulatedFleet } from './testing/simulated-fleet';
 import type { Stream } from './testing/simulated-fleet';
+import { MAX_LAG } from './testing/simulated-router';
 
 const STREAM_LIFE_MS = 8000;
 /** Time within which a resumed stream goes on or is refused. */
