Pick the service of a new stream by its own request

Callers saw: on a route with two services, a stream that was resumed at another router went on at the other service. 6 of 12 streams were joined from two services (stream-service.test.ts, two routers over sockets).

Cause: a request that names an earlier one in `Resumes` but has no events of it yet begins the stream. Its service was picked by the hash of the named request, while the resumption names the request that began the stream, so that two different hashes picked the service. The route and its weights did not change.

Ruled out: the version (both services have one, of the same name); without `Resumes` in the first request 0 of 12 were joined.

Fix: only a request that resumes events uses the hash of the named one. The request under whose id a stream is recorded is then also the one that picks its service. 0 of 12 joined, 12 of 12 go on.

--- a/packages/gateway/src/forwarding/forwarder.ts
+++ b/packages/gateway/src/forwarding/forwarder.ts
@@ -258,7 +258,9 @@
       route,
       // A stream that is resumed goes to the service that began it.
       isResumable(route)
-        ? fractionOf(head.begunBy ?? head.requestId)
+        ? fractionOf(
+            (isResumption(head) ? head.begunBy : undefined) ?? head.requestId,
+          )
         : random.fraction(),
     );
     if (!target) {
--- a/packages/stand-ins/src/deployment/deployment-documents.ts
+++ b/packages/stand-ins/src/deployment/deployment-documents.ts
@@ -8,7 +8,12 @@
   readonly name: string;
   readonly prefix: string;
   readonly kind: 'idempotent' | 'non_idempotent' | 'streaming';
-  readonly service: string;
+  readonly service?: string;
+  /** Services among which the requests are split, in place of one. */
+  readonly trafficSplit?: readonly {
+    readonly service: string;
+    readonly weight: number;
+  }[];
   readonly timeoutMs?: number;
   readonly maxAttempts?: number;
   readonly resumable?: boolean;
