Bind a resumed stream to the service that began it

Callers saw: a stream that was resumed at another router after a new configuration went on at another service, whose version has the same name.

Cause: a resumed stream picked its service by the hash of the request that began it over the weights in force at the resumption. The origin of a stream held the version only, and "the service had one version" was concluded for the service that was picked.

Fix: the origin of a stream is its service and version, in memory, in messages to the router that stores them and in the rows. A resumed stream goes to that service if its route still leads there, and is refused at once otherwise. Without a known origin, a service counts only if every set of routes that was in force within the life of a stream, at any router, leads the request there (RouteHistory); with several services the rows are read first. Streams of services that share a route, also over a change, are told to the router that stores them. A router that has just started does not know the weights of before and goes by the rows alone. Routes with one service that did not change need no more than before.

Entries of older builds name no service and count only for a route that leads to one; older builds ignore the new topic and the new field.

--- a/packages/core/src/peers/malformed-updates.test.ts
+++ b/packages/core/src/peers/malformed-updates.test.ts
@@ -19,7 +19,7 @@
 import { instant, seconds } from '../types/units';
 import { FeedTopic, FeedUpdates } from './feed-updates';
 import { LoadUpdates } from './load-updates';
-import { StreamUpdates } from './stream-updates';
+import { StreamTopic, StreamUpdates } from './stream-updates';
 import { PeerUpdates, UpdateTopic } from './peer-updates';
 
 const self = routerId('self');
@@ -57,7 +57,9 @@
     endpointLimits: new EndpointLimits(),
     streamUpdates: new StreamUpdates({
       versionHistory,
-      streamOrigins: new StreamOrigins(versionHistory),
+      streamOrigins: new StreamOrigins(versionHistory, {
+        isShared: () => false,
+      }),
     }),
   });
   updates.isRelay = true;
@@ -102,7 +104,11 @@
 );
 const topics = fc.dictionary(
   fc.oneof(
-    fc.constantFrom(...Object.values(UpdateTopic), ...Object.values(FeedTopic)),
+    fc.constantFrom(
+      ...Object.values(UpdateTopic),
+      ...Object.values(FeedTopic),
+      ...Object.values(StreamTopic),
+    ),
     fc.string(),
   ),
   fc.array(fc.oneof(value, row, fc.array(value, { maxLength: 9 })), {
--- a/packages/core/src/peers/peer-updates.test.ts
+++ b/packages/core/src/peers/peer-updates.test.ts
@@ -62,7 +62,9 @@
     endpointLimits: new EndpointLimits(),
     streamUpdates: new StreamUpdates({
       versionHistory,
-      streamOrigins: new StreamOrigins(versionHistory),
+      streamOrigins: new StreamOrigins(versionHistory, {
+        isShared: () => false,
+      }),
     }),
   });
   return {
--- a/packages/core/src/peers/stream-updates.ts
+++ b/packages/core/src/peers/stream-updates.ts
@@ -6,9 +6,11 @@
 
 import type { TopicEntries } from '../gossip/gossip-scheduler';
 import { nameSchema } from '../membership/vm-entry';
+import { groupBySource } from '../software-versions/stream-origins';
 import type {
   StreamOrigin,
   StreamOrigins,
+  StreamSource,
 } from '../software-versions/stream-origins';
 import type { VersionHistory } from '../software-versions/version-history';
 import { serviceId, softwareVersion, streamKey } from '../types/ids';
@@ -16,8 +18,10 @@
 import type { Instant } from '../types/units';
 import { forEachValidEntry } from './entry-lists';
 
-/** Key of a stream and the version at which it began. */
-const originSchema = z.tuple([nameSchema, nameSchema]);
+/** Service, version, and the keys of the streams that began there. */
+const originsSchema = z.tuple([nameSchema, nameSchema, z.array(nameSchema)]);
+/** Key of a stream and the version at which it began, as older builds tell it. */
+const versionSchema = z.tuple([nameSchema, nameSchema]);
 /** Service, version (null if not named) and time since it was last in use. */
 const useSchema = z.tuple([
   nameSchema,
@@ -25,7 +29,12 @@
   z.number().min(0),
 ]);
 
-export const StreamTopic = { origins: 'b', versionUses: 'h' } as const;
+export const StreamTopic = {
+  origins: 'q',
+  /** Origins without their service, which older builds send; not sent any more. */
+  versions: 'b',
+  versionUses: 'h',
+} as const;
 
 export interface StreamUpdatesOptions {
   readonly streamOrigins: StreamOrigins;
@@ -47,7 +56,11 @@
 
   originsMessage(origins: readonly StreamOrigin[]): TopicEntries {
     return {
-      [StreamTopic.origins]: origins.map(({ key, version }) => [key, version]),
+      [StreamTopic.origins]: groupBySource(origins).map(({ source, keys }) => [
+        source.service,
+        source.version,
+        keys,
+      ]),
     };
   }
 
@@ -70,23 +83,8 @@
 
   /** Applies a peer's updates; returns the number of malformed entries. */
   receive(topics: TopicEntries, now: Instant): number {
-    const { streamOrigins, versionHistory } = this.#options;
-    const origins: StreamOrigin[] = [];
-    const malformedOrigins = forEachValidEntry(
-      topics[StreamTopic.origins],
-      originSchema,
-      ([key, version]) => {
-        const origin = {
-          key: streamKey(key),
-          version: softwareVersion(version),
-        };
-        streamOrigins.add(origin, now);
-        origins.push(origin);
-      },
-    );
-    if (origins.length > 0) {
-      this.#originListener(origins);
-    }
+    const { versionHistory } = this.#options;
+    const malformedOrigins = this.#receiveOrigins(topics, now);
     const uses = topics[StreamTopic.versionUses];
     const malformedUses = forEachValidEntry(
       uses,
@@ -104,4 +102,35 @@
     }
     return malformedOrigins + malformedUses;
   }
+  #receiveOrigins(topics: TopicEntries, now: Instant): number {
+    const { streamOrigins } = this.#options;
+    const origins: StreamOrigin[] = [];
+    const add = (names: readonly string[], source: StreamSource) => {
+      const keys = names.map(name => streamKey(name));
+      streamOrigins.add(keys, source, now);
+      origins.push(...keys.map(key => ({ key, ...source })));
+    };
+    const malformed =
+      forEachValidEntry(
+        topics[StreamTopic.origins],
+        originsSchema,
+        ([service, version, keys]) => {
+          add(keys, {
+            service: serviceId(service),
+            version: softwareVersion(version),
+          });
+        },
+      ) +
+      forEachValidEntry(
+        topics[StreamTopic.versions],
+        versionSchema,
+        ([key, version]) => {
+          add([key], { service: undefined, version: softwareVersion(version) });
+        },
+      );
+    if (origins.length > 0) {
+      this.#originListener(origins);
+    }
+    return malformed;
+  }
 }
--- /dev/null
+++ b/packages/core/src/routes/route-history.test.ts
@@ -0,0 +1,144 @@
+import { expect } from 'chai';
+
+import { requestId, routeId, serviceId } from '../types/ids';
+import type { ServiceId } from '../types/ids';
+import { instant, milliseconds, seconds } from '../types/units';
+import type { Route } from './fleet-configuration';
+import { RouteHistory } from './route-history';
+import { pickStreamTarget } from './stream-target';
+
+const LIFETIME = seconds(30);
+/** Time after which a change is no longer of importance. */
+const SPAN = 42_000;
+const HOST = 'a.example';
+const a = serviceId('a');
+const b = serviceId('b');
+const path = { host: HOST, path: '/draft/1' };
+const ids = Array.from({ length: 50 }, (_value, index) =>
+  requestId(`request-${index}`),
+);
+
+const route = (
+  prefix: string,
+  weights: Readonly<Record<string, number>>,
+  fields: Partial<Route> = {},
+): Route => ({
+  id: routeId(prefix),
+  host: HOST,
+  prefix,
+  targets: Object.entries(weights).map(([service, weight]) => ({
+    service: serviceId(service),
+    weight,
+  })),
+  answer: { kind: 'stream', pauseLimit: undefined },
+  repeatable: true,
+  timeout: milliseconds(1000),
+  latencyGoal: milliseconds(200),
+  priority: 0,
+  maxAttempts: 2,
+  anonymous: false,
+  ...fields,
+});
+
+describe('RouteHistory', () => {
+  let history: RouteHistory;
+
+  beforeEach(() => {
+    history = new RouteHistory(() => LIFETIME);
+  });
+
+  const record = (at: number, ...routes: Route[]) => {
+    history.record({ routes }, instant(at));
+  };
+  const only = (at: number, id = ids[0]): ServiceId | undefined =>
+    history.servicesOf(path, id, instant(at)).only;
+
+  it('knows the service of a route with one from the start', () => {
+    record(0, route('/draft/', { a: 1 }), route('/other/', { b: 1 }));
+    expect(history.servicesOf(path, undefined, instant(0))).to.deep.equal({
+      only: a,
+      areSeveral: false,
+    });
+    expect(history.isShared(a, instant(0))).to.equal(false);
+  });
+
+  // Guards against a router that has just started and takes the weights in force for those of before.
+  it('picks among several services only if it knows all weights of before', () => {
+    const split = route('/draft/', { a: 1, b: 1 });
+    record(0, split);
+    expect(only(SPAN - 1)).to.equal(undefined);
+    for (const id of ids) {
+      expect(only(SPAN, id)).to.equal(pickStreamTarget(split, id)?.service);
+    }
+    expect(history.servicesOf(path, undefined, instant(SPAN)).only).to.equal(
+      undefined,
+    );
+  });
+
+  // Guards against a stream that goes on at another service, as the weights have changed.
+  it('knows the service only of streams that all weights lead to the same one', () => {
+    const before = route('/draft/', { a: 1, b: 3 });
+    const after = route('/draft/', { a: 3, b: 1 });
+    record(0, before);
+    record(SPAN, after);
+    const at = 2 * SPAN;
+    const known = ids.filter(id => only(at, id) !== undefined);
+    expect(known.length).to.be.within(1, ids.length - 1);
+    for (const id of known) {
+      expect(only(at, id)).to.equal(pickStreamTarget(before, id)?.service);
+      expect(only(at, id)).to.equal(pickStreamTarget(after, id)?.service);
+    }
+    expect(ids.map(id => only(at + 1, id))).not.to.include(undefined);
+  });
+
+  // Guards against a stream that goes on at the service to which its route was moved.
+  it('takes a moved route for one with several services until its streams have ended', () => {
+    record(0, route('/draft/', { a: 1 }), route('/other/', { c: 1 }));
+    record(SPAN, route('/draft/', { b: 1 }), route('/other/', { c: 1 }));
+    const at = instant(2 * SPAN);
+    expect(history.servicesOf(path, ids[0], at)).to.deep.equal({
+      only: undefined,
+      areSeveral: true,
+    });
+    expect([a, b].map(service => history.isShared(service, at))).to.deep.equal([
+      true,
+      true,
+    ]);
+    expect(history.isShared(serviceId('c'), at)).to.equal(false);
+    expect(only(2 * SPAN + 1)).to.equal(b);
+    expect(history.isShared(a, instant(2 * SPAN + 1))).to.equal(false);
+  });
+
+  it('notices a new route that takes over the paths of another one', () => {
+    record(0, route('/', { a: 1 }));
+    record(1000, route('/', { a: 1 }), route('/draft/', { b: 1 }));
+    expect(only(2000)).to.equal(undefined);
+    expect(history.isShared(a, instant(2000))).to.equal(true);
+  });
+
+  it('ignores services that get no requests, and routes without streams', () => {
+    const whole = { answer: { kind: 'whole' } } as const;
+    record(0, route('/draft/', { b: 1 }, whole));
+    record(1000, route('/draft/', { a: 1, b: 0 }));
+    expect(only(1000)).to.equal(a);
+  });
+
+  it('keeps few sets of routes and does not guess what came before', () => {
+    for (let change = 0; change <= 100; change += 1) {
+      record(SPAN + change, route('/draft/', { a: 1, b: 1 + change }));
+    }
+    expect(history.size).to.be.at.most(16);
+    expect(ids.map(id => only(SPAN + 200, id))).to.deep.equal(
+      ids.map(() => undefined),
+    );
+    expect(history.isShared(a, instant(SPAN + 200))).to.equal(true);
+    expect(ids.map(id => only(3 * SPAN, id))).not.to.include(undefined);
+    expect(history.size).to.equal(1);
+  });
+
+  it('keeps nothing for changes that lead streams to the same services', () => {
+    record(0, route('/draft/', { a: 1 }));
+    record(1, route('/draft/', { a: 1 }, { timeout: milliseconds(2000) }));
+    expect(history.size).to.equal(1);
+  });
+});
--- /dev/null
+++ b/packages/core/src/routes/route-history.ts
@@ -0,0 +1,178 @@
+/**
+ * The services to which the routes of streams led within the longest life of a stream.
+ * A request that resumes one does not say which service began it, and the routes may
+ * have changed since.
+ */
+import type { RequestId, ServiceId } from '../types/ids';
+import { elapsed, milliseconds, seconds } from '../types/units';
+import type { Instant, Milliseconds } from '../types/units';
+import type { FleetConfiguration, Route } from './fleet-configuration';
+import { findRoute, indexRoutes } from './route-table';
+import type { RoutesByHost } from './route-table';
+import { isResumable, pickStreamTarget, streamServices } from './stream-target';
+
+/** Time within which a configuration is in force at every router. */
+const MAX_CONFIGURATION_DELAY: Milliseconds = seconds(12);
+/** Different sets of routes that are kept; after more, the time before is not known. */
+const MAX_ROUTINGS = 16;
+
+/** Host and path of a request. */
+export interface RoutedPath {
+  readonly host: string;
+  readonly path: string;
+}
+
+/** The services at which a stream can have begun. */
+export interface StreamServices {
+  /** The only one at which it can have begun; undefined if that is not known. */
+  readonly only: ServiceId | undefined;
+  /** Whether streams of its route began at several. */
+  readonly areSeveral: boolean;
+}
+
+/** Routes that were in force together, until others replaced them. */
+interface Routing {
+  readonly routes: RoutesByHost;
+  /** Tells apart routings that lead streams to other services. */
+  readonly signature: string;
+  endedAt: Instant | undefined;
+}
+
+export class RouteHistory {
+  readonly #lifetime: () => Milliseconds;
+  /** From the oldest to the one in force. */
+  readonly #routings: Routing[] = [];
+  #knownSince: Instant | undefined;
+  #shared: ReadonlySet<ServiceId> = new Set();
+
+  /** `lifetime` returns the longest time from the begin of a stream to its last resumption. */
+  constructor(lifetime: () => Milliseconds) {
+    this.#lifetime = lifetime;
+  }
+
+  /** Number of sets of routes that are kept. */
+  get size(): number {
+    return this.#routings.length;
+  }
+
+  /** Records a configuration that is in force from now on. */
+  record({ routes }: Pick<FleetConfiguration, 'routes'>, now: Instant): void {
+    this.#knownSince ??= now;
+    const signature = signatureOf(routes);
+    const current = this.#routings.at(-1);
+    if (current?.signature === signature) {
+      return;
+    }
+    if (current) {
+      current.endedAt = now;
+    }
+    this.#routings.push({
+      routes: indexRoutes(routes),
+      signature,
+      endedAt: undefined,
+    });
+    if (this.#routings.length > MAX_ROUTINGS) {
+      this.#knownSince = this.#routings.shift()?.endedAt ?? now;
+    }
+    this.#shared = sharedServices(this.#routings);
+  }
+
+  /** Whether streams of the service cannot be told from those of others by their route. */
+  isShared(service: ServiceId, now: Instant): boolean {
+    this.#removeExpired(now);
+    return this.#shared.has(service);
+  }
+
+  /** Where a stream on this path began; `begunBy` is the request that began it, if that is known. */
+  servicesOf(
+    path: RoutedPath,
+    begunBy: RequestId | undefined,
+    now: Instant,
+  ): StreamServices {
+    this.#removeExpired(now);
+    const possible = new Set<ServiceId>();
+    const picked = new Set<ServiceId>();
+    for (const { routes } of this.#routings) {
+      const route = findRoute(routes.get(path.host), path.path);
+      const services = route ? streamServices(route) : [];
+      const target =
+        route && begunBy !== undefined && isResumable(route)
+          ? pickStreamTarget(route, begunBy)
+          : undefined;
+      for (const service of services) {
+        possible.add(service);
+      }
+      for (const service of target ? [target.service] : services) {
+        picked.add(service);
+      }
+    }
+    const areSeveral = possible.size > 1;
+    const isCertain =
+      picked.size === 1 && (!areSeveral || this.#isComplete(now));
+    const [only] = picked;
+    return { only: isCertain ? only : undefined, areSeveral };
+  }
+
+  /** Time for which routes are kept that are no longer in force here. */
+  get #span(): Milliseconds {
+    return milliseconds(this.#lifetime() + MAX_CONFIGURATION_DELAY);
+  }
+
+  /** Whether all routes are known by which a stream that still lives can have begun. */
+  #isComplete(now: Instant): boolean {
+    return (
+      this.#knownSince !== undefined &&
+      elapsed(this.#knownSince, now) >= this.#span
+    );
+  }
+
+  #removeExpired(now: Instant): void {
+    const span = this.#span;
+    const kept = this.#routings.filter(
+      ({ endedAt }) => endedAt === undefined || elapsed(endedAt, now) <= span,
+    );
+    if (kept.length < this.#routings.length) {
+      this.#routings.splice(0, this.#routings.length, ...kept);
+      this.#shared = sharedServices(kept);
+    }
+  }
+}
+
+function signatureOf(routes: readonly Route[]): string {
+  return JSON.stringify(
+    routes.map(({ host, prefix, targets, answer, repeatable }) => [
+      host,
+      prefix,
+      answer.kind,
+      repeatable,
+      targets.map(({ service, weight }) => [service, weight]),
+    ]),
+  );
+}
+
+/** Services that some path shares with others, in one routing or over several. */
+function sharedServices(routings: readonly Routing[]): Set<ServiceId> {
+  const prefixes = new Map<string, Set<string>>();
+  for (const { routes } of routings) {
+    for (const [host, hostRoutes] of routes) {
+      const known = prefixes.get(host) ?? new Set();
+      [...hostRoutes.keys()].forEach(prefix => known.add(prefix));
+      prefixes.set(host, known);
+    }
+  }
+  const shared = new Set<ServiceId>();
+  for (const [host, hostPrefixes] of prefixes) {
+    for (const prefix of hostPrefixes) {
+      const services = new Set(
+        routings.flatMap(({ routes }) => {
+          const route = findRoute(routes.get(host), prefix);
+          return route ? streamServices(route) : [];
+        }),
+      );
+      if (services.size > 1) {
+        services.forEach(service => shared.add(service));
+      }
+    }
+  }
+  return shared;
+}
--- a/packages/core/src/routes/route-table.ts
+++ b/packages/core/src/routes/route-table.ts
@@ -36,9 +36,12 @@
   readonly key: string | undefined;
 }
 
+/** Routes by prefix, by host. */
+export type RoutesByHost = ReadonlyMap<string, ReadonlyMap<string, Route>>;
+
 interface RouteIndex {
   readonly configuration: FleetConfiguration;
-  readonly routes: ReadonlyMap<string, ReadonlyMap<string, Route>>;
+  readonly routes: RoutesByHost;
   readonly teams: ReadonlyMap<string, Team>;
 }
 
@@ -143,24 +146,28 @@
   return route.targets.at(-1);
 }
 
-function buildIndex(configuration: FleetConfiguration): RouteIndex {
-  const routes = new Map<string, Map<string, Route>>();
-  for (const route of configuration.routes) {
-    const hostRoutes = routes.get(route.host) ?? new Map<string, Route>();
+export function indexRoutes(routes: readonly Route[]): RoutesByHost {
+  const hosts = new Map<string, Map<string, Route>>();
+  for (const route of routes) {
+    const hostRoutes = hosts.get(route.host) ?? new Map<string, Route>();
     hostRoutes.set(route.prefix, route);
-    routes.set(route.host, hostRoutes);
+    hosts.set(route.host, hostRoutes);
   }
+  return hosts;
+}
+
+function buildIndex(configuration: FleetConfiguration): RouteIndex {
   const teams = new Map<string, Team>();
   for (const team of configuration.teams) {
     for (const key of team.keys) {
       teams.set(key, team);
     }
   }
-  return { configuration, routes, teams };
+  return { configuration, routes: indexRoutes(configuration.routes), teams };
 }
 
 /** Looks up each prefix of the path that ends in a slash, the longest first. */
-function findRoute(
+export function findRoute(
   prefixes: ReadonlyMap<string, Route> | undefined,
   path: string,
 ): Route | undefined {
--- a/packages/core/src/software-versions/stream-origins.test.ts
+++ b/packages/core/src/software-versions/stream-origins.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai';
 
+import type { ServiceId } from '../types/ids';
 import { requestId, serviceId, softwareVersion } from '../types/ids';
 import { instant, seconds } from '../types/units';
 import { keyOfStream, StreamOrigins } from './stream-origins';
@@ -14,6 +15,7 @@
 describe('StreamOrigins', () => {
   let history: VersionHistory;
   let origins: StreamOrigins;
+  const shared = new Set<ServiceId>();
 
   const record = (version: string, at: number) => {
     history.record({
@@ -25,7 +27,10 @@
 
   beforeEach(() => {
     history = new VersionHistory(() => LIFETIME);
-    origins = new StreamOrigins(history);
+    shared.clear();
+    origins = new StreamOrigins(history, {
+      isShared: name => shared.has(name),
+    });
     record('v1', 0);
   });
 
@@ -35,11 +40,26 @@
     expect(origins.takeUntold(MAX, instant(0))).to.deep.equal([]);
     record('v2', 1000);
     expect(origins.takeUntold(MAX, instant(1000))).to.deep.equal([
-      { key: keyOfStream(requestId('a')), version: 'v1' },
+      { key: keyOfStream(requestId('a')), service, version: 'v1' },
     ]);
     expect(origins.takeUntold(MAX, instant(1000))).to.deep.equal([]);
   });
 
+  it('tells of streams also while routes lead to several services', () => {
+    origins.begin(requestId('a'), service, v1, instant(0));
+    expect(origins.takeUntold(MAX, instant(0))).to.deep.equal([]);
+    shared.add(service);
+    expect(origins.takeUntold(MAX, instant(0))).to.have.length(1);
+  });
+
+  // Guards against an entry of a router of an older build that hides the service of a stream.
+  it('keeps the service of a stream that it is also told of without', () => {
+    const key = keyOfStream(requestId('a'));
+    origins.add([key], { service, version: v1 }, instant(0));
+    origins.add([key], { service: undefined, version: v1 }, instant(0));
+    expect(origins.sourceOf(key)?.service).to.equal(service);
+  });
+
   it('tells of all streams again when the router that stores them is another one', () => {
     record('v2', 0);
     origins.begin(requestId('a'), service, v1, instant(0));
@@ -52,13 +72,14 @@
     for (let at = 0; at <= 200_000; at += 100) {
       origins.begin(requestId(`own-${at}`), service, v1, instant(at));
       origins.add(
-        { key: keyOfStream(requestId(`told-${at}`)), version: v1 },
+        [keyOfStream(requestId(`told-${at}`))],
+        { service, version: v1 },
         instant(at),
       );
     }
     expect(origins.size).to.be.at.most(300 + 2 * 302);
     const recent = keyOfStream(requestId('told-175000'));
-    expect(origins.versionOf(recent)).to.equal('v1');
+    expect(origins.sourceOf(recent)?.version).to.equal('v1');
   });
 
   it('keeps requests with similar ids apart', () => {
--- a/packages/core/src/software-versions/stream-origins.ts
+++ b/packages/core/src/software-versions/stream-origins.ts
@@ -1,10 +1,11 @@
 /**
- * The software versions at which streams began: those of this router, and those that
- * others told it of. Own ones of services with several versions are told to the router
- * that stores them.
+ * The services and software versions at which streams began: those of this router, and
+ * those that others told it of. Own ones that others may need are told to the router that
+ * stores them: those of services with several versions, and of routes with several services.
  */
 import murmurhash from 'murmurhash';
 
+import type { RouteHistory } from '../routes/route-history';
 import { streamKey } from '../types/ids';
 import type {
   RequestId,
@@ -21,13 +22,21 @@
 /** Streams of one router that are remembered; each begins several a second. */
 const MAX_OWN_STREAMS = 16_384;
 
-export interface StreamOrigin {
-  readonly key: StreamKey;
+/** Where a stream began. */
+export interface StreamSource {
+  /** Undefined if a router of an older build told of the stream. */
+  readonly service: ServiceId | undefined;
   readonly version: SoftwareVersion;
 }
 
-interface OwnStream extends StreamOrigin {
+export interface StreamOrigin extends StreamSource {
+  readonly key: StreamKey;
+}
+
+interface OwnStream {
+  readonly key: StreamKey;
   readonly service: ServiceId;
+  readonly version: SoftwareVersion;
   readonly beganAt: Instant;
   isTold: boolean;
 }
@@ -40,15 +49,20 @@
 }
 
 export class StreamOrigins {
-  readonly #history: VersionHistory;
+  readonly #versionHistory: VersionHistory;
+  readonly #routeHistory: Pick<RouteHistory, 'isShared'>;
   readonly #own = new Map<StreamKey, OwnStream>();
   /** Origins that others told of, in two generations of which the older one is dropped. */
-  #recent = new Map<StreamKey, SoftwareVersion>();
-  #older = new Map<StreamKey, SoftwareVersion>();
+  #recent = new Map<StreamKey, StreamSource>();
+  #older = new Map<StreamKey, StreamSource>();
   #rotatedAt: Instant | undefined;
 
-  constructor(history: VersionHistory) {
-    this.#history = history;
+  constructor(
+    versionHistory: VersionHistory,
+    routeHistory: Pick<RouteHistory, 'isShared'>,
+  ) {
+    this.#versionHistory = versionHistory;
+    this.#routeHistory = routeHistory;
   }
 
   /** Number of streams that are remembered. */
@@ -64,8 +78,9 @@
     now: Instant,
   ): void {
     const key = keyOfStream(request);
+    this.#own.delete(key);
     this.#own.set(key, { key, version, service, beganAt: now, isTold: false });
-    const { lifetime } = this.#history;
+    const { lifetime } = this.#versionHistory;
     for (const [oldest, { beganAt }] of this.#own) {
       const isExpired = elapsed(beganAt, now) > lifetime;
       if (!isExpired && this.#own.size <= MAX_OWN_STREAMS) {
@@ -75,29 +90,38 @@
     }
   }
 
-  /** Records the origin of a stream that another router relayed. */
-  add({ key, version }: StreamOrigin, now: Instant): void {
+  /** Records the origins of streams that another router relayed. */
+  add(keys: readonly StreamKey[], source: StreamSource, now: Instant): void {
     this.#rotatedAt ??= now;
-    if (elapsed(this.#rotatedAt, now) > this.#history.lifetime) {
+    if (elapsed(this.#rotatedAt, now) > this.#versionHistory.lifetime) {
       this.#older = this.#recent;
       this.#recent = new Map();
       this.#rotatedAt = now;
     }
-    this.#recent.set(key, version);
+    for (const key of keys) {
+      const known = this.#recent.get(key);
+      if (known?.service === undefined || source.service !== undefined) {
+        this.#recent.set(key, source);
+      }
+    }
+  }
+
+  sourceOf(key: StreamKey): StreamSource | undefined {
+    return this.#own.get(key) ?? this.#recent.get(key) ?? this.#older.get(key);
   }
 
-  versionOf(key: StreamKey): SoftwareVersion | undefined {
+  /** Whether others may need the origins of the service's streams. */
+  areNeeded(service: ServiceId, now: Instant): boolean {
     return (
-      this.#own.get(key)?.version ??
-      this.#recent.get(key) ??
-      this.#older.get(key)
+      this.#versionHistory.isMixed(service, now) ||
+      this.#routeHistory.isShared(service, now)
     );
   }
 
   /** Returns and marks up to `max` own origins that nobody was told of and that others may need. */
   takeUntold(max: number, now: Instant): StreamOrigin[] {
     const untold: StreamOrigin[] = [];
-    const mixed = new Map<ServiceId, boolean>();
+    const needed = new Map<ServiceId, boolean>();
     for (const stream of this.#own.values()) {
       if (untold.length >= max) {
         break;
@@ -106,11 +130,11 @@
         continue;
       }
       const { service, key, version } = stream;
-      const isMixed = mixed.get(service) ?? this.#history.isMixed(service, now);
-      mixed.set(service, isMixed);
-      if (isMixed) {
+      const isNeeded = needed.get(service) ?? this.areNeeded(service, now);
+      needed.set(service, isNeeded);
+      if (isNeeded) {
         stream.isTold = true;
-        untold.push({ key, version });
+        untold.push({ key, service, version });
       }
     }
     return untold;
@@ -123,3 +147,23 @@
     }
   }
 }
+
+/** Groups keys of streams by their origins. */
+export function groupBySource(
+  origins: readonly StreamOrigin[],
+): { readonly source: StreamSource; readonly keys: StreamKey[] }[] {
+  const groups = new Map<
+    string,
+    { readonly source: StreamSource; readonly keys: StreamKey[] }
+  >();
+  for (const { key, service, version } of origins) {
+    const name = JSON.stringify([service, version]);
+    const group = groups.get(name) ?? {
+      source: { service, version },
+      keys: [],
+    };
+    group.keys.push(key);
+    groups.set(name, group);
+  }
+  return [...groups.values()];
+}
--- a/packages/gateway/src/composition/gateway-container.ts
+++ b/packages/gateway/src/composition/gateway-container.ts
@@ -35,6 +35,7 @@
 import type { RouterIdentity } from '@sesamegrade/core/membership/router-table';
 import { Random } from '@sesamegrade/core/random/random';
 import type { FleetConfiguration } from '@sesamegrade/core/routes/fleet-configuration';
+import { RouteHistory } from '@sesamegrade/core/routes/route-history';
 import { RouteTable } from '@sesamegrade/core/routes/route-table';
 import { StreamUpdates } from '@sesamegrade/core/peers/stream-updates';
 import { StreamOrigins } from '@sesamegrade/core/software-versions/stream-origins';
@@ -120,6 +121,7 @@
   readonly storedSuspects: StoredSuspects;
   readonly versionHistory: VersionHistory;
   readonly storedVersions: StoredVersions;
+  readonly routeHistory: RouteHistory;
   readonly streamOrigins: StreamOrigins;
   readonly streamUpdates: StreamUpdates;
   readonly streamLedger: StreamLedger;
@@ -218,8 +220,13 @@
     storedSuspects: asClass(StoredSuspects).singleton(),
     versionHistory: asFunction(newVersionHistory).singleton(),
     storedVersions: asClass(StoredVersions).singleton(),
+    routeHistory: asFunction(
+      ({ versionHistory }: GatewayCradle) =>
+        new RouteHistory(() => versionHistory.lifetime),
+    ).singleton(),
     streamOrigins: asFunction(
-      ({ versionHistory }: GatewayCradle) => new StreamOrigins(versionHistory),
+      ({ versionHistory, routeHistory }: GatewayCradle) =>
+        new StreamOrigins(versionHistory, routeHistory),
     ).singleton(),
     streamUpdates: asFunction(
       ({ streamOrigins, versionHistory }: GatewayCradle) =>
--- a/packages/gateway/src/forwarding/forwarder.ts
+++ b/packages/gateway/src/forwarding/forwarder.ts
@@ -16,27 +16,27 @@
 import { subjectPart } from '@sesamegrade/core/prompts/prompt-chain';
 import type { RelayedSuspects } from '@sesamegrade/core/poison/relayed-suspects';
 import type { Random } from '@sesamegrade/core/random/random';
-import { rendezvousWeight } from '@sesamegrade/core/hashing/rendezvous';
 import type {
   CallerLimits,
-  Route,
+  RouteTarget,
 } from '@sesamegrade/core/routes/fleet-configuration';
+import type { RouteHistory } from '@sesamegrade/core/routes/route-history';
 import { pickTarget } from '@sesamegrade/core/routes/route-table';
 import type {
   RouteDecision,
   RouteTable,
 } from '@sesamegrade/core/routes/route-table';
+import {
+  isResumable,
+  pickStreamTarget,
+  streamServices,
+} from '@sesamegrade/core/routes/stream-target';
 import type { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
 import { addTime, elapsed, milliseconds } from '@sesamegrade/core/types/units';
 import type { Instant, Milliseconds } from '@sesamegrade/core/types/units';
 import { teamId } from '@sesamegrade/core/types/ids';
-import type {
-  EndpointId,
-  RequestId,
-  ServiceId,
-  SoftwareVersion,
-} from '@sesamegrade/core/types/ids';
+import type { EndpointId, ServiceId } from '@sesamegrade/core/types/ids';
 import type { CallerExchange } from '../callers/caller-exchange';
 import type {
   RequestHead,
@@ -88,8 +88,6 @@
  */
 const MAX_START_WAIT = milliseconds(600);
 const START_WAIT_SHARE = 0.25;
-/** Salt of the hash that picks the service of a stream. */
-const TARGET_KEY = 'target';
 /** Stands for the team of requests that need no key. */
 const NO_TEAM = teamId('');
 
@@ -97,6 +95,7 @@
 
 export interface ForwarderOptions {
   readonly routes: RouteTable;
+  readonly routeHistory: RouteHistory;
   readonly chooser: EndpointChooser;
   readonly attemptPlacement: AttemptPlacement;
   readonly fleetState: FleetState;
@@ -252,45 +251,29 @@
     body: Buffer,
     arrivedAt: Instant,
   ): Promise<void> {
-    const { random } = this.#options;
     const { route } = decision;
-    const target = pickTarget(
-      route,
-      // A stream that is resumed goes to the service that began it.
-      isResumable(route)
-        ? fractionOf(
-            (isResumption(head) ? head.begunBy : undefined) ?? head.requestId,
-          )
-        : random.fraction(),
+    const timeout = Math.min(
+      route.timeout,
+      head.callerTimeout ?? route.timeout,
     );
+    const binding = new StreamBinding();
+    const isResumed = isResumable(route) && isResumption(head);
+    const target = isResumed
+      ? await this.#resumedTarget(head, decision, binding)
+      : this.#newTarget(head, decision);
+    if (exchange.hasDisconnected) {
+      return;
+    }
     if (!target) {
       this.#refuse(
         exchange,
         head,
-        this.#notRunRefusal('no-service', route.timeout),
+        isResumed
+          ? this.#notRunRefusal('unknown-stream', milliseconds(timeout))
+          : this.#notRunRefusal('no-service', route.timeout),
       );
       return;
     }
-    const timeout = Math.min(
-      route.timeout,
-      head.callerTimeout ?? route.timeout,
-    );
-    const binding = new StreamBinding();
-    if (isResumable(route) && isResumption(head)) {
-      const version = await this.#versionOfStream(head, target.service);
-      if (exchange.hasDisconnected) {
-        return;
-      }
-      if (version === undefined) {
-        this.#refuse(
-          exchange,
-          head,
-          this.#notRunRefusal('unknown-stream', milliseconds(timeout)),
-        );
-        return;
-      }
-      binding.bind(version);
-    }
     const request: ForwardedRequest = {
       exchange,
       head,
@@ -431,19 +414,35 @@
       : { kind: 'broken', breakage: 'process-end' };
   }
 
-  async #versionOfStream(
+  #newTarget(
+    head: RequestHead,
+    { route }: ForwardDecision,
+  ): RouteTarget | undefined {
+    return isResumable(route)
+      ? pickStreamTarget(route, head.requestId)
+      : pickTarget(route, this.#options.random.fraction());
+  }
+
+  /** Binds a stream to its origin; returns undefined if that is not known or no longer on the route. */
+  async #resumedTarget(
     head: RequestHead,
-    service: ServiceId,
-  ): Promise<SoftwareVersion | undefined> {
-    const { streamResumption, log } = this.#options;
-    const version = await streamResumption.versionOf(service, head.begunBy);
+    { route }: ForwardDecision,
+    binding: StreamBinding,
+  ): Promise<RouteTarget | undefined> {
+    const { streamResumption, routeHistory, timers, log } = this.#options;
+    const services = routeHistory.servicesOf(head, head.begunBy, timers.now());
+    const origin = await streamResumption.originOf(services, head.begunBy);
     log.write('stream-resumed', {
       request: head.requestId,
       begunBy: head.begunBy,
-      service,
-      version,
+      service: origin?.service,
+      version: origin?.version,
     });
-    return version;
+    if (!origin || !streamServices(route).includes(origin.service)) {
+      return undefined;
+    }
+    binding.bind(origin.version);
+    return route.targets.find(({ service }) => service === origin.service);
   }
 
   /** The first event decides which endpoints can continue the stream. */
@@ -841,21 +840,11 @@
   }
 }
 
-/** Whether a stream of the route may go on at another endpoint. */
-function isResumable(route: Route): boolean {
-  return route.answer.kind === 'stream' && route.repeatable;
-}
-
 /** Whether the caller has events of the stream already. */
 function isResumption({ lastEventId }: RequestHead): boolean {
   return lastEventId !== undefined && lastEventId > 0;
 }
 
-/** Returns a fraction in [0, 1) that is the same for each resumption of a stream. */
-function fractionOf(request: RequestId): number {
-  return rendezvousWeight(request, TARGET_KEY) / 2 ** 32;
-}
-
 function isRejectionForRoom(result: AttemptResult): boolean {
   return result.kind === 'declined' && result.decline === 'full';
 }
--- a/packages/gateway/src/process/gateway-process.ts
+++ b/packages/gateway/src/process/gateway-process.ts
@@ -17,6 +17,7 @@
 import type { PeerUpdates } from '@sesamegrade/core/peers/peer-updates';
 import type { RelayedSuspects } from '@sesamegrade/core/poison/relayed-suspects';
 import type { RouteTable } from '@sesamegrade/core/routes/route-table';
+import type { RouteHistory } from '@sesamegrade/core/routes/route-history';
 import type { StreamOrigins } from '@sesamegrade/core/software-versions/stream-origins';
 import type { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
@@ -70,6 +71,7 @@
   readonly crashDetector: CrashDetector;
   readonly storedSuspects: StoredSuspects;
   readonly storedVersions: StoredVersions;
+  readonly routeHistory: RouteHistory;
   readonly streamLedger: StreamLedger;
   readonly streamOrigins: StreamOrigins;
   readonly backgroundTasks: BackgroundTasks;
@@ -244,7 +246,12 @@
       peerMesh.registerAgain();
       this.#options.streamOrigins.tellAgain();
     });
-    fleetReplica.onConfiguration(({ version, limits }, era) => {
+    fleetReplica.onConfiguration((configuration, era) => {
+      const { version, limits } = configuration;
+      this.#options.routeHistory.record(
+        configuration,
+        this.#options.timers.now(),
+      );
       peerUpdates.onVersionChanged({ version, era });
       peerMesh.flushSoon();
       this.#options.callerServer.applyLimits(limits);
--- a/packages/gateway/src/streams/stream-ledger.ts
+++ b/packages/gateway/src/streams/stream-ledger.ts
@@ -1,24 +1,29 @@
 /**
- * Stores at which software versions streams began, while a service has several: the relay
- * that reads the store for the fleet writes them in batches. Any router, also one that
- * has lost its memory, reads them when a caller resumes a stream that it does not know.
+ * Stores at which services and software versions streams began, while a service has
+ * several versions or a route several services: the relay that reads the store for the
+ * fleet writes them in batches. Any router, also one that has lost its memory, reads them
+ * when a caller resumes a stream that it does not know.
  */
 import { z } from 'zod';
 
 import { nameSchema } from '@sesamegrade/core/membership/vm-entry';
 import type { StreamUpdates } from '@sesamegrade/core/peers/stream-updates';
-import { streamKey, softwareVersion } from '@sesamegrade/core/types/ids';
+import {
+  serviceId,
+  streamKey,
+  softwareVersion,
+} from '@sesamegrade/core/types/ids';
 import type {
   RouterId,
   ServiceId,
-  SoftwareVersion,
   StreamKey,
 } from '@sesamegrade/core/types/ids';
+import { groupBySource } from '@sesamegrade/core/software-versions/stream-origins';
 import type {
   StreamOrigin,
   StreamOrigins,
+  StreamSource,
 } from '@sesamegrade/core/software-versions/stream-origins';
-import type { VersionHistory } from '@sesamegrade/core/software-versions/version-history';
 import type { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
 import { elapsed, milliseconds, seconds } from '@sesamegrade/core/types/units';
@@ -48,15 +53,26 @@
 const rowSchema = z.object({
   /** Number of the row; rises with each new one. */
   number: z.int().min(0),
-  /** Keys of streams by the version at which they began. */
+  /** Keys of streams by the version at which they began, as routers of older builds tell them. */
   streams: z.record(nameSchema, z.array(nameSchema)),
+  /** Keys of streams by the service and version at which they began; older builds have none. */
+  origins: z
+    .array(
+      z.object({
+        service: nameSchema,
+        version: nameSchema,
+        keys: z.array(nameSchema),
+      }),
+    )
+    .optional(),
 });
 
+type OriginsRow = z.output<typeof rowSchema>;
+
 export interface StreamLedgerOptions {
   readonly streamRows: RowTable;
   readonly streamOrigins: StreamOrigins;
   readonly streamUpdates: StreamUpdates;
-  readonly versionHistory: VersionHistory;
   readonly fleetReplica: Pick<FleetReplica, 'isReader'>;
   readonly peerMesh: Pick<PeerMesh, 'relays' | 'sendTo'>;
   readonly timers: TimerService;
@@ -97,20 +113,20 @@
 
   /** Records that a stream began whose origin others may need. */
   onBegun(service: ServiceId): void {
-    const { versionHistory, timers } = this.#options;
-    if (versionHistory.isMixed(service, timers.now())) {
+    const { streamOrigins, timers } = this.#options;
+    if (streamOrigins.areNeeded(service, timers.now())) {
       this.#flushSoon();
     }
   }
 
   /**
-   * Returns the version at which a stream began; undefined if it is not stored. Looks
-   * twice, as the origin of a stream that has just begun may still be on its way.
+   * Returns where a stream began; undefined if it is not stored. Looks twice, as the
+   * origin of a stream that has just begun may still be on its way.
    */
-  async versionOf(key: StreamKey): Promise<SoftwareVersion | undefined> {
+  async sourceOf(key: StreamKey): Promise<StreamSource | undefined> {
     const { streamOrigins, timers } = this.#options;
     for (let look = 0; look < 2; look += 1) {
-      const known = streamOrigins.versionOf(key);
+      const known = streamOrigins.sourceOf(key);
       if (known !== undefined) {
         return known;
       }
@@ -122,7 +138,7 @@
       await this.#pause(milliseconds(wait));
       await this.#readOnce();
     }
-    return streamOrigins.versionOf(key);
+    return streamOrigins.sourceOf(key);
   }
 
   #flushSoon(): void {
@@ -240,13 +256,12 @@
         continue;
       }
       last = Math.max(last, row.number);
-      for (const [version, keys] of Object.entries(row.streams)) {
-        for (const stream of keys) {
-          streamOrigins.add(
-            { key: streamKey(stream), version: softwareVersion(version) },
-            now,
-          );
-        }
+      for (const { source, keys } of sourcesIn(row)) {
+        streamOrigins.add(
+          keys.map(stream => streamKey(stream)),
+          source,
+          now,
+        );
       }
     }
     this.#lastNumber = last;
@@ -262,10 +277,34 @@
   }
 }
 
-function rowDocument({ number, origins }: OpenRow): z.output<typeof rowSchema> {
-  const streams: Record<string, string[]> = {};
-  for (const { key, version } of origins) {
-    (streams[version] ??= []).push(key);
+function rowDocument({ number, origins }: OpenRow): OriginsRow {
+  const row: Required<OriginsRow> = { number, streams: {}, origins: [] };
+  for (const { source, keys } of groupBySource(origins)) {
+    const { service, version } = source;
+    if (service === undefined) {
+      row.streams[version] = keys;
+    } else {
+      row.origins.push({ service, version, keys });
+    }
   }
-  return { number, streams };
+  return row;
+}
+
+function sourcesIn({ streams, origins = [] }: OriginsRow): {
+  readonly source: StreamSource;
+  readonly keys: readonly string[];
+}[] {
+  return [
+    ...Object.entries(streams).map(([version, keys]) => ({
+      source: { service: undefined, version: softwareVersion(version) },
+      keys,
+    })),
+    ...origins.map(({ service, version, keys }) => ({
+      source: {
+        service: serviceId(service),
+        version: softwareVersion(version),
+      },
+      keys,
+    })),
+  ];
 }
--- a/packages/gateway/src/streams/stream-resumption.test.ts
+++ b/packages/gateway/src/streams/stream-resumption.test.ts
@@ -239,9 +239,9 @@
   ): Promise<SoftwareVersion | undefined> {
     let result: { version: SoftwareVersion | undefined } | undefined;
     router.resumption
-      .versionOf(service, requestId(id))
-      .then(version => {
-        result = { version };
+      .originOf({ only: service, areSeveral: false }, requestId(id))
+      .then(origin => {
+        result = { version: origin?.version };
       })
       .catch((error: unknown) => {
         throw error;
@@ -274,7 +274,9 @@
     const versionHistory = new VersionHistory(() =>
       streamLifetime([seconds(15)]),
     );
-    const streamOrigins = new StreamOrigins(versionHistory);
+    const streamOrigins = new StreamOrigins(versionHistory, {
+      isShared: () => false,
+    });
     const updates = new StreamUpdates({ streamOrigins, versionHistory });
     const backgroundTasks = new BackgroundTasks(({ error }) => {
       throw error;
@@ -300,7 +302,6 @@
       streamRows: this.#streamRows,
       streamOrigins,
       streamUpdates: updates,
-      versionHistory,
       fleetReplica,
       peerMesh: {
         relays: [routerId('r-0')],
--- a/packages/gateway/src/streams/stream-resumption.ts
+++ b/packages/gateway/src/streams/stream-resumption.ts
@@ -1,11 +1,15 @@
 /**
- * Finds out at which software version a stream began that a caller resumes, as only
- * endpoints of that version can continue it.
+ * Finds out at which service and software version a stream began that a caller resumes,
+ * as only endpoints of that service and version can continue it.
  */
 import type { EndpointDirectory } from '@sesamegrade/core/endpoints/endpoint-directory';
 import type { RouterDirectory } from '@sesamegrade/core/peers/router-directory';
+import type { StreamServices } from '@sesamegrade/core/routes/route-history';
 import { keyOfStream } from '@sesamegrade/core/software-versions/stream-origins';
-import type { StreamOrigins } from '@sesamegrade/core/software-versions/stream-origins';
+import type {
+  StreamOrigins,
+  StreamSource,
+} from '@sesamegrade/core/software-versions/stream-origins';
 import type { VersionHistory } from '@sesamegrade/core/software-versions/version-history';
 import type {
   Cancel,
@@ -38,6 +42,11 @@
   readonly timers: TimerService;
 }
 
+export interface KnownOrigin {
+  readonly service: ServiceId;
+  readonly version: SoftwareVersion;
+}
+
 export class StreamResumption {
   readonly #options: StreamResumptionOptions;
 
@@ -59,34 +68,46 @@
   }
 
   /**
-   * Returns the version at which a stream began; undefined if that is not known.
-   * `begunBy` is the request that began it, if the caller names it.
+   * Returns where a stream began; undefined if that is not known. `begunBy` is the
+   * request that began it, if the caller names it.
    */
-  async versionOf(
-    service: ServiceId,
+  async originOf(
+    services: StreamServices,
     begunBy: RequestId | undefined,
-  ): Promise<SoftwareVersion | undefined> {
-    const {
-      streamOrigins,
-      streamLedger,
-      versionHistory,
-      endpointDirectory,
-      timers,
-    } = this.#options;
+  ): Promise<KnownOrigin | undefined> {
+    const { streamOrigins, streamLedger } = this.#options;
     const key = begunBy && keyOfStream(begunBy);
-    const known = key && streamOrigins.versionOf(key);
-    if (known !== undefined) {
+    const known = key && completed(streamOrigins.sourceOf(key), services);
+    if (known) {
       return known;
     }
-    if (await this.#isUpToDate()) {
-      const now = timers.now();
-      versionHistory.observe(endpointDirectory.all(), now);
-      const version = versionHistory.versionOfStreams(service, now);
-      if (version.kind === 'single') {
-        return version.version;
-      }
+    const look = async () => {
+      const found = key && streamLedger.sourceOf(key);
+      return (
+        found && completed(await this.#within(MAX_LOOKUP_TIME, found), services)
+      );
+    };
+    if (services.areSeveral) {
+      // Another router may have begun it by a newer configuration.
+      return (await look()) ?? this.#onlyOrigin(services);
+    }
+    return (await this.#onlyOrigin(services)) ?? look();
+  }
+
+  /** The origin that every stream has which can be meant. */
+  async #onlyOrigin({
+    only,
+  }: StreamServices): Promise<KnownOrigin | undefined> {
+    const { versionHistory, endpointDirectory, timers } = this.#options;
+    if (only === undefined || !(await this.#isUpToDate())) {
+      return undefined;
     }
-    return key && this.#within(MAX_LOOKUP_TIME, streamLedger.versionOf(key));
+    const now = timers.now();
+    versionHistory.observe(endpointDirectory.all(), now);
+    const version = versionHistory.versionOfStreams(only, now);
+    return version.kind === 'single'
+      ? { service: only, version: version.version }
+      : undefined;
   }
 
   /**
@@ -120,3 +141,15 @@
     }
   }
 }
+
+/** An origin without a service tells enough only if its route leads to one service. */
+function completed(
+  source: StreamSource | undefined,
+  { only, areSeveral }: StreamServices,
+): KnownOrigin | undefined {
+  if (!source) {
+    return undefined;
+  }
+  const service = source.service ?? (areSeveral ? undefined : only);
+  return service && { service, version: source.version };
+}
