Revoke the version of a stream whose endpoint restarted in place

Callers saw: a stream began at an endpoint of a new version and went on at one of the old version, or the other way round, within one response.

Cause: the first event bound the stream to the version in the entry by which its endpoint was chosen. A process that restarts under the same id accepts the expected instance; its entry may change between the choice and the first event, or reach the router after it. The endpoint that continued a stream was not looked at again at all.

Fix: the version is bound only if the entry in force names the same one as the chosen entry. The first event of a continuation is passed on only if its endpoint still has the version of the stream.

Not covered: a restart whose entry arrives after the attempt has ended, and an origin that other routers were told of before.

--- a/packages/core/src/software-versions/stream-binding.ts
+++ b/packages/core/src/software-versions/stream-binding.ts
@@ -23,6 +23,12 @@
     }
   }
 
+  /** Records that it is not certain which version sent the events. */
+  revoke(): void {
+    this.#isBound = true;
+    this.#version = undefined;
+  }
+
   /** Whether an endpoint can continue the stream; none can if its version is not known. */
   accepts(entry: EndpointEntry): boolean {
     return (
--- a/packages/core/src/software-versions/stream-origins.ts
+++ b/packages/core/src/software-versions/stream-origins.ts
@@ -90,6 +90,11 @@
     }
   }
 
+  /** Forgets where a stream of this router began, as that is no longer certain. */
+  forget(request: RequestId): void {
+    this.#own.delete(keyOfStream(request));
+  }
+
   /** Records the origins of streams that another router relayed. */
   add(keys: readonly StreamKey[], source: StreamSource, now: Instant): void {
     this.#rotatedAt ??= now;
--- a/packages/gateway/src/forwarding/event-stream-sink.ts
+++ b/packages/gateway/src/forwarding/event-stream-sink.ts
@@ -50,6 +50,10 @@
         this.#options.abort({ kind: 'broken', breakage: 'event-order' });
         return true;
       }
+      if (!this.#options.isAccepted()) {
+        this.#options.abort({ kind: 'broken', breakage: 'unproven-answer' });
+        return true;
+      }
       this.#options.onFirstAttemptEvent();
     }
     const wasSound = this.#eventCount >= MIN_SOUND_EVENTS;
--- a/packages/gateway/src/forwarding/forwarder.ts
+++ b/packages/gateway/src/forwarding/forwarder.ts
@@ -36,7 +36,11 @@
 import { addTime, elapsed, milliseconds } from '@sesamegrade/core/types/units';
 import type { Instant, Milliseconds } from '@sesamegrade/core/types/units';
 import { teamId } from '@sesamegrade/core/types/ids';
-import type { EndpointId, ServiceId } from '@sesamegrade/core/types/ids';
+import type {
+  EndpointId,
+  ServiceId,
+  SoftwareVersion,
+} from '@sesamegrade/core/types/ids';
 import type { CallerExchange } from '../callers/caller-exchange';
 import type {
   RequestHead,
@@ -314,6 +318,7 @@
       abort: result => {
         attempt?.abort(result);
       },
+      isAccepted: () => !current || this.#canHaveSent(request, current),
       onFirstAttemptEvent: () => {
         if (current && head.prompt) {
           this.#options.fleetState.onPromptRead(current.id, head.prompt);
@@ -370,6 +375,9 @@
       attempt = this.#startAttempt(request, relay, choice);
       const result = await this.#settle(relay, choice.entry, attempt);
       permit?.release(isRejectionForRoom(result));
+      if (relay.events > eventsBefore) {
+        this.#checkVersion(request, choice.entry);
+      }
       await request.crashGuard.recordEnd(choice.entry, {
         result,
         events: relay.events - eventsBefore,
@@ -453,16 +461,45 @@
     if (!isResumable(decision.route)) {
       return;
     }
-    const { endpointDirectory, streamResumption } = this.#options;
-    binding.bind(
-      entry.softwareVersion ?? endpointDirectory.get(entry.id)?.softwareVersion,
-    );
+    const { streamResumption } = this.#options;
+    binding.bind(this.#versionOf(entry));
     const begunBy = isResumption(head) ? head.begunBy : head.requestId;
     if (begunBy !== undefined) {
       streamResumption.recordBegin(begunBy, service, binding.version);
     }
   }
 
+  /** The version of the endpoint that was chosen; undefined if it has changed since. */
+  #versionOf({
+    id,
+    softwareVersion,
+  }: EndpointEntry): SoftwareVersion | undefined {
+    const current = this.#options.endpointDirectory.get(id);
+    if (!current || softwareVersion === undefined) {
+      return softwareVersion ?? current?.softwareVersion;
+    }
+    return current.softwareVersion === softwareVersion
+      ? softwareVersion
+      : undefined;
+  }
+
+  /** Whether events of an endpoint can belong to the stream: it may have restarted with another version. */
+  #canHaveSent({ binding }: ForwardedRequest, { id }: EndpointEntry): boolean {
+    const current = this.#options.endpointDirectory.get(id);
+    return !current || binding.accepts(current);
+  }
+
+  /** Revokes the version of a stream if its events may come from another one. */
+  #checkVersion(request: ForwardedRequest, entry: EndpointEntry): void {
+    const { head, binding } = request;
+    if (!this.#canHaveSent(request, entry)) {
+      binding.revoke();
+      this.#options.streamResumption.revokeBegin(
+        (isResumption(head) ? head.begunBy : undefined) ?? head.requestId,
+      );
+    }
+  }
+
   #refuseSuspect(
     request: ForwardedRequest,
     relay: ResponseRelay,
--- a/packages/gateway/src/forwarding/response-relay.ts
+++ b/packages/gateway/src/forwarding/response-relay.ts
@@ -24,6 +24,8 @@
   readonly resume: () => void;
   /** Aborts the running attempt with the given result. */
   readonly abort: (result: AttemptResult) => void;
+  /** Whether the endpoint of the running attempt can still have sent events of this stream. */
+  readonly isAccepted: () => boolean;
   /** Called when the first event of each attempt arrives. */
   readonly onFirstAttemptEvent: () => void;
   /** Called once an attempt has sent as many events as show that its content is sound. */
--- a/packages/gateway/src/streams/stream-resumption.ts
+++ b/packages/gateway/src/streams/stream-resumption.ts
@@ -67,6 +67,11 @@
     }
   }
 
+  /** Takes back what was recorded of a stream, as its version is no longer certain. */
+  revokeBegin(request: RequestId): void {
+    this.#options.streamOrigins.forget(request);
+  }
+
   /**
    * Returns where a stream began; undefined if that is not known. `begunBy` is the
    * request that began it, if the caller names it.
