Know a stream by each request that resumed it

Cause: only the key of the named request was recorded, so that a resuming request's own id was known nowhere, and its hash picked any service.

Ruled out: the configuration, which stays the same in this test; a chain whose requests all name the first one, which went on before.

It costs one more key for a resumed stream.

--- a/packages/gateway/src/forwarding/forwarder.ts
+++ b/packages/gateway/src/forwarding/forwarder.ts
@@ -38,6 +38,7 @@
 import { teamId } from '@sesamegrade/core/types/ids';
 import type {
   EndpointId,
+  RequestId,
   ServiceId,
   SoftwareVersion,
 } from '@sesamegrade/core/types/ids';
@@ -463,9 +464,8 @@
     }
     const { streamResumption } = this.#options;
     binding.bind(this.#versionOf(entry));
-    const begunBy = isResumption(head) ? head.begunBy : head.requestId;
-    if (begunBy !== undefined) {
-      streamResumption.recordBegin(begunBy, service, binding.version);
+    for (const id of namesOfStream(head)) {
+      streamResumption.recordBegin(id, service, binding.version);
     }
   }
 
@@ -494,9 +494,9 @@
     const { head, binding } = request;
     if (!this.#canHaveSent(request, entry)) {
       binding.revoke();
-      this.#options.streamResumption.revokeBegin(
-        (isResumption(head) ? head.begunBy : undefined) ?? head.requestId,
-      );
+      for (const id of namesOfStream(head)) {
+        this.#options.streamResumption.revokeBegin(id);
+      }
     }
   }
 
@@ -882,6 +882,14 @@
   return lastEventId !== undefined && lastEventId > 0;
 }
 
+/** The requests by which a caller may name the stream when it resumes it. */
+function namesOfStream(head: RequestHead): RequestId[] {
+  const { requestId, begunBy } = head;
+  return begunBy !== undefined && isResumption(head)
+    ? [begunBy, requestId]
+    : [requestId];
+}
+
 function isRejectionForRoom(result: AttemptResult): boolean {
   return result.kind === 'declined' && result.decline === 'full';
 }
