Tell new routers of services that have the route of others' streams

Callers saw: a stream of a route that was moved to another service was joined from both at a router that had started after the move: 12 of 12 over sockets (stream-service.test.ts).

Cause: such a router knows only the routes in force, and its peers tell it which versions a service had, not that the streams of its route began elsewhere.

Ruled out: routers that saw the move (0 of 12 joined before and after).

Fix: a router that sees such a move records a use of an unnamed version of the service that has the route now. The service then counts as one with several versions for the life of a stream, as builds before this one understand too, and new peers are told of it with the versions. 0 of 12 joined, all refused.

Not covered: all routers are killed within the life of a stream after the move, as the row of versions is not written for it.

--- a/packages/core/src/routes/route-history.test.ts
+++ b/packages/core/src/routes/route-history.test.ts
@@ -109,6 +109,18 @@
     expect(history.isShared(a, instant(2 * SPAN + 1))).to.equal(false);
   });
 
+  it('names the services that alone have paths whose streams began at others', () => {
+    const change = (at: number, ...routes: Route[]) =>
+      history.record({ routes }, instant(at));
+    const other = route('/other/', { c: 1 });
+    expect(change(0, other, route('/draft/', { a: 1 }))).to.deep.equal([]);
+    expect(change(1, other, route('/draft/', { a: 1, b: 1 }))).to.deep.equal(
+      [],
+    );
+    expect(change(2, other, route('/draft/', { b: 1 }))).to.deep.equal([b]);
+    expect(change(3, other, route('/', { a: 1 }))).to.deep.equal([a]);
+  });
+
   it('notices a new route that takes over the paths of another one', () => {
     record(0, route('/', { a: 1 }));
     record(1000, route('/', { a: 1 }), route('/draft/', { b: 1 }));
--- a/packages/core/src/routes/route-history.ts
+++ b/packages/core/src/routes/route-history.ts
@@ -55,26 +55,30 @@
     return this.#routings.length;
   }
 
-  /** Records a configuration that is in force from now on. */
-  record({ routes }: Pick<FleetConfiguration, 'routes'>, now: Instant): void {
+  /**
+   * Records a configuration that is in force from now on. Returns the services that are
+   * now the only ones of paths whose streams began at others.
+   */
+  record(
+    { routes }: Pick<FleetConfiguration, 'routes'>,
+    now: Instant,
+  ): ServiceId[] {
     this.#knownSince ??= now;
     const signature = signatureOf(routes);
     const current = this.#routings.at(-1);
     if (current?.signature === signature) {
-      return;
+      return [];
     }
     if (current) {
       current.endedAt = now;
     }
-    this.#routings.push({
-      routes: indexRoutes(routes),
-      signature,
-      endedAt: undefined,
-    });
+    const index = indexRoutes(routes);
+    this.#routings.push({ routes: index, signature, endedAt: undefined });
     if (this.#routings.length > MAX_ROUTINGS) {
       this.#knownSince = this.#routings.shift()?.endedAt ?? now;
     }
     this.#shared = sharedServices(this.#routings);
+    return current ? heirs(current.routes, index) : [];
   }
 
   /** Whether streams of the service cannot be told from those of others by their route. */
@@ -138,6 +142,34 @@
   }
 }
 
+/** Services to which alone paths lead that led streams to others before. */
+function heirs(before: RoutesByHost, after: RoutesByHost): ServiceId[] {
+  const found = new Set<ServiceId>();
+  for (const [host, prefixes] of after) {
+    const hostBefore = before.get(host);
+    const known = new Set([...prefixes.keys(), ...(hostBefore?.keys() ?? [])]);
+    for (const prefix of known) {
+      const [service, ...others] = servicesAt(prefixes, prefix);
+      const isHeir =
+        service !== undefined &&
+        others.length === 0 &&
+        servicesAt(hostBefore, prefix).some(previous => previous !== service);
+      if (isHeir) {
+        found.add(service);
+      }
+    }
+  }
+  return [...found];
+}
+
+function servicesAt(
+  routes: ReadonlyMap<string, Route> | undefined,
+  path: string,
+): ServiceId[] {
+  const route = findRoute(routes, path);
+  return route ? streamServices(route) : [];
+}
+
 function signatureOf(routes: readonly Route[]): string {
   return JSON.stringify(
     routes.map(({ host, prefix, targets, answer, repeatable }) => [
@@ -164,10 +196,7 @@
   for (const [host, hostPrefixes] of prefixes) {
     for (const prefix of hostPrefixes) {
       const services = new Set(
-        routings.flatMap(({ routes }) => {
-          const route = findRoute(routes.get(host), prefix);
-          return route ? streamServices(route) : [];
-        }),
+        routings.flatMap(({ routes }) => servicesAt(routes.get(host), prefix)),
       );
       if (services.size > 1) {
         services.forEach(service => shared.add(service));
--- a/packages/gateway/src/process/gateway-process.ts
+++ b/packages/gateway/src/process/gateway-process.ts
@@ -17,7 +17,9 @@
 import type { PeerUpdates } from '@sesamegrade/core/peers/peer-updates';
 import type { RelayedSuspects } from '@sesamegrade/core/poison/relayed-suspects';
 import type { RouteTable } from '@sesamegrade/core/routes/route-table';
+import type { FleetConfiguration } from '@sesamegrade/core/routes/fleet-configuration';
 import type { RouteHistory } from '@sesamegrade/core/routes/route-history';
+import type { VersionHistory } from '@sesamegrade/core/software-versions/version-history';
 import type { StreamOrigins } from '@sesamegrade/core/software-versions/stream-origins';
 import type { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
@@ -72,6 +74,7 @@
   readonly storedSuspects: StoredSuspects;
   readonly storedVersions: StoredVersions;
   readonly routeHistory: RouteHistory;
+  readonly versionHistory: VersionHistory;
   readonly streamLedger: StreamLedger;
   readonly streamOrigins: StreamOrigins;
   readonly backgroundTasks: BackgroundTasks;
@@ -248,16 +251,25 @@
     });
     fleetReplica.onConfiguration((configuration, era) => {
       const { version, limits } = configuration;
-      this.#options.routeHistory.record(
-        configuration,
-        this.#options.timers.now(),
-      );
+      this.#recordRoutes(configuration);
       peerUpdates.onVersionChanged({ version, era });
       peerMesh.flushSoon();
       this.#options.callerServer.applyLimits(limits);
     });
   }
 
+  /**
+   * Streams that began at another service are of no version of the one that has their
+   * route now. Routers that start later are told of that with the versions.
+   */
+  #recordRoutes(configuration: FleetConfiguration): void {
+    const { routeHistory, versionHistory, timers } = this.#options;
+    const now = timers.now();
+    for (const service of routeHistory.record(configuration, now)) {
+      versionHistory.record({ service, version: undefined, lastSeenAt: now });
+    }
+  }
+
   /**
    * Closes idle connections on a path that loses everything, and detours around one
    * that is back. A path that only refuses new connections keeps the open ones.
