Store that a service has the route of others' streams

Callers saw: after a route was moved to another service and all routers were killed within the life of a stream, 12 of 12 streams were joined from both services (stream-service.test.ts).

Cause: the row of versions is written when the versions in use change. The unnamed version that stands for streams of other services has no endpoints and so never caused a write.

Ruled out: the rows with origins, which hold these streams; a service with one version is not looked up there.

Fix: unnamed versions count also without endpoints. It costs two writes for a move, and one for unnamed endpoints when their use expires in place of when they leave, until when the row takes them to be in use. 0 of 12 joined.

--- a/packages/gateway/src/streams/stored-versions.ts
+++ b/packages/gateway/src/streams/stored-versions.ts
@@ -219,11 +219,14 @@
   }
 }
 
-/** Whether the row lists the versions that are in use, apart from the times of others. */
+/**
+ * Whether the row lists the versions that are in use, apart from the times of others.
+ * Unnamed ones count also without endpoints: they stand for streams of other services.
+ */
 function isSame({ stored, era }: ReadState, { uses }: StoredUses): boolean {
   const inUse = (list: readonly StoredUse[]) =>
     list
-      .filter(({ until }) => until === IN_USE)
+      .filter(({ until, version }) => until === IN_USE || version === null)
       .map(({ service, version }) => useName(service, version ?? undefined))
       .sort()
       .join(' ');
