--- a/packages/gateway/src/composition/gateway-container.ts
+++ b/packages/gateway/src/composition/gateway-container.ts
@@ -35,6 +35,7 @@
 import type { RouterIdentity } from '@sesamegrade/core/membership/router-table';
 import { Random } from '@sesamegrade/core/random/random';
 import type { FleetConfiguration } from '@sesamegrade/core/routes/fleet-configuration';
+import { RouteHistory } from '@sesamegrade/core/routes/route-history';
 import { RouteTable } from '@sesamegrade/core/routes/route-table';
 import { StreamUpdates } from '@sesamegrade/core/peers/stream-updates';
 import { StreamAdmission } from '@sesamegrade/core/software-versions/stream-admission';
@@ -122,6 +123,7 @@
   readonly versionHistory: VersionHistory;
   readonly streamAdmission: StreamAdmission;
   readonly storedVersions: StoredVersions;
+  readonly routeHistory: RouteHistory;
   readonly streamOrigins: StreamOrigins;
   readonly streamUpdates: StreamUpdates;
   readonly streamLedger: StreamLedger;
@@ -221,8 +223,13 @@
     versionHistory: asFunction(newVersionHistory).singleton(),
     streamAdmission: asClass(StreamAdmission).singleton(),
     storedVersions: asClass(StoredVersions).singleton(),
+    routeHistory: asFunction(
+      ({ versionHistory }: GatewayCradle) =>
+        new RouteHistory(() => versionHistory.lifetime),
+    ).singleton(),
     streamOrigins: asFunction(
-      ({ versionHistory }: GatewayCradle) => new StreamOrigins(versionHistory),
+      ({ versionHistory, routeHistory }: GatewayCradle) =>
+        new StreamOrigins(versionHistory, routeHistory),
     ).singleton(),
     streamUpdates: asFunction(
       ({ streamOrigins, versionHistory }: GatewayCradle) =>
--- a/packages/gateway/src/forwarding/forwarder.ts
+++ b/packages/gateway/src/forwarding/forwarder.ts
@@ -17,16 +17,21 @@
 import { subjectPart } from '@sesamegrade/core/prompts/prompt-chain';
 import type { RelayedSuspects } from '@sesamegrade/core/poison/relayed-suspects';
 import type { Random } from '@sesamegrade/core/random/random';
-import { rendezvousWeight } from '@sesamegrade/core/hashing/rendezvous';
 import type {
   CallerLimits,
-  Route,
+  RouteTarget,
 } from '@sesamegrade/core/routes/fleet-configuration';
+import type { RouteHistory } from '@sesamegrade/core/routes/route-history';
 import { pickTarget } from '@sesamegrade/core/routes/route-table';
 import type {
   RouteDecision,
   RouteTable,
 } from '@sesamegrade/core/routes/route-table';
+import {
+  isResumable,
+  pickStreamTarget,
+  streamServices,
+} from '@sesamegrade/core/routes/stream-target';
 import type { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
 import { addTime, elapsed, milliseconds } from '@sesamegrade/core/types/units';
@@ -89,8 +94,6 @@
  */
 const MAX_START_WAIT = milliseconds(600);
 const START_WAIT_SHARE = 0.25;
-/** Salt of the hash that picks the service of a stream. */
-const TARGET_KEY = 'target';
 /** Stands for the team of requests that need no key. */
 const NO_TEAM = teamId('');
 
@@ -98,6 +101,7 @@
 
 export interface ForwarderOptions {
   readonly routes: RouteTable;
+  readonly routeHistory: RouteHistory;
   readonly chooser: EndpointChooser;
   readonly attemptPlacement: AttemptPlacement;
   readonly fleetState: FleetState;
@@ -254,43 +258,30 @@
     body: Buffer,
     arrivedAt: Instant,
   ): Promise<void> {
-    const { random, streamAdmission, timers } = this.#options;
+    const { streamAdmission, timers } = this.#options;
     const { route } = decision;
-    const target = pickTarget(
-      route,
-      // A stream that is resumed goes to the service that began it.
-      isResumable(route)
-        ? fractionOf(head.begunBy ?? head.requestId)
-        : random.fraction(),
+    const timeout = Math.min(
+      route.timeout,
+      head.callerTimeout ?? route.timeout,
     );
+    const binding = new StreamBinding();
+    const isResumed = isResumable(route) && isResumption(head);
+    const target = isResumed
+      ? await this.#resumedTarget(head, decision, binding)
+      : this.#newTarget(head, decision);
+    if (exchange.hasDisconnected) {
+      return;
+    }
     if (!target) {
       this.#refuse(
         exchange,
         head,
-        this.#notRunRefusal('no-service', route.timeout),
+        isResumed
+          ? this.#notRunRefusal('unknown-stream', milliseconds(timeout))
+          : this.#notRunRefusal('no-service', route.timeout),
       );
       return;
     }
-    const timeout = Math.min(
-      route.timeout,
-      head.callerTimeout ?? route.timeout,
-    );
-    const binding = new StreamBinding();
-    if (isResumable(route) && isResumption(head)) {
-      const version = await this.#versionOfStream(head, target.service);
-      if (exchange.hasDisconnected) {
-        return;
-      }
-      if (version === undefined) {
-        this.#refuse(
-          exchange,
-          head,
-          this.#notRunRefusal('unknown-stream', milliseconds(timeout)),
-        );
-        return;
-      }
-      binding.bind(version);
-    }
     const request: ForwardedRequest = {
       exchange,
       head,
@@ -334,6 +325,7 @@
       abort: result => {
         attempt?.abort(result);
       },
+      isAccepted: () => !current || this.#canHaveSent(request, current),
       onFirstAttemptEvent: () => {
         if (current && head.prompt) {
           this.#options.fleetState.onPromptRead(current.id, head.prompt);
@@ -390,6 +382,9 @@
       attempt = this.#startAttempt(request, relay, choice);
       const result = await this.#settle(relay, choice.entry, attempt);
       permit?.release(isRejectionForRoom(result));
+      if (relay.events > eventsBefore) {
+        this.#checkVersion(request, choice.entry);
+      }
       await request.crashGuard.recordEnd(choice.entry, {
         result,
         events: relay.events - eventsBefore,
@@ -434,21 +429,37 @@
       : { kind: 'broken', breakage: 'process-end' };
   }
 
-  async #versionOfStream(
+  #newTarget(
     head: RequestHead,
-    service: ServiceId,
-  ): Promise<SoftwareVersion | undefined> {
-    const { streamResumption, timers, log } = this.#options;
+    { route }: ForwardDecision,
+  ): RouteTarget | undefined {
+    return isResumable(route)
+      ? pickStreamTarget(route, head.requestId)
+      : pickTarget(route, this.#options.random.fraction());
+  }
+
+  /** Binds a stream to its origin; returns undefined if that is not known or no longer on the route. */
+  async #resumedTarget(
+    head: RequestHead,
+    { route }: ForwardDecision,
+    binding: StreamBinding,
+  ): Promise<RouteTarget | undefined> {
+    const { streamResumption, routeHistory, timers, log } = this.#options;
     const begin = timers.now();
-    const finding = await streamResumption.originOf(service, head.begunBy);
+    const services = routeHistory.servicesOf(head, head.begunBy, begin);
+    const finding = await streamResumption.originOf(services, head.begunBy);
     log.write('stream-resumed', {
       request: head.requestId,
       begunBy: head.begunBy,
-      service,
       ...finding,
       took: Math.round(elapsed(begin, timers.now())),
     });
-    return finding.version;
+    const { origin } = finding;
+    if (!origin || !streamServices(route).includes(origin.service)) {
+      return undefined;
+    }
+    binding.bind(origin.version);
+    return route.targets.find(({ service }) => service === origin.service);
   }
 
   /** The first event decides which endpoints can continue the stream. */
@@ -459,13 +470,41 @@
     if (!isResumable(decision.route)) {
       return;
     }
-    const { endpointDirectory, streamResumption } = this.#options;
-    binding.bind(
-      entry.softwareVersion ?? endpointDirectory.get(entry.id)?.softwareVersion,
-    );
-    const begunBy = isResumption(head) ? head.begunBy : head.requestId;
-    if (begunBy !== undefined) {
-      streamResumption.recordBegin(begunBy, service, binding.version);
+    const { streamResumption } = this.#options;
+    binding.bind(this.#versionOf(entry));
+    for (const id of namesOfStream(head)) {
+      streamResumption.recordBegin(id, service, binding.version);
+    }
+  }
+
+  /** The version of the endpoint that was chosen; undefined if it has changed since. */
+  #versionOf({
+    id,
+    softwareVersion,
+  }: EndpointEntry): SoftwareVersion | undefined {
+    const current = this.#options.endpointDirectory.get(id);
+    if (!current || softwareVersion === undefined) {
+      return softwareVersion ?? current?.softwareVersion;
+    }
+    return current.softwareVersion === softwareVersion
+      ? softwareVersion
+      : undefined;
+  }
+
+  /** Whether events of an endpoint can belong to the stream: it may have restarted with another version. */
+  #canHaveSent({ binding }: ForwardedRequest, { id }: EndpointEntry): boolean {
+    const current = this.#options.endpointDirectory.get(id);
+    return !current || binding.accepts(current);
+  }
+
+  /** Revokes the version of a stream if its events may come from another one. */
+  #checkVersion(request: ForwardedRequest, entry: EndpointEntry): void {
+    const { head, binding } = request;
+    if (!this.#canHaveSent(request, entry)) {
+      binding.revoke();
+      for (const id of namesOfStream(head)) {
+        this.#options.streamResumption.revokeBegin(id);
+      }
     }
   }
 
@@ -846,19 +885,17 @@
   }
 }
 
-/** Whether a stream of the route may go on at another endpoint. */
-function isResumable(route: Route): boolean {
-  return route.answer.kind === 'stream' && route.repeatable;
-}
-
 /** Whether the caller has events of the stream already. */
 function isResumption({ lastEventId }: RequestHead): boolean {
   return lastEventId !== undefined && lastEventId > 0;
 }
 
-/** Returns a fraction in [0, 1) that is the same for each resumption of a stream. */
-function fractionOf(request: RequestId): number {
-  return rendezvousWeight(request, TARGET_KEY) / 2 ** 32;
+/** The requests by which a caller may name the stream when it resumes it. */
+function namesOfStream(head: RequestHead): RequestId[] {
+  const { requestId, begunBy } = head;
+  return begunBy !== undefined && isResumption(head)
+    ? [begunBy, requestId]
+    : [requestId];
 }
 
 function isRejectionForRoom(result: AttemptResult): boolean {
--- a/packages/gateway/src/process/gateway-process.ts
+++ b/packages/gateway/src/process/gateway-process.ts
@@ -19,6 +19,8 @@
 import type { RouteTable } from '@sesamegrade/core/routes/route-table';
 import type { EndpointReplica } from '@sesamegrade/core/endpoints/endpoint-replica';
 import type { StreamUpdates } from '@sesamegrade/core/peers/stream-updates';
+import type { FleetConfiguration } from '@sesamegrade/core/routes/fleet-configuration';
+import type { RouteHistory } from '@sesamegrade/core/routes/route-history';
 import type { VersionHistory } from '@sesamegrade/core/software-versions/version-history';
 import type { StreamOrigins } from '@sesamegrade/core/software-versions/stream-origins';
 import type { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
@@ -76,6 +78,7 @@
   readonly storedSuspects: StoredSuspects;
   readonly storedVersions: StoredVersions;
   readonly streamUpdates: Pick<StreamUpdates, 'onRecorded'>;
+  readonly routeHistory: RouteHistory;
   readonly streamLedger: StreamLedger;
   readonly streamOrigins: StreamOrigins;
   readonly backgroundTasks: BackgroundTasks;
@@ -259,13 +262,27 @@
       peerMesh.registerAgain();
       this.#options.streamOrigins.tellAgain();
     });
-    fleetReplica.onConfiguration(({ version, limits }, era) => {
+    fleetReplica.onConfiguration((configuration, era) => {
+      const { version, limits } = configuration;
+      this.#recordRoutes(configuration);
       peerUpdates.onVersionChanged({ version, era });
       peerMesh.flushSoon();
       this.#options.callerServer.applyLimits(limits);
     });
   }
 
+  /**
+   * Streams that began at another service are of no version of the one that has their
+   * route now. Routers that start later are told of that with the versions.
+   */
+  #recordRoutes(configuration: FleetConfiguration): void {
+    const { routeHistory, versionHistory, timers } = this.#options;
+    const now = timers.now();
+    for (const service of routeHistory.record(configuration, now)) {
+      versionHistory.record({ service, version: undefined, lastSeenAt: now });
+    }
+  }
+
   /**
    * Closes idle connections on a path that loses everything, and detours around one
    * that is back. A path that only refuses new connections keeps the open ones.
--- a/packages/gateway/src/streams/stream-resumption.test.ts
+++ b/packages/gateway/src/streams/stream-resumption.test.ts
@@ -63,7 +63,7 @@
     await open();
     fleet.begin(router(1), 'a');
     await fleet.restart(all);
-    expect((await fleet.resume(router(2), 'a')).version).to.equal('v1');
+    expect((await fleet.resume(router(2), 'a')).origin?.version).to.equal('v1');
   });
 
   // Guards against streams joined from two versions as all routers lost their memory.
@@ -81,9 +81,13 @@
     expect([before.version, after.version]).to.deep.equal(['v1', 'v2']);
     await fleet.pass(SETTLED_MS);
     await fleet.restart(all);
-    expect((await fleet.resume(router(3), 'before')).version).to.equal('v1');
-    expect((await fleet.resume(router(0), 'after')).version).to.equal('v2');
-    expect((await fleet.resume(router(1), 'never')).version).to.equal(
+    expect((await fleet.resume(router(3), 'before')).origin?.version).to.equal(
+      'v1',
+    );
+    expect((await fleet.resume(router(0), 'after')).origin?.version).to.equal(
+      'v2',
+    );
+    expect((await fleet.resume(router(1), 'never')).origin?.version).to.equal(
       undefined,
     );
   });
@@ -92,7 +96,9 @@
     await open();
     fleet.cut(3);
     await fleet.pass(3000);
-    expect((await fleet.resume(router(3), 'a')).version).to.equal(undefined);
+    expect((await fleet.resume(router(3), 'a')).origin?.version).to.equal(
+      undefined,
+    );
   });
 
   // Guards against streams joined from two versions by a router that was just cut off.
@@ -102,7 +108,9 @@
     fleet.addEndpoint('v2');
     await fleet.pass(1000);
     fleet.begin(router(0), 'a');
-    expect((await fleet.resume(router(3), 'a')).version).to.equal(undefined);
+    expect((await fleet.resume(router(3), 'a')).origin?.version).to.equal(
+      undefined,
+    );
   });
 
   // Guards against a version that came and left during a cut, of which the list shows nothing afterwards.
@@ -115,7 +123,9 @@
     fleet.removeEndpoints('v2', 1);
     await fleet.pass(2000);
     fleet.heal(3);
-    expect((await fleet.resume(router(3), id)).version).to.not.equal('v1');
+    expect((await fleet.resume(router(3), id)).origin?.version).to.not.equal(
+      'v1',
+    );
   });
 
   // Guards against streams of a version that left before the store listed it, as all routers lost their memory.
@@ -131,8 +141,8 @@
     fleet.removeEndpoints('v2', 1);
     await fleet.restart(all);
     for (const stream of begun) {
-      const { version } = await fleet.resume(router(1), stream!.id);
-      expect(version).to.be.oneOf([stream!.version, undefined]);
+      const { origin } = await fleet.resume(router(1), stream!.id);
+      expect(origin?.version).to.be.oneOf([stream!.version, undefined]);
     }
   });
 
@@ -141,28 +151,34 @@
     await open();
     fleet.store = 'silent';
     const begin = fleet.now;
-    expect((await fleet.resume(router(1), 'a')).version).to.equal(undefined);
+    expect((await fleet.resume(router(1), 'a')).origin?.version).to.equal(
+      undefined,
+    );
     await fleet.restart(all);
-    expect((await fleet.resume(router(2), 'a')).version).to.equal(undefined);
+    expect((await fleet.resume(router(2), 'a')).origin?.version).to.equal(
+      undefined,
+    );
     expect(fleet.now - begin).to.be.at.most(2 * MAX_ANSWER_MS);
   });
 
   it('asks a relay which versions are in use while the store turns it away', async () => {
     await open();
     router(3).isTurnedAway = true;
-    expect(await fleet.resume(router(3), 'a')).to.include({
-      version: 'v1',
+    expect(await fleet.resume(router(3), 'a')).to.deep.include({
+      origin: { service, version: 'v1' },
       evidence: 'peer',
     });
     fleet.addEndpoint('v2');
-    expect((await fleet.resume(router(3), 'a')).version).to.equal(undefined);
+    expect((await fleet.resume(router(3), 'a')).origin?.version).to.equal(
+      undefined,
+    );
   });
 
   it('believes no relay that the store does not answer', async () => {
     await open();
     fleet.store = 'rejects';
     expect(await fleet.resume(router(3), 'a')).to.include({
-      version: undefined,
+      origin: undefined,
       evidence: undefined,
     });
   });
@@ -172,7 +188,9 @@
     fleet.begin(router(1), 'a');
     fleet.store = 'rejects';
     await fleet.restart(all);
-    expect((await fleet.resume(router(1), 'a')).version).to.equal(undefined);
+    expect((await fleet.resume(router(1), 'a')).origin?.version).to.equal(
+      undefined,
+    );
   });
 
   it('never joins versions, and continues at least half of the streams, in any order of releases, kills and take-ups', async () => {
@@ -204,7 +222,8 @@
       for (const stream of cut) {
         const at = to ?? random.integer(0, ROUTERS - 1);
         const isSettled = fleet.now - stream.beganAt > SETTLED_MS;
-        const { version: found } = await fleet.resume(router(at), stream.id);
+        const { origin } = await fleet.resume(router(at), stream.id);
+        const found = origin?.version;
         expect(
           found ?? stream.version,
           `seed ${seed}, ${stream.id}, ${history.join(' ')}`,
--- a/packages/gateway/src/streams/stream-resumption.ts
+++ b/packages/gateway/src/streams/stream-resumption.ts
@@ -1,9 +1,13 @@
 /**
- * Finds out at which software version a stream began that a caller resumes, as only
- * endpoints of that version can continue it.
+ * Finds out at which service and software version a stream began that a caller resumes,
+ * as only endpoints of that service and version can continue it.
  */
+import type { StreamServices } from '@sesamegrade/core/routes/route-history';
 import { keyOfStream } from '@sesamegrade/core/software-versions/stream-origins';
-import type { StreamOrigins } from '@sesamegrade/core/software-versions/stream-origins';
+import type {
+  StreamOrigins,
+  StreamSource,
+} from '@sesamegrade/core/software-versions/stream-origins';
 import type {
   StreamVersion,
   VersionHistory,
@@ -16,6 +20,7 @@
   RequestId,
   ServiceId,
   SoftwareVersion,
+  StreamKey,
 } from '@sesamegrade/core/types/ids';
 import type {
   EndpointConfirmation,
@@ -28,7 +33,7 @@
 /** The same for the rows with the origins of streams, which are read twice. */
 const MAX_LOOKUP_TIME: Milliseconds = milliseconds(600);
 
-/** What tells at which version a stream began. */
+/** What tells where a stream began. */
 export type OriginEvidence =
   /** This router relayed the stream, or was told of it. */
   | 'memory'
@@ -37,11 +42,16 @@
   /** The stream is among those that are stored. */
   | 'ledger';
 
+export interface KnownOrigin {
+  readonly service: ServiceId;
+  readonly version: SoftwareVersion;
+}
+
 export interface OriginFinding {
-  /** Undefined if nothing tells at which version the stream began. */
-  readonly version: SoftwareVersion | undefined;
+  /** Undefined if nothing tells where the stream began. */
+  readonly origin: KnownOrigin | undefined;
   readonly evidence: OriginEvidence | undefined;
-  /** What this router knows of the service's versions; undefined if it was not needed. */
+  /** What this router knows of the service's versions; undefined if it was not looked at. */
   readonly history: StreamVersion['kind'] | undefined;
 }
 
@@ -53,6 +63,12 @@
   readonly timers: TimerService;
 }
 
+const NOTHING: OriginFinding = {
+  origin: undefined,
+  evidence: undefined,
+  history: undefined,
+};
+
 export class StreamResumption {
   readonly #options: StreamResumptionOptions;
 
@@ -73,42 +89,80 @@
     }
   }
 
+  /** Takes back what was recorded of a stream, as its version is no longer certain. */
+  revokeBegin(request: RequestId): void {
+    this.#options.streamOrigins.forget(request);
+  }
+
   /**
-   * Finds out at which version a stream began. `begunBy` is the request that began it,
-   * if the caller names it.
+   * Finds out where a stream began. `begunBy` is the request that began it, if the caller
+   * names it.
    */
   async originOf(
-    service: ServiceId,
+    services: StreamServices,
     begunBy: RequestId | undefined,
   ): Promise<OriginFinding> {
-    const {
-      streamOrigins,
-      streamLedger,
-      versionHistory,
-      endpointConfirmation,
-      timers,
-    } = this.#options;
     const key = begunBy && keyOfStream(begunBy);
-    const known = key && streamOrigins.versionOf(key);
-    if (known !== undefined) {
-      return { version: known, evidence: 'memory', history: undefined };
+    const origin =
+      key && completed(this.#options.streamOrigins.sourceOf(key), services);
+    if (origin) {
+      return { origin, evidence: 'memory', history: undefined };
+    }
+    if (services.areSeveral) {
+      // Another router may have begun it by a newer configuration.
+      const stored = await this.#storedOrigin(key, services);
+      return stored.origin ? stored : this.#onlyOrigin(services);
+    }
+    const only = await this.#onlyOrigin(services);
+    if (only.origin) {
+      return only;
     }
+    const stored = await this.#storedOrigin(key, services);
+    return { ...stored, history: only.history };
+  }
+
+  /** The origin that every stream has which can be meant. */
+  async #onlyOrigin({ only }: StreamServices): Promise<OriginFinding> {
+    if (only === undefined) {
+      return NOTHING;
+    }
+    const { endpointConfirmation, versionHistory, timers } = this.#options;
     const evidence = await withTimeout(
       endpointConfirmation.confirm(),
       timers,
       MAX_CONFIRMATION_TIME,
     );
-    const history = versionHistory.versionOfStreams(service, timers.now());
-    if (evidence && history.kind === 'single') {
-      return { version: history.version, evidence, history: history.kind };
+    const history = versionHistory.versionOfStreams(only, timers.now());
+    if (!evidence || history.kind !== 'single') {
+      return { ...NOTHING, history: history.kind };
     }
-    const stored =
+    const origin = { service: only, version: history.version };
+    return { origin, evidence, history: history.kind };
+  }
+
+  async #storedOrigin(
+    key: StreamKey | undefined,
+    services: StreamServices,
+  ): Promise<OriginFinding> {
+    const { streamLedger, timers } = this.#options;
+    const source =
       key &&
-      (await withTimeout(streamLedger.versionOf(key), timers, MAX_LOOKUP_TIME));
-    return {
-      version: stored,
-      evidence: stored && 'ledger',
-      history: history.kind,
-    };
+      (await withTimeout(streamLedger.sourceOf(key), timers, MAX_LOOKUP_TIME));
+    const origin = completed(source, services);
+    return origin
+      ? { origin, evidence: 'ledger', history: undefined }
+      : NOTHING;
+  }
+}
+
+/** An origin without a service tells enough only if its route leads to one service. */
+function completed(
+  source: StreamSource | undefined,
+  { only, areSeveral }: StreamServices,
+): KnownOrigin | undefined {
+  if (!source) {
+    return undefined;
   }
+  const service = source.service ?? (areSeveral ? undefined : only);
+  return service && { service, version: source.version };
 }
--- a/packages/gateway/src/streams/testing/simulated-fleet.ts
+++ b/packages/gateway/src/streams/testing/simulated-fleet.ts
@@ -161,7 +161,7 @@
   async resume(router: SimulatedRouter, id: string): Promise<OriginFinding> {
     let result: OriginFinding | undefined;
     router.resumption
-      .originOf(service, requestId(id))
+      .originOf({ only: service, areSeveral: false }, requestId(id))
       .then(finding => {
         result = finding;
       })
--- a/packages/gateway/src/streams/testing/simulated-router.ts
+++ b/packages/gateway/src/streams/testing/simulated-router.ts
@@ -114,7 +114,9 @@
     this.#replica.onMissedChanges(before => {
       versionHistory.markMissed(before);
     });
-    const streamOrigins = new StreamOrigins(versionHistory);
+    const streamOrigins = new StreamOrigins(versionHistory, {
+      isShared: () => false,
+    });
     this.updates = new StreamUpdates({ streamOrigins, versionHistory });
     const shared = {
       versionHistory,
