--- a/packages/stand-ins/src/deployment/http-caller.ts
+++ b/packages/stand-ins/src/deployment/http-caller.ts
@@ -26,6 +26,7 @@
   readonly path: string;
   readonly method?: string;
   readonly headers: Readonly<Record<string, string>>;
+  readonly body?: string;
   /** Receives the response before its body is read, for example to pause it. */
   readonly onResponse?: (response: IncomingMessage) => void;
 }
@@ -80,7 +81,7 @@
       });
       call.onResponse?.(response);
     });
-    outgoing.end();
+    outgoing.end(call.body);
   });
 }
 
--- a/packages/stand-ins/src/deployment/scripted-server.ts
+++ b/packages/stand-ins/src/deployment/scripted-server.ts
@@ -18,6 +18,9 @@
 
 export type Script = (request: ScriptedRequest, socket: Socket) => void;
 
+/** Requests with this header get their response before their body, which is then discarded. */
+export const EARLY_RESPONSE_HEADER = 'x-early-response';
+
 export class ScriptedServer {
   readonly requests: ScriptedRequest[] = [];
   readonly #server: Server;
@@ -86,13 +89,18 @@
       this.#sockets.delete(socket);
     });
     let pending = '';
+    let discarding = 0;
     socket.on('data', chunk => {
       pending += chunk.toString('latin1');
       for (;;) {
+        const discarded = Math.min(discarding, pending.length);
+        pending = pending.slice(discarded);
+        discarding -= discarded;
         const parsed = parseRequest(pending, connection);
         if (!parsed) {
           return;
         }
+        discarding = Math.max(0, parsed.length - pending.length);
         pending = pending.slice(parsed.length);
         this.requests.push(parsed.request);
         this.#script(parsed.request, socket);
@@ -101,7 +109,10 @@
   }
 }
 
-/** Returns the first request of the text and its length; undefined if it is incomplete. */
+/**
+ * Returns the first request of the text and its length, which may exceed the text if the
+ * response is due early; undefined if the request is incomplete.
+ */
 function parseRequest(
   text: string,
   connection: number,
@@ -123,7 +134,8 @@
   );
   const bodyLength = Number(headers.get('content-length') ?? 0);
   const bodyStart = headEnd + 4;
-  if (text.length < bodyStart + bodyLength) {
+  const isEarly = headers.has(EARLY_RESPONSE_HEADER);
+  if (text.length < bodyStart + bodyLength && !isEarly) {
     return undefined;
   }
   const body = text.slice(bodyStart, bodyStart + bodyLength);
