Refuse a response whose head consists of parts of two

What callers saw: a complete 200 with their request's id and receipt and the body of another request, where an endpoint stopped in the middle of a head and a response to another request followed on the connection.

Cause: the parser takes a status line for the rest of a reason or of a field's value, so that the next head completed the cut one; of fields that came twice the first was read.

Ruled out: a head that is cut and followed by nothing, on new and kept connections, through another router, after interim heads, during an upload, for HEAD, 204 and 304, within a continued or resumed stream; a cut within a name, a status, a length, a coding or a line end, which the parser refuses.

Evidence: "is not joined to a response to another request that follows it" in cut-response.test.ts fails before and holds now.

Why it works: a response that follows a cut head begins with a status line, and that can only stand in the reason or in a value; anywhere else the parser refuses it.

--- a/packages/gateway/src/endpoints/endpoint-connection.ts
+++ b/packages/gateway/src/endpoints/endpoint-connection.ts
@@ -25,6 +25,15 @@
 /** Largest head of a response in bytes. */
 const MAX_HEAD_BYTES = 16_384;
 
+/**
+ * A status line in a reason or a field: an endpoint stopped in the middle of a head, and
+ * another response took the place of its rest.
+ */
+const STATUS_LINE = /HTTP\/\d\.\d \d{3}(?!\d)/u;
+
+/** Error code of a response whose head consists of parts of two. */
+export const JOINED_HEADS = 'JOINED_HEADS';
+
 /** Lowest HTTP status that is not one of an interim response. */
 const MIN_FINAL_STATUS = 200;
 
@@ -162,11 +171,16 @@
           isSent = true;
           listener.onSent();
         },
-        onResponseStart: (controller, status) => {
+        onResponseStart: (controller, status, _headers, reason = '') => {
+          const headers = decodeHeaders(controller.rawHeaders);
+          if ([reason, ...headers].some(text => STATUS_LINE.test(text))) {
+            controller.abort(new JoinedHeadsError());
+            return;
+          }
           if (status >= MIN_FINAL_STATUS) {
             this.#socket?.resetCount();
           }
-          listener.onHead(status, decodeHeaders(controller.rawHeaders));
+          listener.onHead(status, headers);
         },
         onResponseData: (controller, chunk) => {
           this.#socket?.resetCount();
@@ -251,6 +265,10 @@
   }
 }
 
+class JoinedHeadsError extends Error {
+  readonly code = JOINED_HEADS;
+}
+
 class ConnectionClosedError extends Error {
   readonly code = 'CONNECTION_CLOSED';
 }
