Continue no whole response with another endpoint's events

What callers saw: on a route with resumable streams an error, or another response that is no stream, of more than 1 MiB that broke off; the events of another endpoint followed in its body, and the last chunk, so that it looked complete.

Cause: nextStep let a call that may be repeated run again whatever part of its response the caller had; the sink of a stream took the first events of the next attempt for those of the response.

Ruled out: responses up to 1 MiB, of which nothing is passed on before they are whole; an error after events, which is dropped at its head; calls without streams, which ran again in vain.

Why it works: a part of a response can be continued only if it is of events; the step after an attempt now knows whether it is, and breaks the response off otherwise.

--- a/packages/core/src/forwarding/next-step.test.ts
+++ b/packages/core/src/forwarding/next-step.test.ts
@@ -13,6 +13,7 @@
   maxAttempts: 1,
   untried: 2,
   responseStarted: false,
+  isContinuable: true,
   remaining: milliseconds(1000),
   goal: milliseconds(200),
   takeRetry: () => true,
@@ -104,6 +105,22 @@
     expect(nextStep(failed).kind).to.equal('pass-on');
   });
 
+  // Guards against the events of another endpoint behind the part of an error that was passed on.
+  it('runs a call again after a part of its response only if another endpoint can go on there', () => {
+    const started = attempt({
+      result: broken,
+      repeatable: true,
+      possibleRuns: 1,
+      maxAttempts: 2,
+      responseStarted: true,
+    });
+    expect(nextStep(started).kind).to.equal('again');
+    expect(nextStep({ ...started, isContinuable: false })).to.deep.equal({
+      kind: 'give-up',
+      reason: 'cut',
+    });
+  });
+
   it('gives up a response that has started and cannot be completed', () => {
     const step = nextStep(
       attempt({ result: broken, possibleRuns: 1, responseStarted: true }),
--- a/packages/core/src/forwarding/next-step.ts
+++ b/packages/core/src/forwarding/next-step.ts
@@ -28,6 +28,8 @@
   readonly untried: number;
   /** Whether part of a response was passed on to the caller. */
   readonly responseStarted: boolean;
+  /** Whether another endpoint can go on after that part: after events it can, within a whole response it cannot. */
+  readonly isContinuable: boolean;
   /** Time until the timeout of the caller or of the route. */
   readonly remaining: Milliseconds;
   readonly goal: Milliseconds;
@@ -76,7 +78,7 @@
         : refuseOrBreakOff(attempt);
     case 'broken':
     case 'silent':
-      return attempt.repeatable && mayRetry(attempt)
+      return attempt.repeatable && attempt.isContinuable && mayRetry(attempt)
         ? { kind: 'again' }
         : refuseOrBreakOff(attempt);
   }
--- a/packages/gateway/src/forwarding/forwarder.ts
+++ b/packages/gateway/src/forwarding/forwarder.ts
@@ -659,6 +659,7 @@
       maxAttempts: route.maxAttempts,
       untried: chooser.untried(request, now),
       responseStarted: request.exchange.hasResponseStarted,
+      isContinuable: !request.exchange.hasResponseStarted || relay.events > 0,
       remaining: milliseconds(Math.max(0, elapsed(now, request.expiresAt))),
       goal: route.latencyGoal,
       takeRetry: () =>
