Pass on a whole response without framing only if its endpoint still runs

What callers saw: a 200 with a part of the body and a regular close, where an endpoint that sends neither length nor chunks ended in the middle of a response.

Cause: the system closes the connections of an ended process regularly. The proof that the endpoint made the end was asked for streams and for what was passed on before it was whole; whole responses up to 1 MiB were sent at once, as their framing claims nothing. Clients take the regular close for the end.

Ruled out: resets, which were seen; HEAD, 204 and 304, which end with their head.

Evidence: two of the three tests in ended-process.test.ts fail before (200 with the part, for a call that may be repeated and one that may not) and hold now. Whole suite: 771 passing.

Why it works: an ended process accepts no connections; a call whose response has no proof is retried, or refused as may-have-run. Cost: such a response comes 20 ms later, and needs one connection to the endpoint if none is idle. An endpoint that ends within 20 ms of such a response, although that is whole, gets it refused, as streams did before.

--- a/packages/gateway/src/forwarding/whole-response-sink.ts
+++ b/packages/gateway/src/forwarding/whole-response-sink.ts
@@ -46,16 +46,17 @@
   }
 
   override onComplete(head: ResponseHead): AttemptResult {
-    if (this.#isPassedOn) {
-      return head.framing === 'connection'
-        ? { kind: 'unproven-end' }
-        : this.finish(head);
-    }
-    this.#relay.buffer({ head, body: this.#takeBuffered() });
-    return { kind: 'answered', status: head.status };
+    const hasBody = this.#options.exchange.method !== 'HEAD';
+    return head.framing === 'connection' && hasBody
+      ? { kind: 'unproven-end' }
+      : this.finish(head);
   }
 
   override finish(head: ResponseHead): AttemptResult {
+    if (!this.#isPassedOn) {
+      this.#relay.buffer({ head, body: this.#takeBuffered() });
+      return { kind: 'answered', status: head.status };
+    }
     this.#options.exchange.end();
     return { kind: 'delivered', status: head.status };
   }
