Keep the relation of the clocks when a confirmation comes from the future

After a suspension of the machine only the first late message was disbelieved, the next one counted from its arrival.

Cause: the relation of the clocks was forgotten with the first one, and a router that is fed by peers reads nothing that would set it anew.

Change: it is kept until an own read corrects it.

Evidence: 'believes no confirmation from the future' sends two late messages; the second one gave age 0 instead of 1,000 before.

--- a/packages/core/src/peers/feed-updates.test.ts
+++ b/packages/core/src/peers/feed-updates.test.ts
@@ -234,11 +234,11 @@
       router.readList(store, instant(0));
       router.updates.takeChanges(instant(0));
     }
-    relay.readChanges(store, instant(9000));
-    member.updates.receive(
-      relay.updates.takeChanges(instant(9000)),
-      instant(1000),
-    );
+    for (const sentAt of [instant(9000), instant(9800)]) {
+      relay.readChanges(store, sentAt);
+      const late = relay.updates.takeChanges(sentAt);
+      member.updates.receive(late, instant(1000));
+    }
     expect(member.coverage.endpoints.age(instant(1000))).to.equal(1000);
   });
 
--- a/packages/core/src/peers/feed-updates.ts
+++ b/packages/core/src/peers/feed-updates.ts
@@ -325,7 +325,6 @@
     const { storeClock } = this.#options;
     if (storeTime !== undefined && storeClock.isAhead(storeTime, now)) {
       // The clock stood still while the machine was suspended; an own read sets it anew.
-      storeClock.reset();
       return;
     }
     const arrival = addTime(now, milliseconds(-age));
