Check the era of the store again after a read of the endpoints

What callers saw: nothing yet; shown by the review. Rows of the store from before a restore were applied to the copy of the restored one, and counted as evidence for a resumed stream.

Cause: the era was compared with the one known at the begin of the read only.

Change: it is compared with the one known at its end as well.

Evidence: 'applies no rows of an earlier era to a copy of a restored store' applied revision 101 of era 0 before.

--- a/packages/gateway/src/store/endpoint-confirmation.ts
+++ b/packages/gateway/src/store/endpoint-confirmation.ts
@@ -115,6 +115,7 @@
   async #ask(relay: RouterId): Promise<EndpointEvidence | undefined> {
     const { peerMesh, versionHistory, timers } = this.#options;
     const answer = await peerMesh.requestVersions(relay);
+    // A relay that has missed versions knows nothing of those that this router has missed.
     return applyVersionReport(answer, versionHistory, timers.now())
       ? 'peer'
       : undefined;
@@ -135,7 +136,9 @@
     }
     const sentAt = timers.now();
     const changes = await endpointFeed.readChanges(after.revision, NO_WAIT);
-    if (!changes.ok || changes.value.position.era !== after.era) {
+    // The store may have been restored while the response was under way.
+    const isCurrent = coverage.endpoints.position?.era === after.era;
+    if (!changes.ok || !isCurrent || changes.value.position.era !== after.era) {
       return false;
     }
     fleetReplica.applyEndpointChanges(changes.value, sentAt);
