Report no missed changes for foreign rows and lists that are known

What callers saw: nothing yet; shown by the review. A list up to a position that a router had reached itself, as a relay sends it when it was restarted, made its history incomplete, and resumed streams were refused meanwhile. Each new row that names no endpoint did the same when it was removed, at every router.

Cause: every list after the first and every removal of an unknown row counted as a gap.

Change: a list counts only beyond the position that was reached. A row that cannot be read names no endpoint; it and its removal are no gap and are not passed on.

Evidence: 'reports changes that it missed, and none that it saw' covers the three cases, two of which failed before.

--- a/packages/core/src/endpoints/endpoint-replica.test.ts
+++ b/packages/core/src/endpoints/endpoint-replica.test.ts
@@ -4,7 +4,7 @@
 import { Random } from '../random/random';
 import { FeedCoverage } from '../store/feed-coverage';
 import { revision, storeEra } from '../store/feed-position';
-import { endpointId, serviceId, zoneId } from '../types/ids';
+import { endpointId, routerId, serviceId, zoneId } from '../types/ids';
 import { instant, milliseconds, seconds } from '../types/units';
 import { EndpointDirectory } from './endpoint-directory';
 import { EndpointReplica } from './endpoint-replica';
@@ -49,13 +49,13 @@
       .all()
       .map(({ id, slots: count }) => `${id}:${count}`)
       .sort();
-  return { directory, replica, slots };
+  return { directory, coverage, replica, slots };
 }
 
 describe('EndpointReplica', () => {
   // Guards against endpoints that came and left unseen, of which a list shows nothing.
   it('reports changes that it missed, and none that it saw', () => {
-    const { replica } = open();
+    const { replica, coverage } = open();
     const missed: unknown[] = [];
     replica.onMissedChanges(before => {
       missed.push(before);
@@ -63,10 +63,16 @@
     replica.applyList([row('a', 1, 8)], at(5), now);
     replica.applyChange(row('b', 6, 8), now);
     replica.applyChange(row('b', 7), now);
-    replica.applyChange(row('unreadable', 8), now);
+    replica.applyChange(row('unseen', 8), now);
     replica.applyChange(row('late', 4), now);
     expect(missed).to.deep.equal([at(8)]);
-    replica.applyChange(row('unreadable', 9), now);
+    replica.applyChange(row('unseen', 9), now);
+    const foreign = { ...row('foreign', 10), isUnreadable: true };
+    expect(replica.applyChange(foreign, now)).to.equal(false);
+    expect(replica.applyChange(row('foreign', 11), now)).to.equal(false);
+    const origin = routerId('r');
+    coverage.record({ origin, position: at(15), confirmedAt: now });
+    replica.applyPeerList([row('a', 1, 8)], at(15), now);
     replica.applyPeerList([row('a', 1, 8)], at(20), now);
     replica.applyList([row('a', 1, 8)], at(3, 1), now);
     expect(missed).to.deep.equal([at(8), at(20), at(3, 1)]);
--- a/packages/core/src/endpoints/endpoint-replica.ts
+++ b/packages/core/src/endpoints/endpoint-replica.ts
@@ -3,6 +3,8 @@
  * store and from peers; each accepted row is applied to the directory, and the
  * caller learns which ones peers may not know.
  */
+import { LRUCache } from 'lru-cache';
+
 import type { FeedCoverage } from '../store/feed-coverage';
 import { comparePositions, FIRST_ERA, revision } from '../store/feed-position';
 import type { FeedPosition, Revision, StoreEra } from '../store/feed-position';
@@ -17,10 +19,15 @@
   readonly id: EndpointId;
   readonly revision: Revision;
   readonly entry: EndpointEntry | undefined;
+  /** Whether it exists and cannot be read, so that it names no endpoint. */
+  readonly isUnreadable?: boolean;
   /** Whether it was passed on by a peer of an older build, which omits some of the fields. */
   readonly isPartial?: boolean;
 }
 
+/** Rows without an endpoint that are remembered. */
+const MAX_FOREIGN = 1024;
+
 /** A row with the era of the store that it belongs to. */
 interface EarlyRow {
   readonly era: StoreEra;
@@ -41,6 +48,8 @@
   readonly #partial = new Set<EndpointId>();
   /** Rows of peers that arrived before the list of their era. */
   readonly #early = new Map<EndpointId, EarlyRow>();
+  /** Rows that exist and never named an endpoint. */
+  readonly #foreign = new LRUCache<EndpointId, true>({ max: MAX_FOREIGN });
   #listener: DirectoryListener | undefined;
   #missedListener: MissedChangesListener = () => undefined;
   #era: StoreEra = FIRST_ERA;
@@ -98,7 +107,10 @@
   ): EndpointRow[] {
     const isRestored =
       this.#baseRevision !== undefined && position.era > this.#era;
-    if (this.#baseRevision !== undefined) {
+    const reached = this.#coverage.position;
+    const isReached =
+      reached !== undefined && comparePositions(reached, position) >= 0;
+    if (this.#baseRevision !== undefined && !isReached) {
       // A list tells nothing of endpoints that came and left since the last change.
       this.#missedListener(position);
     }
@@ -169,7 +181,10 @@
     return false;
   }
 
-  /** Applies a change of this era; returns false if the same or a newer one is known. */
+  /**
+   * Applies a change of this era. Returns false if the same or a newer one is known, or if
+   * the row never named an endpoint.
+   */
   applyChange(row: EndpointRow, now: Instant): boolean {
     const isPartial = row.isPartial ?? false;
     this.#checkRemoval(row);
@@ -185,16 +200,36 @@
     } else {
       this.#partial.delete(row.id);
     }
+    const isForeign = this.#isForeign(row);
     const { latest } = this.#coverage;
     const events = this.#directory.apply(row, now, latest?.confirmedAt);
     this.#listener?.(events);
-    return true;
+    return !isForeign;
+  }
+
+  /** Whether a row names no endpoint now and did not before. */
+  #isForeign({ id, entry, isUnreadable = false }: EndpointRow): boolean {
+    if (entry || this.#directory.get(id)) {
+      this.#foreign.delete(id);
+      return false;
+    }
+    if (isUnreadable) {
+      this.#foreign.set(id, true);
+      return true;
+    }
+    return this.#foreign.delete(id);
   }
 
   /** Reports the removal of a row that was never seen, as its endpoint served meanwhile. */
-  #checkRemoval({ id, entry, revision: removedAt }: EndpointRow): void {
+  #checkRemoval({
+    id,
+    entry,
+    isUnreadable = false,
+    revision: removedAt,
+  }: EndpointRow): void {
     const isUnseen =
       entry === undefined &&
+      !isUnreadable &&
       this.#versions.get(id) === undefined &&
       removedAt > (this.#baseRevision ?? removedAt);
     if (isUnseen) {
--- a/packages/gateway/src/store/fleet-replica.ts
+++ b/packages/gateway/src/store/fleet-replica.ts
@@ -394,14 +394,16 @@
     return {
       id: endpointId(row.key),
       revision: row.revision,
-      entry: this.#decodeEntry(row),
+      ...this.#decodeEntry(row),
     };
   }
 
-  /** Returns undefined for an entry that was removed or cannot be decoded. */
-  #decodeEntry({ key, value }: FeedRow): EndpointEntry | undefined {
+  #decodeEntry({
+    key,
+    value,
+  }: FeedRow): Pick<EndpointRow, 'entry' | 'isUnreadable'> {
     if (!value) {
-      return undefined;
+      return { entry: undefined };
     }
     const { codec, log } = this.#options;
     const decoded = codec.decodeEndpoint(key, value);
@@ -410,8 +412,8 @@
         endpoint: key,
         failure: decoded.failure,
       });
-      return undefined;
+      return { entry: undefined, isUnreadable: true };
     }
-    return decoded.value;
+    return { entry: decoded.value };
   }
 }
