--- a/packages/core/src/routes/route-table.ts
+++ b/packages/core/src/routes/route-table.ts
@@ -109,10 +109,10 @@
   decide(query: RouteQuery, now: Instant, maxAge: Milliseconds): RouteDecision {
     const index = this.#index;
     const age = this.timeSinceConfirmed(now);
-    if (!index || age === undefined) {
+    if (!index) {
       return { kind: 'unknown-configuration' };
     }
-    const isTrusted = age <= maxAge;
+    const isTrusted = age !== undefined && age <= maxAge;
     const route = findRoute(index.routes.get(query.host), query.path);
     if (!route) {
       return { kind: isTrusted ? 'no-route' : 'unknown-configuration' };
--- a/packages/gateway/src/store/fleet-replica.ts
+++ b/packages/gateway/src/store/fleet-replica.ts
@@ -88,6 +88,8 @@
   #completedAt: Instant | undefined;
   /** The configuration in force as the operator wrote it. */
   #raw: Uint8Array | undefined;
+  /** When the store made the response with the configuration that was read last. */
+  #madeAt: Instant;
 
   constructor(options: FleetReplicaOptions) {
     this.#options = options;
@@ -95,6 +97,7 @@
       options;
     const isReader = () => this.#isReader;
     const clock = options.storeClock;
+    this.#madeAt = timers.now();
     const shared = { timers, random, clock, backgroundTasks, log, isReader };
     this.#configurationReader = new FeedReader({
       ...shared,
@@ -294,6 +297,7 @@
     const { codec, feedUpdates } = this.#options;
     const isRestored = position.era > this.#era && this.#raw !== undefined;
     this.#era = position.era;
+    this.#madeAt = madeAt;
     for (const { key, value } of rows) {
       if (key === codec.configurationKey && value) {
         this.#onStoredConfiguration(value);
@@ -358,10 +362,13 @@
     raw: Uint8Array,
     { before, origin, era }: ConfigurationChange,
   ): void {
-    const { routes, log, timers, fleetReadiness } = this.#options;
+    const { routes, log, fleetReadiness } = this.#options;
     this.#raw = raw;
     this.#appliedEra = era;
-    routes.recordConfirmation(timers.now());
+    // A peer that passes a configuration on may itself be behind.
+    if (origin === 'store') {
+      routes.recordConfirmation(this.#madeAt);
+    }
     log.write('configuration', {
       origin,
       before,
