Record new versions in time, and complete a history by those that saw the changes

Cause: the copy of the row was not read at the takeover; the period between attempts also held back changes; admission was a filter without the endpoints already tried; and reports and rows counted as complete by when they were read, not by what their sender had seen.

Change: the row is read when a router becomes its writer, and changed as soon as 100 ms after a change. Admission is a preference among the endpoints that can take a stream, and waits 3 s, by when another router has taken over from a silent writer. A version that leaves is new when it is back. After a gap the relays are asked (HistoryCompletion, ever less often); a report counts if its sender has seen every change, and the row only if all relays say that they have missed some.

Conclusion: a row whose writer had missed a version still completes a router that starts.

--- a/packages/core/src/forwarding/endpoint-chooser.test.ts
+++ b/packages/core/src/forwarding/endpoint-chooser.test.ts
@@ -66,6 +66,7 @@
     holds,
     endpointLimits: new EndpointLimits(),
     permitRefusals: new PermitRefusals(() => 1),
+    streamAdmission: { prefer: pool => pool },
     random: new Random(1),
     zone: zoneId('near'),
     unreported: () => 0,
--- a/packages/core/src/forwarding/endpoint-chooser.ts
+++ b/packages/core/src/forwarding/endpoint-chooser.ts
@@ -12,6 +12,7 @@
 import type { ServiceHealth } from '../outliers/service-health';
 import { sharedParts } from '../prompts/prompt-chain';
 import type { Prompt } from '../prompts/prompt-chain';
+import type { StreamAdmission } from '../software-versions/stream-admission';
 import type { Random } from '../random/random';
 import type { EndpointId, PromptPartId, ServiceId, ZoneId } from '../types/ids';
 import { milliseconds } from '../types/units';
@@ -28,6 +29,8 @@
   readonly repeatable: boolean;
   /** The endpoints that may be chosen; all if undefined. */
   readonly accepts?: EndpointFilter | undefined;
+  /** Whether the request begins a stream that may be resumed later. */
+  readonly beginsStream?: boolean;
   /** The only endpoint that may be chosen, as it has granted a permit. */
   readonly only?: EndpointId;
 }
@@ -56,6 +59,9 @@
   readonly accepts?: EndpointFilter | undefined;
 }
 
+/** The endpoints with a limit that may be chosen. */
+type LimitedQuery = UntriedQuery & Pick<ChoiceQuery, 'beginsStream'>;
+
 export interface EndpointChooserOptions {
   readonly endpointDirectory: EndpointDirectory;
   readonly loads: LoadEstimate;
@@ -64,6 +70,7 @@
   readonly holds: RefusalHolds;
   readonly endpointLimits: EndpointLimits;
   readonly permitRefusals: PermitRefusals;
+  readonly streamAdmission: Pick<StreamAdmission, 'prefer'>;
   readonly random: Random;
   readonly zone: ZoneId;
   /**
@@ -97,7 +104,7 @@
     const known = this.#options.endpointDirectory.usable(query.service);
     const untried =
       query.only === undefined
-        ? this.#untried(known, query, now)
+        ? this.#preferred(this.#untried(known, query, now), query, now)
         : known.filter(({ id }) => id === query.only);
     const healthy = untried.filter(({ id }) =>
       this.#options.health.accepts(id),
@@ -134,7 +141,7 @@
    * Endpoints with a limit that take the request, also those that had no permit
    * lately; only healthy ones if there are any.
    */
-  limited(query: UntriedQuery, now: Instant): readonly EndpointEntry[] {
+  limited(query: LimitedQuery, now: Instant): readonly EndpointEntry[] {
     const { endpointDirectory, endpointLimits, holds, health } = this.#options;
     const limited = endpointDirectory
       .usable(query.service)
@@ -145,8 +152,9 @@
           holds.remaining(entry.id, now) === 0 &&
           endpointLimits.of(entry) !== undefined,
       );
-    const healthy = limited.filter(({ id }) => health.accepts(id));
-    return healthy.length > 0 ? healthy : limited;
+    const preferred = this.#preferred(limited, query, now);
+    const healthy = preferred.filter(({ id }) => health.accepts(id));
+    return healthy.length > 0 ? healthy : preferred;
   }
 
   /**
@@ -181,6 +189,16 @@
     );
   }
 
+  #preferred(
+    pool: readonly EndpointEntry[],
+    { beginsStream = false }: LimitedQuery,
+    now: Instant,
+  ): readonly EndpointEntry[] {
+    return beginsStream
+      ? this.#options.streamAdmission.prefer(pool, now)
+      : pool;
+  }
+
   #healthiest(pool: readonly EndpointEntry[]): readonly EndpointEntry[] {
     const { health } = this.#options;
     const best = Math.max(...pool.map(({ id }) => health.health(id)));
--- a/packages/core/src/software-versions/stream-admission.ts
+++ b/packages/core/src/software-versions/stream-admission.ts
@@ -3,60 +3,41 @@
  * is new to its service waits until the store lists it: if all routers lose their memory
  * and its endpoints are gone as well, the list is all that tells of these streams.
  */
-import type { EndpointDirectory } from '../endpoints/endpoint-directory';
 import type { EndpointEntry } from '../endpoints/endpoint-entry';
-import type { ServiceId } from '../types/ids';
-import { elapsed, milliseconds, seconds } from '../types/units';
+import { elapsed, seconds } from '../types/units';
 import type { Instant, Milliseconds } from '../types/units';
 import type { VersionHistory } from './version-history';
 
-/** Time after which a version is used that the store does not list, as it may not be writable. */
-const MAX_RECORDING_TIME: Milliseconds = seconds(1);
-/** Time for which it is remembered whether a service has endpoints of a listed version. */
-const CHECK_PERIOD: Milliseconds = milliseconds(50);
-
-interface Check {
-  readonly madeAt: Instant;
-  readonly hasRecorded: boolean;
-}
-
-export interface StreamAdmissionOptions {
-  readonly versionHistory: VersionHistory;
-  readonly endpointDirectory: Pick<EndpointDirectory, 'usable'>;
-}
+/**
+ * Time after which a version is used that the store does not list: another router has
+ * taken over from a writer that fell silent by then.
+ */
+const MAX_RECORDING_TIME: Milliseconds = seconds(3);
 
 export class StreamAdmission {
-  readonly #options: StreamAdmissionOptions;
-  readonly #checks = new Map<ServiceId, Check>();
+  readonly #history: VersionHistory;
 
-  constructor(options: StreamAdmissionOptions) {
-    this.#options = options;
+  constructor(history: VersionHistory) {
+    this.#history = history;
   }
 
-  /** Whether new streams may begin at an endpoint. */
-  accepts({ service, softwareVersion }: EndpointEntry, now: Instant): boolean {
-    const { versionHistory } = this.#options;
-    if (versionHistory.isRecorded(service, softwareVersion)) {
-      return true;
-    }
-    const firstSeenAt = versionHistory.firstSeenAt(service, softwareVersion);
-    const isLate =
-      firstSeenAt !== undefined &&
-      elapsed(firstSeenAt, now) >= MAX_RECORDING_TIME;
-    return isLate || !this.#hasRecorded(service, now);
+  /** Returns the endpoints at which new streams may begin; all if there is none. */
+  prefer(
+    entries: readonly EndpointEntry[],
+    now: Instant,
+  ): readonly EndpointEntry[] {
+    const admitted = entries.filter(entry => this.#isAdmitted(entry, now));
+    return admitted.length > 0 ? admitted : entries;
   }
 
-  /** Whether the service has a usable endpoint of a version that the store lists. */
-  #hasRecorded(service: ServiceId, now: Instant): boolean {
-    const { versionHistory, endpointDirectory } = this.#options;
-    const last = this.#checks.get(service);
-    if (last && elapsed(last.madeAt, now) < CHECK_PERIOD) {
-      return last.hasRecorded;
+  #isAdmitted(
+    { service, softwareVersion }: EndpointEntry,
+    now: Instant,
+  ): boolean {
+    if (this.#history.isRecorded(service, softwareVersion)) {
+      return true;
     }
-    const hasRecorded = endpointDirectory
-      .usable(service)
-      .some(entry => versionHistory.isRecorded(service, entry.softwareVersion));
-    this.#checks.set(service, { madeAt: now, hasRecorded });
-    return hasRecorded;
+    const since = this.#history.presentSince(service, softwareVersion);
+    return since !== undefined && elapsed(since, now) >= MAX_RECORDING_TIME;
   }
 }
--- a/packages/core/src/software-versions/version-history.ts
+++ b/packages/core/src/software-versions/version-history.ts
@@ -24,7 +24,8 @@
 
 interface Use {
   lastSeenAt: Instant;
-  readonly firstSeenAt: Instant;
+  /** Since when it has endpoints here; undefined if it has none. */
+  presentSince: Instant | undefined;
   /** Whether the store lists the version as in use. */
   isRecorded: boolean;
 }
@@ -60,6 +61,7 @@
     for (const { service, softwareVersion } of entries) {
       this.record({ service, version: softwareVersion, lastSeenAt: now });
     }
+    this.#recordPresence(entries, now);
     this.#removeExpired(now);
   }
 
@@ -68,8 +70,11 @@
     const uses = this.#uses.get(service) ?? new Map<never, Use>();
     const known = uses.get(version);
     if (known === undefined) {
-      const isRecorded = false;
-      uses.set(version, { lastSeenAt, firstSeenAt: lastSeenAt, isRecorded });
+      uses.set(version, {
+        lastSeenAt,
+        presentSince: undefined,
+        isRecorded: false,
+      });
     } else if (elapsed(known.lastSeenAt, lastSeenAt) > 0) {
       known.lastSeenAt = lastSeenAt;
     }
@@ -99,12 +104,12 @@
     return this.#uses.get(service)?.get(version)?.isRecorded ?? false;
   }
 
-  /** When a version was first in use as far as this router knows. */
-  firstSeenAt(
+  /** Since when a version has endpoints as far as this router knows; undefined if it has none. */
+  presentSince(
     service: ServiceId,
     version: SoftwareVersion | undefined,
   ): Instant | undefined {
-    return this.#uses.get(service)?.get(version)?.firstSeenAt;
+    return this.#uses.get(service)?.get(version)?.presentSince;
   }
 
   /** The versions in use that the store lists. */
@@ -200,6 +205,24 @@
       : { kind: 'single', version };
   }
 
+  /** A version that has left is no longer listed as in use, and is new when it is back. */
+  #recordPresence(entries: readonly EndpointEntry[], now: Instant): void {
+    const present = new Set<Use | undefined>();
+    for (const { service, softwareVersion } of entries) {
+      present.add(this.#uses.get(service)?.get(softwareVersion));
+    }
+    for (const uses of this.#uses.values()) {
+      for (const use of uses.values()) {
+        if (present.has(use)) {
+          use.presentSince ??= now;
+        } else if (use.presentSince !== undefined) {
+          use.presentSince = undefined;
+          use.isRecorded = false;
+        }
+      }
+    }
+  }
+
   #removeExpired(now: Instant): void {
     const { lifetime } = this;
     for (const [service, uses] of this.#uses) {
--- a/packages/core/src/software-versions/version-report.ts
+++ b/packages/core/src/software-versions/version-report.ts
@@ -67,15 +67,18 @@
   };
 }
 
-/** Records what a peer reports; returns false if the message is no report. */
+/**
+ * Records what a peer reports. Returns whether it has seen every version; undefined if the
+ * message is no report.
+ */
 export function applyVersionReport(
   message: unknown,
   history: VersionHistory,
   now: Instant,
-): boolean {
+): boolean | undefined {
   const parsed = reportSchema.safeParse(message);
   if (!parsed.success) {
-    return false;
+    return undefined;
   }
   const { uses, isComplete, era, revision: upTo } = parsed.data;
   for (const use of uses) {
@@ -84,5 +87,5 @@
   if (isComplete) {
     history.markComplete({ era: storeEra(era), revision: revision(upTo) });
   }
-  return true;
+  return isComplete;
 }
--- a/packages/gateway/src/composition/gateway-container.ts
+++ b/packages/gateway/src/composition/gateway-container.ts
@@ -77,6 +77,7 @@
 import { FleetReadiness } from '../store/fleet-readiness';
 import { StoredSuspects } from '../store/stored-suspects';
 import type { RowTable } from '../store/row-table';
+import { HistoryCompletion } from '../streams/history-completion';
 import { StoredVersions } from '../streams/stored-versions';
 import { StreamLedger } from '../streams/stream-ledger';
 import { StreamResumption } from '../streams/stream-resumption';
@@ -122,6 +123,7 @@
   readonly storedSuspects: StoredSuspects;
   readonly versionHistory: VersionHistory;
   readonly streamAdmission: StreamAdmission;
+  readonly historyCompletion: HistoryCompletion;
   readonly storedVersions: StoredVersions;
   readonly routeHistory: RouteHistory;
   readonly streamOrigins: StreamOrigins;
@@ -221,7 +223,11 @@
     crashDetector: asClass(CrashDetector).singleton(),
     storedSuspects: asClass(StoredSuspects).singleton(),
     versionHistory: asFunction(newVersionHistory).singleton(),
-    streamAdmission: asClass(StreamAdmission).singleton(),
+    streamAdmission: asFunction(
+      ({ versionHistory }: GatewayCradle) =>
+        new StreamAdmission(versionHistory),
+    ).singleton(),
+    historyCompletion: asClass(HistoryCompletion).singleton(),
     storedVersions: asClass(StoredVersions).singleton(),
     routeHistory: asFunction(
       ({ versionHistory }: GatewayCradle) =>
@@ -440,6 +446,7 @@
   holds,
   endpointLimits,
   permitRefusals,
+  streamAdmission,
   random,
   settings,
   retryBudget,
@@ -454,6 +461,7 @@
     holds,
     endpointLimits,
     permitRefusals,
+    streamAdmission,
     random,
     zone,
     unreported: (service, now) => {
--- a/packages/gateway/src/forwarding/forwarder.ts
+++ b/packages/gateway/src/forwarding/forwarder.ts
@@ -10,7 +10,6 @@
 import type { AttemptResult } from '@sesamegrade/core/forwarding/attempt-result';
 import type { FleetState } from '@sesamegrade/core/forwarding/fleet-state';
 import { mayHaveRun } from '@sesamegrade/core/forwarding/attempt-result';
-import type { StreamAdmission } from '@sesamegrade/core/software-versions/stream-admission';
 import { StreamBinding } from '@sesamegrade/core/software-versions/stream-binding';
 import type { EndpointDirectory } from '@sesamegrade/core/endpoints/endpoint-directory';
 import type { EndpointEntry } from '@sesamegrade/core/endpoints/endpoint-entry';
@@ -106,7 +105,6 @@
   readonly attemptPlacement: AttemptPlacement;
   readonly fleetState: FleetState;
   readonly endpointDirectory: EndpointDirectory;
-  readonly streamAdmission: StreamAdmission;
   readonly streamResumption: StreamResumption;
   readonly connectionPool: ConnectionPool;
   readonly endpointPaths: EndpointPaths;
@@ -258,7 +256,6 @@
     body: Buffer,
     arrivedAt: Instant,
   ): Promise<void> {
-    const { streamAdmission, timers } = this.#options;
     const { route } = decision;
     const timeout = Math.min(
       route.timeout,
@@ -301,10 +298,7 @@
       }),
       tried: new Set(),
       binding,
-      accepts: entry =>
-        binding.isBound || !isResumable(route)
-          ? binding.accepts(entry)
-          : streamAdmission.accepts(entry, timers.now()),
+      accepts: entry => binding.accepts(entry),
       possibleRuns: 0,
       notRun: 0,
     };
@@ -533,6 +527,7 @@
         prompt: request.head.prompt,
         tried: request.tried,
         accepts: request.accepts,
+        beginsStream: isResumable(route) && !request.binding.isBound,
         repeatable: route.repeatable,
       },
       {
--- a/packages/gateway/src/process/gateway-process.ts
+++ b/packages/gateway/src/process/gateway-process.ts
@@ -41,6 +41,7 @@
 import type { FleetReplica } from '../store/fleet-replica';
 import type { FleetReadiness } from '../store/fleet-readiness';
 import type { StoredSuspects } from '../store/stored-suspects';
+import type { HistoryCompletion } from '../streams/history-completion';
 import type { StoredVersions } from '../streams/stored-versions';
 import type { StreamLedger } from '../streams/stream-ledger';
 import type { TunnelServer } from '../tunnels/tunnel-server';
@@ -77,6 +78,7 @@
   readonly crashDetector: CrashDetector;
   readonly storedSuspects: StoredSuspects;
   readonly storedVersions: StoredVersions;
+  readonly historyCompletion: Pick<HistoryCompletion, 'tick'>;
   readonly streamUpdates: Pick<StreamUpdates, 'onRecorded'>;
   readonly routeHistory: RouteHistory;
   readonly streamLedger: StreamLedger;
@@ -145,6 +147,7 @@
       this.#options.suspects.tick(now);
       fleetReplica.tick(now);
       this.#options.storedVersions.tick(now);
+      this.#options.historyCompletion.tick(now);
       this.#options.streamLedger.tick(now);
       this.#options.cacheSurvey.tick(now);
       this.#options.connectionPool.closeIdleDetours();
--- a/packages/gateway/src/streams/stored-versions.ts
+++ b/packages/gateway/src/streams/stored-versions.ts
@@ -35,7 +35,9 @@
 const ROW_KEY = 'software-versions';
 /** Time after the start before a missing row is written: until then several routers may read for the fleet. */
 const FIRST_WRITE_DELAY: Milliseconds = seconds(3);
-/** Time between two attempts to write the row, or to read it. */
+/** Minimum time between two changes of the row. */
+const WRITE_PERIOD: Milliseconds = milliseconds(100);
+/** Time between two attempts to write the row while the store does not answer. */
 const RETRY_PERIOD: Milliseconds = seconds(1);
 /** Clock value of a version that is still in use. */
 const IN_USE = null;
@@ -87,9 +89,11 @@
   readonly #options: StoredVersionsOptions;
   #read: ReadState | undefined;
   readonly #startedAt: Instant;
-  #writtenAt: Instant | undefined;
-  #readAt: Instant | undefined;
-  #isWriting = false;
+  /** When the next attempt to write the row may begin; undefined before the first one. */
+  #writableFrom: Instant | undefined;
+  /** Whether the row is being read or written. */
+  #isBusy = false;
+  #wasReader = false;
   #recordedListener: RecordedListener = () => undefined;
 
   constructor(options: StoredVersionsOptions) {
@@ -134,12 +138,22 @@
       });
     }
     this.#markRecorded(stored);
+    if (this.#isCompleteRow({ position, storeTime })) {
+      versionHistory.markComplete();
+    }
+  }
+
+  /** Whether the row that was read last lists all versions within the life of a stream. */
+  #isCompleteRow({
+    position,
+    storeTime,
+  }: Pick<FeedPage, 'position' | 'storeTime'>): boolean {
+    const stored = this.#read?.stored;
     // A copy of the store that was restored lacks what was recorded since.
-    const isCurrent = stored.era === position.era && storeTime !== undefined;
-    const knownFor = (storeTime ?? 0) - stored.since;
-    if (isCurrent && knownFor >= versionHistory.lifetime) {
-      versionHistory.markComplete(position);
+    if (stored?.era !== position.era || storeTime === undefined) {
+      return false;
     }
+    return storeTime - stored.since >= this.#options.versionHistory.lifetime;
   }
 
   #markRecorded({ uses }: StoredUses): void {
@@ -157,20 +171,19 @@
     }
   }
 
-  /**
-   * Writes the row if the versions in use are not those that it lists, and reads it again
-   * after changes of the endpoints were missed.
-   */
+  /** Writes the row if the versions in use are not those that it lists. */
   tick(now: Instant): void {
-    const { endpointDirectory, versionHistory, backgroundTasks } =
-      this.#options;
+    const { endpointDirectory, versionHistory } = this.#options;
     if (!endpointDirectory.isLoaded) {
       return;
     }
     versionHistory.observe(endpointDirectory.all(), now);
-    if (versionHistory.hasMissed && this.#isReadDue(now)) {
-      this.#readAt = now;
-      backgroundTasks.run('version-row-read', () => this.#readRow());
+    const { isReader } = this.#options.fleetReplica;
+    const takesOver = isReader && !this.#wasReader;
+    this.#wasReader = isReader;
+    if (takesOver && this.#read) {
+      // Another router may have written the row since it was read here.
+      this.#run('version-row-read', () => this.#readRow());
     }
     if (!this.#isDue(now)) {
       return;
@@ -178,31 +191,31 @@
     const read = this.#read;
     const uses = read && this.#currentUses(read, now);
     if (read?.stored && uses && isSame(read, uses)) {
+      this.#markRecorded(read.stored);
       return;
     }
-    this.#writtenAt = now;
-    this.#isWriting = true;
-    backgroundTasks.run('version-row', async () => {
+    this.#writableFrom = addTime(now, RETRY_PERIOD);
+    this.#run('version-row', () => this.#write(read, uses));
+  }
+
+  #run(name: string, call: () => Promise<unknown>): void {
+    this.#isBusy = true;
+    this.#options.backgroundTasks.run(name, async () => {
       try {
-        await this.#write(read, uses);
+        await call();
       } finally {
-        this.#isWriting = false;
+        this.#isBusy = false;
       }
+      this.tick(this.#options.timers.now());
     });
   }
 
-  #isReadDue(now: Instant): boolean {
-    return (
-      this.#readAt === undefined || elapsed(this.#readAt, now) >= RETRY_PERIOD
-    );
-  }
-
   #isDue(now: Instant): boolean {
-    if (this.#isWriting || !this.#options.fleetReplica.isReader) {
+    if (this.#isBusy || !this.#options.fleetReplica.isReader) {
       return false;
     }
-    if (this.#writtenAt) {
-      return elapsed(this.#writtenAt, now) >= RETRY_PERIOD;
+    if (this.#writableFrom) {
+      return elapsed(this.#writableFrom, now) >= 0;
     }
     return (
       this.#read !== undefined &&
@@ -215,10 +228,13 @@
     read: ReadState | undefined,
     uses: StoredUses | undefined,
   ): Promise<void> {
-    const { routerRows, log } = this.#options;
+    const { routerRows, timers, log } = this.#options;
     if (read && uses) {
       const value = new TextEncoder().encode(JSON.stringify(uses));
       const written = await routerRows.replace(ROW_KEY, value, read.revision);
+      if (written.ok || written.failure.kind === 'conflict') {
+        this.#writableFrom = addTime(timers.now(), WRITE_PERIOD);
+      }
       log.write('versions-stored', { uses: uses.uses, ok: written.ok });
     }
     // Also after a conflict or a lost response, which may have changed the row.
@@ -226,12 +242,25 @@
     await this.#readRow();
   }
 
-  async #readRow(): Promise<void> {
+  /**
+   * Reads the row after changes of the endpoints were missed, and takes the versions that it
+   * lists for all.
+   */
+  async readAfterGap(): Promise<void> {
+    const page = await this.#readRow();
+    if (page && this.#isCompleteRow(page)) {
+      this.#options.versionHistory.markComplete(page.position);
+    }
+  }
+
+  async #readRow(): Promise<FeedPage | undefined> {
     const { routerRows } = this.#options;
     const page = await routerRows.readAll();
-    if (page.ok) {
-      this.onRows(page.value);
+    if (!page.ok) {
+      return undefined;
     }
+    this.onRows(page.value);
+    return page.value;
   }
 
   #currentUses(
--- a/packages/gateway/src/streams/testing/simulated-fleet.ts
+++ b/packages/gateway/src/streams/testing/simulated-fleet.ts
@@ -139,13 +139,10 @@
   /** Begins a stream at an endpoint that the router knows. */
   begin(router: SimulatedRouter, id: string): Stream | undefined {
     const existing = new Set(this.#endpoints.entries.map(entry => entry.id));
-    const known = router.directory
-      .usable(service)
-      .filter(
-        entry =>
-          existing.has(entry.id) &&
-          router.admission.accepts(entry, router.timers.now()),
-      );
+    const known = router.admission.prefer(
+      router.directory.usable(service).filter(entry => existing.has(entry.id)),
+      router.timers.now(),
+    );
     if (known.length === 0 || router.isFrozen) {
       return undefined;
     }
--- a/packages/gateway/src/streams/testing/simulated-router.ts
+++ b/packages/gateway/src/streams/testing/simulated-router.ts
@@ -23,6 +23,7 @@
 import type { DecisionLog } from '../../logs/decision-log';
 import { EndpointConfirmation } from '../../store/endpoint-confirmation';
 import type { FeedPage } from '../../store/feed-source';
+import { HistoryCompletion } from '../history-completion';
 import { StoredVersions } from '../stored-versions';
 import { StreamLedger } from '../stream-ledger';
 import { StreamResumption } from '../stream-resumption';
@@ -94,6 +95,7 @@
   readonly #coverage: FeedCoverage;
   readonly #replica: EndpointReplica;
   readonly #storedVersions: StoredVersions;
+  readonly #historyCompletion: HistoryCompletion;
   readonly #streamLedger: StreamLedger;
   readonly #backgroundTasks = new BackgroundTasks(({ error }) => {
     throw error;
@@ -145,14 +147,23 @@
         sendTo: (peer, topics) => options.send(this, peer, topics),
       },
     });
-    this.admission = new StreamAdmission(shared);
-    this.confirmation = new EndpointConfirmation({
-      ...shared,
+    this.admission = new StreamAdmission(versionHistory);
+    const asking = {
       settings: { router: { id } },
       peerMesh: {
         relays: RELAYS,
-        requestVersions: relay => options.requestVersions(this, relay),
+        requestVersions: (relay: RouterId) =>
+          options.requestVersions(this, relay),
       },
+    };
+    this.#historyCompletion = new HistoryCompletion({
+      ...shared,
+      ...asking,
+      storedVersions: this.#storedVersions,
+    });
+    this.confirmation = new EndpointConfirmation({
+      ...shared,
+      ...asking,
       endpointFeed: {
         readChanges: after =>
           callStore(options.reach(this), this.timers, () =>
@@ -191,6 +202,7 @@
     this.timers.every(TICK_PERIOD, now => {
       this.directory.tick(now);
       this.#storedVersions.tick(now);
+      this.#historyCompletion.tick(now);
       this.#streamLedger.tick(now);
     });
   }
