Soak routers that lose contact while a newer version is released

The soak's routers were never cut off, and its streams and releases shared one service, so that after the first release every router knew of several versions. Routers started without first_start, so that none concluded that there was one version within 30 s: the soak could not have shown a stream that goes on at another version for want of news.

Change: every 2 s one router is stopped or cut off silently from the store, its peers or both, one way or both. Proxies stand before the store and, by a preloaded module that redirects ports, between routers. A service of its own is released 0.3 to 1 s later, its endpoints crash 1 to 2 s after that, and callers take up its streams at that router until 2.5 s after the loss. The record counts take-ups by contact and outcome, and at least half must go on at routers in touch. An endpoint counts as left only 1.2 s after all routers are in touch, as one that is cut off cannot know.

The fault proxy stalls one direction, and holds back resets during a stall.

--- a/packages/stand-ins/src/deployment/broken-stream.ts
+++ b/packages/stand-ins/src/deployment/broken-stream.ts
@@ -103,6 +103,27 @@
   sendStream(socket, bytes, framing, cut);
 }
 
+/** Sends the events after the requested one at an interval, until the connection is closed. */
+export function sendPacedStream(
+  request: ScriptedRequest,
+  socket: Socket,
+  events: readonly string[],
+  intervalMs: number,
+): void {
+  let next = Number(request.headers.get('last-event-id') ?? 0);
+  socket.write(streamHead(request));
+  const timer = setInterval(() => {
+    const text = events[next];
+    if (socket.destroyed || text === undefined) {
+      clearInterval(timer);
+      socket.write(LAST_CHUNK);
+      return;
+    }
+    next += 1;
+    socket.write(chunk(event(next, text)));
+  }, intervalMs);
+}
+
 /** A regular close between two events would be the end of a stream without length and chunks. */
 function randomCut(
   bytes: string,
--- a/packages/stand-ins/src/deployment/deployment-documents.ts
+++ b/packages/stand-ins/src/deployment/deployment-documents.ts
@@ -51,6 +51,7 @@
   version: number,
   routes: readonly TestRoute[] = TEST_ROUTES,
   keys: readonly string[] = [TEST_KEY],
+  services: readonly string[] = [],
 ): unknown {
   return {
     version,
@@ -74,6 +75,11 @@
         maxConns: 100,
         engine: { slots: 8, kvCapacity: 100_000, most: 2, backups: true },
       },
+      ...services.map(name => ({
+        name,
+        healthPath: '/health',
+        maxConns: 100,
+      })),
     ],
     limits: {
       maxHeaderBytes: 16_384,
--- a/packages/stand-ins/src/deployment/router-process.ts
+++ b/packages/stand-ins/src/deployment/router-process.ts
@@ -26,6 +26,10 @@
   readonly programArguments?: readonly string[];
   /** Processor share that the router announces, which ranks it among relays. */
   readonly cpuShare?: number;
+  /** Environment variables beside those of this process. */
+  readonly environment?: () => Readonly<Record<string, string>>;
+  /** Whether the first start of the process is the fleet's first one. */
+  readonly isFirstStart?: boolean;
 }
 
 export class RouterProcess {
@@ -63,12 +67,18 @@
   }
 
   async open(): Promise<void> {
-    this.#ports = await fixedPorts(PORTS);
+    await this.reservePorts();
     this.start();
   }
 
+  /** Chooses the addresses, for routers that must know each other's before they start. */
+  async reservePorts(): Promise<void> {
+    this.#ports = await fixedPorts(PORTS);
+  }
+
   start(): void {
-    const { name, folder, flags, programArguments } = this.#options;
+    const { name, folder, flags, programArguments, environment } =
+      this.#options;
     const file = join(folder, `${name}.ini`);
     writeFileSync(file, this.#settings());
     const child = spawn(
@@ -83,6 +93,7 @@
       {
         env: {
           ...process.env,
+          ...environment?.(),
           SESAMEGRADE_CONFIG: file,
           SESAMEGRADE_PEER_SECRET: SECRET,
         },
@@ -139,7 +150,7 @@
 
   #settings(): string {
     const [callers, ready, peers, metrics] = this.#ports;
-    const { name, store, seeds, cpuShare } = this.#options;
+    const { name, store, seeds, cpuShare, isFirstStart } = this.#options;
     return `[router]
 id = ${name}
 zone = zone-a
@@ -148,6 +159,7 @@
 peers = 127.0.0.1:${peers}
 metrics_port = ${metrics}
 cpu_share = ${cpuShare ?? 1}
+first_start = ${isFirstStart === true && !this.#process}
 [peers]
 seeds = ${seeds().join(',')}
 [store]
--- a/packages/stand-ins/src/fault-proxy/byte-forwarder.ts
+++ b/packages/stand-ins/src/fault-proxy/byte-forwarder.ts
@@ -2,13 +2,12 @@
 import type { Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import type { ProxyFault } from './proxy-fault';
+import { isStalled } from './proxy-fault';
+import type { Direction, ProxyFault } from './proxy-fault';
 
 const STALL_POLL_MS = 5;
 const MAX_BUFFERED_BYTES = 1024 * 1024;
 
-export type Direction = 'to-target' | 'to-client';
-
 /** Copies the bytes of one socket to another, in order, and applies the current fault. */
 export class ByteForwarder {
   readonly #source: Socket;
@@ -67,7 +66,10 @@
     if (remainingMs > 0) {
       await sleep(remainingMs);
     }
-    while (this.#currentFault().stall && !this.#sink.destroyed) {
+    while (
+      isStalled(this.#currentFault(), this.#direction) &&
+      !this.#sink.destroyed
+    ) {
       await sleep(STALL_POLL_MS);
     }
   }
--- a/packages/stand-ins/src/fault-proxy/fault-proxy.test.ts
+++ b/packages/stand-ins/src/fault-proxy/fault-proxy.test.ts
@@ -1,6 +1,6 @@
 import { once } from 'node:events';
 import { connect, createServer } from 'node:net';
-import type { AddressInfo, Server } from 'node:net';
+import type { AddressInfo, Server, Socket } from 'node:net';
 
 import { expect } from 'chai';
 
@@ -12,10 +12,12 @@
   let server: Server;
   let proxy: FaultProxy;
   let receivedByTarget: string;
+  let targetSocket: Socket | undefined;
 
   beforeEach(async () => {
     receivedByTarget = '';
     server = createServer(socket => {
+      targetSocket = socket;
       socket.on('error', () => undefined);
       socket.on('data', chunk => {
         receivedByTarget += chunk.toString();
@@ -74,6 +76,22 @@
     expect(receivedByClient.text).to.equal(GREETING);
   });
 
+  it('buffers the bytes of one direction, and holds back that it closed', async () => {
+    proxy.setFault({ stall: 'to-client' });
+    const { socket, receivedByClient, closed } = await client();
+    let isClosed = false;
+    socket.on('close', () => (isClosed = true));
+    socket.write('hello');
+    while (receivedByTarget === '') {
+      await new Promise(resolve => setTimeout(resolve, 5));
+    }
+    targetSocket?.resetAndDestroy();
+    await new Promise(resolve => setTimeout(resolve, 30));
+    expect([receivedByClient.text, isClosed]).to.deep.equal(['', false]);
+    proxy.setFault();
+    await closed;
+  });
+
   it('discards the bytes of one direction only', async () => {
     proxy.setFault({ drop: 'to-client' });
     const { socket, receivedByClient } = await client();
--- a/packages/stand-ins/src/fault-proxy/fault-proxy.ts
+++ b/packages/stand-ins/src/fault-proxy/fault-proxy.ts
@@ -5,8 +5,8 @@
 import type { Address } from '@sesamegrade/core/types/endpoint';
 import { LOOPBACK } from '../http/http-stand-in';
 import type { ListenOptions } from '../http/http-stand-in';
-import { NO_FAULT } from './proxy-fault';
-import type { ProxyFault } from './proxy-fault';
+import { isStalled, NO_FAULT } from './proxy-fault';
+import type { Direction, ProxyFault } from './proxy-fault';
 import { ByteForwarder } from './byte-forwarder';
 
 export interface FaultProxyOptions {
@@ -17,8 +17,11 @@
 export class FaultProxy {
   readonly #options: FaultProxyOptions;
   readonly #sockets = new Set<Socket>();
+  readonly #resetting = new WeakSet<Socket>();
   #server: Server | undefined;
   #fault = NO_FAULT;
+  /** Resets and closings that wait for the end of a stall. */
+  #held: (() => void)[] = [];
   #accepted = 0;
 
   constructor(options: FaultProxyOptions) {
@@ -40,6 +43,9 @@
     if (this.#fault.reset) {
       this.#resetAll();
     }
+    for (const pass of this.#held.splice(0)) {
+      pass();
+    }
   }
 
   async start(): Promise<Address> {
@@ -79,29 +85,59 @@
     }
     const target = connect({ ...this.#options.target, allowHalfOpen: true });
     const fault = () => this.#fault;
-    this.#track(client, target);
-    this.#track(target, client);
+    this.#track(client, target, 'to-target');
+    this.#track(target, client, 'to-client');
     new ByteForwarder(client, target, 'to-target', fault).start();
     new ByteForwarder(target, client, 'to-client', fault).start();
   }
 
-  #track(socket: Socket, counterpart: Socket): void {
+  #track(socket: Socket, counterpart: Socket, direction: Direction): void {
     this.#sockets.add(socket);
     socket.setNoDelay(true);
-    socket.on('error', () => {
-      counterpart.resetAndDestroy();
-    });
-    socket.on('close', () => {
+    socket.on('error', () => undefined);
+    socket.on('close', hadError => {
       this.#sockets.delete(socket);
-      if (!socket.readableEnded) {
-        counterpart.destroy();
+      if (hadError) {
+        this.#pass(direction, () => {
+          this.#reset(counterpart);
+        });
+      } else if (!socket.readableEnded) {
+        this.#pass(direction, () => {
+          if (!this.#resetting.has(counterpart)) {
+            counterpart.destroy();
+          }
+        });
       }
     });
   }
 
+  /** Takes a step that the counterpart notices, after the stall of its direction. */
+  #pass(direction: Direction, step: () => void): void {
+    if (isStalled(this.#fault, direction)) {
+      this.#held.push(() => {
+        this.#pass(direction, step);
+      });
+    } else {
+      step();
+    }
+  }
+
   #resetAll(): void {
     for (const socket of this.#sockets) {
-      socket.resetAndDestroy();
+      this.#reset(socket);
+    }
+  }
+
+  /** Node.js never closes a socket that is reset or destroyed while its shutdown is under way. */
+  #reset(socket: Socket): void {
+    if (this.#resetting.has(socket)) {
+      return;
+    }
+    if (socket.writableEnded && !socket.writableFinished) {
+      socket.destroy();
+      return;
     }
+    this.#resetting.add(socket);
+    socket.resetAndDestroy();
   }
 }
--- a/packages/stand-ins/src/soak/soak-callers.ts
+++ b/packages/stand-ins/src/soak/soak-callers.ts
@@ -4,11 +4,13 @@
 import type { Random } from '@sesamegrade/core/random/random';
 import { TEST_HOST, TEST_KEY } from '../deployment/deployment-documents';
 import { callOverHttp } from '../deployment/http-caller';
+import type { ReceivedResponse } from '../deployment/http-caller';
 import type { RouterProcess } from '../deployment/router-process';
 import { CRASHING_WORD } from './soak-endpoints';
 import type {
   CrashingContent,
   SoakInvariantChecker,
+  SoakStream,
 } from './soak-invariant-checker';
 
 const DEADLINE_MS = 1500;
@@ -112,20 +114,15 @@
       if (!response || isEndless) {
         return;
       }
-      const { status, headers, body, isComplete } = response;
+      const { status, body, isComplete } = response;
       if (status !== STATUS_OK) {
         this.#options.checker.recordResponse({ request: id, status, body });
         return;
       }
-      this.#options.checker.recordStream({
-        request: first,
-        body: received + body,
-        isComplete,
-        isFramed:
-          headers['content-length'] !== undefined ||
-          headers['transfer-encoding'] !== undefined,
-      });
-      received += body.slice(0, body.lastIndexOf('\n\n') + 2);
+      this.#options.checker.recordStream(
+        receivedStream(first, received, response),
+      );
+      received += completeEvents(body);
       if (isComplete || received === '' || path === 'summary') {
         return;
       }
@@ -198,7 +195,31 @@
 }
 
 /** Headers with which a caller resumes a stream after the events that it has. */
-function resumption(first: string, received: string): Record<string, string> {
+export function resumption(
+  first: string,
+  received: string,
+): Record<string, string> {
   const ids = [...received.matchAll(/^id: (\d+)$/gmu)];
   return { resumes: first, 'last-event-id': ids.at(-1)?.[1] ?? '0' };
 }
+
+/** The events of a body without one that broke off. */
+export function completeEvents(body: string): string {
+  return body.slice(0, body.lastIndexOf('\n\n') + 2);
+}
+
+/** A stream as its caller has it after a response to a resumption. */
+export function receivedStream(
+  request: string,
+  received: string,
+  { headers, body, isComplete }: ReceivedResponse,
+): SoakStream {
+  return {
+    request,
+    body: received + body,
+    isComplete,
+    isFramed:
+      headers['content-length'] !== undefined ||
+      headers['transfer-encoding'] !== undefined,
+  };
+}
--- a/packages/stand-ins/src/soak/soak-endpoints.ts
+++ b/packages/stand-ins/src/soak/soak-endpoints.ts
@@ -20,7 +20,7 @@
 /** Time for which an endpoint states a limit, and the limits in requests a second. */
 const LIMIT_MS = 7000;
 const LIMITS = [1, 2, 4];
-/** Time without a store fault after which every router has read the store again. */
+/** Time without a store fault or a router out of touch after which all have read the store again. */
 const STABLE_STORE_MS = 1200;
 /** Time for which a leaving endpoint still records the requests that reach it. */
 const LEAVING_MS = 4000;
@@ -47,6 +47,8 @@
   readonly random: Random;
   readonly checker: SoakInvariantChecker;
   readonly store: RowStoreServer;
+  /** Whether any router is out of touch. */
+  readonly isOutOfTouch: () => boolean;
   /** Milliseconds since the start of the soak. */
   readonly now: () => number;
   /** Lets the soak wait for something at its end. */
@@ -165,10 +167,11 @@
   }
 
   async #waitForStableStore(): Promise<void> {
-    let since = this.#options.now();
-    while (this.#options.now() - since < STABLE_STORE_MS) {
-      if (this.#options.store.fault !== 'none') {
-        since = this.#options.now();
+    const { store, isOutOfTouch, now } = this.#options;
+    let since = now();
+    while (now() - since < STABLE_STORE_MS) {
+      if (store.fault !== 'none' || isOutOfTouch()) {
+        since = now();
       }
       await pause(POLL_MS);
     }
--- a/packages/stand-ins/src/soak/soak-invariant-checker.ts
+++ b/packages/stand-ins/src/soak/soak-invariant-checker.ts
@@ -37,8 +37,9 @@
     | 'one-version'
     | 'alive'
     | 'crashing-content'
-    | 'limit';
-  /** The request, the router for `alive`, the content for `crashing-content`, or the endpoint for `limit`. */
+    | 'limit'
+    | 'goes-on';
+  /** The request, the router for `alive`, the content for `crashing-content`, the endpoint for `limit`, or `take-ups`. */
   readonly request: string;
   readonly detail: string;
 }
--- a/packages/stand-ins/src/soak/soak.ts
+++ b/packages/stand-ins/src/soak/soak.ts
@@ -10,13 +10,21 @@
 import { setTimeout as pause } from 'node:timers/promises';
 
 import { Random } from '@sesamegrade/core/random/random';
-import { manifest } from '../deployment/deployment-documents';
+import {
+  manifest,
+  TEST_KEY,
+  TEST_ROUTES,
+} from '../deployment/deployment-documents';
 import { RouterProcess } from '../deployment/router-process';
 import { RowStoreServer } from '../deployment/row-store-server';
+import { ContactLossScenario } from './contact-loss-scenario';
+import { REDIRECTION_FLAGS, RouterLinks } from './router-links';
 import { SoakCallers } from './soak-callers';
 import { DOWN_MS, SoakEndpoints } from './soak-endpoints';
 import { SoakInvariantChecker } from './soak-invariant-checker';
 import type { SoakViolation } from './soak-invariant-checker';
+import { TakeUpRecord } from './take-up-record';
+import type { TakeUpCounts } from './take-up-record';
 
 export interface SoakOptions {
   readonly seed: number;
@@ -28,6 +36,8 @@
   readonly asked: number;
   readonly served: number;
   readonly faults: readonly string[];
+  /** Streams that callers took up, by the contact of the router and what became of them. */
+  readonly takeUps: TakeUpCounts;
   readonly violations: readonly SoakViolation[];
   /** Folder with the routers' logs; deleted unless an invariant was violated. */
   readonly folder: string;
@@ -38,11 +48,36 @@
 const REQUEST_INTERVAL_MS = 20;
 const FAULT_INTERVAL_MS = 500;
 const MAX_FAULT_MS = 1500;
+/** Time from one router's loss of contact to that of another. */
+const CONTACT_LOSS_INTERVAL_MS = 2000;
 /** Time without faults after which every router must know which content ends endpoints. */
 const PROPAGATION_MS = 3000;
 /** How often each router gets each such content after that time. */
 const LAST_SENDS = 5;
 
+const FAULT_KINDS = [
+  'term',
+  'kill',
+  'freeze',
+  'hang-up',
+  'store',
+  'configuration',
+  'leave',
+  'kill-all',
+  'limit',
+  'foreign-entry',
+  'release',
+] as const;
+type FaultKind = (typeof FAULT_KINDS)[number];
+/** Faults after which routers may not know the streams or the endpoints. */
+const DISTURBING_FAULTS: ReadonlySet<FaultKind> = new Set([
+  'term',
+  'kill',
+  'freeze',
+  'store',
+  'kill-all',
+] as const);
+
 export class Soak {
   readonly #options: SoakOptions;
   readonly #random: Random;
@@ -55,6 +90,9 @@
   readonly #startedAt = performance.now();
   readonly #endpoints: SoakEndpoints;
   readonly #callers: SoakCallers;
+  readonly #links = new RouterLinks();
+  readonly #takeUps = new TakeUpRecord();
+  readonly #scenarios: readonly ContactLossScenario[];
   #version = 1;
 
   constructor(options: SoakOptions) {
@@ -64,6 +102,8 @@
       random: this.#random,
       checker: this.#checker,
       store: this.#store,
+      isOutOfTouch: () =>
+        this.#scenarios.some(({ isOutOfTouch }) => isOutOfTouch),
       now: () => this.#now(),
       track: task => {
         this.#pending.push(task);
@@ -75,12 +115,31 @@
       checker: this.#checker,
       routers: this.#routers,
     });
+    const scenarios = Math.floor(
+      (options.seconds * 1000) / CONTACT_LOSS_INTERVAL_MS,
+    );
+    this.#scenarios = Array.from(
+      { length: scenarios },
+      (_value, index) =>
+        new ContactLossScenario({
+          index,
+          seed: options.seed,
+          random: new Random(this.#random.seed()),
+          store: this.#store,
+          routers: this.#routers,
+          links: this.#links,
+          checker: this.#checker,
+          takeUps: this.#takeUps,
+          now: () => this.#now(),
+        }),
+    );
   }
 
   async run(): Promise<SoakResult> {
     await this.#open();
     await pause(WARM_UP_MS);
     const end = this.#now() + this.#options.seconds * 1000;
+    this.#pending.push(this.#loseContacts());
     let nextFaultAt = this.#now();
     while (this.#now() < end) {
       this.#pending.push(this.#callers.sendAny());
@@ -110,25 +169,61 @@
     await Promise.all(this.#pending);
   }
 
+  /** Lets one router after the other lose contact. */
+  async #loseContacts(): Promise<void> {
+    const order = new Random(this.#random.seed());
+    const first = order.integer(0, this.#routers.length - 1);
+    const losses = this.#scenarios.map(async (scenario, index) => {
+      await pause(index * CONTACT_LOSS_INTERVAL_MS);
+      const router = this.#routers[(first + index) % this.#routers.length];
+      if (router) {
+        this.#faults.push(`${router.name} ${scenario.toString()}`);
+        await scenario.run(router);
+      }
+    });
+    await Promise.all(losses);
+  }
+
   #now(): number {
     return performance.now() - this.#startedAt;
   }
 
   async #open(): Promise<void> {
     await this.#store.start();
-    this.#store.write('op', 'config', manifest(this.#version));
+    this.#writeConfiguration();
     await this.#endpoints.start();
+    for (const scenario of this.#scenarios) {
+      await scenario.open();
+    }
     for (let count = 0; count < this.#options.routers; count += 1) {
+      const name = `r${count}`;
       const router = new RouterProcess({
-        name: `r${count}`,
+        name,
         folder: this.#folder,
-        store: this.#store.address,
+        store: await this.#links.openStoreLink(name, this.#store.address),
+        flags: REDIRECTION_FLAGS,
+        environment: () => this.#links.environmentOf(name),
+        isFirstStart: true,
         seeds: () =>
           this.#routers.slice(0, 3).map(({ peerAddress }) => peerAddress),
       });
-      await router.open();
+      await router.reservePorts();
       this.#routers.push(router);
     }
+    await this.#links.openPeerLinks(this.#routers);
+    for (const router of this.#routers) {
+      router.start();
+    }
+  }
+
+  #writeConfiguration(): void {
+    const document = manifest(
+      this.#version,
+      [...TEST_ROUTES, ...this.#scenarios.map(({ route }) => route)],
+      [TEST_KEY],
+      this.#scenarios.map(({ service }) => service),
+    );
+    this.#store.write('op', 'config', document);
   }
 
   async #close(): Promise<SoakResult> {
@@ -139,16 +234,25 @@
       }
     }
     await this.#endpoints.stop();
+    await Promise.all(this.#scenarios.map(scenario => scenario.close()));
+    await this.#links.close();
     await this.#store.stop();
     await this.#callers.stop();
-    const violations = this.#checker.violations();
+    const violations = [
+      ...this.#checker.violations(),
+      ...this.#takeUps.violations(),
+    ];
     if (violations.length === 0) {
       rmSync(this.#folder, { recursive: true });
     }
     return {
-      asked: this.#callers.requestCount,
+      asked: this.#scenarios.reduce(
+        (sum, { requestCount }) => sum + requestCount,
+        this.#callers.requestCount,
+      ),
       served: this.#checker.served,
       faults: this.#faults,
+      takeUps: this.#takeUps.counts(),
       violations,
       folder: this.#folder,
     };
@@ -158,21 +262,28 @@
   async #injectFault(): Promise<void> {
     const router = this.#random.pick(this.#routers);
     const durationMs = this.#random.integer(200, MAX_FAULT_MS);
-    const kind = this.#random.pick([
-      'term',
-      'kill',
-      'freeze',
-      'hang-up',
-      'store',
-      'configuration',
-      'leave',
-      'kill-all',
-      'limit',
-      'foreign-entry',
-      'release',
-    ] as const);
+    const kind = this.#random.pick(FAULT_KINDS);
     this.#faults.push(kind);
     this.#recordDisturbance(kind);
+    const affected = ['kill-all', 'store'].includes(kind)
+      ? undefined
+      : router.name;
+    const onEnd = DISTURBING_FAULTS.has(kind)
+      ? this.#takeUps.disturb(
+          kind === 'freeze' ? 'out-of-step' : 'disturbed',
+          affected,
+          this.#now(),
+        )
+      : undefined;
+    await this.#bringAbout(kind, router, durationMs);
+    onEnd?.(this.#now());
+  }
+
+  async #bringAbout(
+    kind: FaultKind,
+    router: RouterProcess,
+    durationMs: number,
+  ): Promise<void> {
     switch (kind) {
       case 'term':
         return router.restart('SIGTERM');
@@ -201,7 +312,7 @@
         return this.#endpoints.release();
       case 'configuration':
         this.#version += 1;
-        this.#store.write('op', 'config', manifest(this.#version));
+        this.#writeConfiguration();
         return;
       case 'leave':
         return this.#endpoints.replaceServer();
