Leave some routers of the soak in touch in every other seed

Odd seeds now leave out the faults of the whole fleet and of the store, even ones keep them, and two of five losses cut a router off from both.

--- a/packages/stand-ins/src/soak/contact-loss.ts
+++ b/packages/stand-ins/src/soak/contact-loss.ts
@@ -25,7 +25,13 @@
 const LENGTH_MS = { min: 500, max: 3000 };
 const RELEASE_AFTER_MS = { min: 300, max: 1000 };
 const CRASH_AFTER_MS = { min: 1000, max: 2000 };
-const KINDS = ['stop', 'store', 'peers', 'store and peers'] as const;
+const KINDS = [
+  'stop',
+  'store',
+  'peers',
+  'store and peers',
+  'store and peers',
+] as const;
 const DIRECTIONS = ['in', 'out', 'both'] as const;
 
 export function planContactLoss(random: Random): ContactLoss {
--- a/packages/stand-ins/src/soak/soak.ts
+++ b/packages/stand-ins/src/soak/soak.ts
@@ -69,6 +69,11 @@
   'release',
 ] as const;
 type FaultKind = (typeof FAULT_KINDS)[number];
+/** Faults of all routers, which every other seed leaves out so that some stay in touch. */
+const FLEET_FAULTS: ReadonlySet<FaultKind> = new Set([
+  'kill-all',
+  'store',
+] as const);
 /** Faults after which routers may not know the streams or the endpoints. */
 const DISTURBING_FAULTS: ReadonlySet<FaultKind> = new Set([
   'term',
@@ -93,11 +98,16 @@
   readonly #links = new RouterLinks();
   readonly #takeUps = new TakeUpRecord();
   readonly #scenarios: readonly ContactLossScenario[];
+  readonly #faultKinds: readonly FaultKind[];
   #version = 1;
 
   constructor(options: SoakOptions) {
     this.#options = options;
     this.#random = new Random(options.seed);
+    this.#faultKinds =
+      options.seed % 2 === 0
+        ? FAULT_KINDS
+        : FAULT_KINDS.filter(kind => !FLEET_FAULTS.has(kind));
     this.#endpoints = new SoakEndpoints({
       random: this.#random,
       checker: this.#checker,
@@ -262,12 +272,10 @@
   async #injectFault(): Promise<void> {
     const router = this.#random.pick(this.#routers);
     const durationMs = this.#random.integer(200, MAX_FAULT_MS);
-    const kind = this.#random.pick(FAULT_KINDS);
+    const kind = this.#random.pick(this.#faultKinds);
     this.#faults.push(kind);
     this.#recordDisturbance(kind);
-    const affected = ['kill-all', 'store'].includes(kind)
-      ? undefined
-      : router.name;
+    const affected = FLEET_FAULTS.has(kind) ? undefined : router.name;
     const onEnd = DISTURBING_FAULTS.has(kind)
       ? this.#takeUps.disturb(
           kind === 'freeze' ? 'out-of-step' : 'disturbed',
