Let cut links of the soak come back one after the other

Held bytes arrived at once after a cut, the first loss came before the routers had connected to each other, and a cut of the outgoing bytes alone leaves the news in.

--- a/packages/stand-ins/src/soak/contact-loss-scenario.ts
+++ b/packages/stand-ins/src/soak/contact-loss-scenario.ts
@@ -120,9 +120,9 @@
 
   /** Lets a router lose contact, and resolves when all streams have ended. */
   async run(router: RouterProcess): Promise<void> {
-    const { releaseAfterMs, crashAfterMs, lengthMs } = this.#loss;
-    const crashAt = releaseAfterMs + crashAfterMs;
-    const end = this.#options.now() + LEAD_MS + Math.max(crashAt, lengthMs);
+    const { releaseAfterMs, crashAfterMs, lengthMs, lateMs } = this.#loss;
+    const lastsMs = Math.max(releaseAfterMs + crashAfterMs, lengthMs + lateMs);
+    const end = this.#options.now() + LEAD_MS + lastsMs;
     const streams = this.#sendStreams(router, end + AFTER_MS);
     await pause(LEAD_MS);
     await Promise.all([
@@ -134,7 +134,7 @@
 
   async #loseContact(router: RouterProcess): Promise<void> {
     const { links, takeUps, checker, now } = this.#options;
-    const { cut, lengthMs } = this.#loss;
+    const { cut, lengthMs, lateLinks, lateMs } = this.#loss;
     const onEnd = takeUps.disturb('out-of-step', router.name, now());
     checker.recordDisturbance(now());
     this.#isOutOfTouch = true;
@@ -145,6 +145,10 @@
     }
     await pause(lengthMs);
     if (cut) {
+      const { direction } = cut;
+      const none = { store: false, peers: false, direction };
+      links.cut(router.name, { ...none, [lateLinks]: cut[lateLinks] });
+      await pause(lateMs);
       links.heal(router.name);
     } else {
       router.sendSignal('SIGCONT');
--- a/packages/stand-ins/src/soak/contact-loss.test.ts
+++ b/packages/stand-ins/src/soak/contact-loss.test.ts
@@ -14,6 +14,7 @@
         expect(loss.lengthMs).to.be.within(500, 3000);
         expect(loss.releaseAfterMs).to.be.within(300, 1000);
         expect(loss.crashAfterMs).to.be.within(1000, 2000);
+        expect(loss.lateMs).to.be.within(0, 1000);
         if (loss.cut) {
           expect(loss.cut.store || loss.cut.peers).to.equal(true);
         }
--- a/packages/stand-ins/src/soak/soak.ts
+++ b/packages/stand-ins/src/soak/soak.ts
@@ -184,7 +184,7 @@
     const order = new Random(this.#random.seed());
     const first = order.integer(0, this.#routers.length - 1);
     const losses = this.#scenarios.map(async (scenario, index) => {
-      await pause(index * CONTACT_LOSS_INTERVAL_MS);
+      await pause((index + 0.5) * CONTACT_LOSS_INTERVAL_MS);
       const router = this.#routers[(first + index) % this.#routers.length];
       if (router) {
         this.#faults.push(`${router.name} ${scenario.toString()}`);
