--- a/packages/gateway/src/process/gateway-process.ts
+++ b/packages/gateway/src/process/gateway-process.ts
@@ -17,6 +17,9 @@
 import type { PeerUpdates } from '@sesamegrade/core/peers/peer-updates';
 import type { RelayedSuspects } from '@sesamegrade/core/poison/relayed-suspects';
 import type { RouteTable } from '@sesamegrade/core/routes/route-table';
+import type { EndpointReplica } from '@sesamegrade/core/endpoints/endpoint-replica';
+import type { StreamUpdates } from '@sesamegrade/core/peers/stream-updates';
+import type { VersionHistory } from '@sesamegrade/core/software-versions/version-history';
 import type { StreamOrigins } from '@sesamegrade/core/software-versions/stream-origins';
 import type { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
@@ -52,6 +55,8 @@
   readonly timers: TimerService;
   readonly routes: RouteTable;
   readonly endpointDirectory: EndpointDirectory;
+  readonly endpointReplica: Pick<EndpointReplica, 'onMissedChanges'>;
+  readonly versionHistory: VersionHistory;
   readonly endpointLimits: EndpointLimits;
   readonly permitRefusals: PermitRefusals;
   readonly fleetPermits: FleetPermits;
@@ -70,6 +75,7 @@
   readonly crashDetector: CrashDetector;
   readonly storedSuspects: StoredSuspects;
   readonly storedVersions: StoredVersions;
+  readonly streamUpdates: Pick<StreamUpdates, 'onRecorded'>;
   readonly streamLedger: StreamLedger;
   readonly streamOrigins: StreamOrigins;
   readonly backgroundTasks: BackgroundTasks;
@@ -117,6 +123,10 @@
       this.#options;
     const { router } = settings;
     this.#subscribePeerUpdates();
+    this.#options.endpointReplica.onMissedChanges(before => {
+      this.#options.versionHistory.markMissed(before);
+      log.write('endpoint-changes-missed', { ...before });
+    });
     fleetReplica.start();
     await callerServer.listen(router.callers);
     await peerMesh.start();
@@ -224,6 +234,11 @@
         peerMesh.flushSoon();
       },
     });
+    this.#options.storedVersions.onRecorded(recorded => {
+      log.write('version-recorded', { ...recorded });
+      this.#options.streamUpdates.onRecorded(recorded);
+      peerMesh.flushSoon();
+    });
     this.#options.endpointLimits.onChanged(change => {
       log.write('endpoint-limit', { ...change });
       permitRefusals.remove(change.endpoint);
@@ -288,6 +303,9 @@
     }
     fleetState.onEndpointsChanged(endpointDirectory.all(), timers.now());
     this.#options.crashDetector.onDirectoryEvents(events);
+    if (events.some(({ kind }) => kind === 'joined' || kind === 'restarted')) {
+      this.#options.storedVersions.tick(timers.now());
+    }
     for (const event of events) {
       log.write('endpoint', { ...event });
       if (event.kind === 'leaving' || event.kind === 'gone') {
--- a/packages/gateway/src/streams/stored-versions.ts
+++ b/packages/gateway/src/streams/stored-versions.ts
@@ -8,7 +8,10 @@
 
 import type { EndpointDirectory } from '@sesamegrade/core/endpoints/endpoint-directory';
 import { nameSchema } from '@sesamegrade/core/membership/vm-entry';
-import type { VersionHistory } from '@sesamegrade/core/software-versions/version-history';
+import type {
+  RecordedVersion,
+  VersionHistory,
+} from '@sesamegrade/core/software-versions/version-history';
 import { revision } from '@sesamegrade/core/store/feed-position';
 import type { Revision, StoreEra } from '@sesamegrade/core/store/feed-position';
 import type { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
@@ -32,7 +35,7 @@
 const ROW_KEY = 'software-versions';
 /** Time after the start before a missing row is written: until then several routers may read for the fleet. */
 const FIRST_WRITE_DELAY: Milliseconds = seconds(3);
-/** Time between two attempts to write the row. */
+/** Time between two attempts to write the row, or to read it. */
 const RETRY_PERIOD: Milliseconds = seconds(1);
 /** Clock value of a version that is still in use. */
 const IN_USE = null;
@@ -69,6 +72,9 @@
   readonly log: DecisionLog;
 }
 
+/** Called for each version of which the row was not known to list it. */
+type RecordedListener = (recorded: RecordedVersion) => void;
+
 /** The row as it was last read, and how this router's clock and the store's differ. */
 interface ReadState {
   readonly revision: Revision;
@@ -82,7 +88,9 @@
   #read: ReadState | undefined;
   readonly #startedAt: Instant;
   #writtenAt: Instant | undefined;
+  #readAt: Instant | undefined;
   #isWriting = false;
+  #recordedListener: RecordedListener = () => undefined;
 
   constructor(options: StoredVersionsOptions) {
     this.#options = options;
@@ -92,6 +100,10 @@
     }
   }
 
+  onRecorded(listener: RecordedListener): void {
+    this.#recordedListener = listener;
+  }
+
   /** Takes the row among those of the table. */
   onRows({ rows, position, storeTime }: FeedPage): void {
     const { timers, versionHistory, log } = this.#options;
@@ -121,15 +133,34 @@
             : addTime(now, milliseconds(until - clockOffset - now)),
       });
     }
+    this.#markRecorded(stored);
     // A copy of the store that was restored lacks what was recorded since.
     const isCurrent = stored.era === position.era && storeTime !== undefined;
     const knownFor = (storeTime ?? 0) - stored.since;
     if (isCurrent && knownFor >= versionHistory.lifetime) {
-      versionHistory.markComplete();
+      versionHistory.markComplete(position);
+    }
+  }
+
+  #markRecorded({ uses }: StoredUses): void {
+    const { versionHistory } = this.#options;
+    for (const use of uses) {
+      const service = serviceId(use.service);
+      const version =
+        use.version === null ? undefined : softwareVersion(use.version);
+      if (
+        use.until === IN_USE &&
+        versionHistory.markRecorded(service, version)
+      ) {
+        this.#recordedListener({ service, version });
+      }
     }
   }
 
-  /** Writes the row if the versions in use are not those that it lists. */
+  /**
+   * Writes the row if the versions in use are not those that it lists, and reads it again
+   * after changes of the endpoints were missed.
+   */
   tick(now: Instant): void {
     const { endpointDirectory, versionHistory, backgroundTasks } =
       this.#options;
@@ -137,6 +168,10 @@
       return;
     }
     versionHistory.observe(endpointDirectory.all(), now);
+    if (versionHistory.hasMissed && this.#isReadDue(now)) {
+      this.#readAt = now;
+      backgroundTasks.run('version-row-read', () => this.#readRow());
+    }
     if (!this.#isDue(now)) {
       return;
     }
@@ -156,6 +191,12 @@
     });
   }
 
+  #isReadDue(now: Instant): boolean {
+    return (
+      this.#readAt === undefined || elapsed(this.#readAt, now) >= RETRY_PERIOD
+    );
+  }
+
   #isDue(now: Instant): boolean {
     if (this.#isWriting || !this.#options.fleetReplica.isReader) {
       return false;
@@ -182,6 +223,11 @@
     }
     // Also after a conflict or a lost response, which may have changed the row.
     this.#read = undefined;
+    await this.#readRow();
+  }
+
+  async #readRow(): Promise<void> {
+    const { routerRows } = this.#options;
     const page = await routerRows.readAll();
     if (page.ok) {
       this.onRows(page.value);
--- a/packages/gateway/src/streams/stream-resumption.ts
+++ b/packages/gateway/src/streams/stream-resumption.ts
@@ -2,15 +2,14 @@
  * Finds out at which software version a stream began that a caller resumes, as only
  * endpoints of that version can continue it.
  */
-import type { EndpointDirectory } from '@sesamegrade/core/endpoints/endpoint-directory';
-import type { RouterDirectory } from '@sesamegrade/core/peers/router-directory';
 import { keyOfStream } from '@sesamegrade/core/software-versions/stream-origins';
 import type { StreamOrigins } from '@sesamegrade/core/software-versions/stream-origins';
-import type { VersionHistory } from '@sesamegrade/core/software-versions/version-history';
 import type {
-  Cancel,
-  TimerService,
-} from '@sesamegrade/core/time/timer-service';
+  StreamVersion,
+  VersionHistory,
+} from '@sesamegrade/core/software-versions/version-history';
+import type { TimerService } from '@sesamegrade/core/time/timer-service';
+import { withTimeout } from '@sesamegrade/core/time/with-timeout';
 import { milliseconds } from '@sesamegrade/core/types/units';
 import type { Milliseconds } from '@sesamegrade/core/types/units';
 import type {
@@ -18,20 +17,36 @@
   ServiceId,
   SoftwareVersion,
 } from '@sesamegrade/core/types/ids';
-import type { PeerMesh } from '../peers/peer-mesh';
-import type { EndpointConfirmation } from '../store/endpoint-confirmation';
+import type {
+  EndpointConfirmation,
+  EndpointEvidence,
+} from '../store/endpoint-confirmation';
 import type { StreamLedger } from './stream-ledger';
 
-/** Time after which the store's answer to the read of the endpoints is not waited for. */
-const MAX_CONFIRMATION_TIME: Milliseconds = milliseconds(200);
+/** Time after which a read of the endpoints, also one of a relay, is not waited for. */
+const MAX_CONFIRMATION_TIME: Milliseconds = milliseconds(250);
 /** The same for the rows with the origins of streams, which are read twice. */
 const MAX_LOOKUP_TIME: Milliseconds = milliseconds(600);
 
+/** What tells at which version a stream began. */
+export type OriginEvidence =
+  /** This router relayed the stream, or was told of it. */
+  | 'memory'
+  /** The service had one version, as of a read of the store that followed the request. */
+  | EndpointEvidence
+  /** The stream is among those that are stored. */
+  | 'ledger';
+
+export interface OriginFinding {
+  /** Undefined if nothing tells at which version the stream began. */
+  readonly version: SoftwareVersion | undefined;
+  readonly evidence: OriginEvidence | undefined;
+  /** What this router knows of the service's versions; undefined if it was not needed. */
+  readonly history: StreamVersion['kind'] | undefined;
+}
+
 export interface StreamResumptionOptions {
   readonly endpointConfirmation: Pick<EndpointConfirmation, 'confirm'>;
-  readonly routerDirectory: Pick<RouterDirectory, 'fleetSize'>;
-  readonly peerMesh: Pick<PeerMesh, 'connectedCount'>;
-  readonly endpointDirectory: Pick<EndpointDirectory, 'all'>;
   readonly versionHistory: VersionHistory;
   readonly streamOrigins: StreamOrigins;
   readonly streamLedger: StreamLedger;
@@ -59,64 +74,41 @@
   }
 
   /**
-   * Returns the version at which a stream began; undefined if that is not known.
-   * `begunBy` is the request that began it, if the caller names it.
+   * Finds out at which version a stream began. `begunBy` is the request that began it,
+   * if the caller names it.
    */
-  async versionOf(
+  async originOf(
     service: ServiceId,
     begunBy: RequestId | undefined,
-  ): Promise<SoftwareVersion | undefined> {
+  ): Promise<OriginFinding> {
     const {
       streamOrigins,
       streamLedger,
       versionHistory,
-      endpointDirectory,
+      endpointConfirmation,
       timers,
     } = this.#options;
     const key = begunBy && keyOfStream(begunBy);
     const known = key && streamOrigins.versionOf(key);
     if (known !== undefined) {
-      return known;
+      return { version: known, evidence: 'memory', history: undefined };
     }
-    if (await this.#isUpToDate()) {
-      const now = timers.now();
-      versionHistory.observe(endpointDirectory.all(), now);
-      const version = versionHistory.versionOfStreams(service, now);
-      if (version.kind === 'single') {
-        return version.version;
-      }
-    }
-    return key && this.#within(MAX_LOOKUP_TIME, streamLedger.versionOf(key));
-  }
-
-  /**
-   * Whether this router knows the endpoints of each version that others already use.
-   * While the store does not answer, peers have passed on all that they know.
-   */
-  async #isUpToDate(): Promise<boolean> {
-    const { endpointConfirmation, routerDirectory, peerMesh } = this.#options;
-    const confirmed = endpointConfirmation.confirm();
-    if (await this.#within(MAX_CONFIRMATION_TIME, confirmed)) {
-      return true;
-    }
-    return routerDirectory.fleetSize > 1 && peerMesh.connectedCount > 0;
-  }
-
-  /** Resolves with undefined if the promise takes longer. */
-  async #within<Value>(
-    limit: Milliseconds,
-    promise: Promise<Value>,
-  ): Promise<Value | undefined> {
-    let cancel: Cancel = () => undefined;
-    const timeout = new Promise<undefined>(resolve => {
-      cancel = this.#options.timers.after(limit, () => {
-        resolve(undefined);
-      });
-    });
-    try {
-      return await Promise.race([promise, timeout]);
-    } finally {
-      cancel();
+    const evidence = await withTimeout(
+      endpointConfirmation.confirm(),
+      timers,
+      MAX_CONFIRMATION_TIME,
+    );
+    const history = versionHistory.versionOfStreams(service, timers.now());
+    if (evidence && history.kind === 'single') {
+      return { version: history.version, evidence, history: history.kind };
     }
+    const stored =
+      key &&
+      (await withTimeout(streamLedger.versionOf(key), timers, MAX_LOOKUP_TIME));
+    return {
+      version: stored,
+      evidence: stored && 'ledger',
+      history: history.kind,
+    };
   }
 }
