--- a/packages/stand-ins/src/soak/contact-loss-scenario.ts
+++ b/packages/stand-ins/src/soak/contact-loss-scenario.ts
@@ -268,7 +268,8 @@
     const breakAfterMs = this.#options.random.integer(min, max);
     return callOverHttp({
       url: `http://${router.callerAddress}`,
-      path: `${this.route.prefix}1`,
+      // Streams with the same content would be refused once two of them broke with their endpoints.
+      path: `${this.route.prefix}${headers.resumes ?? id}`,
       headers: {
         host: TEST_HOST,
         'sesamegrade-request-id': id,
