Limit the shape of outside JSON before it is parsed

Callers saw connections refused: an engine whose list of cached parts held 8 MB of nested lists ended every router that asked for it. The bundled program, with the flags of deploy/system.toml (heap of 160 MB), three routers, one engine: 3 of 3 ended with SIGABRT, "Reached heap limit", and would again at each start, as the list is read then. Three entries of 2 MB nested a million deep, among those of the endpoints, did not end them but stopped them for up to 711 ms and took 297 to 333 MB each.

Cause: JSON.parse builds a container in some 60 bytes from one byte of text. The limits on the size of a response bounded the text, not what it becomes.

Ruled out: the depth itself. JSON.parse does not recurse; 1,000,000 levels in an entry of the store are parsed and refused where the heap suffices.

core/types/bounded-json counts containers, depth and separators in the bytes, before anything is allocated. All decoders of the core, the router, the gateway and the adapter use it; the linter rejects JSON.parse there.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -124,6 +124,31 @@
       ],
     },
   },
+  {
+    files: [
+      'packages/core/src/**/*.ts',
+      'packages/router/src/**/*.ts',
+      'packages/gateway/src/**/*.ts',
+      'platform/src/**/*.ts',
+    ],
+    ignores: [
+      '**/*.test.ts',
+      '**/testing/**',
+      'packages/core/src/types/bounded-json.ts',
+      // Reads the routers' own logs, at an operator's terminal.
+      'packages/gateway/src/logs/request-trace.ts',
+    ],
+    rules: {
+      'no-restricted-syntax': [
+        'error',
+        {
+          selector:
+            "MemberExpression[object.name='JSON'][property.name='parse']",
+          message: 'core/types/bounded-json limits what outside data may take',
+        },
+      ],
+    },
+  },
   {
     // winston's declared transports do not match its own stream types.
     files: ['packages/router/src/logs/logger.ts'],
--- a/packages/router/src/callers/chat-body.ts
+++ b/packages/router/src/callers/chat-body.ts
@@ -4,6 +4,7 @@
 import canonicalize from 'canonicalize';
 import { z } from 'zod';
 
+import { parseBoundedJson } from '@sesamegrade/core/types/bounded-json';
 import { chatId, fingerprint } from '@sesamegrade/core/types/ids';
 import type { ChatId, Fingerprint, TeamId } from '@sesamegrade/core/types/ids';
 import { fail, succeed } from '@sesamegrade/core/types/result';
@@ -31,19 +32,15 @@
 /** A chat completion request in the OpenAI-compatible shape. */
 export type ChatBody = z.infer<typeof chatSchema>;
 
-const decoder = new TextDecoder('utf-8', { fatal: true });
-
 /** Parses a request body; fails when it is not a valid chat completion request. */
 export function parseChatBody(
   raw: Uint8Array,
 ): Result<ChatBody, RefusalReason> {
-  let value: unknown;
-  try {
-    value = JSON.parse(decoder.decode(raw));
-  } catch {
+  const json = parseBoundedJson(raw);
+  if (!json.ok) {
     return malformed('the body is not JSON in UTF-8');
   }
-  const parsed = chatSchema.safeParse(value);
+  const parsed = chatSchema.safeParse(json.value);
   if (parsed.success) {
     return succeed(parsed.data);
   }
--- a/packages/router/src/operators/operator-client.ts
+++ b/packages/router/src/operators/operator-client.ts
@@ -4,6 +4,7 @@
 
 import { eventPageSchema } from '@sesamegrade/core/timeline/event-page';
 import type { ReceivedEventPage } from '@sesamegrade/core/timeline/event-page';
+import { parseBoundedJsonText } from '@sesamegrade/core/types/bounded-json';
 import { fail, succeed } from '@sesamegrade/core/types/result';
 import type { Result } from '@sesamegrade/core/types/result';
 import {
@@ -140,11 +141,8 @@
 }
 
 function parse(text: string): unknown {
-  try {
-    return JSON.parse(text);
-  } catch {
-    return text;
-  }
+  const parsed = parseBoundedJsonText(text);
+  return parsed.ok ? parsed.value : text;
 }
 
 function read<Value>(
--- a/packages/router/src/operators/operator-server.ts
+++ b/packages/router/src/operators/operator-server.ts
@@ -20,6 +20,10 @@
 import type { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
 import type { EventBuffer } from '@sesamegrade/core/timeline/event-buffer';
+import {
+  jsonFailureDetail,
+  parseBoundedJsonText,
+} from '@sesamegrade/core/types/bounded-json';
 import type { Address } from '@sesamegrade/core/types/endpoint';
 import { changeId, configurationVersion } from '@sesamegrade/core/types/ids';
 import { seconds } from '@sesamegrade/core/types/units';
@@ -257,8 +261,11 @@
       limit: MAX_BODY_SIZE,
       encoding: true,
     });
-    const body: unknown = JSON.parse(text);
-    const parsed = z.record(z.string(), z.unknown()).safeParse(body);
+    const body = parseBoundedJsonText(text);
+    if (!body.ok) {
+      return { kind: 'malformed', detail: jsonFailureDetail(body.failure) };
+    }
+    const parsed = z.record(z.string(), z.unknown()).safeParse(body.value);
     return parsed.success
       ? parsed.data
       : { kind: 'malformed', detail: 'the request body is not a JSON object' };
--- a/packages/router/src/peers/peer-proof.ts
+++ b/packages/router/src/peers/peer-proof.ts
@@ -9,6 +9,7 @@
 
 import type { RouterIdentity } from '@sesamegrade/core/membership/router-table';
 import type { Address } from '@sesamegrade/core/types/endpoint';
+import { parseBoundedJsonText } from '@sesamegrade/core/types/bounded-json';
 import { routerId } from '@sesamegrade/core/types/ids';
 import type { RouterId } from '@sesamegrade/core/types/ids';
 import { identitySchema, identityMessage } from './peer-message';
@@ -130,9 +131,6 @@
 }
 
 function parseJson(text: string): unknown {
-  try {
-    return JSON.parse(text);
-  } catch {
-    return undefined;
-  }
+  const parsed = parseBoundedJsonText(text);
+  return parsed.ok ? parsed.value : undefined;
 }
--- a/packages/router/src/platform-client/http-platform-client.ts
+++ b/packages/router/src/platform-client/http-platform-client.ts
@@ -9,6 +9,7 @@
   TableOperation,
   WriteResponse,
 } from '@sesamegrade/core/types/platform';
+import { parseBoundedJson } from '@sesamegrade/core/types/bounded-json';
 import type { Milliseconds } from '@sesamegrade/core/types/units';
 import type { HttpExchangeResult, HttpExchangeRequest } from './http-exchange';
 import { runHttpExchange } from './http-exchange';
@@ -298,10 +299,6 @@
   response: HttpResponse,
   schema: Schema,
 ): z.output<Schema> | undefined {
-  try {
-    const json: unknown = JSON.parse(new TextDecoder().decode(response.body));
-    return schema.safeParse(json).data;
-  } catch {
-    return undefined;
-  }
+  const json = parseBoundedJson(response.body);
+  return json.ok ? schema.safeParse(json.value).data : undefined;
 }
