Read the rows of a page one by one

Callers still reached servers, but not those that came later, and those that had left were still tried: one row of the servers' table whose value was a number instead of text, and no router followed the list any more. The bundled program, three routers, five seconds: 3 of 3 never learned of the server that was added after the row and never let go of the one that was removed; 6 to 11 reads of the whole table each, without end.

Cause: the decoder of a page threw at the first row of another form. The reader took the page for malformed and read the whole table, which has the same row.

Ruled out: the entries' own decoder; values that are text and no entry are left out one by one, as before.

A row without a key is left out and counted in the log. Pages without rows or revision are still rejected as a whole.

--- a/packages/gateway/src/store/feed-reader.ts
+++ b/packages/gateway/src/store/feed-reader.ts
@@ -161,6 +161,12 @@
       return result.failure;
     }
     const page = result.value;
+    if (page.unreadable) {
+      log.write('feed-rows-unreadable', {
+        feed: source.name,
+        rows: page.unreadable,
+      });
+    }
     const { era } = page.position;
     if (this.#era !== undefined && era < this.#era) {
       return { kind: 'unreachable', detail: `response of earlier era ${era}` };
--- a/packages/gateway/src/store/feed-source.ts
+++ b/packages/gateway/src/store/feed-source.ts
@@ -21,6 +21,8 @@
   readonly position: FeedPosition;
   /** Time on the store's steady clock, in milliseconds; undefined if the store does not name it. */
   readonly storeTime?: number | undefined;
+  /** Number of rows that were left out as they name no key. */
+  readonly unreadable?: number;
 }
 
 export type StoreFailure =
--- a/packages/stand-ins/src/deployment/row-store-server.ts
+++ b/packages/stand-ins/src/deployment/row-store-server.ts
@@ -36,6 +36,9 @@
   readonly response: ServerResponse;
 }
 
+/** Limits of a page of a table. */
+const PAGE_ROWS = 500;
+const PAGE_BYTES = 1_048_576;
 const STATUS_OK = 200;
 const STATUS_GONE = 410;
 const STATUS_PRECONDITION_FAILED = 412;
@@ -46,6 +49,8 @@
   readonly #rows = new Map<string, StoredRow>();
   /** Every change since the last compaction, oldest first. */
   readonly #history: StoredRow[] = [];
+  /** What responses contain in place of rows that are damaged. */
+  readonly #damagedRows = new Map<StoredRow, unknown>();
   #pendingFeedReads: PendingFeedRead[] = [];
   #version = 1;
   #compactedVersion = 0;
@@ -99,6 +104,16 @@
     });
   }
 
+  /** Writes a row whose fields are replaced by others, of any type; undefined leaves one out. */
+  writeDamaged(
+    table: string,
+    key: string,
+    fields: Readonly<Record<string, unknown>>,
+  ): void {
+    const row = { table, key, value: '', ver: (this.#version += 1) };
+    this.#put(row, { ...row, ...fields });
+  }
+
   remove(table: string, key: string): void {
     this.#version += 1;
     this.#put({ table, key, value: '', ver: this.#version, tombstone: true });
@@ -144,13 +159,16 @@
     }
   }
 
-  #put(row: StoredRow): void {
+  #put(row: StoredRow, response: unknown = row): void {
     const id = `${row.table}/${row.key}`;
     if (row.tombstone) {
       this.#rows.delete(id);
     } else {
       this.#rows.set(id, row);
     }
+    if (response !== row) {
+      this.#damagedRows.set(row, response);
+    }
     this.#history.push(row);
     const matching = this.#pendingFeedReads.filter(
       ({ table }) => table === row.table,
@@ -185,14 +203,7 @@
     if (url.pathname === '/rows-tx') {
       this.#transact(body, response);
     } else if (url.pathname === '/rows-get') {
-      const table = url.searchParams.get('table') ?? '';
-      const rows = [...this.#rows.values()].filter(row => row.table === table);
-      respond(response, STATUS_OK, {
-        rows,
-        hasMore: false,
-        ver: this.#version,
-        nowMs: steadyTime(),
-      });
+      this.#list(url.searchParams, response);
     } else {
       this.#feed(url.searchParams, response);
     }
@@ -224,6 +235,33 @@
     });
   }
 
+  /** Responds with rows in the order of their keys, as many as a page holds. */
+  #list(query: URLSearchParams, response: ServerResponse): void {
+    const table = query.get('table') ?? '';
+    const from = Buffer.from(query.get('from') ?? '');
+    const rest = [...this.#rows.values()]
+      .filter(row => row.table === table)
+      .map(row => ({ row, order: Buffer.from(row.key) }))
+      .filter(({ order }) => order.compare(from) >= 0)
+      .sort((left, right) => left.order.compare(right.order))
+      .map(({ row }) => row);
+    const page: StoredRow[] = [];
+    let size = 0;
+    for (const row of rest) {
+      size += row.value.length;
+      if (page.length >= PAGE_ROWS || (page.length > 0 && size > PAGE_BYTES)) {
+        break;
+      }
+      page.push(row);
+    }
+    respond(response, STATUS_OK, {
+      rows: this.#asSent(page),
+      hasMore: page.length < rest.length,
+      ver: this.#version,
+      nowMs: steadyTime(),
+    });
+  }
+
   #feed(query: URLSearchParams, response: ServerResponse): void {
     const table = query.get('table') ?? '';
     const after = Number(query.get('sinceRev'));
@@ -258,11 +296,15 @@
       row => row.table === table && row.ver > after,
     );
     respond(response, STATUS_OK, {
-      rows,
+      rows: this.#asSent(rows),
       ver: this.#version,
       nowMs: steadyTime(),
     });
   }
+
+  #asSent(rows: readonly StoredRow[]): unknown[] {
+    return rows.map(row => this.#damagedRows.get(row) ?? row);
+  }
 }
 
 function steadyTime(): number {
