Refuse upgrades whose host is no URL

Cause: tRPC builds a URL from the request in the listener of new connections; its exception is nobody's and ends the process.

Ruled out: what the client sends after the upgrade; tRPC answers errors there.

The WebSocket server asks whether the URL can be built before it accepts.

--- a/packages/router/src/peers/peer-server.ts
+++ b/packages/router/src/peers/peer-server.ts
@@ -86,6 +86,9 @@
       server: this.#http,
       maxPayload: MAX_REQUEST_BYTES,
       perMessageDeflate: false,
+      // tRPC builds a URL from the request in a listener, where an exception ends the process.
+      verifyClient: ({ req }: { readonly req: IncomingMessage }) =>
+        URL.canParse(req.url ?? '', `http://${req.headers.host ?? ''}`),
     });
     this.#sockets.on('connection', socket => {
       this.#limitAuthenticationTime(socket);
