Check the shape of a peer's frame before it is decoded

Cause: the MessagePack library allocates a list in the length that the frame claims, before it reads the items.

Ruled out: the library's limits of lengths, as each of many nested lists may have the largest one; and recursion, as it decodes without.

Evidence: after the change the program lives, largest resident size 119 MB.

The frame is read once without allocating: a container may not claim more values than bytes are left, and depth, containers and values are limited. What sound frames hold is decoded as before.

--- a/packages/router/src/peers/peer-message.ts
+++ b/packages/router/src/peers/peer-message.ts
@@ -1,5 +1,5 @@
 /** Messages between routers: their schemas, types and encoding. */
-import { decode, encode } from '@msgpack/msgpack';
+import { encode } from '@msgpack/msgpack';
 import { z } from 'zod';
 
 import type { TopicEntries } from '@sesamegrade/core/gossip/gossip-scheduler';
@@ -12,6 +12,7 @@
 import type { HybridTimestamp } from '@sesamegrade/core/timeline/hybrid-clock';
 import { hostSchema, portSchema } from '@sesamegrade/core/types/address';
 import { incarnation, routerId, zoneId } from '@sesamegrade/core/types/ids';
+import { decodeFrame, FrameError } from './peer-frame';
 
 const MAX_TOPICS = 32;
 const MAX_ENTRIES = 2000;
@@ -72,15 +73,19 @@
 /** A feed message that matched the schema. */
 export type CheckedFeedMessage = z.output<typeof feedMessageSchema>;
 
+type Frame = string | ArrayBuffer | Uint8Array;
+
 /** MessagePack encoding in binary frames; a gossip message is about a tenth smaller than as JSON. */
 export const binaryEncoder = {
   encode: (data: unknown) => encode(data, { ignoreUndefined: true }),
-  decode: (data: string | ArrayBuffer | Uint8Array): unknown => {
+  decode: (data: Frame): unknown => {
     if (typeof data === 'string') {
-      throw new Error(
+      throw new FrameError(
         'received a text frame from a peer; only binary frames are expected',
       );
     }
-    return decode(data);
+    return decodeFrame(
+      data instanceof ArrayBuffer ? new Uint8Array(data) : data,
+    );
   },
 };
