Report malformed frames of a peer instead of throwing

A peer whose answer was no MessagePack, a text, or no answer of tRPC ended each router that was connected to it.

Cause: tRPC's client decodes frames and reads answers in a callback whose errors it throws again from a timer, where nothing catches them.

Ruled out: the server's side, where tRPC answers such frames with an error.

The decoder of a client returns an answer to no request in place of a frame that it cannot decode or that is no answer. The link reports it and connects anew, as the frame may have held updates that are sent once.

--- a/packages/router/src/peers/peer-frame.ts
+++ b/packages/router/src/peers/peer-frame.ts
@@ -3,6 +3,7 @@
  * allocates lists in the length that the frame claims.
  */
 import { decode } from '@msgpack/msgpack';
+import { z } from 'zod';
 
 /** Largest number of lists and maps within each other. */
 const MAX_DEPTH = 32;
@@ -173,3 +174,28 @@
     }
   }
 }
+
+const resultSchema = z.union([
+  z.object({ type: z.enum(['started', 'stopped']) }),
+  z.object({
+    type: z.literal('data').optional(),
+    id: z.string().optional(),
+    data: z.unknown(),
+  }),
+]);
+const answerSchema = z.union([
+  z.object({ method: z.literal('reconnect') }),
+  z.object({
+    id: z.union([z.number(), z.string()]),
+    result: resultSchema,
+  }),
+  z.object({
+    id: z.union([z.number(), z.string()]).nullable(),
+    error: z.object({ code: z.number(), message: z.string() }),
+  }),
+]);
+
+/** Whether a decoded frame is an answer that tRPC's client reads without an exception. */
+export function isSoundAnswer(message: unknown): boolean {
+  return answerSchema.safeParse(message).success;
+}
--- a/packages/router/src/peers/peer-link.ts
+++ b/packages/router/src/peers/peer-link.ts
@@ -7,7 +7,7 @@
 import { formatAddress } from '@sesamegrade/core/types/address';
 import type { Address } from '@sesamegrade/core/types/endpoint';
 import type { RouterId } from '@sesamegrade/core/types/ids';
-import { binaryEncoder, feedMessageSchema } from './peer-message';
+import { clientEncoder, feedMessageSchema } from './peer-message';
 import type { CheckedFeedMessage, GossipFrame } from './peer-message';
 import { addressName, newNonce } from './peer-proof';
 import type { PeerProof } from './peer-proof';
@@ -65,7 +65,9 @@
       onError: () => {
         this.#onConnectionLost();
       },
-      experimental_encoder: binaryEncoder,
+      experimental_encoder: clientEncoder(() => {
+        this.#onMalformedFrame();
+      }),
     });
     const link = wsLink<PeerRoutes>({ client: this.#connection });
     this.#client = createTRPCClient<PeerRoutes>({ links: [link] });
@@ -136,6 +138,13 @@
     this.#onMessage(parsed.data);
   }
 
+  /** Connects anew, as the frame may have held updates that the peer sends once. */
+  #onMalformedFrame(): void {
+    const { peer, listener } = this.#options;
+    listener.onMalformed(peer);
+    this.reset();
+  }
+
   #onMessage(message: CheckedFeedMessage): void {
     const { peer, listener, proof } = this.#options;
     if ('identity' in message) {
--- a/packages/router/src/peers/peer-message.ts
+++ b/packages/router/src/peers/peer-message.ts
@@ -12,7 +12,7 @@
 import type { HybridTimestamp } from '@sesamegrade/core/timeline/hybrid-clock';
 import { hostSchema, portSchema } from '@sesamegrade/core/types/address';
 import { incarnation, routerId, zoneId } from '@sesamegrade/core/types/ids';
-import { decodeFrame, FrameError } from './peer-frame';
+import { decodeFrame, FrameError, isSoundAnswer } from './peer-frame';
 
 const MAX_TOPICS = 32;
 const MAX_ENTRIES = 2000;
@@ -89,3 +89,32 @@
     );
   },
 };
+
+/** An answer to no request, which tRPC's client ignores. */
+const NO_ANSWER = { id: '' };
+
+/**
+ * Returns the encoder of a client. tRPC throws what the decoder of a client throws, and
+ * its own errors about the answer, where nothing catches them.
+ */
+export function clientEncoder(onMalformed: () => void): typeof binaryEncoder {
+  return {
+    encode: binaryEncoder.encode,
+    decode: data => {
+      const message = tryDecode(data);
+      if (isSoundAnswer(message)) {
+        return message;
+      }
+      onMalformed();
+      return NO_ANSWER;
+    },
+  };
+}
+
+function tryDecode(data: Frame): unknown {
+  try {
+    return binaryEncoder.decode(data);
+  } catch {
+    return undefined;
+  }
+}
