Send no more rows in a message than its receivers accept

Cause: the rows that one router read went out in one message. Receivers reject a message with more than 2,000 entries of a kind as a whole, and log it. The next confirmation said that all changes were passed on, and they believed it.

Ruled out: the rows' form; each entry of a list is checked on its own.

A message holds up to 1,000 rows. Older builds accept these messages.

--- a/packages/core/src/peers/feed-updates.ts
+++ b/packages/core/src/peers/feed-updates.ts
@@ -93,6 +93,8 @@
 type Confirmation = z.output<typeof confirmationSchema>;
 
 const FEED_TABLES: readonly FeedTable[] = ['endpoints', 'configuration'];
+/** Largest number of rows in a message; receivers reject more than 2,000 entries of a kind. */
+const MAX_SENT_ROWS = 1000;
 const NO_VERSION = -1;
 const FIRST_REVISION = revision(0);
 /** Age of the last confirmation that was sent above which a new one is sent without delay. */
@@ -146,10 +148,10 @@
   takeChanges(now: Instant): TopicEntries {
     const topics: Record<string, readonly unknown[]> = {};
     if (this.#changedRows.size > 0) {
-      Object.assign(topics, this.#rowTopics([...this.#changedRows.values()]));
-      this.#changedRows.clear();
+      Object.assign(topics, this.#rowTopics(this.#takeRows()));
     }
-    if (this.#hasNewConfirmation()) {
+    // A confirmation claims that every row before it was passed on.
+    if (this.#changedRows.size === 0 && this.#hasNewConfirmation()) {
       const confirmations = this.#confirmations(
         this.#options.endpointReplica.baseRevision,
         now,
@@ -168,6 +170,18 @@
     return topics;
   }
 
+  #takeRows(): EndpointRow[] {
+    const rows: EndpointRow[] = [];
+    for (const [id, row] of this.#changedRows) {
+      if (rows.length >= MAX_SENT_ROWS) {
+        break;
+      }
+      rows.push(row);
+      this.#changedRows.delete(id);
+    }
+    return rows;
+  }
+
   /** All rows and confirmations, for a peer that has just subscribed to this relay. */
   fullState(now: Instant): TopicEntries {
     const { endpointReplica, coverage } = this.#options;
--- a/packages/gateway/src/peers/update-sender.ts
+++ b/packages/gateway/src/peers/update-sender.ts
@@ -83,6 +83,7 @@
     if (isDue) {
       this.#sentAt = now;
       this.#options.send(this.#options.peerUpdates.takeChanges(now));
+      this.#flushRest();
     }
   }
 
@@ -94,5 +95,13 @@
       this.#sentAt = now;
       send(changes);
     }
+    this.#flushRest();
+  }
+
+  /** Sends what one message did not hold. */
+  #flushRest(): void {
+    if (this.#options.peerUpdates.isUrgent) {
+      this.flushSoon();
+    }
   }
 }
