--- a/packages/router/src/peers/malformed-frames.test.ts
+++ b/packages/router/src/peers/malformed-frames.test.ts
@@ -113,6 +113,23 @@
     expect(() => decodeFrame(empties)).to.throw('frame');
   });
 
+  // Guards against a link that is reset by the answer of a procedure that returns nothing.
+  it('are answers of tRPC in each of its forms', () => {
+    const answers = [
+      { id: 1, result: { type: 'data' } },
+      { id: 1, result: { type: 'data', data: null } },
+      { id: 'a', result: { type: 'data', id: 'e', data: {} } },
+      { id: 1, result: { data: 1 } },
+      { id: 1, result: { type: 'started' } },
+      { id: 1, result: { type: 'stopped' } },
+      { id: null, error: { code: -32_600, message: 'm', data: {} } },
+      { id: null, method: 'reconnect' },
+    ];
+    for (const answer of answers) {
+      expect(isSoundAnswer(answer), JSON.stringify(answer)).to.equal(true);
+    }
+  });
+
   it('are decoded if they are sound, and never throw out of the check of answers', () => {
     const leaf = fc.oneof(
       fc.string(),
--- a/packages/router/src/peers/peer-frame.ts
+++ b/packages/router/src/peers/peer-frame.ts
@@ -180,7 +180,8 @@
   z.object({
     type: z.literal('data').optional(),
     id: z.string().optional(),
-    data: z.unknown(),
+    /** Absent if the procedure returns nothing. */
+    data: z.unknown().optional(),
   }),
 ]);
 const answerSchema = z.union([
