--- a/packages/core/src/software-versions/version-history.test.ts
+++ b/packages/core/src/software-versions/version-history.test.ts
@@ -94,6 +94,17 @@
     expect(history.hasMissed).to.equal(false);
   });
 
+  // Guards against the word of a peer that is itself behind, at a router that has just started.
+  it('takes no history for complete that ends before its first list of endpoints', () => {
+    const firstList = 20;
+    history.observe([entry('v1')], instant(0));
+    history.markComplete({
+      era: FIRST_ERA,
+      revision: revision(firstList - 10),
+    });
+    expect(history.isComplete(instant(0))).to.equal(false);
+  });
+
   it('never takes an older use for the last one', () => {
     const version = softwareVersion('v1');
     history.record({ service, version, lastSeenAt: instant(50_000) });
