Take a row that a peer lists as removed for removed at the list's position

Cause: a router that connects gets a relay's list, with endpoints that were just removed as removed rows. After 5,000 other rows the relay had forgotten their revision (4,096 are kept) and sent 0, which the receiver took for older than what it knew. A trace showed one router with s-1 in its directory for good, at the newest position.

Ruled out: the limit of rows in a message; the routers had every other row and the position.

Change: removed rows of a peer's list count as not listed, so that they are removed as of the position of the list.

--- a/packages/core/src/endpoints/endpoint-replica.test.ts
+++ b/packages/core/src/endpoints/endpoint-replica.test.ts
@@ -53,6 +53,15 @@
 }
 
 describe('EndpointReplica', () => {
+  // Guards against a removal that a peer passes on with its list and whose revision it has forgotten.
+  it('removes an endpoint that a peer lists as removed, whatever its revision', () => {
+    const { directory, replica } = open();
+    replica.applyList([row('a', 3, 8), row('b', 4, 8)], at(5), now);
+    replica.applyPeerList([row('a', 0), row('b', 4, 8)], at(9), now);
+    expect(directory.hasLapsed(endpointId('a'))).to.equal(true);
+    expect(directory.hasLapsed(endpointId('b'))).to.equal(false);
+  });
+
   // Guards against endpoints that came and left unseen, of which a list shows nothing.
   it('reports changes that it missed, and none that it saw', () => {
     const { replica, coverage } = open();
--- a/packages/core/src/endpoints/endpoint-replica.ts
+++ b/packages/core/src/endpoints/endpoint-replica.ts
@@ -145,7 +145,9 @@
     const isComparable =
       this.#baseRevision !== undefined && position.era === this.#era;
     if (isComparable) {
-      return this.applyList(rows, position, now);
+      // The revision of a removed row may be forgotten; that of the list tells as much.
+      const existing = rows.filter(({ entry }) => entry !== undefined);
+      return this.applyList(existing, position, now);
     }
     for (const row of rows) {
       this.applyPeerRow(row, position.era, now);
