Count what a router is told of versions up to its position

Not seen by callers; in the model a stream of v2 now shows to have gone on at v1 at a router that read the row with the versions, then for 3 s no endpoints, while one of v2 came, was recorded, served and left.

Cause: only a gap in the changes had a position, the beginning of the observation had none. The row's word, a peer's word before the list and a peer's word without any position completed the history, whatever they ended at. Ruled out: the row's own freshness (it is read once before the list) and the peers' updates (not connected in that time).

The replica now reports the position of its first list, and the history counts what it is told only if that reaches the first list or the last gap, in whatever order both come. HistoryCompletion asks the relays also after a start, and reads the row again. The first start of a fleet, of which nothing is told, has a method of its own.

Changes to existing tests: the history is given the position of its first list, as observation counts only from there on. markComplete() without a position is gone, as nothing may count without one: where it stood for the first start, markFirstStart() does; "told" names position 0; the call in "is incomplete after missed changes" that had to be without effect is not expressible any more (the peers' form of it is in stream-updates.test.ts).

--- a/packages/core/src/endpoints/endpoint-replica.ts
+++ b/packages/core/src/endpoints/endpoint-replica.ts
@@ -37,6 +37,9 @@
 /** Called when endpoints may have come and left unseen before a position. */
 export type MissedChangesListener = (before: FeedPosition) => void;
 
+/** Called with the position of the first list, before the directory has its endpoints. */
+export type FirstListListener = (at: FeedPosition) => void;
+
 /** Receives what the changed rows mean for the endpoints. */
 export type DirectoryListener = (events: readonly DirectoryEvent[]) => void;
 
@@ -52,6 +55,7 @@
   readonly #foreign = new LRUCache<EndpointId, true>({ max: MAX_FOREIGN });
   #listener: DirectoryListener | undefined;
   #missedListener: MissedChangesListener = () => undefined;
+  #firstListListener: FirstListListener = () => undefined;
   #era: StoreEra = FIRST_ERA;
   #baseRevision: Revision | undefined;
 
@@ -87,6 +91,10 @@
     this.#missedListener = listener;
   }
 
+  onFirstList(listener: FirstListListener): void {
+    this.#firstListListener = listener;
+  }
+
   /** Every row with its revision, for a peer that has just subscribed. */
   rows(): EndpointRow[] {
     return this.#directory.all().map(entry => ({
@@ -110,7 +118,9 @@
     const reached = this.#coverage.position;
     const isReached =
       reached !== undefined && comparePositions(reached, position) >= 0;
-    if (this.#baseRevision !== undefined && !isReached) {
+    if (this.#baseRevision === undefined) {
+      this.#firstListListener(position);
+    } else if (!isReached) {
       // A list tells nothing of endpoints that came and left since the last change.
       this.#missedListener(position);
     }
--- a/packages/core/src/peers/stream-updates.test.ts
+++ b/packages/core/src/peers/stream-updates.test.ts
@@ -6,6 +6,7 @@
 } from '../software-versions/stream-origins';
 import type { StreamOrigin } from '../software-versions/stream-origins';
 import { VersionHistory } from '../software-versions/version-history';
+import { FIRST_ERA, revision } from '../store/feed-position';
 import { requestId, serviceId, softwareVersion } from '../types/ids';
 import { instant, seconds } from '../types/units';
 import { StreamUpdates } from './stream-updates';
@@ -20,9 +21,10 @@
 describe('StreamUpdates', () => {
   let streamOrigins: StreamOrigins;
   let updates: StreamUpdates;
+  let versionHistory: VersionHistory;
 
   beforeEach(() => {
-    const versionHistory = new VersionHistory(() => seconds(30));
+    versionHistory = new VersionHistory(() => seconds(30));
     streamOrigins = new StreamOrigins(versionHistory, {
       isShared: () => true,
     });
@@ -39,6 +41,20 @@
     expect(streamOrigins.sourceOf(key)).to.include({ service: 'b' });
   });
 
+  // Guards against the word of a peer that had not seen all that was before the own list.
+  it("counts a peer's versions as of the list in its message only", () => {
+    versionHistory.markListed({ era: FIRST_ERA, revision: revision(20) });
+    const told = { h: [['a', 'v1', 0]] };
+    for (const [list, isComplete] of [
+      [{}, false],
+      [{ w: [[0, 10]] }, false],
+      [{ w: [[0, 20]] }, true],
+    ] as const) {
+      updates.receive({ ...told, ...list }, now);
+      expect(versionHistory.isComplete(now)).to.equal(isComplete);
+    }
+  });
+
   // Guards against a router of an older build that takes a stream's version for that of any service.
   it('sends nothing that older builds read without the service', () => {
     const message = updates.originsMessage([origin('1', 'a')]);
--- a/packages/core/src/peers/stream-updates.ts
+++ b/packages/core/src/peers/stream-updates.ts
@@ -114,8 +114,9 @@
     const malformedUses = forEachValidEntry(uses, useSchema, use => {
       recordUse(versionHistory, use, now);
     });
-    if (uses && malformedUses === 0) {
-      versionHistory.markComplete(listPosition(topics));
+    const seenUpTo = listPosition(topics);
+    if (uses && malformedUses === 0 && seenUpTo) {
+      versionHistory.markComplete(seenUpTo);
     }
     const malformedRecorded = forEachValidEntry(
       topics[StreamTopic.recorded],
--- a/packages/core/src/software-versions/version-history.test.ts
+++ b/packages/core/src/software-versions/version-history.test.ts
@@ -8,6 +8,10 @@
 
 const service = serviceId('s');
 const LIFETIME = seconds(30);
+const at = (number: number) => ({
+  era: FIRST_ERA,
+  revision: revision(number),
+});
 
 const entry = (version: string | undefined): EndpointEntry => ({
   id: endpointId(`e-${version}`),
@@ -24,8 +28,14 @@
 describe('VersionHistory', () => {
   let history: VersionHistory;
 
+  const open = (firstList: number): VersionHistory => {
+    const opened = new VersionHistory(() => LIFETIME);
+    opened.markListed(at(firstList));
+    return opened;
+  };
+
   beforeEach(() => {
-    history = new VersionHistory(() => LIFETIME);
+    history = open(0);
   });
 
   it('knows nothing before it has observed a whole lifetime, unless it is told', () => {
@@ -38,15 +48,15 @@
       kind: 'single',
       version: 'v1',
     });
-    const told = new VersionHistory(() => LIFETIME);
+    const told = open(0);
     told.observe([entry('v1')], instant(0));
-    told.markComplete();
+    told.markComplete(at(0));
     expect(told.versionOfStreams(service, instant(0)).kind).to.equal('single');
   });
 
   // Guards against streams of a version that has just left and go on at its successor.
   it('counts a version for a lifetime after its last endpoint was seen', () => {
-    history.markComplete();
+    history.markFirstStart();
     history.observe([entry('v1')], instant(0));
     history.observe([entry('v1'), entry('v2')], instant(1000));
     history.observe([entry('v2')], instant(2000));
@@ -59,13 +69,13 @@
   });
 
   it('takes an endpoint without a version for one of another', () => {
-    history.markComplete();
+    history.markFirstStart();
     history.observe([entry('v1'), entry(undefined)], instant(0));
     expect(history.versionOfStreams(service, instant(0)).kind).to.equal(
       'several',
     );
-    const unnamed = new VersionHistory(() => LIFETIME);
-    unnamed.markComplete();
+    const unnamed = open(0);
+    unnamed.markFirstStart();
     unnamed.observe([entry(undefined)], instant(0));
     expect(unnamed.versionOfStreams(service, instant(0)).kind).to.equal(
       'several',
@@ -74,15 +84,10 @@
 
   // Guards against a gap in the changes of the endpoints that is taken for a complete history.
   it('is incomplete after missed changes until one who saw them tells it, or a lifetime has passed', () => {
-    const at = (number: number) => ({
-      era: FIRST_ERA,
-      revision: revision(number),
-    });
-    history.markComplete();
+    history.markFirstStart();
     history.observe([entry('v1')], instant(0));
     history.markMissed(at(10));
     expect(history.isComplete(instant(0))).to.equal(false);
-    history.markComplete();
     history.markComplete(at(9));
     expect(history.isComplete(instant(0))).to.equal(false);
     history.markComplete(at(10));
@@ -97,12 +102,41 @@
   // Guards against the word of a peer that is itself behind, at a router that has just started.
   it('takes no history for complete that ends before its first list of endpoints', () => {
     const firstList = 20;
+    history = open(firstList);
     history.observe([entry('v1')], instant(0));
     history.markComplete({
       era: FIRST_ERA,
       revision: revision(firstList - 10),
     });
     expect(history.isComplete(instant(0))).to.equal(false);
+    history.markComplete(at(firstList - 1));
+    expect(history.isComplete(instant(0))).to.equal(false);
+    history.markComplete(at(firstList));
+    expect(history.isComplete(instant(0))).to.equal(true);
+  });
+
+  // Guards against the same if the peer's word comes before the list.
+  it('counts what it was told no longer once its first list is later', () => {
+    for (const [told, isComplete] of [
+      [19, false],
+      [20, true],
+    ] as const) {
+      history = new VersionHistory(() => LIFETIME);
+      history.markComplete(at(told));
+      history.markListed(at(20));
+      history.observe([entry('v1')], instant(0));
+      expect(history.isComplete(instant(0))).to.equal(isComplete);
+    }
+  });
+
+  // Guards against endpoints of a peer's copy that count as observed by this router.
+  it('observes from its first list on', () => {
+    history = new VersionHistory(() => LIFETIME);
+    history.observe([entry('v1')], instant(0));
+    history.markListed(at(20));
+    history.observe([entry('v1')], instant(10_000));
+    expect(history.isComplete(instant(39_999))).to.equal(false);
+    expect(history.isComplete(instant(40_000))).to.equal(true);
   });
 
   it('never takes an older use for the last one', () => {
--- a/packages/core/src/software-versions/version-history.ts
+++ b/packages/core/src/software-versions/version-history.ts
@@ -43,8 +43,13 @@
   readonly #lifetime: () => Milliseconds;
   #observedSince: Instant | undefined;
   #isComplete = false;
+  #isFirstStart = false;
+  /** Position of the list of endpoints that the observation began with. */
+  #listedAt: FeedPosition | undefined;
   /** Position in the store before which versions may have come and left unseen. */
   #missedBefore: FeedPosition | undefined;
+  /** Position up to which others told all uses. */
+  #toldUpTo: FeedPosition | undefined;
 
   /** `lifetime` returns the longest time from the begin of a stream to its last resumption. */
   constructor(lifetime: () => Milliseconds) {
@@ -55,9 +60,11 @@
     return this.#lifetime();
   }
 
-  /** Records the endpoints that exist now. */
+  /** Records the endpoints that exist now; what peers list before the first list may be late. */
   observe(entries: readonly EndpointEntry[], now: Instant): void {
-    this.#observedSince ??= now;
+    if (this.#listedAt !== undefined) {
+      this.#observedSince ??= now;
+    }
     for (const { service, softwareVersion } of entries) {
       this.record({ service, version: softwareVersion, lastSeenAt: now });
     }
@@ -128,25 +135,45 @@
     return this.#missedBefore !== undefined;
   }
 
+  /** Whether this router must be told of versions that it did not observe. */
+  isBehind(now: Instant): boolean {
+    return this.#unseenBefore !== undefined && !this.isComplete(now);
+  }
+
+  /** Records that this is the first start of all routers, so that no stream ran before. */
+  markFirstStart(): void {
+    this.#isFirstStart = true;
+    this.#isComplete = true;
+  }
+
+  /** Records the position of the first list of endpoints; all later changes are seen. */
+  markListed(at: FeedPosition): void {
+    this.#listedAt ??= at;
+    this.#isComplete = this.#isFirstStart || this.#isTold();
+  }
+
   /** Records that not every change of the endpoints before a position was seen. */
   markMissed(before: FeedPosition): void {
     const known = this.#missedBefore;
     if (known === undefined || comparePositions(before, known) > 0) {
       this.#missedBefore = before;
     }
+    this.#isFirstStart = false;
     this.#isComplete = false;
     this.#observedSince = undefined;
   }
 
   /**
    * Records that all uses within the lifetime of a stream are known, by one who had seen
-   * every change of the endpoints up to a position; undefined if that is not told.
+   * every change of the endpoints up to a position. It counts only if this router has seen
+   * every later one.
    */
-  markComplete(upTo?: FeedPosition): void {
-    const isCovered =
-      this.#missedBefore === undefined ||
-      (upTo !== undefined && comparePositions(upTo, this.#missedBefore) >= 0);
-    if (isCovered) {
+  markComplete(upTo: FeedPosition): void {
+    const known = this.#toldUpTo;
+    if (known === undefined || comparePositions(upTo, known) > 0) {
+      this.#toldUpTo = upTo;
+    }
+    if (this.#isTold()) {
       this.#isComplete = true;
       this.#missedBefore = undefined;
     }
@@ -205,6 +232,21 @@
       : { kind: 'single', version };
   }
 
+  /** Position before which versions may have come and left that this router did not observe. */
+  get #unseenBefore(): FeedPosition | undefined {
+    return this.#missedBefore ?? this.#listedAt;
+  }
+
+  /** Whether others told of all that this router did not observe. */
+  #isTold(): boolean {
+    const told = this.#toldUpTo;
+    const unseen = this.#unseenBefore;
+    return (
+      told !== undefined &&
+      (unseen === undefined || comparePositions(told, unseen) >= 0)
+    );
+  }
+
   /** A version that has left is no longer listed as in use, and is new when it is back. */
   #recordPresence(entries: readonly EndpointEntry[], now: Instant): void {
     const present = new Set<Use | undefined>();
--- a/packages/gateway/src/process/gateway-process.ts
+++ b/packages/gateway/src/process/gateway-process.ts
@@ -58,7 +58,10 @@
   readonly timers: TimerService;
   readonly routes: RouteTable;
   readonly endpointDirectory: EndpointDirectory;
-  readonly endpointReplica: Pick<EndpointReplica, 'onMissedChanges'>;
+  readonly endpointReplica: Pick<
+    EndpointReplica,
+    'onFirstList' | 'onMissedChanges'
+  >;
   readonly versionHistory: VersionHistory;
   readonly endpointLimits: EndpointLimits;
   readonly permitRefusals: PermitRefusals;
@@ -128,10 +131,7 @@
       this.#options;
     const { router } = settings;
     this.#subscribePeerUpdates();
-    this.#options.endpointReplica.onMissedChanges(before => {
-      this.#options.versionHistory.markMissed(before);
-      log.write('endpoint-changes-missed', { ...before });
-    });
+    this.#subscribeEndpointChanges();
     fleetReplica.start();
     await callerServer.listen(router.callers);
     await peerMesh.start();
@@ -203,6 +203,19 @@
     timers.stop();
   }
 
+  /** Keeps the history of versions informed of what this router has seen of the endpoints. */
+  #subscribeEndpointChanges(): void {
+    const { endpointReplica, versionHistory, log } = this.#options;
+    endpointReplica.onFirstList(at => {
+      versionHistory.markListed(at);
+      log.write('endpoints-listed', { ...at });
+    });
+    endpointReplica.onMissedChanges(before => {
+      versionHistory.markMissed(before);
+      log.write('endpoint-changes-missed', { ...before });
+    });
+  }
+
   /** Sends changes of this router's state to its peers. */
   #subscribePeerUpdates(): void {
     const {
--- a/packages/gateway/src/streams/history-completion.ts
+++ b/packages/gateway/src/streams/history-completion.ts
@@ -1,7 +1,9 @@
 /**
- * Completes the history of software versions after this router has missed changes of the
- * endpoints: a relay that saw them tells its versions. If all relays have missed some as
- * well, as the store has dropped its history, the row with the versions counts.
+ * Completes the history of software versions of a router that was not told of all versions
+ * before its first list of the endpoints, or that has missed changes since: a relay that
+ * saw them tells its versions. After a start the row with the versions counts as well; once
+ * changes were missed, only if all relays have missed some too, as the store has dropped
+ * its history.
  */
 import { applyVersionReport } from '@sesamegrade/core/software-versions/version-report';
 import type { VersionHistory } from '@sesamegrade/core/software-versions/version-history';
@@ -51,7 +53,7 @@
 
   tick(now: Instant): void {
     const { versionHistory, backgroundTasks } = this.#options;
-    if (!versionHistory.hasMissed) {
+    if (!versionHistory.isBehind(now)) {
       this.#nextAt = undefined;
       this.#pause = FIRST_PAUSE;
       return;
@@ -65,12 +67,13 @@
   }
 
   async #complete(): Promise<void> {
-    const { versionHistory, storedVersions } = this.#options;
+    const { versionHistory, storedVersions, timers } = this.#options;
     const answers = await Promise.all(
       this.#relays().map(relay => this.#ask(relay)),
     );
     const haveAllMissed = answers.every(isComplete => isComplete === false);
-    if (versionHistory.hasMissed && haveAllMissed) {
+    const counts = haveAllMissed || !versionHistory.hasMissed;
+    if (versionHistory.isBehind(timers.now()) && counts) {
       await storedVersions.readAfterGap();
     }
   }
--- a/packages/gateway/src/streams/stored-versions.ts
+++ b/packages/gateway/src/streams/stored-versions.ts
@@ -100,7 +100,7 @@
     this.#options = options;
     this.#startedAt = options.timers.now();
     if (options.settings.router.first_start) {
-      options.versionHistory.markComplete();
+      options.versionHistory.markFirstStart();
     }
   }
 
@@ -138,8 +138,9 @@
       });
     }
     this.#markRecorded(stored);
-    if (this.#isCompleteRow({ position, storeTime })) {
-      versionHistory.markComplete();
+    const isComplete = this.#isCompleteRow({ position, storeTime });
+    if (isComplete && !versionHistory.hasMissed) {
+      versionHistory.markComplete(position);
     }
   }
 
@@ -243,8 +244,8 @@
   }
 
   /**
-   * Reads the row after changes of the endpoints were missed, and takes the versions that it
-   * lists for all.
+   * Reads the row after changes of the endpoints were not seen, and takes the versions that
+   * it lists for all.
    */
   async readAfterGap(): Promise<void> {
     const page = await this.#readRow();
--- a/packages/gateway/src/streams/stream-resumption.test.ts
+++ b/packages/gateway/src/streams/stream-resumption.test.ts
@@ -168,6 +168,31 @@
     );
   });
 
+  // Guards against a version that came and left between a starting router's reads of the row and of the list.
+  it('takes the row of a router that starts for complete only up to its position', async () => {
+    await open();
+    await fleet.restart([3], 3000);
+    fleet.addEndpoint('v2');
+    await fleet.pass(1000);
+    const { id } = beginAt('v2');
+    fleet.removeEndpoints('v2', 1);
+    await fleet.pass(2000);
+    expect((await fleet.resume(router(3), id)).origin?.version).to.not.equal(
+      'v1',
+    );
+    await fleet.pass(1000);
+    expect((await fleet.resume(router(3), id)).origin?.version).to.equal('v2');
+  });
+
+  // Guards against the same at a router that has no relay to ask.
+  it('reads the row again that a router read before its first list', async () => {
+    await open();
+    await fleet.restart(all, 1000);
+    fleet.addEndpoint('v1');
+    await fleet.pass(2000);
+    expect((await fleet.resume(router(3), 'a')).origin?.version).to.equal('v1');
+  });
+
   // Guards against a version that the row lists with the end of its first use.
   it('counts a version as listed only while the row lists it as in use', async () => {
     await open();
--- a/packages/gateway/src/streams/testing/simulated-fleet.ts
+++ b/packages/gateway/src/streams/testing/simulated-fleet.ts
@@ -90,13 +90,16 @@
     this.#isFirstStart = false;
   }
 
-  /** Ends routers with all that they know; they start again at once. */
-  async restart(indexes: readonly number[]): Promise<void> {
+  /**
+   * Ends routers with all that they know; they start again at once. `listDelay` is the time
+   * in which the store answers all but their reads of the endpoints, and no peer is connected.
+   */
+  async restart(indexes: readonly number[], listDelay = 0): Promise<void> {
     for (const index of indexes) {
       this.routers[index]?.timers.stop();
     }
     for (const index of indexes) {
-      await this.#startRouter(index);
+      await this.#startRouter(index, listDelay);
     }
   }
 
@@ -198,7 +201,7 @@
     }
   }
 
-  async #startRouter(index: number): Promise<void> {
+  async #startRouter(index: number, listDelay = 0): Promise<void> {
     const router = new SimulatedRouter({
       id: routerId(`r-${index}`),
       store: this.#store,
@@ -215,7 +218,8 @@
       requestVersions: (from, relay) => this.#requestVersions(from, relay),
     });
     this.routers[index] = router;
-    await router.start();
+    router.apartUntil = this.now + listDelay;
+    await router.start(listDelay === 0);
     this.#passOnRows(router);
   }
 
--- a/packages/gateway/src/streams/testing/simulated-router.ts
+++ b/packages/gateway/src/streams/testing/simulated-router.ts
@@ -113,6 +113,9 @@
     const versionHistory = new VersionHistory(() =>
       streamLifetime([LONGEST_TIMEOUT]),
     );
+    this.#replica.onFirstList(at => {
+      versionHistory.markListed(at);
+    });
     this.#replica.onMissedChanges(before => {
       versionHistory.markMissed(before);
     });
@@ -189,10 +192,12 @@
   }
 
   /** Reads the tables if the store answers, and begins to work. */
-  async start(): Promise<void> {
+  async start(listsEndpoints = true): Promise<void> {
     if (this.#options.reach(this) === 'answers') {
       await this.#readVersions();
-      this.applyRows(this.#options.clock());
+      if (listsEndpoints) {
+        this.applyRows(this.#options.clock());
+      }
     }
     this.timers.every(LIST_RETRY_PERIOD, () => {
       if (!this.#hasReadVersions) {
