Answer every request before a planned stop ends

Callers of a router that got SIGTERM had their connections closed without an answer when the grace period ended, also callers of orders, which can then neither be repeated nor be known to have run. Three causes:

- `ShutdownSequence.accepts` looked at the time since the signal, not at the time that the request may take: a plain request was taken until 2 s before the end, whatever its time limit.
It now asks whether the request times out before the router has to answer.
In the balancer's delay, what its caller can repeat or resume is taken as before; calls that may not be repeated need the time from the signal on.
- The question was asked once, on arrival.
A repeatable request that came at 4.2 s was given up for its silence and begun again at 5.5 s, too late to end.
The same question is now asked before each attempt; without the time for another one, silence ends none.
- The process closed all connections at its exit.
Now each request that still runs is answered 0.3 s before: 503 if nothing was sent to an endpoint (waiting, body not read), 502 if something was, a break after the last whole event for a stream that has begun.
A response that is not yet written to its caller keeps the router up until the exit.

A second SIGTERM ended the process at once, and so did SIGINT: both now begin, or go on with, the same stop. A grace period that is reloaded during the stop can shorten it only.

Ruled out: the time that the endpoint needs (requests whose work ended in time were cut as well), the caller's limit (2.5 s against 6 s made no difference).

Changed test: "refuses streams after the balancer delay, ..." of shutdown-sequence.test.ts passed the shape of the answer; it now passes the whole question. It still expects a long stream refused at 3 s, a plain request of 0.6 s taken at 3 s, and both refused at 7 s; a plain request of 12 s at 3 s is refused, not taken, which is the fault.

--- a/packages/cli/src/platform-router.ts
+++ b/packages/cli/src/platform-router.ts
@@ -27,7 +27,7 @@
     connectPlatform(settings.store),
     process.env[settings.peers.secret_env] ?? '',
   ).cradle;
-  process.once('SIGTERM', () => {
+  const stop = () => {
     gateway.stop().then(
       () => {
         process.exit(0);
@@ -36,7 +36,10 @@
         exitWithError(error);
       },
     );
-  });
+  };
+  // A handler that stays keeps a second signal from ending the process at once.
+  process.on('SIGTERM', stop);
+  process.on('SIGINT', stop);
   const settingsWatcher = new SettingsFileWatcher({
     file,
     text,
--- a/packages/core/src/forwarding/attempt-result.ts
+++ b/packages/core/src/forwarding/attempt-result.ts
@@ -20,6 +20,8 @@
   | { readonly kind: 'silent' }
   /** The deadline of the request passed. */
   | { readonly kind: 'expired' }
+  /** The router had to answer before it exits. */
+  | { readonly kind: 'stopping'; readonly wasSent: boolean }
   | { readonly kind: 'caller-left' };
 
 export type AttemptRejection =
@@ -53,5 +55,7 @@
 
 /** Whether the request may have run in this attempt. */
 export function mayHaveRun(result: AttemptResult): boolean {
-  return result.kind !== 'not-connected' && result.kind !== 'declined';
+  return result.kind === 'stopping'
+    ? result.wasSent
+    : result.kind !== 'not-connected' && result.kind !== 'declined';
 }
--- a/packages/core/src/forwarding/fleet-state.ts
+++ b/packages/core/src/forwarding/fleet-state.ts
@@ -247,6 +247,7 @@
       return { kind: 'overdue' };
     case 'declined':
     case 'expired':
+    case 'stopping':
     case 'caller-left':
       return undefined;
   }
--- a/packages/core/src/forwarding/next-step.ts
+++ b/packages/core/src/forwarding/next-step.ts
@@ -30,7 +30,7 @@
   readonly responseStarted: boolean;
   /** Whether another endpoint can go on after that part: after events it can, within a whole response it cannot. */
   readonly isContinuable: boolean;
-  /** Time until the timeout of the caller or of the route. */
+  /** Time until the timeout of the caller or of the route; 0 if no attempt may follow. */
   readonly remaining: Milliseconds;
   readonly goal: Milliseconds;
   /** Takes one retry from the budget of the service; returns false when none is available. */
@@ -62,6 +62,8 @@
       return { kind: 'done' };
     case 'expired':
       return giveUp(attempt.responseStarted ? 'cut' : 'timeout');
+    case 'stopping':
+      return refuseOrBreakOff(attempt);
     case 'unproven-end':
       // Another run would repeat a request that may be complete.
       return refuseOrBreakOff(attempt);
--- a/packages/gateway/src/callers/caller-exchange.ts
+++ b/packages/gateway/src/callers/caller-exchange.ts
@@ -71,6 +71,11 @@
     return this.#disconnected;
   }
 
+  /** Whether nothing more can be sent: the response has ended or was broken off, or the caller disconnected. */
+  get isOver(): boolean {
+    return this.#disconnected || this.#responseFinished;
+  }
+
   /** Whether the head of a response has been written. */
   get hasResponseStarted(): boolean {
     return this.#responseStarted;
--- a/packages/gateway/src/callers/gateway-caller-server.ts
+++ b/packages/gateway/src/callers/gateway-caller-server.ts
@@ -79,6 +79,11 @@
     return this.#sockets.size;
   }
 
+  /** Requests whose response has not been written to its end. */
+  get openExchangeCount(): number {
+    return this.#exchanges.size;
+  }
+
   /** Listens at the address, or takes over the early listener there; returns the bound address. */
   async listen({ host, port }: Address): Promise<Address> {
     if (adoptEarlyListener(this.#server, { host, port })) {
--- a/packages/gateway/src/endpoints/attempt.ts
+++ b/packages/gateway/src/endpoints/attempt.ts
@@ -107,6 +107,10 @@
     });
   }
 
+  get hasEnded(): boolean {
+    return this.#isSettled;
+  }
+
   /** Whether bytes of the request may have reached the endpoint. */
   get wasSent(): boolean {
     return this.#wasSent;
--- a/packages/gateway/src/forwarding/forwarder.ts
+++ b/packages/gateway/src/forwarding/forwarder.ts
@@ -123,6 +123,22 @@
   readonly gatewayMetrics: GatewayMetrics;
 }
 
+/** A request whose response has not ended. */
+interface RunningRequest {
+  readonly exchange: CallerExchange;
+  /** Undefined until the head has been parsed. */
+  head: RequestHead | undefined;
+  /** Answers the request before the process exits. */
+  end: () => void;
+}
+
+/** Requests that were answered only because the process exits, by what their callers got. */
+export interface EndedByStop {
+  notRun: number;
+  mayHaveRun: number;
+  cut: number;
+}
+
 /** A routed request with the state of its attempts. */
 interface ForwardedRequest {
   readonly exchange: CallerExchange;
@@ -145,7 +161,8 @@
 
 export class Forwarder {
   readonly #options: ForwarderOptions;
-  #running = 0;
+  readonly #running = new Set<RunningRequest>();
+  readonly #endedByStop: EndedByStop = { notRun: 0, mayHaveRun: 0, cut: 0 };
 
   constructor(options: ForwarderOptions) {
     this.#options = options;
@@ -153,20 +170,42 @@
 
   /** Number of requests whose response has not ended. */
   get running(): number {
-    return this.#running;
+    return this.#running.size;
+  }
+
+  get endedByStop(): Readonly<EndedByStop> {
+    return this.#endedByStop;
+  }
+
+  /** Answers all requests that still run, as the process is about to exit. */
+  endRunning(): void {
+    for (const { exchange, end } of this.#running) {
+      if (!exchange.isOver) {
+        end();
+      }
+    }
   }
 
   /** Resolves when the request needs no further work. */
   async serve(exchange: CallerExchange): Promise<void> {
-    this.#running += 1;
+    const running: RunningRequest = {
+      exchange,
+      head: undefined,
+      end: () => {
+        this.#endedByStop.notRun += 1;
+        this.#refuseAsStopping(exchange, running.head);
+      },
+    };
+    this.#running.add(running);
     try {
-      await this.#serve(exchange);
+      await this.#serve(running);
     } finally {
-      this.#running -= 1;
+      this.#running.delete(running);
     }
   }
 
-  async #serve(exchange: CallerExchange): Promise<void> {
+  async #serve(running: RunningRequest): Promise<void> {
+    const { exchange } = running;
     const { callerProtocol, timers, routes } = this.#options;
     const arrivedAt = timers.now();
     const parsed = callerProtocol.readHead(
@@ -182,6 +221,7 @@
       return;
     }
     const head = parsed.value;
+    running.head = head;
     const body = await exchange.readBody(bodyLimit(routes.limits));
     if (body.kind === 'truncated') {
       return;
@@ -192,7 +232,7 @@
     }
     await this.#waitForFirstConfiguration(head);
     await exchange.settle();
-    if (exchange.hasDisconnected) {
+    if (exchange.isOver) {
       return;
     }
     const decision = routes.decide(
@@ -204,22 +244,41 @@
       this.#refuse(exchange, head, this.#routeRefusal(decision, head));
       return;
     }
-    if (
-      !this.#options.shutdownSequence.accepts(
-        decision.route.answer,
-        timers.now(),
-      )
-    ) {
-      const remaining = head.callerTimeout ?? decision.route.timeout;
-      this.#refuse(
-        exchange,
-        head,
-        this.#notRunRefusal('stopping', remaining),
-        true,
-      );
+    const { route } = decision;
+    const timeout = Math.min(
+      route.timeout,
+      head.callerTimeout ?? route.timeout,
+    );
+    const expiresAt = addTime(arrivedAt, milliseconds(timeout));
+    if (!this.#mayAttempt({ decision, expiresAt })) {
+      this.#refuseAsStopping(exchange, head);
       return;
     }
-    await this.#forward(exchange, head, decision, body.body, arrivedAt);
+    await this.#forward(running, head, decision, body.body, {
+      arrivedAt,
+      expiresAt,
+    });
+  }
+
+  /** Whether a router that is stopping has the time for an attempt of the request. */
+  #mayAttempt({
+    decision: { route },
+    expiresAt,
+  }: Pick<ForwardedRequest, 'decision' | 'expiresAt'>): boolean {
+    const { shutdownSequence, timers } = this.#options;
+    const { answer, repeatable } = route;
+    return shutdownSequence.accepts(
+      { answer, repeatable, expiresAt },
+      timers.now(),
+    );
+  }
+
+  /** Time until the request has to be answered. */
+  #remaining({ expiresAt }: Pick<ForwardedRequest, 'expiresAt'>): Milliseconds {
+    const { shutdownSequence, timers } = this.#options;
+    const answersBy = shutdownSequence.answersBy ?? expiresAt;
+    const end = answersBy < expiresAt ? answersBy : expiresAt;
+    return milliseconds(Math.max(0, elapsed(timers.now(), end)));
   }
 
   /**
@@ -250,23 +309,20 @@
   }
 
   async #forward(
-    exchange: CallerExchange,
+    running: RunningRequest,
     head: RequestHead,
     decision: ForwardDecision,
     body: Buffer,
-    arrivedAt: Instant,
+    times: Pick<ForwardedRequest, 'arrivedAt' | 'expiresAt'>,
   ): Promise<void> {
+    const { exchange } = running;
     const { route } = decision;
-    const timeout = Math.min(
-      route.timeout,
-      head.callerTimeout ?? route.timeout,
-    );
     const binding = new StreamBinding();
     const isResumed = isResumable(route) && isResumption(head);
     const target = isResumed
       ? await this.#resumedTarget(head, decision, binding)
       : this.#newTarget(head, decision);
-    if (exchange.hasDisconnected) {
+    if (exchange.isOver) {
       return;
     }
     if (!target) {
@@ -274,7 +330,10 @@
         exchange,
         head,
         isResumed
-          ? this.#notRunRefusal('unknown-stream', milliseconds(timeout))
+          ? this.#notRunRefusal(
+              'unknown-stream',
+              elapsed(times.arrivedAt, times.expiresAt),
+            )
           : this.#notRunRefusal('no-service', route.timeout),
       );
       return;
@@ -285,8 +344,7 @@
       decision,
       service: target.service,
       body,
-      arrivedAt,
-      expiresAt: addTime(arrivedAt, milliseconds(timeout)),
+      ...times,
       crashGuard: new CrashGuard(this.#options, {
         route: route.id,
         service: target.service,
@@ -303,10 +361,13 @@
       notRun: 0,
     };
     this.#options.fleetState.onRequestStarted(target.service);
-    await this.#runAttempts(request);
+    await this.#runAttempts(request, running);
   }
 
-  async #runAttempts(request: ForwardedRequest): Promise<void> {
+  async #runAttempts(
+    request: ForwardedRequest,
+    running: RunningRequest,
+  ): Promise<void> {
     const { exchange, head, decision } = request;
     const { route } = decision;
     let attempt: Attempt | undefined;
@@ -344,6 +405,14 @@
     exchange.onDisconnect(() => {
       attempt?.abort({ kind: 'caller-left' });
     });
+    running.end = () => {
+      if (attempt && !attempt.hasEnded) {
+        const { wasSent } = attempt;
+        attempt.abort({ kind: 'stopping', wasSent });
+      } else {
+        this.#giveUpAsStopping(request, relay);
+      }
+    };
     for (;;) {
       const decision = request.crashGuard.decide();
       if (decision.kind === 'refuse') {
@@ -351,10 +420,15 @@
         return;
       }
       const placement = await this.#place(request);
-      if (exchange.hasDisconnected) {
+      if (exchange.isOver) {
         releaseUnused(placement);
         return;
       }
+      if (!this.#mayAttempt(request)) {
+        releaseUnused(placement);
+        this.#giveUpAsStopping(request, relay);
+        return;
+      }
       if (placement.kind === 'none') {
         this.#giveUpWithoutEndpoint(request, relay, placement);
         return;
@@ -519,7 +593,7 @@
   }
 
   #place(request: ForwardedRequest): Promise<Placement> {
-    const { attemptPlacement, timers } = this.#options;
+    const { attemptPlacement } = this.#options;
     const { route, team } = request.decision;
     return attemptPlacement.place(
       {
@@ -534,9 +608,7 @@
         team: team?.id ?? NO_TEAM,
         rank: team?.priority ?? route.priority,
         goal: route.latencyGoal,
-        remaining: milliseconds(
-          Math.max(0, elapsed(timers.now(), request.expiresAt)),
-        ),
+        remaining: this.#remaining(request),
       },
     );
   }
@@ -572,7 +644,7 @@
     const now = timers.now();
     const headers = endpointProtocol.requestHeaders(head, {
       endpoint: entry.id,
-      remaining: milliseconds(Math.max(1, elapsed(now, request.expiresAt))),
+      remaining: milliseconds(Math.max(1, this.#remaining(request))),
       team: team?.id,
       lastEventId: relay.lastEventId,
       fetchFrom: choice.fetchFrom?.address,
@@ -653,6 +725,7 @@
           elapsed(lastActivityAt, now) < MAX_EVENT_SILENCE / 2;
         return (
           !isResponsive &&
+          this.#mayAttempt(request) &&
           // A retry at an endpoint with a limit may get no permit.
           chooser.unlimited(request, now) > 0 &&
           request.possibleRuns + 1 < route.maxAttempts
@@ -701,7 +774,9 @@
       untried: chooser.untried(request, now),
       responseStarted: request.exchange.hasResponseStarted,
       isContinuable: !request.exchange.hasResponseStarted || relay.events > 0,
-      remaining: milliseconds(Math.max(0, elapsed(now, request.expiresAt))),
+      remaining: this.#mayAttempt(request)
+        ? this.#remaining(request)
+        : milliseconds(0),
       goal: route.latencyGoal,
       takeRetry: () =>
         request.crashGuard.decide().kind === 'run' &&
@@ -739,12 +814,14 @@
     result: AttemptResult,
   ): void {
     const { exchange } = request;
-    if (step.kind === 'pass-on') {
+    if (result.kind === 'stopping') {
+      this.#giveUpAsStopping(request, relay);
+    } else if (step.kind === 'pass-on' && !exchange.isOver) {
       const response = relay.bufferedResponse;
       if (response) {
         this.#passResponseOn(request, response);
       }
-    } else if (step.kind === 'give-up') {
+    } else if (step.kind === 'give-up' && !exchange.isOver) {
       this.#giveUp(request, relay, step.reason, result);
     }
     this.#options.gatewayMetrics.recordRequest(
@@ -774,6 +851,34 @@
     request.exchange.respond(head, body);
   }
 
+  /** Answers a request for which a router that is stopping has no time left. */
+  #giveUpAsStopping(request: ForwardedRequest, relay: ResponseRelay): void {
+    const { exchange, head, possibleRuns } = request;
+    if (exchange.hasResponseStarted) {
+      this.#endedByStop.cut += 1;
+      this.#giveUp(request, relay, 'stopping');
+    } else if (possibleRuns > 0) {
+      this.#endedByStop.mayHaveRun += 1;
+      this.#refuse(exchange, head, { kind: 'may-have-run', cause: 'stopping' });
+    } else {
+      this.#endedByStop.notRun += 1;
+      this.#refuseAsStopping(exchange, head);
+    }
+  }
+
+  /** Other routers are free, so that the caller need not wait. */
+  #refuseAsStopping(
+    exchange: CallerExchange,
+    head: RequestHead | undefined,
+  ): void {
+    this.#refuse(
+      exchange,
+      head,
+      { kind: 'not-run', cause: 'stopping', retryAfter: MIN_RETRY_AFTER },
+      true,
+    );
+  }
+
   #giveUp(
     request: ForwardedRequest,
     relay: ResponseRelay,
@@ -792,6 +897,10 @@
       exchange.abort();
       return;
     }
+    if (reason === 'not-run' && !this.#mayAttempt(request)) {
+      this.#refuseAsStopping(exchange, head);
+      return;
+    }
     const remaining = milliseconds(
       Math.max(0, elapsed(timers.now(), request.expiresAt)),
     );
--- a/packages/gateway/src/process/gateway-process.ts
+++ b/packages/gateway/src/process/gateway-process.ts
@@ -92,6 +92,7 @@
   readonly #options: GatewayProcessOptions;
   readonly #readinessServer: AdminServer;
   readonly #metricsServer: AdminServer;
+  #stopped: Promise<void> | undefined;
 
   constructor(options: GatewayProcessOptions) {
     this.#options = options;
@@ -160,9 +161,14 @@
 
   /**
    * Drains the router; resolves when no request runs any more or the grace
-   * period is nearly over.
+   * period is nearly over, also when it is called again.
    */
-  async stop(): Promise<void> {
+  stop(): Promise<void> {
+    this.#stopped ??= this.#stop();
+    return this.#stopped;
+  }
+
+  async #stop(): Promise<void> {
     const {
       shutdownSequence,
       timers,
@@ -171,20 +177,27 @@
       tunnelServer,
       log,
     } = this.#options;
-    if (shutdownSequence.hasStarted) {
-      return;
-    }
     log.write('stop-begun', { running: forwarder.running });
     shutdownSequence.start(timers.now());
     callerServer.startDraining();
-    await shutdownSequence.waitUntilDrained(
-      timers,
-      () => forwarder.running + tunnelServer.openCount,
-      () => {
+    await shutdownSequence.waitUntilDrained(timers, {
+      running: () =>
+        forwarder.running +
+        callerServer.openExchangeCount +
+        tunnelServer.openCount,
+      closeIdle: () => {
         callerServer.closeIdleConnections();
       },
-    );
-    log.write('stop', { running: forwarder.running });
+      endRunning: () => {
+        forwarder.endRunning();
+      },
+    });
+    log.write('stop', {
+      running: forwarder.running,
+      unwritten: callerServer.openExchangeCount,
+      tunnels: tunnelServer.openCount,
+      ...forwarder.endedByStop,
+    });
     callerServer.close();
     tunnelServer.close();
   }
--- a/packages/gateway/src/process/shutdown-sequence.test.ts
+++ b/packages/gateway/src/process/shutdown-sequence.test.ts
@@ -1,32 +1,54 @@
 import { expect } from 'chai';
 
 import { ManualTimerService } from '@sesamegrade/core/time/manual-timer-service';
-import { instant, milliseconds, seconds } from '@sesamegrade/core/types/units';
+import {
+  addTime,
+  instant,
+  milliseconds,
+  seconds,
+} from '@sesamegrade/core/types/units';
+import type { Milliseconds } from '@sesamegrade/core/types/units';
 import { ShutdownSequence } from './shutdown-sequence';
+import type { AdmissionQuery } from './shutdown-sequence';
 
 const GRACE = seconds(8);
 
 interface Observed {
   stoppedAt: number | undefined;
   closedIdleAt: number | undefined;
+  endedAt: number | undefined;
 }
 
-/** Runs a shutdown; `running` gives the number of running requests by the time since its start. */
+const STREAM = { kind: 'stream', pauseLimit: undefined } as const;
+const WHOLE = { kind: 'whole' } as const;
+
+/**
+ * Runs a shutdown; `running` gives the number of running requests by the time since its
+ * start, and whether they have been told to end.
+ */
 async function shutDown(
-  running: (sinceStart: number) => number,
+  running: (sinceStart: number, areEnded: boolean) => number,
+  grace: (sinceStart: number) => Milliseconds = () => GRACE,
+  step: Milliseconds = milliseconds(50),
 ): Promise<Observed> {
   const timers = new ManualTimerService();
-  const observed: Observed = { stoppedAt: undefined, closedIdleAt: undefined };
-  const sequence = new ShutdownSequence(() => GRACE);
+  const observed: Observed = {
+    stoppedAt: undefined,
+    closedIdleAt: undefined,
+    endedAt: undefined,
+  };
+  const sequence = new ShutdownSequence(() => grace(timers.now()));
   sequence.start(timers.now());
   sequence
-    .waitUntilDrained(
-      timers,
-      () => running(timers.now()),
-      () => {
+    .waitUntilDrained(timers, {
+      running: () => running(timers.now(), observed.endedAt !== undefined),
+      closeIdle: () => {
         observed.closedIdleAt ??= timers.now();
       },
-    )
+      endRunning: () => {
+        observed.endedAt ??= timers.now();
+      },
+    })
     .then(() => {
       observed.stoppedAt = timers.now();
     })
@@ -34,11 +56,11 @@
       throw error;
     });
   for (
-    let step = 0;
-    step < 200 && observed.stoppedAt === undefined;
-    step += 1
+    let count = 0;
+    count < 200 && observed.stoppedAt === undefined;
+    count += 1
   ) {
-    timers.advance(milliseconds(50));
+    timers.advance(step);
     await Promise.resolve();
     await Promise.resolve();
   }
@@ -61,17 +83,95 @@
 
   it('refuses streams after the balancer delay, and any request that might not end in time', () => {
     const sequence = new ShutdownSequence(() => GRACE);
-    const stream = { kind: 'stream', pauseLimit: undefined } as const;
-    const complete = { kind: 'whole' } as const;
-    expect(sequence.accepts(stream, instant(0))).to.equal(true);
+    const accepts = (sinceStart: number) => {
+      const now = instant(1000 + sinceStart);
+      const long = {
+        repeatable: true,
+        expiresAt: addTime(now, milliseconds(12_000)),
+      };
+      const short = { ...long, expiresAt: addTime(now, milliseconds(600)) };
+      return [
+        sequence.accepts({ answer: STREAM, ...long }, now),
+        sequence.accepts({ answer: WHOLE, ...short }, now),
+        sequence.accepts({ answer: WHOLE, ...long }, now),
+      ];
+    };
+    expect(accepts(-1000)).to.deep.equal([true, true, true]);
     sequence.start(instant(1000));
-    const accepts = (sinceStart: number) => [
-      sequence.accepts(stream, instant(1000 + sinceStart)),
-      sequence.accepts(complete, instant(1000 + sinceStart)),
-    ];
-    expect(accepts(2000)).to.deep.equal([true, true]);
-    expect(accepts(3000)).to.deep.equal([false, true]);
-    expect(accepts(7000)).to.deep.equal([false, false]);
+    expect(accepts(2000)).to.deep.equal([true, true, true]);
+    expect(accepts(3000)).to.deep.equal([false, true, false]);
+    expect(accepts(7000)).to.deep.equal([false, false, false]);
+  });
+
+  // Guards against refusing what ends in time, and taking what does not.
+  it('takes any request that times out before the router has to answer', () => {
+    const sequence = new ShutdownSequence(() => GRACE);
+    sequence.start(instant(0));
+    const query = { answer: WHOLE, repeatable: false };
+    const answersBy = sequence.answersBy ?? instant(0);
+    expect(answersBy).to.be.within(7000, 7500);
+    const accepts = (now: number, expiresAt: number) =>
+      sequence.accepts(
+        { ...query, expiresAt: instant(expiresAt) },
+        instant(now),
+      );
+    expect(accepts(6000, answersBy)).to.equal(true);
+    expect(accepts(6000, answersBy + 1)).to.equal(false);
+    expect(accepts(answersBy, answersBy)).to.equal(false);
+  });
+
+  // Guards against an order of which the caller never learns whether it ran.
+  it('never takes a request that can be neither repeated nor resumed and might not end in time', () => {
+    const sequence = new ShutdownSequence(() => GRACE);
+    sequence.start(instant(0));
+    const accepts = (query: Omit<AdmissionQuery, 'expiresAt'>) =>
+      sequence.accepts({ ...query, expiresAt: instant(9000) }, instant(100));
+    expect(accepts({ answer: WHOLE, repeatable: false })).to.equal(false);
+    expect(accepts({ answer: WHOLE, repeatable: true })).to.equal(true);
+    expect(accepts({ answer: STREAM, repeatable: false })).to.equal(true);
+  });
+
+  // Guards against requests that are cut without an answer.
+  it('has what still runs answered shortly before it exits, and exits once that is done', async () => {
+    const { endedAt, stoppedAt } = await shutDown((_sinceStart, areEnded) =>
+      areEnded ? 0 : 1,
+    );
+    expect(endedAt).to.be.within(7000, 7500);
+    expect(stoppedAt).to.be.within((endedAt ?? 0) + 1, 7500);
+  });
+
+  // Guards against a process that is killed as it still waits by an earlier setting.
+  it('heeds a shorter grace period that is set while it runs, and no longer one', async () => {
+    const shorter = await shutDown(
+      () => 1,
+      now => seconds(now < 1000 ? 8 : 5),
+    );
+    expect(shorter.endedAt).to.be.within(4000, 4500);
+    expect(shorter.stoppedAt).to.be.within(4300, 4700);
+    const longer = await shutDown(
+      () => 1,
+      now => seconds(now < 1000 ? 8 : 20),
+    );
+    expect(longer.stoppedAt).to.be.within(7300, 7700);
+  });
+
+  // Guards against answers that are cut off in the moment in which they are written.
+  it('leaves time to write the last responses after the process was held up', async () => {
+    const { endedAt, stoppedAt } = await shutDown(
+      () => 1,
+      () => GRACE,
+      seconds(9),
+    );
+    expect(stoppedAt).to.be.greaterThan(endedAt ?? Number.POSITIVE_INFINITY);
+  });
+
+  it('answers at once in a grace period that is shorter than its margins', async () => {
+    const { endedAt, stoppedAt } = await shutDown(
+      () => 1,
+      () => milliseconds(300),
+    );
+    expect(endedAt).to.be.within(0, 100);
+    expect(stoppedAt).to.be.within((endedAt ?? 0) + 1, 300);
   });
 
   it('exits before the end of the grace period even when requests still run', async () => {
--- a/packages/gateway/src/process/shutdown-sequence.ts
+++ b/packages/gateway/src/process/shutdown-sequence.ts
@@ -1,11 +1,11 @@
 /**
- * Graceful shutdown: decides which requests a draining router still accepts and
- * when the process may exit. It does not exit before the load balancer and the
- * callers had time to switch to other routers.
+ * Graceful shutdown: decides which requests a draining router still accepts, by when
+ * it has answered all of them, and when the process may exit. It does not exit before
+ * the load balancer and the callers had time to switch to other routers.
  */
 import type { ResponseMode } from '@sesamegrade/core/routes/fleet-configuration';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
-import { elapsed, milliseconds } from '@sesamegrade/core/types/units';
+import { addTime, elapsed, milliseconds } from '@sesamegrade/core/types/units';
 import type { Instant, Milliseconds } from '@sesamegrade/core/types/units';
 
 /**
@@ -15,19 +15,40 @@
 const BALANCER_DELAY: Milliseconds = milliseconds(2600);
 /** The process exits this long before the end of the grace period, whatever still runs. */
 const EXIT_MARGIN: Milliseconds = milliseconds(500);
+/** Time before the exit in which the last responses are written. */
+const LAST_RESPONSE_TIME: Milliseconds = milliseconds(300);
 /** Time without a running request after which no further one is expected. */
 const QUIET_TIME: Milliseconds = milliseconds(400);
-/** Time that a request with a complete response is given to end before the process exits. */
-const COMPLETE_RESPONSE_TIME: Milliseconds = milliseconds(1500);
 const POLL_PERIOD: Milliseconds = milliseconds(50);
 
+/** What decides whether a draining router begins an attempt of a request. */
+export interface AdmissionQuery {
+  readonly answer: ResponseMode;
+  /** Whether the request may run more than once. */
+  readonly repeatable: boolean;
+  /** When the request times out. */
+  readonly expiresAt: Instant;
+}
+
+/** What a draining router waits for, and how it ends it. */
+export interface DrainedWork {
+  /** Number of requests that run or whose response is not written yet. */
+  readonly running: () => number;
+  /** Called in every poll after the balancer's delay. */
+  readonly closeIdle: () => void;
+  /** Answers what still runs; called in every poll once the time for it has come. */
+  readonly endRunning: () => void;
+}
+
 export class ShutdownSequence {
   readonly #grace: () => Milliseconds;
   #startedAt: Instant | undefined;
+  #shortestGrace: Milliseconds | undefined;
 
   /**
-   * `grace` returns the time from the signal to the forced kill of the process;
-   * the setting may be reloaded.
+   * `grace` returns the time from the signal to the forced kill of the process. The
+   * setting may be reloaded: during a shutdown only a shorter time is heeded, as the
+   * kill may have been timed at the signal.
    */
   constructor(grace: () => Milliseconds) {
     this.#grace = grace;
@@ -37,39 +58,56 @@
     return this.#startedAt !== undefined;
   }
 
+  /** Time by which every request is answered; undefined if the router is not stopping. */
+  get answersBy(): Instant | undefined {
+    return this.#startedAt === undefined
+      ? undefined
+      : addTime(
+          this.#startedAt,
+          milliseconds(Math.max(0, this.#timeToExit - LAST_RESPONSE_TIME)),
+        );
+  }
+
   start(now: Instant): void {
     this.#startedAt ??= now;
   }
 
   /**
-   * Whether a new request is accepted. Streams are refused once the balancer has
-   * switched callers to other routers, as a long response might not end before
-   * the process exits.
+   * Whether an attempt of the request is begun. It is if the request times out before
+   * the router has to answer. Until the balancer has switched callers to other routers,
+   * others are accepted too, as most end in time: all but those whose callers could
+   * neither repeat nor resume them.
    */
-  accepts(shape: ResponseMode, now: Instant): boolean {
-    if (this.#startedAt === undefined) {
+  accepts(
+    { answer, repeatable, expiresAt }: AdmissionQuery,
+    now: Instant,
+  ): boolean {
+    const { answersBy } = this;
+    if (this.#startedAt === undefined || answersBy === undefined) {
       return true;
     }
-    const sinceStart = elapsed(this.#startedAt, now);
-    if (shape.kind === 'stream') {
-      return sinceStart < BALANCER_DELAY;
+    if (now >= answersBy) {
+      return false;
     }
-    return sinceStart < this.#grace() - EXIT_MARGIN - COMPLETE_RESPONSE_TIME;
+    const mayBeBrokenOff = repeatable || answer.kind === 'stream';
+    return (
+      expiresAt <= answersBy ||
+      (mayBeBrokenOff && elapsed(this.#startedAt, now) < BALANCER_DELAY)
+    );
   }
 
   /**
-   * Resolves when no request has run for `QUIET_TIME` after the balancer's delay,
-   * or shortly before the grace period ends. Calls `closeIdle` in every poll after
-   * the balancer's delay.
+   * Resolves when nothing has run for `QUIET_TIME` after the balancer's delay, or
+   * everything has been answered at the end, or shortly before the grace period ends.
    */
   waitUntilDrained(
     timers: TimerService,
-    running: () => number,
-    closeIdle: () => void,
+    { running, closeIdle, endRunning }: DrainedWork,
   ): Promise<void> {
     const startedAt = this.#startedAt ?? timers.now();
-    const maxWait = this.#grace() - EXIT_MARGIN;
+    this.#startedAt = startedAt;
     let quietSince = startedAt;
+    let hasEnded = false;
     return new Promise(resolve => {
       const cancel = timers.every(POLL_PERIOD, now => {
         const sinceStart = elapsed(startedAt, now);
@@ -82,11 +120,29 @@
         const isQuiet =
           sinceStart >= BALANCER_DELAY + QUIET_TIME &&
           elapsed(quietSince, now) >= QUIET_TIME;
-        if (isQuiet || sinceStart >= maxWait) {
+        const isAnswered =
+          hasEnded && (running() === 0 || sinceStart >= this.#timeToExit);
+        if (isQuiet || isAnswered) {
           cancel();
           resolve();
+        } else if (now >= (this.answersBy ?? now)) {
+          // What is written now reaches the callers before the next poll, also if that is late.
+          hasEnded = true;
+          endRunning();
         }
       });
     });
   }
+
+  /** Time from the start of the shutdown to the exit at the latest. */
+  get #timeToExit(): Milliseconds {
+    const grace = Math.min(
+      this.#shortestGrace ?? Number.POSITIVE_INFINITY,
+      this.#grace(),
+    );
+    if (this.#startedAt !== undefined) {
+      this.#shortestGrace = milliseconds(grace);
+    }
+    return milliseconds(Math.max(0, grace - EXIT_MARGIN));
+  }
 }
