Let any router record a version that the reader cannot

Not seen by callers; found while the use of unrecorded versions was weighed. In the model a stream of v2 went on at v1 after all routers had lost their memory, although the store had answered every router but the reader all the time.

Cause: only the reader wrote the row with the versions, and another one takes over only if peers lose the reader, not if the store rejects it. After 3 s the others use the version unrecorded. Ruled out: gossip (the others knew v2 and used it) and the row after the kill (never written).

The second relay now adds an unlisted version after 1 s, any router after 1.5 to 2.5 s, below the limit of 3 s, by a conditional write. They end no use, and the reader reads the row again when it hears of a version that its copy does not list.

Red before: "begins no stream at an unrecorded version while the store answers any router": expected 'v1' to not equal 'v1'. Green after: 64 tests (streams, software-versions and composition folders, the stream and version-report tests of the platform). Each half of the change taken out makes one of the two new tests of stored-versions.test.ts fail. No existing test is changed but for the two dependencies that its composition passes.

--- a/packages/core/src/software-versions/version-history.ts
+++ b/packages/core/src/software-versions/version-history.ts
@@ -119,6 +119,22 @@
     return this.#uses.get(service)?.get(version)?.presentSince;
   }
 
+  /** Since when a version has endpoints that the store does not list; undefined if there is none. */
+  unrecordedSince(): Instant | undefined {
+    let first: Instant | undefined;
+    for (const uses of this.#uses.values()) {
+      for (const { isRecorded, presentSince } of uses.values()) {
+        const isEarlier =
+          presentSince !== undefined &&
+          (first === undefined || elapsed(first, presentSince) < 0);
+        if (!isRecorded && isEarlier) {
+          first = presentSince;
+        }
+      }
+    }
+    return first;
+  }
+
   /** The versions in use that the store lists. */
   recorded(now: Instant): RecordedVersion[] {
     return [...this.#uses].flatMap(([service, uses]) =>
--- a/packages/gateway/src/streams/stored-versions.test.ts
+++ b/packages/gateway/src/streams/stored-versions.test.ts
@@ -2,6 +2,7 @@
 
 import { EndpointDirectory } from '@sesamegrade/core/endpoints/endpoint-directory';
 import { VersionHistory } from '@sesamegrade/core/software-versions/version-history';
+import { Random } from '@sesamegrade/core/random/random';
 import { revision, storeEra } from '@sesamegrade/core/store/feed-position';
 import { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
 import { ManualTimerService } from '@sesamegrade/core/time/manual-timer-service';
@@ -30,7 +31,7 @@
 });
 
 function open(isFirstReader: boolean, era = 0) {
-  const duty = { isReader: isFirstReader };
+  const duty = { isReader: isFirstReader, isRelay: false };
   const timers = new ManualTimerService();
   const directory = new EndpointDirectory();
   const history = new VersionHistory(() => seconds(30));
@@ -65,6 +66,8 @@
     versionHistory: history,
     endpointDirectory: directory,
     fleetReplica: duty,
+    peerUpdates: duty,
+    random: new Random(1),
     timers,
     backgroundTasks: new BackgroundTasks(({ error }) => {
       throw error;
@@ -82,7 +85,12 @@
     value = new TextEncoder().encode(JSON.stringify(json));
     at += 1;
   };
-  return { duty, timers, directory, history, calls, stored, pass, put, page };
+  const row = () =>
+    JSON.parse(new TextDecoder().decode(value)) as { uses: unknown[] };
+  return {
+    ...{ duty, timers, directory, history, calls, stored, pass, put, page },
+    row,
+  };
 }
 
 describe('StoredVersions', () => {
@@ -161,4 +169,46 @@
     await pass(60_000);
     expect(calls.writes).to.have.length.at.least(1);
   });
+
+  // Guards against a version that is used unrecorded, as the store rejects the reader alone.
+  it('adds a version that the reader does not record, and ends the use of none', async () => {
+    for (const [isRelay, latest] of [
+      [true, 1500],
+      [false, 3000],
+    ] as const) {
+      const { duty, directory, calls, pass, put, stored, page, timers, row } =
+        open(false);
+      duty.isRelay = isRelay;
+      directory.replace([entry('s', 'v1')], timers.now());
+      put({ since: 0, uses: [use('v1'), use('v3')], era: 0 });
+      stored.onRows(page());
+      await pass(5000);
+      expect(calls.writes).to.deep.equal([]);
+      directory.replace([entry('s', 'v1'), entry('s', 'v2')], timers.now());
+      const joinedAt = timers.now();
+      stored.tick(joinedAt);
+      await pass(10_000);
+      expect(calls.writes).to.have.length(1);
+      expect(calls.writes[0]! - joinedAt).to.be.within(1000, latest);
+      expect(row().uses).to.have.deep.members(
+        ['v1', 'v2', 'v3'].map(v => use(v)),
+      );
+    }
+  });
+
+  // Guards against a row that lists the end of a version's use while it is in use, as the reader goes by an old copy.
+  it('reads the row again when others say that it lists a version, and then writes it', async () => {
+    const { directory, history, pass, put, stored, page, timers, row } =
+      open(true);
+    directory.replace([entry('s', 'v1'), entry('s', 'v2')], timers.now());
+    put({ since: 0, uses: [use('v1'), use('v2')], era: 0 });
+    stored.onRows(page());
+    await pass(1000);
+    put({ since: 0, uses: [use('v1', 1_000_500), use('v2')], era: 0 });
+    const told = { service: serviceId('s'), version: softwareVersion('v3') };
+    history.record({ ...told, lastSeenAt: timers.now() });
+    history.markRecorded(told.service, told.version);
+    await pass(5000);
+    expect(row().uses).to.deep.include.members([use('v1'), use('v2')]);
+  });
 });
--- a/packages/gateway/src/streams/stored-versions.ts
+++ b/packages/gateway/src/streams/stored-versions.ts
@@ -2,12 +2,15 @@
  * Keeps the software versions that were in use lately in a row of the routers' own
  * table, so that they are known after all routers lost their memory at once. The list of
  * routers is read at each start in any case. The relay that reads the store for the fleet
- * writes the row when the set of versions changes.
+ * writes the row when the set of versions changes. If a version stays unlisted, as the
+ * store rejects that relay, the others add it: first the second relay, then any router.
  */
 import { z } from 'zod';
 
 import type { EndpointDirectory } from '@sesamegrade/core/endpoints/endpoint-directory';
 import { nameSchema } from '@sesamegrade/core/membership/vm-entry';
+import type { PeerUpdates } from '@sesamegrade/core/peers/peer-updates';
+import type { Random } from '@sesamegrade/core/random/random';
 import type {
   RecordedVersion,
   VersionHistory,
@@ -39,6 +42,13 @@
 const WRITE_PERIOD: Milliseconds = milliseconds(100);
 /** Time between two attempts to write the row while the store does not answer. */
 const RETRY_PERIOD: Milliseconds = seconds(1);
+/** Time for which a version is not listed after which another relay adds it to the row. */
+const RELAY_TAKEOVER: Milliseconds = seconds(1);
+/** The same for any router; spread, so that most learn that the first one has done it. */
+const EARLIEST_TAKEOVER: Milliseconds = milliseconds(1500);
+const LATEST_TAKEOVER: Milliseconds = milliseconds(2500);
+/** Time between two attempts of a router that is no relay. */
+const TAKEOVER_RETRY_PERIOD: Milliseconds = seconds(16);
 /** Clock value of a version that is still in use. */
 const IN_USE = null;
 
@@ -69,6 +79,8 @@
   readonly versionHistory: VersionHistory;
   readonly endpointDirectory: EndpointDirectory;
   readonly fleetReplica: Pick<FleetReplica, 'isReader'>;
+  readonly peerUpdates: Pick<PeerUpdates, 'isRelay'>;
+  readonly random: Random;
   readonly timers: TimerService;
   readonly backgroundTasks: BackgroundTasks;
   readonly log: DecisionLog;
@@ -93,12 +105,20 @@
   #writableFrom: Instant | undefined;
   /** Whether the row is being read or written. */
   #isBusy = false;
-  #wasReader = false;
+  #wasWriter = false;
+  /** Versions for which the row was read again, as others say that it lists them. */
+  #lookedUp: ReadonlySet<string> = new Set();
+  /** Time after which this router adds an unlisted version if it is no relay. */
+  readonly #takeover: Milliseconds;
   #recordedListener: RecordedListener = () => undefined;
 
   constructor(options: StoredVersionsOptions) {
     this.#options = options;
     this.#startedAt = options.timers.now();
+    const span = LATEST_TAKEOVER - EARLIEST_TAKEOVER;
+    this.#takeover = milliseconds(
+      EARLIEST_TAKEOVER + options.random.fraction() * span,
+    );
     if (options.settings.router.first_start) {
       options.versionHistory.markFirstStart();
     }
@@ -179,9 +199,9 @@
       return;
     }
     versionHistory.observe(endpointDirectory.all(), now);
-    const { isReader } = this.#options.fleetReplica;
-    const takesOver = isReader && !this.#wasReader;
-    this.#wasReader = isReader;
+    const isWriter = this.#isWriter(now);
+    const takesOver = isWriter && !this.#wasWriter;
+    this.#wasWriter = isWriter;
     if (takesOver && this.#read) {
       // Another router may have written the row since it was read here.
       this.#run('version-row-read', () => this.#readRow());
@@ -189,16 +209,53 @@
     if (!this.#isDue(now)) {
       return;
     }
-    const read = this.#read;
+    const read = this.#isOutdated(now) ? undefined : this.#read;
     const uses = read && this.#currentUses(read, now);
     if (read?.stored && uses && isSame(read, uses)) {
       this.#markRecorded(read.stored);
       return;
     }
-    this.#writableFrom = addTime(now, RETRY_PERIOD);
+    this.#writableFrom = addTime(now, this.#retryPeriod);
     this.#run('version-row', () => this.#write(read, uses));
   }
 
+  /** Whether this router writes the row: the reader, or one that takes over from it. */
+  #isWriter(now: Instant): boolean {
+    const { fleetReplica, peerUpdates, versionHistory } = this.#options;
+    const unrecordedSince = versionHistory.unrecordedSince();
+    if (fleetReplica.isReader || unrecordedSince === undefined) {
+      return fleetReplica.isReader;
+    }
+    const since = Math.max(
+      unrecordedSince,
+      addTime(this.#startedAt, FIRST_WRITE_DELAY),
+    );
+    const takeover = peerUpdates.isRelay ? RELAY_TAKEOVER : this.#takeover;
+    return now - since >= takeover;
+  }
+
+  /** Whether others say that the row lists a version which it did not list when it was read. */
+  #isOutdated(now: Instant): boolean {
+    const stored = this.#read?.stored;
+    if (!stored) {
+      return false;
+    }
+    const unlisted = this.#options.versionHistory
+      .recorded(now)
+      .filter(({ service, version }) => !isInUse(stored, service, version))
+      .map(({ service, version }) => useName(service, version));
+    const isOutdated = unlisted.some(name => !this.#lookedUp.has(name));
+    this.#lookedUp = new Set(unlisted);
+    return isOutdated;
+  }
+
+  get #retryPeriod(): Milliseconds {
+    const { fleetReplica, peerUpdates } = this.#options;
+    return fleetReplica.isReader || peerUpdates.isRelay
+      ? RETRY_PERIOD
+      : TAKEOVER_RETRY_PERIOD;
+  }
+
   #run(name: string, call: () => Promise<unknown>): void {
     this.#isBusy = true;
     this.#options.backgroundTasks.run(name, async () => {
@@ -212,7 +269,7 @@
   }
 
   #isDue(now: Instant): boolean {
-    if (this.#isBusy || !this.#options.fleetReplica.isReader) {
+    if (this.#isBusy || !this.#isWriter(now)) {
       return false;
     }
     if (this.#writableFrom) {
@@ -264,11 +321,12 @@
     return page.value;
   }
 
+  /** What the row has to list. Only the reader ends the use of a version, as it knows most. */
   #currentUses(
     { stored, era, clockOffset }: ReadState,
     now: Instant,
   ): StoredUses {
-    const { versionHistory, endpointDirectory } = this.#options;
+    const { versionHistory, endpointDirectory, fleetReplica } = this.#options;
     const present = new Set(
       endpointDirectory
         .all()
@@ -281,9 +339,11 @@
       .map(({ service, version, lastSeenAt }): StoredUse => ({
         service,
         version: version ?? null,
-        until: present.has(useName(service, version))
-          ? IN_USE
-          : lastSeenAt + clockOffset,
+        until:
+          present.has(useName(service, version)) ||
+          (!fleetReplica.isReader && isInUse(stored, service, version))
+            ? IN_USE
+            : lastSeenAt + clockOffset,
       }));
     const isKnown = stored?.era === era;
     const since = (versionHistory.knownSince(now) ?? now) + clockOffset;
@@ -309,6 +369,20 @@
   return stored?.era === era && inUse(stored.uses) === inUse(uses);
 }
 
+/** Whether the row lists a version as in use. */
+function isInUse(
+  stored: StoredUses | undefined,
+  service: ServiceId,
+  version: SoftwareVersion | undefined,
+): boolean {
+  return (stored?.uses ?? []).some(
+    use =>
+      use.service === service &&
+      use.version === (version ?? null) &&
+      use.until === IN_USE,
+  );
+}
+
 function useName(
   service: ServiceId | string,
   version: SoftwareVersion | string | undefined,
--- a/packages/gateway/src/streams/stream-resumption.test.ts
+++ b/packages/gateway/src/streams/stream-resumption.test.ts
@@ -234,6 +234,23 @@
     }
   });
 
+  // Guards against streams of a version that is used unrecorded, as the store rejects its writer alone.
+  it('begins no stream at an unrecorded version while the store answers any router', async () => {
+    await open();
+    router(0).isTurnedAway = true;
+    fleet.addEndpoint('v2');
+    await fleet.pass(4000);
+    const { id } = beginAt('v2', 1);
+    fleet.removeEndpoints('v2', 1);
+    await fleet.pass(100);
+    router(0).isTurnedAway = false;
+    await fleet.restart(all);
+    await fleet.pass(6000);
+    expect((await fleet.resume(router(2), id)).origin?.version).to.not.equal(
+      'v1',
+    );
+  });
+
   // Guards against callers that wait for a store which has fallen silent.
   it('answers soon while the store hangs', async () => {
     await open();
--- a/packages/gateway/src/streams/testing/simulated-router.ts
+++ b/packages/gateway/src/streams/testing/simulated-router.ts
@@ -134,6 +134,8 @@
     };
     this.#storedVersions = new StoredVersions({
       ...shared,
+      peerUpdates: { isRelay: RELAYS.includes(id) },
+      random,
       settings: { router: { first_start: isFirstStart } },
       routerRows: this.#versionRows,
     });
