Record versions that left before the row listed them

Not seen by callers.

Cause: the row counted as right if it lists the versions in use as in use. One that has left is in neither set, so it was never written.

The row is now also written if it does not list a use, or its end more than 1 s too early; after the first read that the store answers again, the writer waits 100 ms instead of the rest of a second.

Red before: "records the end of a use that the row does not list, or lists as ended before" (v2 is not among the uses) and "records versions that have left as soon as the store takes a write again" (expected 'v1' to not equal 'v1'). No existing test is changed.

--- a/packages/gateway/src/streams/stored-versions.test.ts
+++ b/packages/gateway/src/streams/stored-versions.test.ts
@@ -196,6 +196,36 @@
     }
   });
 
+  // Guards against a version that came and left while the store took no write, and of which no row ever tells.
+  it('records the end of a use that the row does not list, or lists as ended before', async () => {
+    for (const listed of [[use('v1')], [use('v1'), use('v2', 990_000)]]) {
+      const {
+        directory,
+        history,
+        pass,
+        put,
+        stored,
+        page,
+        timers,
+        row,
+        calls,
+      } = open(true);
+      directory.replace([entry('s', 'v1')], timers.now());
+      put({ since: 0, uses: listed, era: 0 });
+      stored.onRows(page());
+      await pass(5000);
+      history.record({
+        service: serviceId('s'),
+        version: softwareVersion('v2'),
+        lastSeenAt: timers.now(),
+      });
+      const endedAt = page().storeTime;
+      await pass(5000);
+      expect(row().uses).to.have.deep.members([use('v1'), use('v2', endedAt)]);
+      expect(calls.writes).to.have.length(1);
+    }
+  });
+
   // Guards against a row that lists the end of a version's use while it is in use, as the reader goes by an old copy.
   it('reads the row again when others say that it lists a version, and then writes it', async () => {
     const { directory, history, pass, put, stored, page, timers, row } =
--- a/packages/gateway/src/streams/stored-versions.ts
+++ b/packages/gateway/src/streams/stored-versions.ts
@@ -49,6 +49,8 @@
 const LATEST_TAKEOVER: Milliseconds = milliseconds(2500);
 /** Time between two attempts of a router that is no relay. */
 const TAKEOVER_RETRY_PERIOD: Milliseconds = seconds(16);
+/** How much earlier the row may list the end of a use, as routers learn of it at different times. */
+const END_TOLERANCE: Milliseconds = seconds(1);
 /** Clock value of a version that is still in use. */
 const IN_USE = null;
 
@@ -297,7 +299,10 @@
     }
     // Also after a conflict or a lost response, which may have changed the row.
     this.#read = undefined;
-    await this.#readRow();
+    const isRead = await this.#readRow();
+    if (!read && isRead) {
+      this.#writableFrom = addTime(timers.now(), WRITE_PERIOD);
+    }
   }
 
   /**
@@ -356,8 +361,8 @@
 }
 
 /**
- * Whether the row lists the versions that are in use, apart from the times of others.
- * Unnamed ones count also without endpoints: they stand for streams of other services.
+ * Whether the row lists the versions that are in use, and the others about as long as they
+ * were. Unnamed ones count also without endpoints: they stand for streams of other services.
  */
 function isSame({ stored, era }: ReadState, { uses }: StoredUses): boolean {
   const inUse = (list: readonly StoredUse[]) =>
@@ -366,7 +371,27 @@
       .map(({ service, version }) => useName(service, version ?? undefined))
       .sort()
       .join(' ');
-  return stored?.era === era && inUse(stored.uses) === inUse(uses);
+  return (
+    stored?.era === era &&
+    inUse(stored.uses) === inUse(uses) &&
+    uses.every(use => listsUntil(stored, use))
+  );
+}
+
+/** Whether the row lists a use until its end; a version may have come and left unwritten. */
+function listsUntil(
+  { uses }: StoredUses,
+  { service, version, until }: StoredUse,
+): boolean {
+  const listed = uses.find(
+    use => use.service === service && use.version === version,
+  );
+  return (
+    listed !== undefined &&
+    (listed.until === IN_USE ||
+      until === IN_USE ||
+      until - listed.until <= END_TOLERANCE)
+  );
 }
 
 /** Whether the row lists a version as in use. */
--- a/packages/gateway/src/streams/stream-resumption.test.ts
+++ b/packages/gateway/src/streams/stream-resumption.test.ts
@@ -251,6 +251,24 @@
     );
   });
 
+  // Guards against streams of a version that came and left while the store took no write.
+  it('records versions that have left as soon as the store takes a write again', async () => {
+    await open();
+    fleet.store = 'rejects';
+    fleet.addEndpoint('v2');
+    await fleet.pass(4000);
+    const { id } = beginAt('v2', 1);
+    fleet.removeEndpoints('v2', 1);
+    await fleet.pass(1000);
+    fleet.store = 'answers';
+    await fleet.pass(1500);
+    await fleet.restart(all);
+    await fleet.pass(6000);
+    expect((await fleet.resume(router(2), id)).origin?.version).to.not.equal(
+      'v1',
+    );
+  });
+
   // Guards against callers that wait for a store which has fallen silent.
   it('answers soon while the store hangs', async () => {
     await open();
