Count an attempt whose result is examined among those that may have run

Callers of a stopping router were told that a request did not run while the router still examined how an attempt of it had ended.

Cause: `Attempt.hasEnded` is true from the end of the response, the attempt counts among the possible runs only once its result is settled, and that may take a probe of the endpoint in between. The end of the stop took this time for one without an attempt. Ruled out: an attempt that has not ended (its result says whether bytes were sent), and one that is being followed by another (it is counted, and forgotten here from then on).

--- a/packages/gateway/src/forwarding/forwarder.ts
+++ b/packages/gateway/src/forwarding/forwarder.ts
@@ -409,9 +409,11 @@
       if (attempt && !attempt.hasEnded) {
         const { wasSent } = attempt;
         attempt.abort({ kind: 'stopping', wasSent });
-      } else {
-        this.#giveUpAsStopping(request, relay);
+        return;
       }
+      // The result of an attempt that has ended is being examined, and not counted yet.
+      request.possibleRuns += attempt?.wasSent ? 1 : 0;
+      this.#giveUpAsStopping(request, relay);
     };
     for (;;) {
       const decision = request.crashGuard.decide();
@@ -467,6 +469,7 @@
         startedAt,
       );
       if (step.kind === 'again') {
+        attempt = undefined;
         continue;
       }
       this.#finish(request, relay, step, result);
