Count no request of a caller that has left among those that a stop waits for

A planned stop lasted its whole grace period after a caller had once sent two requests on a connection without waiting for the first response, and had left.

Cause: a stop waits for `openExchangeCount`. An exchange was taken out when its response closed; Node.js closes only the response that has its turn on the connection, so that one that still waited for its turn was counted for ever. It is now taken out when its connection closes, too.

Evidence: packages/gateway/src/callers/pipelined-requests.test.ts, "counts no request of a caller that has left", red without the change (expected 1 to equal +0), green with it; gateway-caller-server.test.ts green.

The other test of the file is red and listed: while the router drains, the second of two such requests is served although the first response has closed the connection.

--- a/packages/gateway/src/callers/gateway-caller-server.ts
+++ b/packages/gateway/src/callers/gateway-caller-server.ts
@@ -141,9 +141,14 @@
       this.#options.timers,
     );
     this.#exchanges.add(exchange);
-    response.once('close', () => {
+    const { socket } = request;
+    const onClose = () => {
+      socket.off('close', onClose);
       this.#exchanges.delete(exchange);
-    });
+    };
+    response.once('close', onClose);
+    // A response that waits for that of an earlier request does not close with its connection.
+    socket.once('close', onClose);
     try {
       await this.#options.forwarder.serve(exchange);
     } catch (error) {
