Read once more before a stop ends after a hold-up of the process

Callers whose requests arrived while a stopping router was held up had their connections closed without an answer.

Cause: the time without a request is measured between polls; a late poll runs before the connections are read, so that the whole hold-up counted. The router now ends only if the poll before found quiet as well: what had arrived is read between the two. At the end of the grace period such requests are refused as not run, as others are. A stop of an idle router takes one poll (50 ms) longer.

--- a/packages/gateway/src/process/shutdown-sequence.ts
+++ b/packages/gateway/src/process/shutdown-sequence.ts
@@ -107,6 +107,7 @@
     const startedAt = this.#startedAt ?? timers.now();
     this.#startedAt = startedAt;
     let quietSince = startedAt;
+    let wasQuiet = false;
     let hasEnded = false;
     return new Promise(resolve => {
       const cancel = timers.every(POLL_PERIOD, now => {
@@ -122,7 +123,7 @@
           elapsed(quietSince, now) >= QUIET_TIME;
         const isAnswered =
           hasEnded && (running() === 0 || sinceStart >= this.#timeToExit);
-        if (isQuiet || isAnswered) {
+        if ((isQuiet && wasQuiet) || isAnswered) {
           cancel();
           resolve();
         } else if (now >= (this.answersBy ?? now)) {
@@ -130,6 +131,8 @@
           hasEnded = true;
           endRunning();
         }
+        // After a late poll, requests that arrived before it are read before the next one.
+        wasQuiet = isQuiet;
       });
     });
   }
