Show which of two pipelined requests gets no response while the router drains

The listed test asked that the second of two requests that come together is not served. It is replaced by two stricter ones: both are served and answered if both came before the response that closes the connection, and none is served that comes while that response is written.

--- a/packages/gateway/src/callers/pipelined-requests.test.ts
+++ b/packages/gateway/src/callers/pipelined-requests.test.ts
@@ -11,6 +11,10 @@
 import { GatewayCallerServer } from './gateway-caller-server';
 
 const POLL_MS = 10;
+/** Time in which the server reads a request. */
+const READ_MS = 100;
+/** More than the system buffers for a caller that does not read. */
+const BODY_BYTES = 32_000_000;
 const HEAD = 'HTTP/1.1\r\nHost: h\r\n\r\n';
 
 describe('GatewayCallerServer with pipelined requests', () => {
@@ -62,15 +66,37 @@
   });
 
   // Guards against a request that runs, and whose caller never gets its response.
-  it('serves no request after one whose response closes the connection', async () => {
+  it('closes a connection that drains with the response to its last request', async () => {
+    let received = '';
+    socket.on('data', data => {
+      received += data.toString('latin1');
+    });
     server.startDraining();
     socket.write(`GET /1 ${HEAD}GET /2 ${HEAD}`);
-    await until(() => served.length > 0);
+    await until(() => served.length === 2);
     for (const exchange of served) {
-      exchange.refuse({ status: 503, headers: [], body: '' });
+      exchange.refuse({ status: 503, headers: [], body: exchange.target });
     }
     await until(() => server.connectionCount === 0);
-    expect(served.map(({ target }) => target)).to.deep.equal(['/1']);
+    expect(received.match(/HTTP\/1\.1 503/gu)).to.have.length(2);
+    expect(received.match(/^connection: close/gmu)).to.have.length(1);
+    expect(received).to.match(/\/2$/u);
+    expect(server.openExchangeCount).to.equal(0);
+  });
+
+  // Guards against the same if the request comes while the response that closes its connection is written.
+  it('serves no request after one whose response closes the connection', async () => {
+    server.startDraining();
+    socket.pause();
+    socket.write(`GET /1 ${HEAD}`);
+    await until(() => served.length === 1);
+    const body = 'x'.repeat(BODY_BYTES);
+    served[0]?.refuse({ status: 503, headers: [], body });
+    socket.write(`GET /2 ${HEAD}`);
+    await new Promise(resolve => setTimeout(resolve, READ_MS));
+    socket.resume();
+    await until(() => server.connectionCount === 0);
+    expect(served).to.have.length(1);
     expect(server.openExchangeCount).to.equal(0);
   });
 });
