Close a draining connection with the response to the last request on it

A caller that sent a second request before the response to the first one got no response to it while the router drained, although an endpoint ran it.

Cause: while the router drains, each response announced the end of the connection, and Node.js closes a connection after such a response, whatever was read behind it. Now only the response to the request that came last on a connection announces the end, and nothing is served that is read while such a response is being written: it cannot be answered. A refusal for the sake of the stop no longer closes by itself, as the draining does.

--- a/packages/gateway/src/callers/caller-exchange.ts
+++ b/packages/gateway/src/callers/caller-exchange.ts
@@ -29,7 +29,9 @@
   #responseFinished = false;
   /** Whether only the end of the connection marks the end of the started response. */
   #isUnframed = false;
+  #closesConnection = false;
 
+  /** `isClosing` tells whether the connection ends with the response that is written now. */
   constructor(
     request: IncomingMessage,
     response: ServerResponse,
@@ -76,6 +78,11 @@
     return this.#disconnected || this.#responseFinished;
   }
 
+  /** Whether the response announces the end of the connection, so that none to a later request follows. */
+  get closesConnection(): boolean {
+    return this.#closesConnection;
+  }
+
   /** Whether the head of a response has been written. */
   get hasResponseStarted(): boolean {
     return this.#responseStarted;
@@ -252,6 +259,7 @@
 
   #withConnectionHeader(headers: string[], closes: boolean): string[] {
     if (closes || this.#isClosing()) {
+      this.#closesConnection = true;
       headers.push('connection', 'close');
     }
     return headers;
--- a/packages/gateway/src/callers/gateway-caller-server.ts
+++ b/packages/gateway/src/callers/gateway-caller-server.ts
@@ -39,6 +39,8 @@
   readonly #sockets = new Set<Socket>();
   /** Exchanges whose response has not ended. */
   readonly #exchanges = new Set<CallerExchange>();
+  /** The exchange that began last on each connection. */
+  readonly #latest = new WeakMap<Socket, CallerExchange>();
   #draining = false;
 
   constructor(options: CallerServerOptions) {
@@ -110,8 +112,8 @@
   }
 
   /**
-   * Sends `Connection: close` with each response from now on, so that callers
-   * reconnect to another router.
+   * Sends `Connection: close` with the response to the last request on each connection
+   * from now on, so that callers reconnect to another router.
    */
   startDraining(): void {
     this.#draining = true;
@@ -134,14 +136,19 @@
     request: ConstructorParameters<typeof CallerExchange>[0],
     response: ConstructorParameters<typeof CallerExchange>[1],
   ): Promise<void> {
-    const exchange = new CallerExchange(
+    const { socket } = request;
+    if (this.#latest.get(socket)?.closesConnection) {
+      // Node.js closes the connection after that response, and would drop the next one.
+      return;
+    }
+    const exchange: CallerExchange = new CallerExchange(
       request,
       response,
-      () => this.#draining,
+      () => this.#draining && this.#latest.get(socket) === exchange,
       this.#options.timers,
     );
+    this.#latest.set(socket, exchange);
     this.#exchanges.add(exchange);
-    const { socket } = request;
     const onClose = () => {
       socket.off('close', onClose);
       this.#exchanges.delete(exchange);
--- a/packages/gateway/src/forwarding/forwarder.ts
+++ b/packages/gateway/src/forwarding/forwarder.ts
@@ -874,12 +874,11 @@
     exchange: CallerExchange,
     head: RequestHead | undefined,
   ): void {
-    this.#refuse(
-      exchange,
-      head,
-      { kind: 'not-run', cause: 'stopping', retryAfter: MIN_RETRY_AFTER },
-      true,
-    );
+    this.#refuse(exchange, head, {
+      kind: 'not-run',
+      cause: 'stopping',
+      retryAfter: MIN_RETRY_AFTER,
+    });
   }
 
   #giveUp(
