Count no read as evidence that is older than what is known

Not seen by callers. In the model a stream of v2 went on at v1 at a router without peers whose reads of the store were answered from a copy 2 s behind, at a position before one that it already knew.

Cause: a read counted because it was answered, and a relay's report because it was complete, whatever their positions. Ruled out: the router's own copy, which was current when its peers went.

A read or a report now has to reach the latest position that was known when it began. A relay reports nothing after a read that is behind.

"lets the late answer of a frozen relay count for no later request" was green before as well. An answer that is behind, but not behind what the router knows, cannot be told apart; clock steps were not tested. No existing test is changed.

--- a/packages/core/src/software-versions/version-history.ts
+++ b/packages/core/src/software-versions/version-history.ts
@@ -146,6 +146,11 @@
     );
   }
 
+  /** Latest position up to which others told all uses. */
+  get toldUpTo(): FeedPosition | undefined {
+    return this.#toldUpTo;
+  }
+
   /** Whether versions may have come and left unseen within the lifetime of a stream. */
   get hasMissed(): boolean {
     return this.#missedBefore !== undefined;
--- a/packages/core/src/software-versions/version-report.ts
+++ b/packages/core/src/software-versions/version-report.ts
@@ -67,15 +67,20 @@
   };
 }
 
-/**
- * Records what a peer reports. Returns whether it has seen every version; undefined if the
- * message is no report.
- */
+/** How much a peer knows that reported its versions. */
+export interface ReportedHistory {
+  /** Whether it knows every version within the lifetime of a stream. */
+  readonly isComplete: boolean;
+  /** Position up to which it has seen every change of the endpoints. */
+  readonly seenUpTo: FeedPosition;
+}
+
+/** Records what a peer reports; returns undefined if the message is no report. */
 export function applyVersionReport(
   message: unknown,
   history: VersionHistory,
   now: Instant,
-): boolean | undefined {
+): ReportedHistory | undefined {
   const parsed = reportSchema.safeParse(message);
   if (!parsed.success) {
     return undefined;
@@ -84,8 +89,9 @@
   for (const use of uses) {
     recordUse(history, use, now);
   }
+  const seenUpTo = { era: storeEra(era), revision: revision(upTo) };
   if (isComplete) {
-    history.markComplete({ era: storeEra(era), revision: revision(upTo) });
+    history.markComplete(seenUpTo);
   }
-  return isComplete;
+  return { isComplete, seenUpTo };
 }
--- a/packages/gateway/src/store/endpoint-confirmation.ts
+++ b/packages/gateway/src/store/endpoint-confirmation.ts
@@ -2,7 +2,8 @@
  * Makes sure that this router knows every endpoint which another one may already use,
  * by a read of the store that begins after the call: its own, or one of a relay that it
  * asks. A connection to a peer proves nothing, as a silent peer counts as connected for
- * a while and its messages may be late.
+ * a while and its messages may be late. Nor does a read that shows an earlier position
+ * than was known when it began, as of a copy of the store that is behind.
  */
 import type { EndpointDirectory } from '@sesamegrade/core/endpoints/endpoint-directory';
 import type { FeedTable } from '@sesamegrade/core/peers/feed-updates';
@@ -13,6 +14,8 @@
 import type { VersionReport } from '@sesamegrade/core/software-versions/version-report';
 import type { VersionHistory } from '@sesamegrade/core/software-versions/version-history';
 import type { FeedCoverage } from '@sesamegrade/core/store/feed-coverage';
+import { comparePositions } from '@sesamegrade/core/store/feed-position';
+import type { FeedPosition } from '@sesamegrade/core/store/feed-position';
 import type { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
 import { withTimeout } from '@sesamegrade/core/time/with-timeout';
@@ -114,13 +117,25 @@
 
   async #ask(relay: RouterId): Promise<EndpointEvidence | undefined> {
     const { peerMesh, versionHistory, timers } = this.#options;
+    const known = this.#knownUpTo();
     const answer = await peerMesh.requestVersions(relay);
+    const report = applyVersionReport(answer, versionHistory, timers.now());
     // A relay that has missed versions knows nothing of those that this router has missed.
-    return applyVersionReport(answer, versionHistory, timers.now())
+    return report?.isComplete && reaches(report.seenUpTo, known)
       ? 'peer'
       : undefined;
   }
 
+  /** The latest position of the store that this router knows of. */
+  #knownUpTo(): FeedPosition | undefined {
+    const { coverage, versionHistory } = this.#options;
+    const { position } = coverage.endpoints;
+    const { toldUpTo } = versionHistory;
+    return position && toldUpTo && reaches(toldUpTo, position)
+      ? toldUpTo
+      : (position ?? toldUpTo);
+  }
+
   async #read(): Promise<boolean> {
     const {
       endpointFeed,
@@ -134,6 +149,7 @@
     if (after === undefined || !fleetReplica.isHealthy) {
       return false;
     }
+    const known = this.#knownUpTo();
     const sentAt = timers.now();
     const changes = await endpointFeed.readChanges(after.revision, NO_WAIT);
     // The store may have been restored while the response was under way.
@@ -141,12 +157,23 @@
     if (!changes.ok || !isCurrent || changes.value.position.era !== after.era) {
       return false;
     }
+    if (!reaches(changes.value.position, known)) {
+      return false;
+    }
     fleetReplica.applyEndpointChanges(changes.value, sentAt);
     versionHistory.observe(endpointDirectory.all(), timers.now());
     return true;
   }
 }
 
+/** Whether a position is no earlier than a known one. */
+function reaches(
+  position: FeedPosition,
+  known: FeedPosition | undefined,
+): boolean {
+  return known === undefined || comparePositions(position, known) >= 0;
+}
+
 /** Resolves with the first value that is defined; undefined if there is none. */
 async function firstDefined<Value>(
   promises: readonly Promise<Value | undefined>[],
--- a/packages/gateway/src/streams/history-completion.ts
+++ b/packages/gateway/src/streams/history-completion.ts
@@ -92,6 +92,6 @@
       timers,
       ANSWER_TIMEOUT,
     );
-    return applyVersionReport(answer, versionHistory, timers.now());
+    return applyVersionReport(answer, versionHistory, timers.now())?.isComplete;
   }
 }
--- a/packages/gateway/src/streams/stream-resumption.test.ts
+++ b/packages/gateway/src/streams/stream-resumption.test.ts
@@ -297,6 +297,20 @@
     );
   });
 
+  // Guards against a store that answers one router from a copy that is behind.
+  it('takes no read for evidence that is older than what the router knows', async () => {
+    await open();
+    fleet.addEndpoint('v1');
+    await fleet.pass(500);
+    router(3).apartUntil = fleet.now + 2000;
+    fleet.addEndpoint('v2');
+    await fleet.pass(1000);
+    const { id } = beginAt('v2', 2);
+    router(3).storeLag = 2000;
+    const { origin } = await fleet.resume(router(3), id);
+    expect(origin?.version).to.not.equal('v1');
+  });
+
   it('believes no relay that the store does not answer', async () => {
     await open();
     fleet.store = 'rejects';
--- a/packages/gateway/src/streams/testing/simulated-router.ts
+++ b/packages/gateway/src/streams/testing/simulated-router.ts
@@ -87,6 +87,8 @@
   cutAt: number | undefined;
   /** Until when its connections to peers are not back. */
   apartUntil = 0;
+  /** Time by which the store's answers to its reads of the endpoints are behind. */
+  storeLag = 0;
   /** Whether the store rejects its calls while its peers are reachable. */
   isTurnedAway = false;
   isFrozen = false;
@@ -253,13 +255,14 @@
 
   #page(after: Revision): FeedPage {
     const { store, clock } = this.#options;
+    const at = clock() - this.storeLag;
     return {
-      rows: store.endpoints.changes(after, clock()).map(({ id, revision }) => ({
+      rows: store.endpoints.changes(after, at).map(({ id, revision }) => ({
         key: id,
         value: undefined,
         revision,
       })),
-      position: store.endpoints.position(clock()),
+      position: store.endpoints.position(at),
     };
   }
 
