Take back the origin of a stream whose endpoint had restarted with another version

A stream whose events a restarted process of v2 had sent, under the id and at the address of the one of v1, went on at v1 when it was resumed: at the router that had relayed it, and at one that was told of it.

Cause: the version is that of the entry, which may be late. It was checked again at the end of an attempt, not after it, and what others were told was never taken back.

Ruled out: a request without the instance.

Change: a router remembers which endpoint began each of its streams, and forgets those of an endpoint that is listed with another version. Those that others were told of are told (topic j) and stored (field revoked) as revoked; a revocation outweighs any late message or row. Older builds ignore both.

No existing test was changed.

Conclusion: until the new entry has reached the router, the streams still count as v1.

--- a/packages/core/src/peers/stream-updates.ts
+++ b/packages/core/src/peers/stream-updates.ts
@@ -37,6 +37,8 @@
   origins: 'q',
   /** Origins without their service, which older builds send; not sent any more. */
   versions: 'b',
+  /** Keys of streams whose version is no longer certain. */
+  revoked: 'j',
   versionUses: 'h',
   recorded: 'i',
 } as const;
@@ -85,12 +87,16 @@
   }
 
   originsMessage(origins: readonly StreamOrigin[]): TopicEntries {
+    const isRevoked = ({ version }: StreamSource) => version === undefined;
+    const revoked = origins.filter(isRevoked).map(({ key }) => key);
+    const known = origins.filter(origin => !isRevoked(origin));
     return {
-      [StreamTopic.origins]: groupBySource(origins).map(({ source, keys }) => [
+      [StreamTopic.origins]: groupBySource(known).map(({ source, keys }) => [
         source.service,
         source.version,
         keys,
       ]),
+      ...(revoked.length > 0 ? { [StreamTopic.revoked]: revoked } : {}),
     };
   }
 
@@ -171,7 +177,10 @@
         ([key, version]) => {
           add([key], { service: undefined, version: softwareVersion(version) });
         },
-      );
+      ) +
+      forEachValidEntry(topics[StreamTopic.revoked], nameSchema, key => {
+        add([key], { service: undefined, version: undefined });
+      });
     if (origins.length > 0) {
       this.#originListener(origins);
     }
--- a/packages/core/src/software-versions/stream-origins.test.ts
+++ b/packages/core/src/software-versions/stream-origins.test.ts
@@ -1,7 +1,12 @@
 import { expect } from 'chai';
 
 import type { ServiceId } from '../types/ids';
-import { requestId, serviceId, softwareVersion } from '../types/ids';
+import {
+  endpointId,
+  requestId,
+  serviceId,
+  softwareVersion,
+} from '../types/ids';
 import { instant, seconds } from '../types/units';
 import { keyOfStream, StreamOrigins } from './stream-origins';
 import { VersionHistory } from './version-history';
@@ -68,6 +73,30 @@
     expect(origins.takeUntold(MAX, instant(0))).to.have.length(1);
   });
 
+  // Guards against a late row or message that brings back a version which was revoked.
+  it('tells of a stream whose endpoint turns out to have another version, for good', () => {
+    record('v2', 0);
+    const endpoint = endpointId('e');
+    origins.begin(requestId('a'), service, v1, instant(0), endpoint);
+    const [told] = origins.takeUntold(MAX, instant(0));
+    origins.onRestarted(endpoint, softwareVersion('v2'));
+    const key = keyOfStream(requestId('a'));
+    expect(origins.takeRevoked(MAX)).to.deep.equal([
+      { key, service: undefined, version: undefined },
+    ]);
+    origins.add([key], told!, instant(100));
+    expect(origins.sourceOf(key)?.version).to.equal(undefined);
+  });
+
+  it('keeps the streams of an endpoint that restarts with its version, and of others', () => {
+    const endpoint = endpointId('e');
+    origins.begin(requestId('a'), service, v1, instant(0), endpoint);
+    origins.begin(requestId('b'), service, v1, instant(0), endpointId('f'));
+    origins.onRestarted(endpoint, v1);
+    origins.onRestarted(endpointId('g'), softwareVersion('v2'));
+    expect(origins.size).to.equal(2);
+  });
+
   it('forgets streams that can no longer be resumed', () => {
     for (let at = 0; at <= 200_000; at += 100) {
       origins.begin(requestId(`own-${at}`), service, v1, instant(at));
--- a/packages/core/src/software-versions/stream-origins.ts
+++ b/packages/core/src/software-versions/stream-origins.ts
@@ -8,6 +8,7 @@
 import type { RouteHistory } from '../routes/route-history';
 import { streamKey } from '../types/ids';
 import type {
+  EndpointId,
   RequestId,
   ServiceId,
   SoftwareVersion,
@@ -21,14 +22,19 @@
 const SECOND_SEED = 1;
 /** Streams of one router that are remembered; each begins several a second. */
 const MAX_OWN_STREAMS = 16_384;
+/** Revocations that wait to be told; the oldest are dropped beyond. */
+const MAX_REVOKED = 16_384;
 
 /** Where a stream began. */
 export interface StreamSource {
   /** Undefined if a router of an older build told of the stream. */
   readonly service: ServiceId | undefined;
-  readonly version: SoftwareVersion;
+  /** Undefined if another version than the recorded one may have sent its events. */
+  readonly version: SoftwareVersion | undefined;
 }
 
+const REVOKED: StreamSource = { service: undefined, version: undefined };
+
 export interface StreamOrigin extends StreamSource {
   readonly key: StreamKey;
 }
@@ -37,8 +43,12 @@
   readonly key: StreamKey;
   readonly service: ServiceId;
   readonly version: SoftwareVersion;
+  /** The endpoint that sent the first event. */
+  readonly endpoint: EndpointId | undefined;
   readonly beganAt: Instant;
   isTold: boolean;
+  /** Whether any router was told of it, also one that is gone. */
+  wasEverTold: boolean;
 }
 
 /** Returns the key of the stream that a request began: 64 bits of a hash. */
@@ -52,6 +62,8 @@
   readonly #versionHistory: VersionHistory;
   readonly #routeHistory: Pick<RouteHistory, 'isShared'>;
   readonly #own = new Map<StreamKey, OwnStream>();
+  /** Streams that were told and whose version is no longer certain. */
+  readonly #revoked: StreamKey[] = [];
   /** Origins that others told of, in two generations of which the older one is dropped. */
   #recent = new Map<StreamKey, StreamSource>();
   #older = new Map<StreamKey, StreamSource>();
@@ -76,10 +88,19 @@
     service: ServiceId,
     version: SoftwareVersion,
     now: Instant,
+    endpoint?: EndpointId,
   ): void {
     const key = keyOfStream(request);
     this.#own.delete(key);
-    this.#own.set(key, { key, version, service, beganAt: now, isTold: false });
+    this.#own.set(key, {
+      key,
+      version,
+      service,
+      endpoint,
+      beganAt: now,
+      isTold: false,
+      wasEverTold: false,
+    });
     const { lifetime } = this.#versionHistory;
     for (const [oldest, { beganAt }] of this.#own) {
       const isExpired = elapsed(beganAt, now) > lifetime;
@@ -92,7 +113,22 @@
 
   /** Forgets where a stream of this router began, as that is no longer certain. */
   forget(request: RequestId): void {
-    this.#own.delete(keyOfStream(request));
+    this.#revoke(keyOfStream(request));
+  }
+
+  /**
+   * Forgets the streams that an endpoint began before it restarted with another version:
+   * its entry is late, so that the new process may have sent their events.
+   */
+  onRestarted(
+    endpoint: EndpointId,
+    version: SoftwareVersion | undefined,
+  ): void {
+    for (const stream of [...this.#own.values()]) {
+      if (stream.endpoint === endpoint && stream.version !== version) {
+        this.#revoke(stream.key);
+      }
+    }
   }
 
   /** Records the origins of streams that another router relayed. */
@@ -104,8 +140,11 @@
       this.#rotatedAt = now;
     }
     for (const key of keys) {
-      const known = this.#recent.get(key);
-      if (known?.service === undefined || source.service !== undefined) {
+      const known = this.#recent.get(key) ?? this.#older.get(key);
+      const isRevoked = known !== undefined && known.version === undefined;
+      const isFuller =
+        known?.service === undefined || source.service !== undefined;
+      if (source.version === undefined || (!isRevoked && isFuller)) {
         this.#recent.set(key, source);
       }
     }
@@ -115,6 +154,11 @@
     return this.#own.get(key) ?? this.#recent.get(key) ?? this.#older.get(key);
   }
 
+  /** Returns and clears the streams that were told and whose version is no longer certain. */
+  takeRevoked(max: number): StreamOrigin[] {
+    return this.#revoked.splice(0, max).map(key => ({ key, ...REVOKED }));
+  }
+
   /** Whether others may need the origins of the service's streams. */
   areNeeded(service: ServiceId, now: Instant): boolean {
     return (
@@ -139,6 +183,7 @@
       needed.set(service, isNeeded);
       if (isNeeded) {
         stream.isTold = true;
+        stream.wasEverTold = true;
         untold.push({ key, service, version });
       }
     }
@@ -151,6 +196,18 @@
       stream.isTold = false;
     }
   }
+
+  /** Others keep what they were told, so that they are told of the revocation as well. */
+  #revoke(key: StreamKey): void {
+    const known = this.#own.get(key);
+    this.#own.delete(key);
+    if (known?.wasEverTold) {
+      this.#revoked.push(key);
+      this.#revoked.splice(0, this.#revoked.length - MAX_REVOKED);
+      // The stored origins tell this router of its own streams as well.
+      this.#recent.set(key, REVOKED);
+    }
+  }
 }
 
 /** Groups keys of streams by their origins. */
--- a/packages/gateway/src/forwarding/forwarder.ts
+++ b/packages/gateway/src/forwarding/forwarder.ts
@@ -467,7 +467,7 @@
     const { streamResumption } = this.#options;
     binding.bind(this.#versionOf(entry));
     for (const id of namesOfStream(head)) {
-      streamResumption.recordBegin(id, service, binding.version);
+      streamResumption.recordBegin(id, service, binding.version, entry.id);
     }
   }
 
--- a/packages/gateway/src/process/gateway-process.ts
+++ b/packages/gateway/src/process/gateway-process.ts
@@ -328,6 +328,10 @@
     }
     for (const event of events) {
       log.write('endpoint', { ...event });
+      if (event.kind === 'joined' || event.kind === 'restarted') {
+        const { id, softwareVersion } = event.entry;
+        this.#options.streamOrigins.onRestarted(id, softwareVersion);
+      }
       if (event.kind === 'leaving' || event.kind === 'gone') {
         this.#announceDeparture(event);
       }
--- a/packages/gateway/src/streams/stream-ledger.ts
+++ b/packages/gateway/src/streams/stream-ledger.ts
@@ -65,6 +65,8 @@
       }),
     )
     .optional(),
+  /** Keys of streams whose version is no longer certain; older builds have none. */
+  revoked: z.array(nameSchema).optional(),
 });
 
 type OriginsRow = z.output<typeof rowSchema>;
@@ -90,6 +92,7 @@
 export class StreamLedger {
   readonly #options: StreamLedgerOptions;
   readonly #unwritten: StreamOrigin[] = [];
+  readonly #unsentRevocations: StreamOrigin[] = [];
   #row: OpenRow | undefined;
   #lastNumber: number | undefined;
   #hasTimer = false;
@@ -160,13 +163,20 @@
       this.#writer = writer;
       streamOrigins.tellAgain();
     }
-    const untold = streamOrigins.takeUntold(MAX_SENT, now);
+    const untold = [
+      ...streamOrigins.takeUntold(MAX_SENT, now),
+      ...this.#unsentRevocations.splice(0),
+      ...streamOrigins.takeRevoked(MAX_SENT),
+    ];
     if (fleetReplica.isReader) {
       this.#unwritten.push(...untold);
     } else {
       this.#unwritten.length = 0;
       if (untold.length > 0 && !this.#send(untold)) {
         streamOrigins.tellAgain();
+        this.#unsentRevocations.push(
+          ...untold.filter(({ version }) => version === undefined),
+        );
       }
     }
     this.#unwritten.splice(0, this.#unwritten.length - MAX_UNWRITTEN);
@@ -278,9 +288,18 @@
 }
 
 function rowDocument({ number, origins }: OpenRow): OriginsRow {
-  const row: Required<OriginsRow> = { number, streams: {}, origins: [] };
+  const revoked = origins.filter(({ version }) => version === undefined);
+  const row: OriginsRow & { origins: object[] } = {
+    number,
+    streams: {},
+    origins: [],
+    ...(revoked.length > 0 ? { revoked: revoked.map(({ key }) => key) } : {}),
+  };
   for (const { source, keys } of groupBySource(origins)) {
     const { service, version } = source;
+    if (version === undefined) {
+      continue;
+    }
     if (service === undefined) {
       row.streams[version] = keys;
     } else {
@@ -290,7 +309,7 @@
   return row;
 }
 
-function sourcesIn({ streams, origins = [] }: OriginsRow): {
+function sourcesIn({ streams, origins = [], revoked = [] }: OriginsRow): {
   readonly source: StreamSource;
   readonly keys: readonly string[];
 }[] {
@@ -306,5 +325,6 @@
       },
       keys,
     })),
+    { source: { service: undefined, version: undefined }, keys: revoked },
   ];
 }
--- a/packages/gateway/src/streams/stream-resumption.ts
+++ b/packages/gateway/src/streams/stream-resumption.ts
@@ -17,6 +17,7 @@
 import { milliseconds } from '@sesamegrade/core/types/units';
 import type { Milliseconds } from '@sesamegrade/core/types/units';
 import type {
+  EndpointId,
   RequestId,
   ServiceId,
   SoftwareVersion,
@@ -81,10 +82,11 @@
     request: RequestId,
     service: ServiceId,
     version: SoftwareVersion | undefined,
+    endpoint?: EndpointId,
   ): void {
     if (version !== undefined) {
       const { streamOrigins, streamLedger, timers } = this.#options;
-      streamOrigins.begin(request, service, version, timers.now());
+      streamOrigins.begin(request, service, version, timers.now(), endpoint);
       streamLedger.onBegun(service);
     }
   }
@@ -160,7 +162,7 @@
   source: StreamSource | undefined,
   { only, areSeveral }: StreamServices,
 ): KnownOrigin | undefined {
-  if (!source) {
+  if (source?.version === undefined) {
     return undefined;
   }
   const service = source.service ?? (areSeveral ? undefined : only);
