Count restarts that were not watched as missed changes of the endpoints

What callers saw: nothing yet; shown by the model. While a router is cut off for 3 s, an endpoint restarts under its id with v2, a stream begins there, and it restarts with v1. The router reads one change, with v1, and resumed the stream at v1.

Cause: the feed shows the last change of a row. Removals of rows that were never seen, and lists, counted as missed changes; a restart did not, though the row may have named another version between.

Ruled out: to go by the revisions of the rows, which rise with each transaction of the store and with each heartbeat, so that they do not count the restarts. Joins after a gap are left out: after each outage of the store entries are back, and every router would have to complete its history.

Change: a restart that is read more than 2 s after the last confirmation of the table counts as missed changes. The history is then incomplete until a relay that saw them tells it. In touch a confirmation is at most 1.3 s old.

The test of the replica is new with the fix. No existing test was changed; the model can start an endpoint again under its id.

Conclusion: two restarts within 2 s, and those of an endpoint that is new to the router, still show only the last version.

--- a/packages/core/src/endpoints/endpoint-replica.test.ts
+++ b/packages/core/src/endpoints/endpoint-replica.test.ts
@@ -62,6 +62,33 @@
     expect(directory.hasLapsed(endpointId('b'))).to.equal(false);
   });
 
+  // Guards against restarts of which the row shows only the last one.
+  it('reports a restart as missed changes only if the table was not watched meanwhile', () => {
+    const { replica, coverage } = open();
+    const missed: unknown[] = [];
+    replica.onMissedChanges(before => {
+      missed.push(before);
+    });
+    const started = (version: number, startedAt: number): EndpointRow => {
+      const { entry, ...rest } = row('a', version, 8);
+      return { ...rest, entry: entry && { ...entry, startedAt } };
+    };
+    const confirm = (version: number, time: number) => {
+      coverage.record({
+        origin: routerId('r'),
+        position: at(version),
+        confirmedAt: instant(time),
+      });
+    };
+    replica.applyList([started(1, 100)], at(1), now);
+    confirm(1, 0);
+    replica.applyChange(started(2, 200), instant(1900));
+    expect(missed).to.deep.equal([]);
+    confirm(2, 1900);
+    replica.applyChange(started(3, 300), instant(4000));
+    expect(missed).to.deep.equal([at(3)]);
+  });
+
   // Guards against endpoints that came and left unseen, of which a list shows nothing.
   it('reports changes that it missed, and none that it saw', () => {
     const { replica, coverage } = open();
--- a/packages/core/src/endpoints/endpoint-replica.ts
+++ b/packages/core/src/endpoints/endpoint-replica.ts
@@ -10,7 +10,8 @@
 import type { FeedPosition, Revision, StoreEra } from '../store/feed-position';
 import { RowVersions } from '../store/row-versions';
 import type { EndpointId } from '../types/ids';
-import type { Instant } from '../types/units';
+import { elapsed, seconds } from '../types/units';
+import type { Instant, Milliseconds } from '../types/units';
 import type { DirectoryEvent, EndpointDirectory } from './endpoint-directory';
 import type { EndpointEntry } from './endpoint-entry';
 
@@ -27,6 +28,8 @@
 
 /** Rows without an endpoint that are remembered. */
 const MAX_FOREIGN = 1024;
+/** Time without a confirmation after which an endpoint may have restarted more than once. */
+const MAX_UNWATCHED_TIME: Milliseconds = seconds(2);
 
 /** A row with the era of the store that it belongs to. */
 interface EarlyRow {
@@ -205,6 +208,13 @@
     const isForeign = this.#isForeign(row);
     const { latest } = this.#coverage;
     const events = this.#directory.apply(row, now, latest?.confirmedAt);
+    const isUnwatched =
+      latest !== undefined &&
+      elapsed(latest.confirmedAt, now) > MAX_UNWATCHED_TIME;
+    if (isUnwatched && events.some(({ kind }) => kind === 'restarted')) {
+      // The row shows only the last of its restarts, each of which may have had a version of its own.
+      this.#missedListener({ era: this.#era, revision: row.revision });
+    }
     this.#listener?.(events);
     return !isForeign;
   }
--- a/packages/gateway/src/streams/stream-resumption.test.ts
+++ b/packages/gateway/src/streams/stream-resumption.test.ts
@@ -128,6 +128,21 @@
     );
   });
 
+  // Guards against a version that an endpoint had between two restarts, of which its row shows only the second.
+  it('refuses after a cut in which an endpoint was restarted twice', async () => {
+    await open();
+    fleet.cut(3);
+    fleet.startEndpoint(1, 'v2');
+    await fleet.pass(1000);
+    const { id } = beginAt('v2');
+    fleet.startEndpoint(1, 'v1');
+    await fleet.pass(2000);
+    fleet.heal(3);
+    expect((await fleet.resume(router(3), id)).origin?.version).to.not.equal(
+      'v1',
+    );
+  });
+
   // Guards against the word of a relay that has itself missed a version.
   it('believes no relay that has missed changes of the endpoints', async () => {
     await open();
--- a/packages/gateway/src/streams/testing/simulated-fleet.ts
+++ b/packages/gateway/src/streams/testing/simulated-fleet.ts
@@ -60,10 +60,15 @@
 
   addEndpoint(version: string): void {
     this.#endpointCount += 1;
+    this.startEndpoint(this.#endpointCount, version);
+  }
+
+  /** Starts an endpoint, or starts it again under the id that it had. */
+  startEndpoint(number: number, version: string): void {
     const entry: EndpointEntry = {
-      id: endpointId(`e-${this.#endpointCount}`),
+      id: endpointId(`e-${number}`),
       service,
-      address: { host: '10.0.0.1', port: this.#endpointCount },
+      address: { host: '10.0.0.1', port: number },
       zone: zoneId('z'),
       slots: 8,
       leaving: false,
