Confirm the configuration with the endpoints before a stream is resumed

What callers saw: nothing yet; shown by a test. A configuration moves a route from one service to another. A router that has not heard of it is asked to resume a stream that began at the new service, and resumed it at the old one: "id: 2, data: of registry".

Cause: the read that must follow the request covered the endpoints; the service was that of the routes in force, which may be up to 12 s old.

Ruled out: to see from the read of the endpoints whether the configuration changed. Its position is that of the whole store and rises with each heartbeat, so that it nearly always says "maybe".

Change: the confirming read reads both tables at once, and the services are looked up again after it. Streams of 5 ms share both reads: one store call more for them. A relay names its configuration in its report, and is believed only if that one is in force here. Reports of older builds name none and are not believed: during an upgrade, a router that the store does not answer refuses streams of unknown origin.

In the tests' harnesses two constructors got the new option and originOf takes a function; no expectation was changed.

--- a/packages/gateway/src/composition/gateway-container.ts
+++ b/packages/gateway/src/composition/gateway-container.ts
@@ -71,6 +71,7 @@
 import { SettingsReloader } from '../process/settings-reloader';
 import { ShutdownSequence } from '../process/shutdown-sequence';
 import type { DeploymentCodec } from '../store/deployment-codec';
+import { ConfigurationConfirmation } from '../store/configuration-confirmation';
 import { EndpointConfirmation } from '../store/endpoint-confirmation';
 import type { FeedSource } from '../store/feed-source';
 import { FleetReplica } from '../store/fleet-replica';
@@ -130,6 +131,7 @@
   readonly streamUpdates: StreamUpdates;
   readonly streamLedger: StreamLedger;
   readonly streamResumption: StreamResumption;
+  readonly configurationConfirmation: ConfigurationConfirmation;
   readonly endpointConfirmation: EndpointConfirmation;
   readonly chooser: EndpointChooser;
   readonly directDialer: EndpointDialer;
@@ -243,6 +245,7 @@
     ).singleton(),
     streamLedger: asClass(StreamLedger).singleton(),
     streamResumption: asClass(StreamResumption).singleton(),
+    configurationConfirmation: asClass(ConfigurationConfirmation).singleton(),
     endpointConfirmation: asClass(EndpointConfirmation).singleton(),
     chooser: asFunction(newChooser).singleton(),
     directDialer: asFunction(() => new DirectDialer()).singleton(),
--- a/packages/gateway/src/forwarding/forwarder.ts
+++ b/packages/gateway/src/forwarding/forwarder.ts
@@ -440,8 +440,10 @@
   ): Promise<RouteTarget | undefined> {
     const { streamResumption, routeHistory, timers, log } = this.#options;
     const begin = timers.now();
-    const services = routeHistory.servicesOf(head, head.begunBy, begin);
-    const finding = await streamResumption.originOf(services, head.begunBy);
+    const finding = await streamResumption.originOf(
+      () => routeHistory.servicesOf(head, head.begunBy, timers.now()),
+      head.begunBy,
+    );
     log.write('stream-resumed', {
       request: head.requestId,
       begunBy: head.begunBy,
--- a/packages/gateway/src/store/endpoint-confirmation.test.ts
+++ b/packages/gateway/src/store/endpoint-confirmation.test.ts
@@ -48,6 +48,11 @@
         },
       },
       endpointDirectory: new EndpointDirectory(),
+      configurationConfirmation: {
+        read: () => Promise.resolve(true),
+        statement: () => undefined,
+        isAsNewAs: () => true,
+      },
       versionHistory: new VersionHistory(() => seconds(30)),
       peerMesh: {
         relays: [],
--- a/packages/gateway/src/store/endpoint-confirmation.ts
+++ b/packages/gateway/src/store/endpoint-confirmation.ts
@@ -1,6 +1,6 @@
 /**
- * Makes sure that this router knows every endpoint which another one may already use,
- * by a read of the store that begins after the call: its own, or one of a relay that it
+ * Makes sure that this router knows every endpoint which another one may already use, and
+ * the configuration by which it may use it, by a read of the store that begins after the call: its own, or one of a relay that it
  * asks. A connection to a peer proves nothing, as a silent peer counts as connected for
  * a while and its messages may be late.
  */
@@ -22,6 +22,7 @@
 import type { Milliseconds } from '@sesamegrade/core/types/units';
 import type { GatewaySettings } from '@sesamegrade/settings/gateway-schema';
 import type { PeerMesh } from '../peers/peer-mesh';
+import type { ConfigurationConfirmation } from './configuration-confirmation';
 import type { FeedSource } from './feed-source';
 import type { FleetReplica } from './fleet-replica';
 import { SharedCall } from './shared-call';
@@ -50,6 +51,10 @@
     'isHealthy' | 'applyEndpointChanges'
   >;
   readonly endpointDirectory: Pick<EndpointDirectory, 'all'>;
+  readonly configurationConfirmation: Pick<
+    ConfigurationConfirmation,
+    'read' | 'statement' | 'isAsNewAs'
+  >;
   readonly versionHistory: VersionHistory;
   readonly peerMesh: Pick<PeerMesh, 'relays' | 'requestVersions'>;
   readonly timers: TimerService;
@@ -87,11 +92,15 @@
 
   /** What this router knows after a read of the store, for a peer; undefined if the store does not answer. */
   async report(): Promise<VersionReport | undefined> {
-    const { versionHistory, coverage, timers } = this.#options;
+    const { versionHistory, coverage, configurationConfirmation, timers } =
+      this.#options;
     const isRead = await this.#ownRead.run();
     const { position } = coverage.endpoints;
     return isRead && position
-      ? versionReport(versionHistory, position, timers.now())
+      ? {
+          ...versionReport(versionHistory, position, timers.now()),
+          ...configurationConfirmation.statement(),
+        }
       : undefined;
   }
 
@@ -113,15 +122,25 @@
   }
 
   async #ask(relay: RouterId): Promise<EndpointEvidence | undefined> {
-    const { peerMesh, versionHistory, timers } = this.#options;
+    const { peerMesh, versionHistory, configurationConfirmation, timers } =
+      this.#options;
     const answer = await peerMesh.requestVersions(relay);
     // A relay that has missed versions knows nothing of those that this router has missed.
-    return applyVersionReport(answer, versionHistory, timers.now())
+    const isComplete = applyVersionReport(answer, versionHistory, timers.now());
+    return isComplete && configurationConfirmation.isAsNewAs(answer)
       ? 'peer'
       : undefined;
   }
 
   async #read(): Promise<boolean> {
+    const areRead = await Promise.all([
+      this.#readEndpoints(),
+      this.#options.configurationConfirmation.read(),
+    ]);
+    return areRead.every(Boolean);
+  }
+
+  async #readEndpoints(): Promise<boolean> {
     const {
       endpointFeed,
       coverage,
--- a/packages/gateway/src/store/fleet-replica.ts
+++ b/packages/gateway/src/store/fleet-replica.ts
@@ -106,10 +106,10 @@
       bound: settings.bounds.configuration_ms,
       listener: {
         onList: (page, madeAt) => {
-          this.#onConfigurationRows(page, madeAt);
+          this.applyConfigurationChanges(page, madeAt);
         },
         onChanges: (page, madeAt) => {
-          this.#onConfigurationRows(page, madeAt);
+          this.applyConfigurationChanges(page, madeAt);
         },
         onRecovered: () => {
           this.#endpointReader.readNow();
@@ -278,22 +278,11 @@
     this.#readListener();
   }
 
-  #decodeConfiguration(
-    raw: Uint8Array,
-    origin: ConfigurationOrigin,
-  ): FleetConfiguration | undefined {
-    const decoded = this.#options.codec.decodeConfiguration(raw);
-    if (!decoded.ok) {
-      this.#options.log.write('configuration-unreadable', {
-        origin,
-        failure: decoded.failure,
-      });
-      return undefined;
-    }
-    return decoded.value;
-  }
-
-  #onConfigurationRows({ rows, position }: FeedPage, madeAt: Instant): void {
+  /** Puts the configuration in force that was read from the store, if it is a newer one. */
+  applyConfigurationChanges(
+    { rows, position }: FeedPage,
+    madeAt: Instant,
+  ): void {
     const { codec, feedUpdates } = this.#options;
     const isRestored = position.era > this.#era && this.#raw !== undefined;
     this.#era = position.era;
@@ -310,6 +299,21 @@
     }
   }
 
+  #decodeConfiguration(
+    raw: Uint8Array,
+    origin: ConfigurationOrigin,
+  ): FleetConfiguration | undefined {
+    const decoded = this.#options.codec.decodeConfiguration(raw);
+    if (!decoded.ok) {
+      this.#options.log.write('configuration-unreadable', {
+        origin,
+        failure: decoded.failure,
+      });
+      return undefined;
+    }
+    return decoded.value;
+  }
+
   #onStoredConfiguration(raw: Uint8Array): void {
     const { routes, timers, log } = this.#options;
     const configuration = this.#decodeConfiguration(raw, 'store');
--- a/packages/gateway/src/streams/stream-resumption.ts
+++ b/packages/gateway/src/streams/stream-resumption.ts
@@ -97,13 +97,15 @@
   }
 
   /**
-   * Finds out where a stream began. `begunBy` is the request that began it, if the caller
-   * names it.
+   * Finds out where a stream began. `servicesNow` returns the services at which it can have
+   * begun as far as this router knows by then; `begunBy` is the request that began it, if
+   * the caller names it.
    */
   async originOf(
-    services: StreamServices,
+    servicesNow: () => StreamServices,
     begunBy: RequestId | undefined,
   ): Promise<OriginFinding> {
+    const services = servicesNow();
     const key = begunBy && keyOfStream(begunBy);
     const origin =
       key && completed(this.#options.streamOrigins.sourceOf(key), services);
@@ -113,19 +115,19 @@
     if (services.areSeveral) {
       // Another router may have begun it by a newer configuration.
       const stored = await this.#storedOrigin(key, services);
-      return stored.origin ? stored : this.#onlyOrigin(services);
+      return stored.origin ? stored : this.#onlyOrigin(servicesNow);
     }
-    const only = await this.#onlyOrigin(services);
+    const only = await this.#onlyOrigin(servicesNow);
     if (only.origin) {
       return only;
     }
-    const stored = await this.#storedOrigin(key, services);
+    const stored = await this.#storedOrigin(key, servicesNow());
     return { ...stored, history: only.history };
   }
 
-  /** The origin that every stream has which can be meant. */
-  async #onlyOrigin({ only }: StreamServices): Promise<OriginFinding> {
-    if (only === undefined) {
+  /** The origin that every stream has which can be meant, by the routes that the store holds now. */
+  async #onlyOrigin(servicesNow: () => StreamServices): Promise<OriginFinding> {
+    if (servicesNow().only === undefined) {
       return NOTHING;
     }
     const { endpointConfirmation, versionHistory, timers } = this.#options;
@@ -134,6 +136,10 @@
       timers,
       MAX_CONFIRMATION_TIME,
     );
+    const { only } = servicesNow();
+    if (only === undefined) {
+      return NOTHING;
+    }
     const history = versionHistory.versionOfStreams(only, timers.now());
     if (!evidence || history.kind !== 'single') {
       return { ...NOTHING, history: history.kind };
--- a/packages/gateway/src/streams/testing/simulated-fleet.ts
+++ b/packages/gateway/src/streams/testing/simulated-fleet.ts
@@ -163,7 +163,7 @@
   async resume(router: SimulatedRouter, id: string): Promise<OriginFinding> {
     let result: OriginFinding | undefined;
     router.resumption
-      .originOf({ only: service, areSeveral: false }, requestId(id))
+      .originOf(() => ({ only: service, areSeveral: false }), requestId(id))
       .then(finding => {
         result = finding;
       })
--- a/packages/gateway/src/streams/testing/simulated-router.ts
+++ b/packages/gateway/src/streams/testing/simulated-router.ts
@@ -171,6 +171,11 @@
           ),
       },
       coverage: { endpoints: this.#coverage },
+      configurationConfirmation: {
+        read: () => Promise.resolve(true),
+        statement: () => undefined,
+        isAsNewAs: () => true,
+      },
       fleetReplica: {
         isHealthy: true,
         applyEndpointChanges: ({ rows, position }, madeAt) => {
