Play restarts under an id in the model of resumed streams

The model never started an endpoint again under its id. A second property adds an event in which a router is cut off while an endpoint restarts twice, with another version between; the first property and its sequences of events stay as they were.

The routers that are cut off take up streams right after they are back, before a relay has told them the versions.

--- a/packages/gateway/src/streams/stream-resumption.test.ts
+++ b/packages/gateway/src/streams/stream-resumption.test.ts
@@ -29,6 +29,13 @@
   'calm',
   'calm',
 ] as const;
+/** The same with endpoints that restart twice under their id, which a router that is cut off sees as one restart. */
+const EVENTS_WITH_RESTARTS = [
+  ...EVENTS,
+  'restart-behind-cut',
+  'restart-behind-cut',
+] as const;
+type EventName = (typeof EVENTS_WITH_RESTARTS)[number];
 
 /** A stream with the index of the router that relays it. */
 interface Running extends Stream {
@@ -281,8 +288,19 @@
     expect(resumedAfterAll).to.be.greaterThan(0);
   });
 
+  // Guards against versions that endpoints had between two restarts under their id.
+  it('never joins versions while endpoints also restart under their id behind a cut', async () => {
+    for (let seed = 1; seed <= 10; seed += 1) {
+      await play(new Random(seed), seed, EVENTS_WITH_RESTARTS);
+    }
+  });
+
   /** Plays random events; clients resume at once what their router cut off. */
-  async function play(random: Random, seed: number) {
+  async function play(
+    random: Random,
+    seed: number,
+    events: readonly EventName[] = EVENTS,
+  ) {
     fleet = new SimulatedFleet(random);
     let version = 1;
     for (let count = 0; count < 4; count += 1) {
@@ -332,7 +350,7 @@
     };
     for (let step = 0; step < 80; step += 1) {
       beginStreams(`${step}`);
-      const event = random.pick(EVENTS);
+      const event = random.pick(events);
       history.push(event);
       switch (event) {
         case 'release':
@@ -380,6 +398,20 @@
           await resumeAll([random.integer(0, 1)], cutOff);
           break;
         }
+        case 'restart-behind-cut': {
+          isCalm = false;
+          const cutOff = random.integer(2, ROUTERS - 1);
+          fleet.cut(cutOff);
+          await fleet.pass(random.pick([1200, 2500]));
+          const before = fleet.restartEndpoint(`v${version + 1}`);
+          await fleet.pass(1000);
+          beginStreams(`${step}-late`);
+          fleet.restartEndpoint(before ?? `v${version}`);
+          await fleet.pass(1000);
+          fleet.heal(cutOff);
+          await resumeAll([random.integer(0, 1)], cutOff);
+          break;
+        }
         case 'turn-away':
           isCalm = false;
           router(random.integer(1, ROUTERS - 1)).isTurnedAway = true;
--- a/packages/gateway/src/streams/testing/simulated-fleet.ts
+++ b/packages/gateway/src/streams/testing/simulated-fleet.ts
@@ -79,6 +79,18 @@
     this.#endpoints.add(entry, this.now);
   }
 
+  /** Restarts the endpoint that was listed first with another version; returns the one that it had. */
+  restartEndpoint(version: string): string | undefined {
+    const [first] = [...this.#endpoints.entries].sort((left, right) =>
+      left.id.localeCompare(right.id),
+    );
+    if (!first) {
+      return undefined;
+    }
+    this.startEndpoint(first.address.port, version);
+    return first.softwareVersion;
+  }
+
   removeEndpoints(version: string, count: number): void {
     const leaving = this.#endpoints.entries
       .filter(entry => entry.softwareVersion === version)
