--- a/packages/gateway/src/store/endpoint-confirmation.test.ts
+++ b/packages/gateway/src/store/endpoint-confirmation.test.ts
@@ -15,6 +15,13 @@
 
 const settle = () => new Promise(resolve => setImmediate(resolve));
 
+/** A configuration that is always confirmed. */
+const configurationConfirmation = {
+  read: () => Promise.resolve(true),
+  statement: () => undefined,
+  isAsNewAs: () => true,
+};
+
 describe('EndpointConfirmation', () => {
   // Guards against rows of a store that was restored while they were under way.
   it('applies no rows of an earlier era to a copy of a restored store', async () => {
@@ -33,6 +40,7 @@
     let answer: (result: FeedResult) => void = () => undefined;
     const applied: unknown[] = [];
     const confirmation = new EndpointConfirmation({
+      configurationConfirmation,
       settings: { router: { id: 'r' } },
       endpointFeed: {
         readChanges: () =>
@@ -107,6 +115,7 @@
       relay: () => Promise.reject(new Error('not connected')),
     };
     const confirmation = new EndpointConfirmation({
+      configurationConfirmation,
       settings: { router: { id: 'r' } },
       endpointFeed: { readChanges: () => answers.store() },
       coverage: { endpoints: coverage },
