--- a/packages/cli/src/platform-router.test.ts
+++ b/packages/cli/src/platform-router.test.ts
@@ -31,10 +31,10 @@
     await rm(folder, { recursive: true });
   });
 
-  it('reloads its settings on SIGHUP without exiting, logs the changed keys and exits with 0 on SIGTERM', async () => {
+  /** Returns the text of a settings file. */
+  async function settingsText(): Promise<(slack: number) => string> {
     const ports = await Promise.all([1, 2, 3, 4].map(() => freePort()));
-    const file = join(folder, 'router.ini');
-    const text = (slack: number) => `[router]
+    return slack => `[router]
 id = r
 zone = a
 callers = 127.0.0.1:${ports[0]}
@@ -50,6 +50,11 @@
 window_seconds = 10
 slack = ${slack}
 `;
+  }
+
+  it('reloads its settings on SIGHUP without exiting, logs the changed keys and exits with 0 on SIGTERM', async () => {
+    const file = join(folder, 'router.ini');
+    const text = await settingsText();
     await writeFile(file, text(126));
     program = spawn(process.execPath, ['--import', 'tsx', PROGRAM], {
       env: { ...process.env, SESAMEGRADE_CONFIG: file },
@@ -72,4 +77,29 @@
     const reload = logLines.find(({ cause }) => cause === 'signal');
     expect(reload?.applied?.map(({ key }) => key)).to.deep.equal(['slack']);
   });
+
+  // Guards against requests that are cut off as a second signal ends the process at once.
+  it('begins to stop at SIGINT too, and goes on stopping at a second signal', async () => {
+    const file = join(folder, 'router.ini');
+    const text = await settingsText();
+    await writeFile(file, text(126));
+    program = spawn(process.execPath, ['--import', 'tsx', PROGRAM], {
+      env: { ...process.env, SESAMEGRADE_CONFIG: file },
+      stdio: ['ignore', 'pipe', 'inherit'],
+    });
+    const exit = once(program, 'exit');
+    const messages: string[] = [];
+    for await (const lineText of createInterface({ input: program.stdout! })) {
+      const { message } = JSON.parse(lineText) as RouterLogLine;
+      messages.push(message);
+      if (message === 'start') {
+        program.kill('SIGINT');
+      } else if (message === 'stop-begun') {
+        program.kill('SIGTERM');
+        program.kill('SIGINT');
+      }
+    }
+    expect(await exit).to.deep.equal([0, null]);
+    expect(messages).to.include('stop');
+  });
 });
