Let old connections through another router take no further request

A caller of a router that reaches an endpoint only through another one got 502 when that other router stopped: it had let requests through on tunnels that were always in use until its exit, and then reset them. A router that stops refuses new tunnels, but nothing tells those that use the open ones.

A connection through another router is now closed after the request in the course of which it became 2 s old. Within 2 s after the signal the requests go elsewhere, and what runs has the rest of the grace period. This needs no message, so that it also acts with routers of older builds between. The price is one more tunnel in 2 s for each connection that is always in use.

Evidence: "begin nothing on old connections through a router at the end of its stop" of partitioned-routers.test.ts was red (3 tunnels open at the exit instead of 0), and is green now; the file with the tests of tunnels, endpoints and the fleet's view passes, 68 tests.

--- a/packages/gateway/src/endpoints/connection-pool.ts
+++ b/packages/gateway/src/endpoints/connection-pool.ts
@@ -1,13 +1,18 @@
 /** Pool of idle connections to endpoints, which later requests reuse. */
 import type { EndpointEntry } from '@sesamegrade/core/endpoints/endpoint-entry';
 import type { EndpointId, ServiceId } from '@sesamegrade/core/types/ids';
-import { milliseconds } from '@sesamegrade/core/types/units';
+import { elapsed, milliseconds } from '@sesamegrade/core/types/units';
 import type { Instant, Milliseconds } from '@sesamegrade/core/types/units';
 import { EndpointConnection } from './endpoint-connection';
 import type { EndpointDialer } from './endpoint-dialer';
 
 /** Time for which an idle connection through another router is kept: that router waits for it when it stops. */
 const MAX_DETOUR_IDLE_TIME: Milliseconds = milliseconds(500);
+/**
+ * Time after which a connection through another router takes no further request: that
+ * router does not tell when it stops, and refuses new connections then.
+ */
+const MAX_DETOUR_AGE: Milliseconds = milliseconds(2000);
 /** Idle connections kept per endpoint. */
 const MAX_IDLE_CONNECTIONS = 16;
 /**
@@ -35,6 +40,7 @@
   readonly #idle = new Map<EndpointId, EndpointConnection[]>();
   /** Maximum idle time by service, learned from connections that broke. */
   readonly #maxIdleTimes = new Map<ServiceId, Milliseconds>();
+  readonly #openedAt = new WeakMap<EndpointConnection, Instant>();
   readonly #now: () => Instant;
   readonly #dialer: EndpointDialer;
   #openedCount = 0;
@@ -75,7 +81,7 @@
       }
     }
     this.#openedCount += 1;
-    return new EndpointConnection(
+    const opened = new EndpointConnection(
       entry.address,
       connectTimeout,
       this.#dialer,
@@ -83,6 +89,8 @@
         this.#onClosed(entry, closed);
       },
     );
+    this.#openedAt.set(opened, now);
+    return opened;
   }
 
   /** Puts a connection back into the pool after a complete response. */
@@ -91,7 +99,7 @@
       return;
     }
     const idle = this.#idle.get(endpoint) ?? [];
-    if (idle.length >= MAX_IDLE_CONNECTIONS) {
+    if (idle.length >= MAX_IDLE_CONNECTIONS || this.#isOldDetour(connection)) {
       connection.destroy();
       return;
     }
@@ -99,6 +107,14 @@
     this.#idle.set(endpoint, idle);
   }
 
+  #isOldDetour(connection: EndpointConnection): boolean {
+    const now = this.#now();
+    const openedAt = this.#openedAt.get(connection) ?? now;
+    return (
+      connection.via !== undefined && elapsed(openedAt, now) >= MAX_DETOUR_AGE
+    );
+  }
+
   /** Whether an idle connection to an endpoint is open. */
   hasIdle(endpoint: EndpointId): boolean {
     return (this.#idle.get(endpoint) ?? []).some(({ isClosed }) => !isClosed);
