Play planned stops in the soak and ask that what was passed on is answered

Callers of a router that is stopped as planned lose requests that it has passed on: the connection ends without an answer. The soak stopped routers, but its requests last some milliseconds and each has a connection of its own, so no request ran at the end of a stop.

The soak now stops one to three routers every 0.5 to 3 s, with repeated signals and a kill at the end of the grace, while callers keep connections in use for requests of 0.02 to 5 s, plain and streamed, repeatable and not, read late and with long bodies; their endpoints crash, leave and are replaced, and one router reaches the first ones only through its peers. The new invariant `answered` holds for each request of these callers that an endpoint ran, also at routers that do not stop: a whole response, or a failure, or a stream that had started and breaks off. A cut is excused only by a recorded break of the endpoint, kill or freeze of the router, or a reader that paused until the exit. A refusal as not run is a violation for repeatable requests too.

--- a/packages/stand-ins/src/deployment/http-caller.ts
+++ b/packages/stand-ins/src/deployment/http-caller.ts
@@ -3,7 +3,7 @@
  * from the end of a body without length and chunks, so it looks at the socket.
  */
 import { request } from 'node:http';
-import type { IncomingHttpHeaders, IncomingMessage } from 'node:http';
+import type { Agent, IncomingHttpHeaders, IncomingMessage } from 'node:http';
 import { connect } from 'node:net';
 import type { Socket } from 'node:net';
 
@@ -29,10 +29,14 @@
   readonly body?: string;
   /** Receives the response before its body is read, for example to pause it. */
   readonly onResponse?: (response: IncomingMessage) => void;
+  /** Keeps connections open for further requests; its callers see no reset after an unframed body. */
+  readonly agent?: Agent;
+  /** Lets the caller leave. */
+  readonly signal?: AbortSignal;
 }
 
 /**
- * Sends a request on a connection of its own and reads the response to its end;
+ * Sends a request, on a connection of its own without an agent, and reads the response to its end;
  * resolves with undefined if there is no response.
  */
 export function callOverHttp(
@@ -41,18 +45,20 @@
   return new Promise(resolve => {
     let hasResponse = false;
     let wasReset = false;
+    const createConnection = ({ port }: { port?: string | number | null }) => {
+      const socket = connect({
+        host: LOOPBACK,
+        port: Number(port),
+        allowHalfOpen: true,
+      });
+      socket.on('end', () => {
+        wasReset ||= isReset(socket);
+      });
+      return socket;
+    };
     const outgoing = request(new URL(call.path, call.url), {
-      createConnection: ({ port }) => {
-        const socket = connect({
-          host: LOOPBACK,
-          port: Number(port),
-          allowHalfOpen: true,
-        });
-        socket.on('end', () => {
-          wasReset ||= isReset(socket);
-        });
-        return socket;
-      },
+      ...(call.signal && { signal: call.signal }),
+      ...(call.agent ? { agent: call.agent } : { createConnection }),
       method: call.method ?? 'POST',
       headers: { connection: 'keep-alive', ...call.headers },
     });
--- a/packages/stand-ins/src/deployment/router-process.ts
+++ b/packages/stand-ins/src/deployment/router-process.ts
@@ -11,9 +11,18 @@
 const SECRET = 'peers';
 /** Addresses of a router: callers, readiness, peers and metrics. */
 const PORTS = 4;
-/** Configured time from SIGTERM to SIGKILL. */
+/** Configured time from SIGTERM to SIGKILL unless the options say otherwise. */
 const GRACE_S = 4;
 
+/** A signal to a process that already got SIGTERM. */
+export interface LaterSignal {
+  readonly signal: NodeJS.Signals;
+  readonly afterMs: number;
+}
+
+/** What happened to a process: a signal, the end of its grace period, or its exit. */
+export type ProcessEvent = NodeJS.Signals | 'grace-over' | 'exit';
+
 export interface RouterProcessOptions {
   readonly name: string;
   readonly folder: string;
@@ -30,6 +39,8 @@
   readonly environment?: () => Readonly<Record<string, string>>;
   /** Whether the first start of the process is the fleet's first one. */
   readonly isFirstStart?: boolean;
+  readonly graceSeconds?: number;
+  readonly onEvent?: (event: ProcessEvent) => void;
 }
 
 export class RouterProcess {
@@ -112,13 +123,21 @@
   }
 
   sendSignal(signal: NodeJS.Signals): void {
-    this.#process?.kill(signal);
+    if (this.#process?.kill(signal) === true) {
+      this.#options.onEvent?.(signal);
+    }
   }
 
-  /** Ends the process with a signal and starts it again, after earlier restarts have finished. */
-  restart(signal: 'SIGTERM' | 'SIGKILL'): Promise<void> {
+  /**
+   * Ends the process with a signal and starts it again, after earlier restarts have finished.
+   * As on the platform, a process that got SIGTERM is killed when its grace period is over.
+   */
+  restart(
+    signal: 'SIGTERM' | 'SIGKILL',
+    laterSignals: readonly LaterSignal[] = [],
+  ): Promise<void> {
     this.#restarts = this.#restarts.then(async () => {
-      await this.#end(signal);
+      await this.#end(signal, laterSignals);
       this.start();
     });
     return this.#restarts;
@@ -137,15 +156,38 @@
     await this.#end('SIGKILL');
   }
 
-  async #end(signal: NodeJS.Signals): Promise<void> {
+  async #end(
+    signal: NodeJS.Signals,
+    laterSignals: readonly LaterSignal[] = [],
+  ): Promise<void> {
     const child = this.#process;
     if (child?.exitCode !== null || child.signalCode !== null) {
       return;
     }
     this.#expectedExits.add(child);
     const exit = once(child, 'exit');
-    child.kill(signal);
+    this.sendSignal(signal);
+    const timers = laterSignals.map(later =>
+      setTimeout(() => {
+        this.sendSignal(later.signal);
+      }, later.afterMs),
+    );
+    if (signal === 'SIGTERM') {
+      const kill = () => {
+        this.#options.onEvent?.('grace-over');
+        child.kill('SIGKILL');
+      };
+      timers.push(setTimeout(kill, this.#graceSeconds * 1000));
+    }
     await exit;
+    timers.forEach(timer => {
+      clearTimeout(timer);
+    });
+    this.#options.onEvent?.('exit');
+  }
+
+  get #graceSeconds(): number {
+    return this.#options.graceSeconds ?? GRACE_S;
   }
 
   #settings(): string {
@@ -166,7 +208,7 @@
 address = ${store}
 answer_ms = 500
 [stop]
-grace_seconds = ${GRACE_S}
+grace_seconds = ${this.#graceSeconds}
 [retries]
 ratio = 0.2
 window_seconds = 10
--- /dev/null
+++ b/packages/stand-ins/src/soak/planned-stop-record.test.ts
@@ -0,0 +1,73 @@
+import { expect } from 'chai';
+
+import type { ProcessEvent } from '../deployment/router-process';
+import { PlannedStopRecord } from './planned-stop-record';
+import type { StopCall } from './planned-stop-record';
+
+/** A request that runs from 1.1 s on, at a router that stops from 1 s to 4.5 s. */
+function play(
+  call: Partial<StopCall>,
+  events: readonly (readonly [ProcessEvent, number])[] = [],
+  prepare: (record: PlannedStopRecord) => void = () => undefined,
+): string[] {
+  const record = new PlannedStopRecord();
+  const stop = [
+    ['SIGTERM', 1000],
+    ['exit', 4500],
+  ] as const;
+  for (const [event, at] of [...stop, ...events].sort(
+    (one, other) => one[1] - other[1],
+  )) {
+    record.recordEvent('r', event, at);
+  }
+  record.recordRun('a', 'e', 1100);
+  prepare(record);
+  const times = { from: 1050, to: 4490 };
+  record.recordCall({
+    ...{ request: 'a', router: 'r', path: '/', ending: 'cut', ...times },
+    ...call,
+  });
+  return record.violations().map(({ promise }) => promise);
+}
+
+describe('PlannedStopRecord', () => {
+  // Guards against stops that end requests which were passed on without an answer.
+  it('finds a request that was passed on and cut, also when the grace is over or SIGTERM repeats', () => {
+    const found = ['answered'];
+    expect(play({})).to.deep.equal(found);
+    expect(play({ from: 500, to: 1010 })).to.deep.equal(found);
+    expect(play({}, [['grace-over', 4490]])).to.deep.equal(found);
+    expect(play({}, [['SIGTERM', 2000]])).to.deep.equal(found);
+    for (const ending of [200, 502, 504, 'stream-broke-off', 'left'] as const) {
+      expect(play({ ending })).to.deep.equal([]);
+    }
+    expect(play({ request: 'b' })).to.deep.equal([]);
+    expect(play({ from: 4600, to: 4700 })).to.deep.equal(found);
+  });
+
+  // Guards against refusals that promise what is not so.
+  it('finds a request that ran although the router refused it as not run', () => {
+    expect(play({ ending: 503 })).to.deep.equal(['not-run']);
+    expect(play({ ending: 503, request: 'b' })).to.deep.equal([]);
+  });
+
+  // Guards against excuses without a trace.
+  it('excuses a cut only by a break of the endpoint, a kill, a freeze or a reader that paused', () => {
+    const brokeAt = (at: number) => (record: PlannedStopRecord) => {
+      record.recordBreak('a', 'e', at);
+    };
+    expect(play({}, [], brokeAt(4480))).to.deep.equal([]);
+    expect(play({}, [], brokeAt(4600))).to.have.length(1);
+    expect(play({}, [['SIGKILL', 4480]])).to.deep.equal([]);
+    expect(play({}, [['SIGKILL', 900]])).to.have.length(1);
+    const frozen = (from: number, to: number) =>
+      play({}, [
+        ['SIGSTOP', from],
+        ['SIGCONT', to],
+      ]);
+    expect(frozen(2000, 3000)).to.deep.equal([]);
+    expect(frozen(500, 900)).to.have.length(1);
+    expect(play({ pausedUntil: 4600 })).to.deep.equal([]);
+    expect(play({ pausedUntil: 4400 })).to.have.length(1);
+  });
+});
--- a/packages/stand-ins/src/soak/router-links.ts
+++ b/packages/stand-ins/src/soak/router-links.ts
@@ -13,6 +13,9 @@
   join(import.meta.dirname, 'redirect-connections.cjs'),
 ];
 
+/** A port on which nothing listens. */
+const CLOSED_PORT = 1;
+
 interface PeerLinkProxy {
   readonly from: string;
   readonly to: string;
@@ -26,6 +29,7 @@
   readonly #storeProxies = new Map<string, FaultProxy>();
   readonly #peerProxies: PeerLinkProxy[] = [];
   readonly #cuts = new Map<string, LinkCut>();
+  readonly #unreachable = new Map<string, readonly string[]>();
 
   /** Places a proxy between a router and the store, and returns its address. */
   async openStoreLink(router: string, store: string): Promise<string> {
@@ -39,18 +43,25 @@
     for (const from of routers) {
       for (const to of routers.filter(other => other !== from)) {
         const { proxy, port: proxyPort } = await openProxy(to.peerAddress);
-        const port = to.peerAddress.split(':').at(-1) ?? '';
+        const port = portOf(to.peerAddress);
         const names = { from: from.name, to: to.name };
         this.#peerProxies.push({ ...names, port, proxyPort, proxy });
       }
     }
   }
 
-  /** Environment that tells a router's process where the proxies before its peers listen. */
+  /** Lets a router reach addresses only through its peers. */
+  refuseDirect(router: string, addresses: readonly string[]): void {
+    this.#unreachable.set(router, addresses);
+  }
+
+  /** Environment that tells a router's process where its connections lead instead. */
   environmentOf(router: string): Record<string, string> {
+    const unreachable = this.#unreachable.get(router) ?? [];
     const ports = this.#peerProxies
       .filter(({ from }) => from === router)
-      .map(({ port, proxyPort }) => [port, proxyPort] as const);
+      .map(({ port, proxyPort }) => [port, proxyPort] as const)
+      .concat(unreachable.map(address => [portOf(address), CLOSED_PORT]));
     return { REDIRECTED_PORTS: JSON.stringify(Object.fromEntries(ports)) };
   }
 
@@ -106,6 +117,8 @@
   return toClient ? 'to-client' : false;
 }
 
+const portOf = (address: string) => address.split(':').at(-1) ?? '';
+
 async function openProxy(
   address: string,
 ): Promise<{ readonly proxy: FaultProxy; readonly port: number }> {
--- a/packages/stand-ins/src/soak/soak-invariant-checker.ts
+++ b/packages/stand-ins/src/soak/soak-invariant-checker.ts
@@ -38,7 +38,8 @@
     | 'alive'
     | 'crashing-content'
     | 'limit'
-    | 'goes-on';
+    | 'goes-on'
+    | 'answered';
   /** The request, the router for `alive`, the content for `crashing-content`, the endpoint for `limit`, or `take-ups`. */
   readonly request: string;
   readonly detail: string;
@@ -80,7 +81,9 @@
 const MARK_PREFIX = ' by ';
 const VERSION_MARK = / by v\d+/gu;
 /** Status codes with which a router guarantees that the request did not run. */
-const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+export const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([
+  408, 421, 429, 503,
+]);
 
 export class SoakInvariantChecker {
   readonly #atMostOnce = new Set<string>();
--- a/packages/stand-ins/src/soak/soak-main.ts
+++ b/packages/stand-ins/src/soak/soak-main.ts
@@ -1,4 +1,5 @@
-/** `npm run soak -- --seed N [--seconds N] [--routers N] [--seeds N]`: exits with 1 if an invariant was violated. */
+/** `npm run soak -- --seed N [--seconds N] [--routers N] [--seeds N]
+ * [--grace N] [--stop-callers N]`: exits with 1 if an invariant was violated. */
 import { cac } from 'cac';
 
 import { Soak } from './soak';
@@ -14,12 +15,20 @@
     default: 10,
   })
   .option('--routers <count>', 'number of routers', { default: 4 })
+  .option('--grace <seconds>', 'time from SIGTERM to SIGKILL', { default: 4 })
+  .option('--stop-callers <count>', 'connections to each router at its stops', {
+    default: 4,
+  })
   .action(async (options: Record<string, string | number>) => {
     const [first, count] = [Number(options.seed), Number(options.seeds)];
     const seconds = Number(options.seconds);
     const routers = Number(options.routers);
+    const graceSeconds = Number(options.grace);
+    const stopCallers = Number(options.stopCallers);
     for (let seed = first; seed < first + count; seed += 1) {
-      const result = await new Soak({ seed, seconds, routers }).run();
+      const result = await new Soak({
+        ...{ seed, seconds, routers, graceSeconds, stopCallers },
+      }).run();
       const { violations, folder, ...rest } = result;
       console.log(JSON.stringify({ seed, ...rest, violations }));
       if (violations.length > 0) {
--- a/packages/stand-ins/src/soak/soak.ts
+++ b/packages/stand-ins/src/soak/soak.ts
@@ -18,7 +18,10 @@
 import { RouterProcess } from '../deployment/router-process';
 import { RowStoreServer } from '../deployment/row-store-server';
 import { ContactLossScenario } from './contact-loss-scenario';
+import { PlannedStopRecord } from './planned-stop-record';
+import { PlannedStopScenario } from './planned-stop-scenario';
 import { REDIRECTION_FLAGS, RouterLinks } from './router-links';
+import { SLOW_SERVICE, SlowEndpoints } from './slow-endpoints';
 import { SoakCallers } from './soak-callers';
 import { DOWN_MS, SoakEndpoints } from './soak-endpoints';
 import { SoakInvariantChecker } from './soak-invariant-checker';
@@ -30,6 +33,9 @@
   readonly seed: number;
   readonly seconds: number;
   readonly routers: number;
+  readonly graceSeconds: number;
+  /** Open connections of callers to each router during planned stops. */
+  readonly stopCallers: number;
 }
 
 export interface SoakResult {
@@ -38,6 +44,8 @@
   readonly faults: readonly string[];
   /** Streams that callers took up, by the contact of the router and what became of them. */
   readonly takeUps: TakeUpCounts;
+  /** Calls at routers that were stopping, by what the callers got. */
+  readonly callsAtStops: Record<string, number>;
   readonly violations: readonly SoakViolation[];
   /** Folder with the routers' logs; deleted unless an invariant was violated. */
   readonly folder: string;
@@ -99,6 +107,9 @@
   readonly #callers: SoakCallers;
   readonly #links = new RouterLinks();
   readonly #takeUps = new TakeUpRecord();
+  readonly #plannedStops = new PlannedStopRecord();
+  readonly #slowEndpoints: SlowEndpoints;
+  readonly #stopScenario: PlannedStopScenario;
   readonly #scenarios: readonly ContactLossScenario[];
   readonly #faultKinds: readonly FaultKind[];
   #version = 1;
@@ -127,6 +138,28 @@
       checker: this.#checker,
       routers: this.#routers,
     });
+    const shared = {
+      random: new Random(options.seed),
+      checker: this.#checker,
+      record: this.#plannedStops,
+      now: () => this.#now(),
+    };
+    this.#slowEndpoints = new SlowEndpoints({ ...shared, store: this.#store });
+    this.#stopScenario = new PlannedStopScenario({
+      ...shared,
+      seed: options.seed,
+      routers: this.#routers,
+      callersPerRouter: options.stopCallers,
+      onStop: router => {
+        this.#faults.push(`${router.name} planned stop`);
+        const now = this.#now();
+        this.#checker.recordDisturbance(now);
+        const onEnd = this.#takeUps.disturb('disturbed', router.name, now);
+        return () => {
+          onEnd(this.#now());
+        };
+      },
+    });
     const scenarios =
       options.seed % SEEDS_PER_RUN_IN_TOUCH === 0
         ? 0
@@ -152,7 +185,11 @@
     await this.#open();
     await pause(WARM_UP_MS);
     const end = this.#now() + this.#options.seconds * 1000;
-    this.#pending.push(this.#loseContacts());
+    this.#pending.push(
+      this.#loseContacts(),
+      this.#stopScenario.run(end),
+      this.#slowEndpoints.run(end),
+    );
     let nextFaultAt = this.#now();
     while (this.#now() < end) {
       this.#pending.push(this.#callers.sendAny());
@@ -205,11 +242,15 @@
     await this.#store.start();
     this.#writeConfiguration();
     await this.#endpoints.start();
+    await this.#slowEndpoints.open();
     for (const scenario of this.#scenarios) {
       await scenario.open();
     }
     for (let count = 0; count < this.#options.routers; count += 1) {
       const name = `r${count}`;
+      if (count === 0) {
+        this.#links.refuseDirect(name, this.#slowEndpoints.addresses);
+      }
       const router = new RouterProcess({
         name,
         folder: this.#folder,
@@ -217,6 +258,10 @@
         flags: REDIRECTION_FLAGS,
         environment: () => this.#links.environmentOf(name),
         isFirstStart: true,
+        graceSeconds: this.#options.graceSeconds,
+        onEvent: event => {
+          this.#plannedStops.recordEvent(name, event, this.#now());
+        },
         seeds: () =>
           this.#routers.slice(0, 3).map(({ peerAddress }) => peerAddress),
       });
@@ -232,9 +277,13 @@
   #writeConfiguration(): void {
     const document = manifest(
       this.#version,
-      [...TEST_ROUTES, ...this.#scenarios.map(({ route }) => route)],
+      [
+        ...TEST_ROUTES,
+        ...PlannedStopScenario.routes,
+        ...this.#scenarios.map(({ route }) => route),
+      ],
       [TEST_KEY],
-      this.#scenarios.map(({ service }) => service),
+      [SLOW_SERVICE, ...this.#scenarios.map(({ service }) => service)],
     );
     this.#store.write('op', 'config', document);
   }
@@ -247,6 +296,7 @@
       }
     }
     await this.#endpoints.stop();
+    await this.#slowEndpoints.close();
     await Promise.all(this.#scenarios.map(scenario => scenario.close()));
     await this.#links.close();
     await this.#store.stop();
@@ -254,6 +304,7 @@
     const violations = [
       ...this.#checker.violations(),
       ...this.#takeUps.violations(),
+      ...this.#plannedStops.violations(),
     ];
     if (violations.length === 0) {
       rmSync(this.#folder, { recursive: true });
@@ -261,11 +312,12 @@
     return {
       asked: this.#scenarios.reduce(
         (sum, { requestCount }) => sum + requestCount,
-        this.#callers.requestCount,
+        this.#callers.requestCount + this.#stopScenario.requestCount,
       ),
       served: this.#checker.served,
       faults: this.#faults,
       takeUps: this.#takeUps.counts(),
+      callsAtStops: this.#plannedStops.counts(),
       violations,
       folder: this.#folder,
     };
