Tell a started response from none in the soak's planned stops

A plain response that has started and breaks off is now told from no response at all. It counts unless the caller's stated time is over, with no slack; no response at all counts at any time, as before. Streams are as before. A new case of the record's test has the four forms.

An endpoint that crashes before a long response has left its process now counts as having broken it off; before, the write was taken for its end.

--- a/packages/stand-ins/src/soak/planned-stop-record.test.ts
+++ b/packages/stand-ins/src/soak/planned-stop-record.test.ts
@@ -22,9 +22,10 @@
   }
   record.recordRun('a', 'e', 1100);
   prepare(record);
-  const times = { from: 1050, to: 4490 };
+  const times = { from: 1050, to: 4490, expiresAt: 6000 };
   record.recordCall({
-    ...{ request: 'a', router: 'r', path: '/', ending: 'cut', ...times },
+    ...{ request: 'a', router: 'r', path: '/', isStream: false, ...times },
+    ending: 'cut',
     ...call,
   });
   return record.violations().map(({ promise }) => promise);
@@ -38,13 +39,22 @@
     expect(play({ from: 500, to: 1010 })).to.deep.equal(found);
     expect(play({}, [['grace-over', 4490]])).to.deep.equal(found);
     expect(play({}, [['SIGTERM', 2000]])).to.deep.equal(found);
-    for (const ending of [200, 502, 504, 'stream-broke-off', 'left'] as const) {
+    for (const ending of [200, 502, 504, 'left'] as const) {
       expect(play({ ending })).to.deep.equal([]);
     }
     expect(play({ request: 'b' })).to.deep.equal([]);
     expect(play({ from: 4600, to: 4700 })).to.deep.equal(found);
   });
 
+  // Guards against stops that break off plain responses, which cannot be resumed.
+  it('finds a plain response that broke off before its time was over, but no stream', () => {
+    const ending = 'broke-off';
+    expect(play({ ending })).to.deep.equal(['answered']);
+    expect(play({ ending, expiresAt: 4490 })).to.deep.equal([]);
+    expect(play({ ending, isStream: true })).to.deep.equal([]);
+    expect(play({ expiresAt: 4490 })).to.deep.equal(['answered']);
+  });
+
   // Guards against refusals that promise what is not so.
   it('finds a request that ran although the router refused it as not run', () => {
     expect(play({ ending: 503 })).to.deep.equal(['not-run']);
--- a/packages/stand-ins/src/soak/planned-stop-record.ts
+++ b/packages/stand-ins/src/soak/planned-stop-record.ts
@@ -4,18 +4,21 @@
 import type { SoakViolation } from './soak-invariant-checker';
 
 /**
- * What a caller got: a status with its whole response, a visible break of a stream that had
- * started, nothing whole before the connection ended, or nothing before it left.
+ * What a caller got: a status with its whole response, a visible break of a response that had
+ * started, nothing before the connection ended, or nothing before it left.
  */
-export type CallEnding = number | 'stream-broke-off' | 'cut' | 'left';
+export type CallEnding = number | 'broke-off' | 'cut' | 'left';
 
 export interface StopCall {
   readonly request: string;
   readonly router: string;
   readonly path: string;
+  readonly isStream: boolean;
   /** Milliseconds since the start of the soak. */
   readonly from: number;
   readonly to: number;
+  /** When the time that the caller stated is over. */
+  readonly expiresAt: number;
   /** Until when the caller read nothing, if it read late. */
   readonly pausedUntil?: number;
   readonly ending: CallEnding;
@@ -72,10 +75,14 @@
     return this.#calls
       .filter(({ request }) => this.#runs.has(request))
       .flatMap((call): SoakViolation[] => {
-        const { ending, request } = call;
+        const { ending, request, isStream, to, expiresAt } = call;
         const stop = this.#stopDuring(call);
         const detail = this.#describe(call, stop);
-        if (ending === 'cut' && !this.#isExcused(call, stop)) {
+        // A response that has started can only break off when its time is over.
+        const isLost =
+          ending === 'cut' ||
+          (ending === 'broke-off' && !isStream && to < expiresAt);
+        if (isLost && !this.#isExcused(call, stop)) {
           return [{ promise: 'answered', request, detail }];
         }
         return typeof ending === 'number' && NOT_RUN_STATUSES.has(ending)
--- a/packages/stand-ins/src/soak/planned-stop-scenario.ts
+++ b/packages/stand-ins/src/soak/planned-stop-scenario.ts
@@ -11,7 +11,7 @@
 import { callOverHttp } from '../deployment/http-caller';
 import type { ReceivedResponse } from '../deployment/http-caller';
 import type { RouterProcess } from '../deployment/router-process';
-import type { PlannedStopRecord, StopCall } from './planned-stop-record';
+import type { CallEnding, PlannedStopRecord } from './planned-stop-record';
 import type { SoakInvariantChecker } from './soak-invariant-checker';
 import { SLOW_SERVICE } from './slow-endpoints';
 
@@ -152,11 +152,12 @@
       },
     });
     const isStream = kind === 'draft' || kind === 'summary';
-    const call = { request, router: router.name, path, from, to: now() };
+    const expiresAt = from + deadlineMs;
+    const times = { from, to: now(), expiresAt };
     record.recordCall({
-      ...call,
+      ...{ request, router: router.name, path, isStream, ...times },
       pausedUntil,
-      ending: signal.aborted ? 'left' : endingOf(response, isStream),
+      ending: signal.aborted ? 'left' : endingOf(response),
     });
     if (response) {
       this.#check(request, response, isStream);
@@ -178,12 +179,9 @@
   }
 }
 
-function endingOf(
-  response: ReceivedResponse | undefined,
-  isStream: boolean,
-): StopCall['ending'] {
-  if (response?.isComplete) {
-    return response.status;
+function endingOf(response: ReceivedResponse | undefined): CallEnding {
+  if (!response) {
+    return 'cut';
   }
-  return response && isStream ? 'stream-broke-off' : 'cut';
+  return response.isComplete ? response.status : 'broke-off';
 }
--- a/packages/stand-ins/src/soak/slow-endpoints.ts
+++ b/packages/stand-ins/src/soak/slow-endpoints.ts
@@ -1,5 +1,4 @@
 /** Endpoints that work as long as the path of a request says, and that crash, leave and are replaced. */
-import type { Socket } from 'node:net';
 import { setTimeout as pause } from 'node:timers/promises';
 
 import type { Random } from '@sesamegrade/core/random/random';
@@ -128,8 +127,9 @@
       if (kind === 'slow-order' || kind === 'slow-lookup') {
         const isLong = random.fraction() < LONG_SHARE;
         setTimeout(() => {
-          socket.off('close', onClose);
-          respond(request, socket, isLong);
+          socket.write(answer(request, isLong), () => {
+            socket.off('close', onClose);
+          });
         }, workMs);
         return;
       }
@@ -142,14 +142,8 @@
   }
 }
 
-function respond(
-  request: ScriptedRequest,
-  socket: Socket,
-  isLong: boolean,
-): void {
+function answer(request: ScriptedRequest, isLong: boolean): string {
   const id = request.headers.get('sesamegrade-request-id') ?? '';
   const body = SoakInvariantChecker.responseBody(id);
-  socket.write(
-    completeResponse(request, isLong ? body.padEnd(LONG_BYTES) : body),
-  );
+  return completeResponse(request, isLong ? body.padEnd(LONG_BYTES) : body);
 }
