Repeat a request of a stopping router while its response is expected in time

A caller whose stream or lookup met a hung endpoint 2.6 s or more after the signal was held until shortly before the router's exit and then told that the request may have run.

Cause: the question whether the whole time of a request is left was asked again before each further attempt, also for what may be repeated, and time limits (3 to 15 s) hardly ever fit. Found by the review; ruled out: ending such a request at its silence, as its caller may have a single retry, and most further attempts end within the goal.

A request that was accepted and may be repeated now gets another attempt while the goal of its route is left. Plain ones that may not be repeated need their whole time as before. The comment of `accepts` and the title of its test name what is refused in the balancer's delay: plain requests that may not be repeated (streams are taken, as their callers would lose the one retry that they have).

--- a/packages/gateway/src/forwarding/forwarder.ts
+++ b/packages/gateway/src/forwarding/forwarder.ts
@@ -159,6 +159,8 @@
   notRun: number;
 }
 
+type RoutedRequest = Pick<ForwardedRequest, 'decision' | 'expiresAt' | 'tried'>;
+
 export class Forwarder {
   readonly #options: ForwarderOptions;
   readonly #running = new Set<RunningRequest>();
@@ -250,7 +252,7 @@
       head.callerTimeout ?? route.timeout,
     );
     const expiresAt = addTime(arrivedAt, milliseconds(timeout));
-    if (!this.#mayAttempt({ decision, expiresAt })) {
+    if (!this.#mayAttempt({ decision, expiresAt, tried: new Set() })) {
       this.#refuseAsStopping(exchange, head);
       return;
     }
@@ -264,13 +266,14 @@
   #mayAttempt({
     decision: { route },
     expiresAt,
-  }: Pick<ForwardedRequest, 'decision' | 'expiresAt'>): boolean {
+    tried,
+  }: RoutedRequest): boolean {
     const { shutdownSequence, timers } = this.#options;
-    const { answer, repeatable } = route;
-    return shutdownSequence.accepts(
-      { answer, repeatable, expiresAt },
-      timers.now(),
-    );
+    const { answer, repeatable, latencyGoal } = route;
+    const query = { answer, repeatable, expiresAt };
+    return tried.size === 0
+      ? shutdownSequence.accepts(query, timers.now())
+      : shutdownSequence.continues(query, latencyGoal, timers.now());
   }
 
   /** Time until the request has to be answered. */
--- a/packages/gateway/src/process/shutdown-sequence.test.ts
+++ b/packages/gateway/src/process/shutdown-sequence.test.ts
@@ -121,7 +121,7 @@
   });
 
   // Guards against an order of which the caller never learns whether it ran.
-  it('never takes a request that can be neither repeated nor resumed and might not end in time', () => {
+  it('never takes a plain request that may not be repeated and might not end in time', () => {
     const sequence = new ShutdownSequence(() => GRACE);
     sequence.start(instant(0));
     const accepts = (query: Omit<AdmissionQuery, 'expiresAt'>) =>
@@ -131,6 +131,34 @@
     expect(accepts({ answer: STREAM, repeatable: false })).to.equal(true);
   });
 
+  // Guards against a request that is held at a silent endpoint until the end of the stop.
+  it('repeats a request while its response is expected in time, and no other one', () => {
+    const sequence = new ShutdownSequence(() => GRACE);
+    const goal = seconds(1);
+    const continues = (
+      query: Omit<AdmissionQuery, 'expiresAt'>,
+      sinceStart: number,
+    ) =>
+      sequence.continues(
+        { ...query, expiresAt: instant(20_000) },
+        goal,
+        instant(sinceStart),
+      );
+    const lookup = { answer: WHOLE, repeatable: true };
+    const resumable = { answer: STREAM, repeatable: true };
+    expect(continues({ answer: WHOLE, repeatable: false }, 0)).to.equal(true);
+    sequence.start(instant(0));
+    const lastStart = (sequence.answersBy ?? 0) - goal;
+    for (const query of [lookup, resumable]) {
+      expect(continues(query, 4000)).to.equal(true);
+      expect(continues(query, lastStart)).to.equal(true);
+      expect(continues(query, lastStart + 1)).to.equal(false);
+    }
+    for (const answer of [WHOLE, STREAM]) {
+      expect(continues({ answer, repeatable: false }, 4000)).to.equal(false);
+    }
+  });
+
   // Guards against requests that are cut without an answer.
   it('has what still runs answered shortly before it exits, and exits once that is done', async () => {
     const { endedAt, stoppedAt } = await shutDown((_sinceStart, areEnded) =>
--- a/packages/gateway/src/process/shutdown-sequence.ts
+++ b/packages/gateway/src/process/shutdown-sequence.ts
@@ -73,10 +73,9 @@
   }
 
   /**
-   * Whether an attempt of the request is begun. It is if the request times out before
-   * the router has to answer. Until the balancer has switched callers to other routers,
-   * others are accepted too, as most end in time: all but those whose callers could
-   * neither repeat nor resume them.
+   * Whether a request is accepted. It is if it times out before the router has to
+   * answer. Until the balancer has switched callers to other routers, others are
+   * accepted too, as most end in time: all but plain ones that may not be repeated.
    */
   accepts(
     { answer, repeatable, expiresAt }: AdmissionQuery,
@@ -96,6 +95,17 @@
     );
   }
 
+  /**
+   * Whether a request that was accepted gets another attempt. One that may be repeated
+   * gets it while its response is expected in time, as its caller can repeat it as well.
+   */
+  continues(query: AdmissionQuery, goal: Milliseconds, now: Instant): boolean {
+    const { answersBy } = this;
+    const isExpectedInTime =
+      answersBy === undefined || elapsed(now, answersBy) >= goal;
+    return this.accepts(query, now) || (query.repeatable && isExpectedInTime);
+  }
+
   /**
    * Resolves when nothing has run for `QUIET_TIME` after the balancer's delay, or
    * everything has been answered at the end, or shortly before the grace period ends.
--- a/packages/gateway/src/streams/stored-versions.test.ts
+++ b/packages/gateway/src/streams/stored-versions.test.ts
@@ -36,6 +36,7 @@
   const directory = new EndpointDirectory();
   const history = new VersionHistory(() => seconds(30));
   const calls = { reads: 0, writes: [] as number[] };
+  const lines: { event: string; fields: unknown }[] = [];
   let value: Uint8Array | undefined;
   let at = 1;
   const position = () => ({ era: storeEra(era), revision: revision(at + 100) });
@@ -72,7 +73,9 @@
     backgroundTasks: new BackgroundTasks(({ error }) => {
       throw error;
     }),
-    log: { write: () => undefined } as unknown as DecisionLog,
+    log: {
+      write: (event: string, fields: unknown) => lines.push({ event, fields }),
+    } as unknown as DecisionLog,
   });
   const pass = async (length: number) => {
     for (let passed = 0; passed < length; passed += 250) {
@@ -90,6 +93,7 @@
   return {
     ...{ duty, timers, directory, history, calls, stored, pass, put, page },
     row,
+    lines,
   };
 }
 
@@ -241,4 +245,25 @@
     await pass(5000);
     expect(row().uses).to.deep.include.members([use('v1'), use('v2')]);
   });
+
+  // Guards against a resumed stream of which the log does not tell what its router had been told.
+  it('logs when the history becomes complete and incomplete, and up to where it was told', async () => {
+    const { directory, history, pass, put, stored, page, timers, lines } =
+      open(false);
+    directory.replace([entry('s', 'v1')], timers.now());
+    put({ since: 0, uses: [use('v1')], era: 0 });
+    stored.onRows(page());
+    const toldUpTo = page().position;
+    await pass(500);
+    history.markMissed({ era: storeEra(0), revision: revision(500) });
+    await pass(500);
+    expect(
+      lines.filter(({ event }) => event === 'version-history'),
+    ).to.deep.equal(
+      [true, false].map(isComplete => ({
+        event: 'version-history',
+        fields: { isComplete, toldUpTo },
+      })),
+    );
+  });
 });
--- a/packages/gateway/src/streams/stored-versions.ts
+++ b/packages/gateway/src/streams/stored-versions.ts
@@ -108,6 +108,7 @@
   /** Whether the row is being read or written. */
   #isBusy = false;
   #wasWriter = false;
+  #wasComplete = false;
   /** Versions for which the row was read again, as others say that it lists them. */
   #lookedUp: ReadonlySet<string> = new Set();
   /** Time after which this router adds an unlisted version if it is no relay. */
@@ -201,6 +202,7 @@
       return;
     }
     versionHistory.observe(endpointDirectory.all(), now);
+    this.#logCompleteness(now);
     const isWriter = this.#isWriter(now);
     const takesOver = isWriter && !this.#wasWriter;
     this.#wasWriter = isWriter;
@@ -221,6 +223,16 @@
     this.#run('version-row', () => this.#write(read, uses));
   }
 
+  #logCompleteness(now: Instant): void {
+    const { versionHistory, log } = this.#options;
+    const isComplete = versionHistory.isComplete(now);
+    if (isComplete !== this.#wasComplete) {
+      this.#wasComplete = isComplete;
+      const { toldUpTo } = versionHistory;
+      log.write('version-history', { isComplete, toldUpTo });
+    }
+  }
+
   /** Whether this router writes the row: the reader, or one that takes over from it. */
   #isWriter(now: Instant): boolean {
     const { fleetReplica, peerUpdates, versionHistory } = this.#options;
@@ -288,14 +300,18 @@
     read: ReadState | undefined,
     uses: StoredUses | undefined,
   ): Promise<void> {
-    const { routerRows, timers, log } = this.#options;
+    const { routerRows, fleetReplica, timers, log } = this.#options;
     if (read && uses) {
       const value = new TextEncoder().encode(JSON.stringify(uses));
       const written = await routerRows.replace(ROW_KEY, value, read.revision);
       if (written.ok || written.failure.kind === 'conflict') {
         this.#writableFrom = addTime(timers.now(), WRITE_PERIOD);
       }
-      log.write('versions-stored', { uses: uses.uses, ok: written.ok });
+      log.write('versions-stored', {
+        uses: uses.uses,
+        ok: written.ok,
+        isReader: fleetReplica.isReader,
+      });
     }
     // Also after a conflict or a lost response, which may have changed the row.
     this.#read = undefined;
