Answer what a late last poll of a stop finds running

Callers of a router that lags at the end of its stop got no answer to requests that were read after the last responses and before the exit. None of them was passed on.

Cause: the poll that ends the wait resolves without answering what was read since the poll before, which is long if the process lags. Ruled out: requests that were passed on, and those that no one read.

--- a/packages/gateway/src/process/gateway-process.ts
+++ b/packages/gateway/src/process/gateway-process.ts
@@ -192,6 +192,9 @@
         forwarder.endRunning();
       },
     });
+    // Requests may have been read since the last poll.
+    forwarder.endRunning();
+    await nextLoopTurn();
     log.write('stop', {
       running: forwarder.running,
       unwritten: callerServer.openExchangeCount,
@@ -485,3 +488,9 @@
     );
   }
 }
+
+function nextLoopTurn(): Promise<void> {
+  return new Promise(resolve => {
+    setImmediate(resolve);
+  });
+}
