Look through the streams once for all endpoints that have started

Not seen by callers. Each endpoint that joined had the router copy and look through all its own streams, 16,384 at most. After an outage of the store, in which 880 endpoints are back at once, that is 14 million steps in one turn of the event loop. Reckoned, not measured.

The endpoints of one change are now looked up in a map during a single pass. No behaviour changes.

--- a/packages/core/src/software-versions/stream-origins.test.ts
+++ b/packages/core/src/software-versions/stream-origins.test.ts
@@ -79,7 +79,7 @@
     const endpoint = endpointId('e');
     origins.begin(requestId('a'), service, v1, instant(0), endpoint);
     const [told] = origins.takeUntold(MAX, instant(0));
-    origins.onRestarted(endpoint, softwareVersion('v2'));
+    origins.onStarted(new Map([[endpoint, softwareVersion('v2')]]));
     const key = keyOfStream(requestId('a'));
     expect(origins.takeRevoked(MAX)).to.deep.equal([
       { key, service: undefined, version: undefined },
@@ -92,8 +92,12 @@
     const endpoint = endpointId('e');
     origins.begin(requestId('a'), service, v1, instant(0), endpoint);
     origins.begin(requestId('b'), service, v1, instant(0), endpointId('f'));
-    origins.onRestarted(endpoint, v1);
-    origins.onRestarted(endpointId('g'), softwareVersion('v2'));
+    origins.onStarted(
+      new Map([
+        [endpoint, v1],
+        [endpointId('g'), softwareVersion('v2')],
+      ]),
+    );
     expect(origins.size).to.equal(2);
   });
 
--- a/packages/core/src/software-versions/stream-origins.ts
+++ b/packages/core/src/software-versions/stream-origins.ts
@@ -117,16 +117,22 @@
   }
 
   /**
-   * Forgets the streams that an endpoint began before it restarted with another version:
-   * its entry is late, so that the new process may have sent their events.
+   * Forgets the streams that endpoints began before they started with another version:
+   * their entries are late, so that the new processes may have sent the events.
    */
-  onRestarted(
-    endpoint: EndpointId,
-    version: SoftwareVersion | undefined,
+  onStarted(
+    versions: ReadonlyMap<EndpointId, SoftwareVersion | undefined>,
   ): void {
-    for (const stream of [...this.#own.values()]) {
-      if (stream.endpoint === endpoint && stream.version !== version) {
-        this.#revoke(stream.key);
+    if (versions.size === 0) {
+      return;
+    }
+    for (const { endpoint, version, key } of [...this.#own.values()]) {
+      if (
+        endpoint !== undefined &&
+        versions.has(endpoint) &&
+        versions.get(endpoint) !== version
+      ) {
+        this.#revoke(key);
       }
     }
   }
--- a/packages/gateway/src/process/gateway-process.ts
+++ b/packages/gateway/src/process/gateway-process.ts
@@ -352,15 +352,19 @@
     }
     fleetState.onEndpointsChanged(endpointDirectory.all(), timers.now());
     this.#options.crashDetector.onDirectoryEvents(events);
-    if (events.some(({ kind }) => kind === 'joined' || kind === 'restarted')) {
+    const started = events.flatMap(event =>
+      event.kind === 'joined' || event.kind === 'restarted'
+        ? [event.entry]
+        : [],
+    );
+    if (started.length > 0) {
       this.#options.storedVersions.tick(timers.now());
+      this.#options.streamOrigins.onStarted(
+        new Map(started.map(entry => [entry.id, entry.softwareVersion])),
+      );
     }
     for (const event of events) {
       log.write('endpoint', { ...event });
-      if (event.kind === 'joined' || event.kind === 'restarted') {
-        const { id, softwareVersion } = event.entry;
-        this.#options.streamOrigins.onRestarted(id, softwareVersion);
-      }
       if (event.kind === 'leaving' || event.kind === 'gone') {
         this.#announceDeparture(event);
       }
