--- a/packages/gateway/src/store/endpoint-confirmation.ts
+++ b/packages/gateway/src/store/endpoint-confirmation.ts
@@ -1,9 +1,10 @@
 /**
  * Makes sure that this router knows every endpoint which another one may already use, and
  * the configuration by which it may use it, by a read of the store that begins after the
- * call: its own, or one of a relay that it asks. A connection to a peer proves nothing, as a silent peer counts as connected for
- * a while and its messages may be late. Nor does a read that shows an earlier position
- * than was known when it began, as of a copy of the store that is behind.
+ * call: its own, or one of a relay that it asks. A connection to a peer proves nothing, as a
+ * silent peer counts as connected for a while and its messages may be late. Nor does a read
+ * that shows an earlier position than was known when it began, as of a copy of the store
+ * that is behind.
  */
 import type { EndpointDirectory } from '@sesamegrade/core/endpoints/endpoint-directory';
 import type { FeedTable } from '@sesamegrade/core/peers/feed-updates';
