Keep a router running when its log cannot be written

What callers saw: a router whose log reader closes ends with exit code 1 on its next line, and all its requests end with it; the same when the disk of its log is full. While the reader stalls, lines are kept in memory without bound.

Cause: winston's stream transport writes to standard output and looks neither at its errors nor at its backlog. The 'error' event of a stream without a listener ends a Node.js process, and a write to a file is synchronous.

Ruled out: StatsD, whose errors are handled, and the sockets of callers, endpoints and peers.

The change: both programs write through a LogOutput. At the end of a stop 200 ms are waited for what is left.

--- a/packages/cli/src/platform-router.test.ts
+++ b/packages/cli/src/platform-router.test.ts
@@ -8,7 +8,7 @@
 
 import { expect } from 'chai';
 
-import { freePort } from '@sesamegrade/stand-ins/http/free-port';
+import { newRouterSettings } from './testing/router-settings';
 
 const PROGRAM = join(import.meta.dirname, 'platform-router.ts');
 
@@ -31,31 +31,10 @@
     await rm(folder, { recursive: true });
   });
 
-  /** Returns the text of a settings file. */
-  async function settingsText(): Promise<(slack: number) => string> {
-    const ports = await Promise.all([1, 2, 3, 4].map(() => freePort()));
-    return slack => `[router]
-id = r
-zone = a
-callers = 127.0.0.1:${ports[0]}
-ready = 127.0.0.1:${ports[1]}
-peers = 127.0.0.1:${ports[2]}
-metrics_port = ${ports[3]}
-[store]
-address = 127.0.0.1:1
-[stop]
-grace_seconds = 1
-[retries]
-ratio = 0.2
-window_seconds = 10
-slack = ${slack}
-`;
-  }
-
   it('reloads its settings on SIGHUP without exiting, logs the changed keys and exits with 0 on SIGTERM', async () => {
     const file = join(folder, 'router.ini');
-    const text = await settingsText();
-    await writeFile(file, text(126));
+    const settings = await newRouterSettings();
+    await writeFile(file, settings.text(126));
     program = spawn(process.execPath, ['--import', 'tsx', PROGRAM], {
       env: { ...process.env, SESAMEGRADE_CONFIG: file },
       stdio: ['ignore', 'pipe', 'inherit'],
@@ -67,7 +46,7 @@
       const line = JSON.parse(lineText) as RouterLogLine;
       logLines.push(line);
       if (line.message === 'start') {
-        await writeFile(file, text(50));
+        await writeFile(file, settings.text(50));
         program.kill('SIGHUP');
       } else if (line.message === 'settings' && line.cause === 'signal') {
         program.kill('SIGTERM');
@@ -81,8 +60,8 @@
   // Guards against requests that are cut off as a second signal ends the process at once.
   it('begins to stop at SIGINT too, and goes on stopping at a second signal', async () => {
     const file = join(folder, 'router.ini');
-    const text = await settingsText();
-    await writeFile(file, text(126));
+    const settings = await newRouterSettings();
+    await writeFile(file, settings.text(126));
     program = spawn(process.execPath, ['--import', 'tsx', PROGRAM], {
       env: { ...process.env, SESAMEGRADE_CONFIG: file },
       stdio: ['ignore', 'pipe', 'inherit'],
--- a/packages/cli/src/platform-router.ts
+++ b/packages/cli/src/platform-router.ts
@@ -22,20 +22,18 @@
     process.exit(EXIT_SETTINGS);
   }
   const settings = parsed.value;
-  const { gateway, settingsReloader, timers, log } = composeGateway(
+  const { gateway, settingsReloader, timers, log, logOutput } = composeGateway(
     settings,
     connectPlatform(settings.store),
     process.env[settings.peers.secret_env] ?? '',
   ).cradle;
   const stop = () => {
-    gateway.stop().then(
-      () => {
+    gateway
+      .stop()
+      .then(() => logOutput.close(timers))
+      .then(() => {
         process.exit(0);
-      },
-      (error: unknown) => {
-        exitWithError(error);
-      },
-    );
+      }, exitWithError);
   };
   // A handler that stays keeps a second signal from ending the process at once.
   process.on('SIGTERM', stop);
--- a/packages/gateway/src/composition/gateway-container.ts
+++ b/packages/gateway/src/composition/gateway-container.ts
@@ -46,7 +46,9 @@
 import { seconds } from '@sesamegrade/core/types/units';
 import type { Milliseconds } from '@sesamegrade/core/types/units';
 import { PeerProof } from '@sesamegrade/router/peers/peer-proof';
+import type { LogOutput } from '@sesamegrade/router/logs/log-output';
 import { openLogger } from '@sesamegrade/router/logs/logger';
+import { openOutput } from '@sesamegrade/router/logs/open-output';
 import { SystemTimerService } from '@sesamegrade/router/process/system-timer-service';
 import type { GatewaySettings } from '@sesamegrade/settings/gateway-schema';
 import { GatewayCallerServer } from '../callers/gateway-caller-server';
@@ -103,6 +105,7 @@
 
 export interface GatewayCradle extends Deployment {
   readonly settings: GatewaySettings;
+  readonly logOutput: LogOutput;
   readonly logger: Logger;
   readonly timers: TimerService;
   readonly random: Random;
@@ -193,14 +196,15 @@
     routerRows: asValue(deployment.routerRows),
     streamRows: asValue(deployment.streamRows),
     streamFeed: asValue(deployment.streamFeed),
+    logOutput: asFunction(() => openOutput(process.stdout)).singleton(),
     logger: asFunction(newLogger).singleton(),
     timers: asFunction(() => new SystemTimerService()).singleton(),
     random: asFunction(
       () => new Random(Math.floor(Math.random() * MAX_RANDOM_SEED)),
     ).singleton(),
     log: asFunction(
-      ({ logger, timers }: GatewayCradle) =>
-        new DecisionLog({ logger, timers }),
+      ({ logger, logOutput, timers }: GatewayCradle) =>
+        new DecisionLog({ logger, output: logOutput, timers }),
     ).singleton(),
     backgroundTasks: asFunction(newBackgroundTasks).singleton(),
     gatewayMetrics: asFunction(() => new GatewayMetrics()).singleton(),
@@ -347,11 +351,11 @@
   return container;
 }
 
-function newLogger({ settings }: GatewayCradle): Logger {
+function newLogger({ settings, logOutput }: GatewayCradle): Logger {
   return openLogger({
     level: settings.log.level,
     fields: { router: settings.router.id },
-    stream: process.stdout,
+    output: logOutput,
     timestamps: true,
   });
 }
--- a/packages/gateway/src/logs/decision-log.ts
+++ b/packages/gateway/src/logs/decision-log.ts
@@ -5,6 +5,7 @@
  */
 import type { Logger } from 'winston';
 
+import type { LogOutput } from '@sesamegrade/router/logs/log-output';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
 import { seconds } from '@sesamegrade/core/types/units';
 import type { Milliseconds } from '@sesamegrade/core/types/units';
@@ -17,20 +18,26 @@
 
 export interface DecisionLogOptions {
   readonly logger: Logger;
+  /** Where the logger's lines go. */
+  readonly output?: Pick<LogOutput, 'dropped'>;
   readonly timers: TimerService;
   readonly linesPerSecond?: number;
 }
 
 export class DecisionLog {
   readonly #logger: Logger;
+  readonly #output: Pick<LogOutput, 'dropped'>;
   readonly #timers: TimerService;
   readonly #linesPerSecond: number;
   readonly #writtenByKind = new Map<string, number>();
   readonly #droppedByKind = new Map<string, number>();
   #droppedCount = 0;
+  /** Lines that the output had not written when that was last logged. */
+  #loggedUnwritten = 0;
 
   constructor(options: DecisionLogOptions) {
     this.#logger = options.logger;
+    this.#output = options.output ?? { dropped: 0 };
     this.#timers = options.timers;
     this.#linesPerSecond = options.linesPerSecond ?? DEFAULT_LINES_PER_SECOND;
     this.#timers.every(RATE_WINDOW, () => {
@@ -40,7 +47,7 @@
 
   /** Number of lines dropped since the start. */
   get dropped(): number {
-    return this.#droppedCount;
+    return this.#droppedCount + this.#output.dropped;
   }
 
   /** Writes a line, or drops it when its kind is over the limit of the current second. */
@@ -57,10 +64,12 @@
 
   #startWindow(): void {
     this.#writtenByKind.clear();
-    if (this.#droppedByKind.size > 0) {
+    const unwritten = this.#output.dropped;
+    if (this.#droppedByKind.size > 0 || unwritten > this.#loggedUnwritten) {
       const kinds = Object.fromEntries(this.#droppedByKind);
       this.#droppedByKind.clear();
-      this.write('lines-dropped', { kinds });
+      this.#loggedUnwritten = unwritten;
+      this.write('lines-dropped', { kinds, unwritten });
     }
   }
 }
--- a/packages/gateway/src/process/settings-reloader.test.ts
+++ b/packages/gateway/src/process/settings-reloader.test.ts
@@ -7,6 +7,7 @@
 
 import { ManualTimerService } from '@sesamegrade/core/time/manual-timer-service';
 import { openLogger } from '@sesamegrade/router/logs/logger';
+import { StreamOutput } from '@sesamegrade/router/logs/stream-output';
 import { gatewaySettingsSchema } from '@sesamegrade/settings/gateway-schema';
 import { parseIni } from '@sesamegrade/settings/parse';
 import type { DecisionLog, LogFields } from '../logs/decision-log';
@@ -43,7 +44,7 @@
   const logger = openLogger({
     level: 'info',
     fields: {},
-    stream: new PassThrough(),
+    output: new StreamOutput(new PassThrough()),
     timestamps: false,
   });
   const settings = parsed.value;
--- a/packages/router/src/composition/container.ts
+++ b/packages/router/src/composition/container.ts
@@ -10,6 +10,7 @@
 import type { Secrets } from '@sesamegrade/settings/load';
 import type { Settings } from '@sesamegrade/settings/schema';
 import { createLogger } from '../logs/logger';
+import { openOutput } from '../logs/open-output';
 import { Counters, createStatsd } from '../metrics/counters';
 import { OperatorServer } from '../operators/operator-server';
 import { OperatorToken } from '../operators/operator-token';
@@ -49,7 +50,10 @@
           clock,
         }),
     ).singleton(),
-    logger: asFunction(() => createLogger(settings)).singleton(),
+    logOutput: asFunction(() => openOutput(process.stderr)).singleton(),
+    logger: asFunction(({ logOutput }: Cradle) =>
+      createLogger(settings, logOutput),
+    ).singleton(),
     backgroundTasks: asFunction(newBackgroundTasks).singleton(),
     statsd: asFunction(() => createStatsd(settings)).singleton(),
     counters: asClass(Counters).singleton(),
--- a/packages/router/src/composition/cradle.ts
+++ b/packages/router/src/composition/cradle.ts
@@ -39,6 +39,7 @@
 import type { AttemptRunner } from '../endpoints/attempt-runner';
 import type { EndpointClient } from '../endpoints/endpoint-client';
 import type { EndpointProber } from '../endpoints/endpoint-prober';
+import type { LogOutput } from '../logs/log-output';
 import type { StreamRelay } from '../endpoints/stream-relay';
 import type { StreamTags } from '../endpoints/stream-tags';
 import type { BufferedRelay } from '../endpoints/buffered-relay';
@@ -73,6 +74,7 @@
   readonly random: Random;
   readonly clock: HybridClock;
   readonly events: EventBuffer;
+  readonly logOutput: LogOutput;
   readonly logger: Logger;
   readonly backgroundTasks: BackgroundTasks;
   readonly statsd: StatsD;
--- a/packages/router/src/logs/logger.ts
+++ b/packages/router/src/logs/logger.ts
@@ -3,17 +3,19 @@
 import type { Logger } from 'winston';
 
 import type { Settings } from '@sesamegrade/settings/schema';
+import type { LogOutput } from './log-output';
+import { OutputTransport } from './output-transport';
 
 export interface LoggerOptions {
   readonly level: string;
   /** Fields that are added to every line. */
   readonly fields: Readonly<Record<string, string>>;
-  readonly stream: NodeJS.WritableStream;
+  readonly output: LogOutput;
   /** Whether each line contains the wall-clock time. */
   readonly timestamps: boolean;
 }
 
-/** Creates a logger that writes JSON lines to a stream. */
+/** Creates a logger that writes JSON lines to an output. */
 export function openLogger(options: LoggerOptions): Logger {
   const json = winston.format.json();
   const logger = winston.createLogger({
@@ -23,15 +25,18 @@
       ? winston.format.combine(winston.format.timestamp(), json)
       : json,
   });
-  return logger.add(new winston.transports.Stream({ stream: options.stream }));
+  return logger.add(new OutputTransport(options.output));
 }
 
-/** Creates the router's logger, which writes JSON lines to standard error. */
-export function createLogger({ router, log }: Settings): Logger {
+/** Creates the router's logger. */
+export function createLogger(
+  { router, log }: Settings,
+  output: LogOutput,
+): Logger {
   return openLogger({
     level: log.level,
     fields: { router: router.id, zone: router.zone },
-    stream: process.stderr,
+    output,
     timestamps: true,
   });
 }
--- a/packages/router/src/operators/router-status.ts
+++ b/packages/router/src/operators/router-status.ts
@@ -22,6 +22,7 @@
   | 'readiness'
   | 'counters'
   | 'controlMeter'
+  | 'logOutput'
   | 'loads'
   | 'detector'
   | 'pools'
@@ -46,7 +47,7 @@
     const { controlMeter } = this.#components;
     return {
       router: this.#router(),
-      process: processUsage(),
+      process: this.#process(),
       configuration: this.#configuration(),
       routers: this.#routers(),
       endpoints: this.#endpoints(),
@@ -56,6 +57,15 @@
     };
   }
 
+  #process(): FleetStatus['process'] {
+    const { user, system } = process.cpuUsage();
+    return {
+      cpuSeconds: (user + system) / MICROSECONDS_PER_SECOND,
+      memoryBytes: process.memoryUsage.rss(),
+      logLinesDropped: this.#components.logOutput.dropped,
+    };
+  }
+
   #router(): FleetStatus['router'] {
     const { settings, identity, routers, readiness, timers } = this.#components;
     return {
@@ -167,14 +177,6 @@
   }
 }
 
-function processUsage(): FleetStatus['process'] {
-  const { user, system } = process.cpuUsage();
-  return {
-    cpuSeconds: (user + system) / MICROSECONDS_PER_SECOND,
-    memoryBytes: process.memoryUsage.rss(),
-  };
-}
-
 function servingText({ serving }: EndpointMember): string {
   return serving.kind === 'engine'
     ? serving.models.join(', ')
--- a/packages/router/src/operators/status.ts
+++ b/packages/router/src/operators/status.ts
@@ -19,6 +19,8 @@
     cpuSeconds: z.number(),
     /** Resident set size of the process. */
     memoryBytes: z.number(),
+    /** Log lines that were not written; absent in older versions of the program. */
+    logLinesDropped: z.int().min(0).optional(),
   }),
   configuration: z.object({
     version: z.number(),
--- a/packages/router/src/process/router-process.ts
+++ b/packages/router/src/process/router-process.ts
@@ -80,6 +80,8 @@
     events.record('process-stopped', { router: settings.router.id });
     await this.#close();
     logger.info('router stopped', { cutOff: remaining });
+    await this.#cradle.logOutput.close(this.#cradle.timers);
+    this.#cradle.timers.stop();
     return remaining === 0
       ? { kind: 'drained' }
       : { kind: 'cut-off', requests: remaining };
@@ -122,6 +124,5 @@
     await this.#cradle.operatorServer.close();
     await this.#cradle.client.close();
     this.#cradle.statsd.close();
-    this.#cradle.timers.stop();
   }
 }
