Keep a process running when a connection cannot be accepted

Looked for with the class of the closed log reader: an 'error' event that nobody handles. The servers for callers, peers, operators, readiness and metrics handled one only until they listened. Node.js emits one for each failed accept, such as one without a free file descriptor, and without a listener the process ends with all its requests.

Ruled out by reading: sockets of callers (the HTTP server handles them), endpoints, tunnels, links between routers and to the store (each has a handler). That users saw it is not shown.

The five servers listen through one function, which leaves a listener that reports the failure; the socket that listens before the program is loaded has one too.

--- a/packages/gateway/src/callers/early-listener.ts
+++ b/packages/gateway/src/callers/early-listener.ts
@@ -6,6 +6,7 @@
 import type { Server, Socket } from 'node:net';
 
 import type { Address } from '@sesamegrade/core/types/endpoint';
+import type { AcceptFailureListener } from '@sesamegrade/router/http/listen';
 
 interface EarlyListener {
   readonly server: Server;
@@ -22,6 +23,7 @@
 export function adoptEarlyListener(
   server: HttpServer,
   { host, port }: Address,
+  onAcceptFailure: AcceptFailureListener,
 ): boolean {
   const listener = (globalThis as { [EARLY_LISTENER_KEY]?: EarlyListener })[
     EARLY_LISTENER_KEY
@@ -36,6 +38,8 @@
     return false;
   }
   listener.server.removeAllListeners('connection');
+  listener.server.removeAllListeners('error');
+  listener.server.on('error', onAcceptFailure);
   listener.server.on('connection', (socket: Socket) => {
     server.emit('connection', socket);
   });
--- a/packages/gateway/src/callers/gateway-caller-server.ts
+++ b/packages/gateway/src/callers/gateway-caller-server.ts
@@ -9,6 +9,7 @@
 import type { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
 import type { CallerLimits } from '@sesamegrade/core/routes/fleet-configuration';
+import { listen } from '@sesamegrade/router/http/listen';
 import type { Forwarder } from '../forwarding/forwarder';
 import type { DecisionLog } from '../logs/decision-log';
 import { CallerExchange } from './caller-exchange';
@@ -88,21 +89,15 @@
 
   /** Listens at the address, or takes over the early listener there; returns the bound address. */
   async listen({ host, port }: Address): Promise<Address> {
-    if (adoptEarlyListener(this.#server, { host, port })) {
+    const onAcceptFailure = (error: Error) => {
+      this.#options.log.write('accept-failed', { error: error.message });
+    };
+    if (adoptEarlyListener(this.#server, { host, port }, onAcceptFailure)) {
       return { host, port };
     }
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once('error', reject);
-      this.#server.listen({ host, port, backlog: BACKLOG }, () => {
-        this.#server.off('error', reject);
-        resolve();
-      });
+    return listen(this.#server, { host, port }, onAcceptFailure, {
+      backlog: BACKLOG,
     });
-    const bound = this.#server.address();
-    return {
-      host,
-      port: typeof bound === 'object' && bound ? bound.port : port,
-    };
   }
 
   /** Applies the configuration's timeouts for callers' connections. */
--- a/packages/gateway/src/peers/peer-mesh.ts
+++ b/packages/gateway/src/peers/peer-mesh.ts
@@ -163,6 +163,9 @@
         raw: options.fleetReplica.rawConfiguration ?? new Uint8Array(0),
         endpoints: snapshotEndpoints(options.endpointDirectory),
       }),
+      onAcceptFailure: error => {
+        options.log.write('accept-failed', { error: error.message });
+      },
       onConnect: (request, socket) => {
         options.tunnelServer.accept(request, socket);
       },
--- a/packages/gateway/src/process/admin-server.ts
+++ b/packages/gateway/src/process/admin-server.ts
@@ -6,6 +6,7 @@
 
 import type { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
 import type { Address } from '@sesamegrade/core/types/endpoint';
+import { listen } from '@sesamegrade/router/http/listen';
 
 export interface AdminResponse {
   readonly status: number;
@@ -20,8 +21,10 @@
 /** Serves each path of `routes`; other paths get Koa's 404. */
 export class AdminServer {
   readonly #server: Server;
+  readonly #tasks: BackgroundTasks;
 
   constructor(routes: AdminRoutes, tasks: BackgroundTasks) {
+    this.#tasks = tasks;
     const app = new Koa();
     const handlers = new Map(Object.entries(routes));
     app.use(async context => {
@@ -37,13 +40,9 @@
     });
   }
 
-  async listen({ host, port }: Address): Promise<void> {
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once('error', reject);
-      this.#server.listen(port, host, () => {
-        this.#server.off('error', reject);
-        resolve();
-      });
+  async listen(address: Address): Promise<void> {
+    await listen(this.#server, address, error => {
+      this.#tasks.run('admin-accept', () => Promise.reject(error));
     });
   }
 
--- a/packages/router/src/callers/caller-server.ts
+++ b/packages/router/src/callers/caller-server.ts
@@ -17,6 +17,7 @@
 import type { Settings } from '@sesamegrade/settings/schema';
 import type { RequestDispatcher } from '../dispatch/request-dispatcher';
 import type { Counters } from '../metrics/counters';
+import { listen } from '../http/listen';
 import { CallerResponse } from './caller-response';
 import { headerOf, newRequestId } from './request-parser';
 import { rawRefusal } from './raw-refusal';
@@ -61,15 +62,10 @@
   }
 
   start(): Promise<Address> {
-    const { host, caller_port } = this.#options.settings.router;
-    return new Promise((resolve, reject) => {
-      this.#server.once('error', reject);
-      this.#server.listen(caller_port, host, () => {
-        const address = this.#server.address();
-        const port =
-          typeof address === 'object' && address ? address.port : caller_port;
-        resolve({ host, port });
-      });
+    const { settings, backgroundTasks } = this.#options;
+    const { host, caller_port: port } = settings.router;
+    return listen(this.#server, { host, port }, error => {
+      backgroundTasks.run('caller-accept', () => Promise.reject(error));
     });
   }
 
--- a/packages/router/src/operators/operator-server.ts
+++ b/packages/router/src/operators/operator-server.ts
@@ -2,7 +2,6 @@
 import { randomUUID } from 'node:crypto';
 import { createServer } from 'node:http';
 import type { Server } from 'node:http';
-import type { AddressInfo } from 'node:net';
 
 import Router from '@koa/router';
 import Koa from 'koa';
@@ -27,6 +26,7 @@
 import type { Address } from '@sesamegrade/core/types/endpoint';
 import { changeId, configurationVersion } from '@sesamegrade/core/types/ids';
 import { seconds } from '@sesamegrade/core/types/units';
+import { listen } from '../http/listen';
 import type { ConfigurationStore } from './configuration-store';
 import {
   CHANGE_STATUS,
@@ -97,15 +97,10 @@
 
   /** Starts to listen; port 0 selects a free port. Rejects when the address cannot be bound. */
   async listen(): Promise<Address> {
-    const { host, port } = this.#options.address;
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once('error', reject);
-      this.#server.listen(port, host, () => {
-        this.#server.off('error', reject);
-        resolve();
-      });
+    const { address, backgroundTasks } = this.#options;
+    return listen(this.#server, address, error => {
+      backgroundTasks.run('operator-accept', () => Promise.reject(error));
     });
-    return { host, port: (this.#server.address() as AddressInfo).port };
   }
 
   async close(): Promise<void> {
--- a/packages/router/src/peers/peer-server.ts
+++ b/packages/router/src/peers/peer-server.ts
@@ -1,7 +1,7 @@
 /** Accepts connections of peers and sends them gossip. */
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server } from 'node:http';
-import type { AddressInfo, Socket } from 'node:net';
+import type { Socket } from 'node:net';
 
 import { TRPCError } from '@trpc/server';
 import { applyWSSHandler } from '@trpc/server/adapters/ws';
@@ -13,6 +13,8 @@
 import type { Address } from '@sesamegrade/core/types/endpoint';
 import type { RouterId } from '@sesamegrade/core/types/ids';
 import { seconds } from '@sesamegrade/core/types/units';
+import { listen } from '../http/listen';
+import type { AcceptFailureListener } from '../http/listen';
 import { PeerFeed } from './peer-feed';
 import { binaryEncoder, identityMessage } from './peer-message';
 import type { FeedMessage } from './peer-message';
@@ -55,6 +57,8 @@
    * full state when it connects again.
    */
   readonly disconnectsOnLoss?: boolean;
+  /** Told of connections that could not be accepted. */
+  readonly onAcceptFailure?: AcceptFailureListener;
   /** Takes over the connection of a CONNECT request; absent if this router opens no tunnels. */
   readonly onConnect?: (request: IncomingMessage, socket: Socket) => void;
   readonly listener: PeerServerListener;
@@ -96,6 +100,8 @@
       verifyClient: ({ req }: { readonly req: IncomingMessage }) =>
         URL.canParse(req.url ?? '', `http://${req.headers.host ?? ''}`),
     });
+    // It repeats the errors of the HTTP server.
+    this.#sockets.on('error', () => undefined);
     this.#sockets.on('connection', socket => {
       this.#limitAuthenticationTime(socket);
     });
@@ -108,16 +114,9 @@
   }
 
   /** Starts to listen on the given address; port 0 selects a free port. */
-  async listen({ host, port }: Address): Promise<Address> {
-    await new Promise<void>((resolve, reject) => {
-      this.#http.once('error', reject);
-      this.#http.listen(port, host, () => {
-        this.#http.off('error', reject);
-        resolve();
-      });
-    });
-    const bound = this.#http.address() as AddressInfo;
-    return { host, port: bound.port };
+  listen(address: Address): Promise<Address> {
+    const { onAcceptFailure = () => undefined } = this.#options;
+    return listen(this.#http, address, onAcceptFailure);
   }
 
   /** Queues a message for a peer; returns false when the peer is not subscribed or reads too slowly. */
--- a/scripts/load-bundle.cjs
+++ b/scripts/load-bundle.cjs
@@ -63,6 +63,8 @@
   server.once('error', runBundle);
   server.listen({ ...address, backlog: BACKLOG }, () => {
     server.off('error', runBundle);
+    // A connection that cannot be accepted is lost; without a listener the process ends.
+    server.on('error', () => undefined);
     runBundle();
   });
 } else {
