Place requests by what a router does not see yet of the others'

Cause: all routers follow one late picture. Until the next update all of them see the same engine below its bound, or the same least loaded endpoint, and send there; where the mean is small the room between the bound and the limit is 2 to 3 requests. Engines were placed as if nothing was unseen; plain endpoints with noise on a load most of which had ended by then.

The change: by Little's law the age of the view tells how many of the requests seen still run, and how many run unseen. A plain endpoint is chosen at random by what it lacks to the load that all will have. For an engine, a random number of the subject's unseen requests is placed first by the same rule, and the other subjects' are spread at random. The share of a subject is that of this router's last 10 s. Nothing more is sent between routers.

Not ruled out: a mean over other endpoints than the service's.

Tests changed: service-placement's "chooses the least loaded endpoint when few requests are unseen" told the function of 5 unseen requests at loads of 4, 1 and 3, where following the least load puts all five on it: the fault. It now has half a request unseen, and a new test checks the shares at 5. Candidates have own and others' requests instead of a load.

Not solved: the first 5 s with half of all requests about one subject.

--- a/packages/core/src/endpoints/service-placement.test.ts
+++ b/packages/core/src/endpoints/service-placement.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai';
 
 import { Random } from '../random/random';
+import { estimateUnseen, NO_UNSEEN_REQUESTS } from '../loads/unseen-requests';
 import { endpointId } from '../types/ids';
 import { chooseServiceEndpoint } from './service-placement';
 
@@ -18,7 +19,6 @@
   const ids = ['a', 'b', 'c'].map(endpointId);
   const queues = ids.map(() => [] as number[]);
   let seen = [0, 0, 0];
-  const unseen = isNoiseKnown ? RATE_PER_MS * period : 0;
   let [sent, waited] = [0, 0];
   for (let now = 0; now < 60_000; now += 1) {
     queues.forEach(queue => {
@@ -36,12 +36,15 @@
     const chosen = chooseServiceEndpoint(
       ids.map((id, at) => ({
         id,
-        load: seen[at] ?? 0,
+        own: 0,
+        others: seen[at] ?? 0,
         slots: SLOTS,
         near: false,
         speed: 1,
       })),
-      unseen,
+      isNoiseKnown
+        ? estimateUnseen(RATE_PER_MS * period, sum(seen))
+        : NO_UNSEEN_REQUESTS,
       () => random.fraction(),
     );
     const queue = queues[ids.findIndex(id => id === chosen)] ?? [];
@@ -52,6 +55,10 @@
   return waited / sent;
 }
 
+function sum(values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0);
+}
+
 describe('chooseServiceEndpoint', () => {
   it('does not herd to the endpoint that was least loaded at the last load update', () => {
     expect(meanWait(300, true)).to.be.below(WORK_MS / 10);
@@ -65,16 +72,43 @@
     const random = new Random(1);
     const candidates = [4, 1, 3].map((load, at) => ({
       id: endpointId(`e${at}`),
-      load,
+      own: 0,
+      others: load,
       slots: SLOTS,
       near: false,
       speed: 1,
     }));
     for (let count = 0; count < 100; count += 1) {
-      const chosen = chooseServiceEndpoint(candidates, 5, () =>
-        random.fraction(),
+      const chosen = chooseServiceEndpoint(
+        candidates,
+        { persistence: 1, running: 0.5 },
+        () => random.fraction(),
       );
       expect(chosen).to.equal('e1');
     }
   });
+
+  it('fills the least loaded endpoints up to the load that all will have by the unseen requests', () => {
+    const random = new Random(1);
+    const candidates = [9, 1, 3].map((load, at) => ({
+      id: endpointId(`e${at}`),
+      own: 0,
+      others: load,
+      slots: SLOTS,
+      near: false,
+      speed: 1,
+    }));
+    const counts = new Map<string | undefined, number>();
+    for (let count = 0; count < 6000; count += 1) {
+      const chosen = chooseServiceEndpoint(
+        candidates,
+        { persistence: 1, running: 5 },
+        () => random.fraction(),
+      );
+      counts.set(chosen, (counts.get(chosen) ?? 0) + 1);
+    }
+    // Six requests bring e1 and e2 to 5 each.
+    expect([...counts.keys()].sort()).to.deep.equal(['e1', 'e2']);
+    expect(counts.get('e1')).to.be.within(3900, 4100);
+  });
 });
--- a/packages/core/src/endpoints/service-placement.ts
+++ b/packages/core/src/endpoints/service-placement.ts
@@ -1,13 +1,16 @@
 /**
- * Chooses an endpoint of a plain service: the least loaded one, preferring the
- * same zone among equals.
+ * Chooses an endpoint of a plain service: at random, by the requests that each lacks to the
+ * load that all will have, so that routers with the same late view do not all choose the same one.
  */
+import type { UnseenRequests } from '../loads/unseen-requests';
 import type { EndpointId } from '../types/ids';
 
 export interface ServiceCandidate {
   readonly id: EndpointId;
-  /** Requests at the endpoint from all routers. */
-  readonly load: number;
+  /** This router's requests at the endpoint. */
+  readonly own: number;
+  /** Those of other routers, as this router sees them. */
+  readonly others: number;
   readonly slots: number;
   /** Whether the endpoint is in the router's own availability zone. */
   readonly near: boolean;
@@ -20,36 +23,62 @@
  * exceed one in another zone.
  */
 const OTHER_ZONE_COST = 0.1;
-/** Random cost that breaks ties differently for each request, so that routers do not herd. */
-const TIE_BREAKING_JITTER = 0.05;
-/** Unseen requests per endpoint up to which differences of load are still significant. */
-const TOLERATED_UNSEEN_REQUESTS = 1;
+const MIN_SPEED = 0.05;
+
+/** A candidate's load, and how much of the load of all it takes. */
+interface Share {
+  readonly id: EndpointId;
+  readonly load: number;
+  readonly weight: number;
+}
 
 /**
  * Returns undefined if there is no candidate; `fraction` returns random numbers
- * in [0, 1). `unseen` is the number of requests that other routers send to the
- * service before this router receives their loads. Differences of load smaller
- * than an endpoint's part of `unseen` are noise; if all routers followed them,
- * they would all choose the same endpoint.
+ * in [0, 1).
  */
 export function chooseServiceEndpoint(
   candidates: readonly ServiceCandidate[],
-  unseen: number,
+  unseen: UnseenRequests,
   fraction: () => number,
 ): EndpointId | undefined {
-  const unseenPerEndpoint = unseen / Math.max(1, candidates.length);
-  const noise = Math.max(0, unseenPerEndpoint - TOLERATED_UNSEEN_REQUESTS);
-  let best: EndpointId | undefined;
-  let bestCost = Number.POSITIVE_INFINITY;
-  for (const { id, load, slots, near, speed } of candidates) {
-    const cost =
-      load / (Math.max(1, slots) * Math.max(0.05, speed)) +
-      (near ? 0 : OTHER_ZONE_COST) +
-      fraction() * (TIE_BREAKING_JITTER + noise / Math.max(1, slots));
-    if (cost < bestCost) {
-      best = id;
-      bestCost = cost;
+  const shares = candidates.map(
+    ({ id, own, others, slots, near, speed }): Share => ({
+      id,
+      load:
+        own +
+        others * unseen.persistence +
+        (near ? 0 : OTHER_ZONE_COST * slots),
+      weight: Math.max(1, slots) * Math.max(MIN_SPEED, speed),
+    }),
+  );
+  const arriving = unseen.running + 1;
+  const level = commonLevel(shares, arriving);
+  let remaining = fraction() * arriving;
+  for (const { id, load, weight } of shares) {
+    remaining -= Math.max(0, level * weight - load);
+    if (remaining < 0) {
+      return id;
+    }
+  }
+  return shares.at(-1)?.id;
+}
+
+/**
+ * The load per weight up to which requests fill the least loaded endpoints; those above it get
+ * none.
+ */
+function commonLevel(shares: readonly Share[], arriving: number): number {
+  const filled = shares.toSorted(
+    (left, right) => left.load / left.weight - right.load / right.weight,
+  );
+  let load = arriving;
+  let weight = 0;
+  for (const share of filled) {
+    if (weight > 0 && load / weight <= share.load / share.weight) {
+      break;
     }
+    load += share.load;
+    weight += share.weight;
   }
-  return best;
+  return load / weight;
 }
--- a/packages/core/src/engines/engine-placement.test.ts
+++ b/packages/core/src/engines/engine-placement.test.ts
@@ -10,7 +10,12 @@
 const SLOTS = 64;
 
 const engines = (loads: readonly number[]): EngineCandidate[] =>
-  loads.map((load, at) => ({ id: endpointId(`e${at}`), load, slots: SLOTS }));
+  loads.map((load, at) => ({
+    id: endpointId(`e${at}`),
+    own: 0,
+    others: load,
+    slots: SLOTS,
+  }));
 
 const prompt = (subject: string): Prompt => ({
   model: modelId('m'),
--- a/packages/core/src/engines/engine-placement.ts
+++ b/packages/core/src/engines/engine-placement.ts
@@ -12,16 +12,29 @@
   subjectPart,
 } from '../prompts/prompt-chain';
 import type { Prompt } from '../prompts/prompt-chain';
+import { NO_UNSEEN_REQUESTS } from '../loads/unseen-requests';
+import type { UnseenRequests } from '../loads/unseen-requests';
+import type { Random } from '../random/random';
 import type { EndpointId, PromptPartId } from '../types/ids';
 
 /** An engine that takes requests, as this router currently sees it. */
 export interface EngineCandidate {
   readonly id: EndpointId;
-  /** Requests at the engine from all routers. */
-  readonly load: number;
+  /** This router's requests at the engine. */
+  readonly own: number;
+  /** Those of other routers, as this router sees them. */
+  readonly others: number;
   readonly slots: number;
 }
 
+/** What a router does not see of the requests at engines, and how it spreads its own for that. */
+export interface EngineView {
+  readonly unseen: UnseenRequests;
+  /** Share, in 0..1, of the prompt's subject in the requests. */
+  readonly subjectShare: number;
+  readonly random: Pick<Random, 'fraction' | 'exponential'>;
+}
+
 export interface EnginePlacementOptions {
   /** Maximum load as a multiple of the mean, without `boundSlack`. */
   readonly boundFactor: number;
@@ -71,6 +84,28 @@
 
 const HASH_RANGE = 0x1_0000_0000;
 
+/** The view of a router that sees all requests at once. */
+const COMPLETE_VIEW: EngineView = {
+  unseen: NO_UNSEEN_REQUESTS,
+  subjectShare: 0,
+  random: { fraction: () => 0, exponential: () => 0 },
+};
+
+/** Unseen requests of a subject up to which they are placed before one that is. */
+const MAX_PLACED_BEFORE = 64;
+
+/** A candidate with what a prompt costs there. */
+interface Option {
+  readonly candidate: EngineCandidate;
+  /** Time in milliseconds to prefill or fetch what is missing. */
+  readonly prefillCost: number;
+  /** Breaks ties in the same way on every router; at most one millisecond. */
+  readonly rank: number;
+  readonly missing: number;
+  readonly isHome: boolean;
+  load: number;
+}
+
 export class EnginePlacement {
   readonly #options: EnginePlacementOptions;
 
@@ -82,105 +117,133 @@
 
   /** Load above which an engine takes no more requests while others are below it. */
   bound(candidates: readonly EngineCandidate[]): number {
-    const total = candidates.reduce((sum, { load }) => sum + load, 0);
+    const total = candidates.reduce(
+      (sum, { own, others }) => sum + own + others,
+      0,
+    );
     const mean = (total + 1) / Math.max(1, candidates.length);
     return this.#options.boundFactor * mean + this.#options.boundSlack;
   }
 
   /**
    * Returns undefined if there is no candidate. `isFetchable` returns whether
-   * some engine has the part cached and can transfer it.
+   * some engine has the part cached and can transfer it. Other routers place requests by
+   * the same view: a random number of those of the subject is placed first, as if they
+   * had come before, and the others of the service are spread at random.
    */
   choose(
     prompt: Prompt,
     candidates: readonly EngineCandidate[],
     isCachedAt: (part: PromptPartId, engine: EndpointId) => boolean,
     isFetchable: (part: PromptPartId) => boolean,
+    view: EngineView = COMPLETE_VIEW,
   ): EngineChoice | undefined {
+    const { unseen, subjectShare, random } = view;
     const bound = this.bound(candidates);
-    const home = this.#home(prompt, candidates);
+    const ranks = candidates.map(({ id }) => rankOf(prompt, id));
+    const homeRank = Math.min(...ranks);
+    const unseenOfSubject = unseen.running * subjectShare;
+    const unseenOfOthers =
+      (unseen.running - unseenOfSubject) / Math.max(1, candidates.length);
+    const options = candidates.map((candidate, at): Option => {
+      const { own, others } = candidate;
+      const rank = ranks[at] ?? 1;
+      const isHome = rank === homeRank;
+      return {
+        ...this.#prefillCost(
+          prompt,
+          candidate,
+          isHome,
+          isCachedAt,
+          isFetchable,
+        ),
+        candidate,
+        isHome,
+        rank,
+        load:
+          own +
+          others * unseen.persistence +
+          random.exponential(unseenOfOthers),
+      };
+    });
+    const before = Math.min(
+      MAX_PLACED_BEFORE,
+      Math.floor(random.fraction() * (unseenOfSubject + 1)),
+    );
+    for (let count = 0; count < before; count += 1) {
+      const taken = this.#cheapest(options, bound);
+      if (taken) {
+        taken.load += 1;
+      }
+    }
+    const best = this.#cheapest(options, bound);
+    if (!best) {
+      return undefined;
+    }
+    const { candidate, missing, isHome } = best;
     const subject = subjectPart(prompt);
-    let best: EngineChoice | undefined;
+    const isHolder =
+      subject !== undefined && isCachedAt(subject.id, candidate.id);
+    return {
+      id: candidate.id,
+      reason: isHolder ? 'holder' : isHome ? 'home' : 'spilled',
+      missing,
+      load: candidate.own + candidate.others,
+      bound,
+    };
+  }
+
+  #cheapest(options: readonly Option[], bound: number): Option | undefined {
+    let best: Option | undefined;
     let bestCost = Number.POSITIVE_INFINITY;
-    for (const candidate of candidates) {
-      const missing = missingTokens(prompt, part =>
-        isCachedAt(part, candidate.id),
-      );
-      const isHome = candidate.id === home;
-      const fetchable = fetchableTokens(
-        prompt,
-        candidate.id,
-        isCachedAt,
-        isFetchable,
-      );
-      const hasDiscount =
-        isHome && subject && !isCachedAt(subject.id, candidate.id);
-      const discount = hasDiscount
-        ? (subject.tokens - fetchable) * this.#options.homeDiscount
-        : 0;
-      const toPrefill = missing - fetchable - Math.max(0, discount);
-      const cost = this.#cost(candidate, toPrefill, fetchable, bound, prompt);
+    for (const option of options) {
+      const cost =
+        option.prefillCost + option.rank + this.#loadCost(option, bound);
       if (cost < bestCost) {
         bestCost = cost;
-        const isHolder =
-          subject !== undefined && isCachedAt(subject.id, candidate.id);
-        best = {
-          id: candidate.id,
-          reason: isHolder ? 'holder' : isHome ? 'home' : 'spilled',
-          missing,
-          load: candidate.load,
-          bound,
-        };
+        best = option;
       }
     }
     return best;
   }
 
-  /** Returns the cost in milliseconds; an engine at its bound costs more than any below it. */
-  #cost(
-    candidate: EngineCandidate,
-    toPrefill: number,
-    fetchable: number,
-    bound: number,
+  #prefillCost(
     prompt: Prompt,
-  ): number {
-    const { prefillTokensPerMs, fetchTokensPerMs, waitMsPerRequest } =
+    { id }: EngineCandidate,
+    isHome: boolean,
+    isCachedAt: (part: PromptPartId, engine: EndpointId) => boolean,
+    isFetchable: (part: PromptPartId) => boolean,
+  ): Pick<Option, 'prefillCost' | 'missing'> {
+    const { prefillTokensPerMs, fetchTokensPerMs, homeDiscount } =
       this.#options;
-    const overload = candidate.load + 1 > bound ? 1e6 * candidate.load : 0;
-    const full = 1e9 * Math.max(0, candidate.load + 1 - candidate.slots);
-    return (
-      toPrefill / prefillTokensPerMs +
-      fetchable / fetchTokensPerMs +
-      candidate.load * waitMsPerRequest +
-      overload +
-      full +
-      this.#rank(prompt, candidate.id)
-    );
-  }
-
-  /** Breaks ties in the same way on every router; at most one millisecond. */
-  #rank(prompt: Prompt, engine: EndpointId): number {
+    const missing = missingTokens(prompt, part => isCachedAt(part, id));
+    const fetchable = fetchableTokens(prompt, id, isCachedAt, isFetchable);
     const subject = subjectPart(prompt);
-    return subject ? 1 - rendezvousWeight(subject.id, engine) / HASH_RANGE : 0;
+    const hasDiscount = isHome && subject && !isCachedAt(subject.id, id);
+    const discount = hasDiscount
+      ? (subject.tokens - fetchable) * homeDiscount
+      : 0;
+    const toPrefill = missing - fetchable - Math.max(0, discount);
+    return {
+      missing,
+      prefillCost:
+        toPrefill / prefillTokensPerMs + fetchable / fetchTokensPerMs,
+    };
   }
 
-  #home(
-    prompt: Prompt,
-    candidates: readonly EngineCandidate[],
-  ): EndpointId | undefined {
-    let home: EndpointId | undefined;
-    let homeRank = Number.POSITIVE_INFINITY;
-    for (const { id } of candidates) {
-      const rank = this.#rank(prompt, id);
-      if (rank < homeRank) {
-        home = id;
-        homeRank = rank;
-      }
-    }
-    return home;
+  /** Returns the cost in milliseconds; an engine at its bound costs more than any below it. */
+  #loadCost({ candidate, load }: Option, bound: number): number {
+    const overload = load + 1 > bound ? 1e6 * load : 0;
+    const full = 1e9 * Math.max(0, load + 1 - candidate.slots);
+    return load * this.#options.waitMsPerRequest + overload + full;
   }
 }
 
+function rankOf(prompt: Prompt, engine: EndpointId): number {
+  const subject = subjectPart(prompt);
+  return subject ? 1 - rendezvousWeight(subject.id, engine) / HASH_RANGE : 0;
+}
+
 /** Returns the tokens that the engine has not cached and can fetch from another one. */
 function fetchableTokens(
   prompt: Prompt,
--- a/packages/core/src/forwarding/endpoint-chooser.ts
+++ b/packages/core/src/forwarding/endpoint-chooser.ts
@@ -6,11 +6,14 @@
 import type { RefusalHolds } from '../endpoints/refusal-holds';
 import { chooseServiceEndpoint } from '../endpoints/service-placement';
 import { EnginePlacement } from '../engines/engine-placement';
+import { SubjectShares } from '../loads/subject-shares';
+import { estimateUnseen } from '../loads/unseen-requests';
+import type { UnseenRequests } from '../loads/unseen-requests';
 import type { EngineReason } from '../engines/engine-placement';
 import type { LoadEstimate } from '../engines/load-estimate';
 import type { PartLocations } from '../engines/part-locations';
 import type { ServiceHealth } from '../outliers/service-health';
-import { sharedParts } from '../prompts/prompt-chain';
+import { sharedParts, subjectPart } from '../prompts/prompt-chain';
 import type { Prompt } from '../prompts/prompt-chain';
 import type { StreamAdmission } from '../software-versions/stream-admission';
 import type { Random } from '../random/random';
@@ -74,8 +77,8 @@
   readonly random: Random;
   readonly zone: ZoneId;
   /**
-   * Estimated number of requests that other routers have sent to a service and
-   * not yet reported.
+   * Estimated number of requests that other routers begin at a service before this router
+   * learns of them.
    */
   readonly unreported: (service: ServiceId, now: Instant) => number;
 }
@@ -91,6 +94,7 @@
 export class EndpointChooser {
   readonly #options: EndpointChooserOptions;
   readonly #placement: EnginePlacement;
+  readonly #subjectShares = new SubjectShares();
 
   constructor(
     options: EndpointChooserOptions,
@@ -100,6 +104,14 @@
     this.#placement = placement;
   }
 
+  /** Records a request that has arrived, before its endpoint is chosen. */
+  recordPrompt(prompt: Prompt, now: Instant): void {
+    const subject = subjectPart(prompt);
+    if (subject) {
+      this.#subjectShares.record(subject.id, now);
+    }
+  }
+
   choose(query: ChoiceQuery, now: Instant): EndpointChoice {
     const known = this.#options.endpointDirectory.usable(query.service);
     const untried =
@@ -210,17 +222,25 @@
     pool: readonly EndpointEntry[],
     now: Instant,
   ): Extract<EndpointChoice, { kind: 'endpoint' }> {
-    const { loads, locations } = this.#options;
+    const { locations, random } = this.#options;
     const candidates = pool.map(({ id, slots }) => ({
       id,
       slots,
-      load: loads.total(id, now),
+      ...this.#loadsAt(id, now),
     }));
+    const subject = subjectPart(prompt);
     const choice = this.#placement.choose(
       prompt,
       candidates,
       (part, engine) => locations.isAt(part, engine),
       part => this.#sourceOf(part) !== undefined,
+      {
+        unseen: this.#unseen(first(pool).service, candidates, now),
+        subjectShare: subject
+          ? this.#subjectShares.shareOfOthers(subject.id, now)
+          : 0,
+        random,
+      },
     );
     const entry = pool.find(({ id }) => id === choice?.id) ?? first(pool);
     const missingPart = sharedParts(prompt)
@@ -236,6 +256,25 @@
     };
   }
 
+  /** The requests of this router at an endpoint, and those of the others as it sees them. */
+  #loadsAt(
+    id: EndpointId,
+    now: Instant,
+  ): { readonly own: number; readonly others: number } {
+    const { loads } = this.#options;
+    const own = loads.ownInFlight(id);
+    return { own, others: loads.total(id, now) - own };
+  }
+
+  #unseen(
+    service: ServiceId,
+    candidates: readonly { readonly others: number }[],
+    now: Instant,
+  ): UnseenRequests {
+    const seen = candidates.reduce((sum, { others }) => sum + others, 0);
+    return estimateUnseen(this.#options.unreported(service, now), seen);
+  }
+
   /** Returns a healthy engine that has cached the part, one of the zone if there is one. */
   #sourceOf(part: PromptPartId, zone?: ZoneId): EndpointEntry | undefined {
     const { endpointDirectory, locations, health } = this.#options;
@@ -261,14 +300,14 @@
     const candidates = pool.map(entry => ({
       id: entry.id,
       slots: entry.slots,
-      load: loads.total(entry.id, now),
+      ...this.#loadsAt(entry.id, now),
       near: entry.zone === zone,
       speed: Math.max(MIN_SPEED, health.health(entry.id)),
     }));
     const service = first(pool).service;
     const id = chooseServiceEndpoint(
       candidates,
-      this.#options.unreported(service, now),
+      this.#unseen(service, candidates, now),
       () => random.fraction(),
     );
     const entry = pool.find(other => other.id === id) ?? first(pool);
--- a/packages/gateway/src/forwarding/forwarder.ts
+++ b/packages/gateway/src/forwarding/forwarder.ts
@@ -351,6 +351,10 @@
       );
       return;
     }
+    if (head.prompt) {
+      const { chooser, timers } = this.#options;
+      chooser.recordPrompt(head.prompt, timers.now());
+    }
     const request: ForwardedRequest = {
       exchange,
       head,
