Bound the memory that responses take together

A report of other operators: bytes without end filled the memory of the machine that had called the server.

The change: all responses of a router hold 32 MiB together, what their callers have not read included, and each 64 KiB in any case. Beyond that a whole response is passed on before it is complete, which ends its retries, and an event that does not end is given up, as one of over 1 MiB is. A unit test shows the latter.

Not looked at: many such responses through a tunnel, from the store, a relay and a probe at once.

--- a/packages/gateway/src/callers/caller-exchange.ts
+++ b/packages/gateway/src/callers/caller-exchange.ts
@@ -83,6 +83,11 @@
     return this.#closesConnection;
   }
 
+  /** Bytes of the response that were written and not sent yet. */
+  get unsentBytes(): number {
+    return this.#response.writableLength;
+  }
+
   /** Whether the head of a response has been written. */
   get hasResponseStarted(): boolean {
     return this.#responseStarted;
--- a/packages/gateway/src/composition/gateway-container.ts
+++ b/packages/gateway/src/composition/gateway-container.ts
@@ -62,6 +62,7 @@
 import type { EndpointDialer } from '../endpoints/endpoint-dialer';
 import type { EndpointProtocol } from '../endpoints/endpoint-protocol';
 import { AttemptPlacement } from '../forwarding/attempt-placement';
+import { ResponseMemory } from '../forwarding/response-memory';
 import { Forwarder } from '../forwarding/forwarder';
 import { DecisionLog } from '../logs/decision-log';
 import { GatewayMetrics } from '../metrics/gateway-metrics';
@@ -154,6 +155,7 @@
   readonly connectionPool: ConnectionPool;
   readonly connectionEnd: ConnectionEnd;
   readonly processVerification: ProcessVerification;
+  readonly responseMemory: ResponseMemory;
   readonly forwarder: Forwarder;
   readonly shutdownSequence: ShutdownSequence;
   readonly settingsReloader: SettingsReloader;
@@ -291,6 +293,7 @@
         new ShutdownSequence(() => settingsReloader.current.stop.grace_seconds),
     ).singleton(),
     settingsReloader: asClass(SettingsReloader).singleton(),
+    responseMemory: asFunction(() => new ResponseMemory()).singleton(),
     forwarder: asClass(Forwarder).singleton(),
     callerServer: asClass(GatewayCallerServer).singleton(),
     fleetReadiness: asClass(FleetReadiness).singleton(),
--- a/packages/gateway/src/endpoints/attempt.ts
+++ b/packages/gateway/src/endpoints/attempt.ts
@@ -28,6 +28,8 @@
   abstract onHead(head: ResponseHead): void;
   /** Returns false to pause the endpoint until `Attempt.resume`. */
   abstract onData(chunk: Buffer): boolean;
+  /** Called when the router has no memory for more; returns false to pause the endpoint as `onData` does. */
+  abstract onMemoryFull(): boolean;
   /** Called when the response is complete; returns the result of the attempt, or resolves with it. */
   abstract onComplete(
     head: ResponseHead,
--- a/packages/gateway/src/forwarding/event-stream-sink.test.ts
+++ b/packages/gateway/src/forwarding/event-stream-sink.test.ts
@@ -6,6 +6,7 @@
 import type { ResponseHead } from '../endpoints/endpoint-protocol';
 import { watchRejections } from '../streams/testing/unhandled-rejections';
 import type { RejectionWatch } from '../streams/testing/unhandled-rejections';
+import { ResponseMemory } from './response-memory';
 import { ResponseRelay } from './response-relay';
 
 const MAX_EVENT_BYTES = 1_048_576;
@@ -59,11 +60,15 @@
       drain = listener;
     },
     end: () => received.push('end'),
+    unsentBytes: 0,
   } as unknown as CallerExchange;
 
+  let responseMemory: ResponseMemory;
+
   const open = (admit: () => true | Promise<boolean>) => {
     relay = new ResponseRelay({
       exchange,
+      memory: responseMemory.open(),
       resume: () => {
         resumes += 1;
       },
@@ -101,6 +106,7 @@
     received.filter(part => part !== 'start' && part !== 'end').join('');
 
   beforeEach(() => {
+    responseMemory = new ResponseMemory();
     rejections = watchRejections();
     received = [];
     aborted = [];
@@ -122,6 +128,17 @@
     expect(admissions).to.equal(1);
   });
 
+  // Guards against a router that runs out of memory by many events that do not end.
+  it('gives an event up that does not end while other responses use up the memory', () => {
+    responseMemory.open().set(2 ** 25);
+    open(() => true);
+    feed(event(1));
+    feed(`data: ${'x'.repeat(60_000)}`);
+    expect(aborted).to.deep.equal([]);
+    feed('x'.repeat(60_000));
+    expect(aborted).to.deep.equal([{ kind: 'broken', breakage: 'malformed' }]);
+  });
+
   // Guards against a first event that is passed on before its stream is recorded, and events that overtake it.
   it('holds all events while that is not decided, and passes them on in order', async () => {
     openPending();
--- a/packages/gateway/src/forwarding/event-stream-sink.ts
+++ b/packages/gateway/src/forwarding/event-stream-sink.ts
@@ -61,6 +61,15 @@
     return events.count === 0 || this.#onEvents(events);
   }
 
+  /** An event that does not end can only be given up; others wait for the caller or a decision. */
+  override onMemoryFull(): boolean {
+    return (
+      this.#isAborted ||
+      !this.#splitter.isWithinEvent ||
+      this.#abort('malformed')
+    );
+  }
+
   /** Returns false to pause the endpoint. */
   #onEvents(events: SplitEvents): boolean {
     const { firstId } = events;
--- a/packages/gateway/src/forwarding/forwarder.ts
+++ b/packages/gateway/src/forwarding/forwarder.ts
@@ -64,6 +64,7 @@
 import type { StreamRecordingOptions } from '../streams/stream-recording';
 import type { StreamResumption } from '../streams/stream-resumption';
 import { CrashGuard } from './crash-guard';
+import type { HeldBytes, ResponseMemory } from './response-memory';
 import { ResponseRelay } from './response-relay';
 import { StreamProcessCheck } from './stream-process-check';
 import { SilenceWatch } from './silence-watch';
@@ -107,6 +108,7 @@
   readonly routeHistory: RouteHistory;
   readonly chooser: EndpointChooser;
   readonly attemptPlacement: AttemptPlacement;
+  readonly responseMemory: ResponseMemory;
   readonly fleetState: FleetState;
   readonly endpointDirectory: EndpointDirectory;
   readonly streamResumption: StreamResumption;
@@ -386,12 +388,18 @@
       notRun: 0,
     };
     this.#options.fleetState.onRequestStarted(target.service);
-    await this.#runAttempts(request, running);
+    const memory = this.#options.responseMemory.open();
+    try {
+      await this.#runAttempts(request, running, memory);
+    } finally {
+      memory.release();
+    }
   }
 
   async #runAttempts(
     request: ForwardedRequest,
     running: RunningRequest,
+    memory: HeldBytes,
   ): Promise<void> {
     const { exchange, head, decision } = request;
     const { route } = decision;
@@ -399,6 +407,7 @@
     let current: EndpointEntry | undefined;
     const relay: ResponseRelay = new ResponseRelay({
       exchange,
+      memory,
       resume: () => {
         attempt?.resume();
       },
--- /dev/null
+++ b/packages/gateway/src/forwarding/response-memory.ts
@@ -0,0 +1,48 @@
+/**
+ * Memory for what endpoints have sent and callers have not got yet, shared by all requests of
+ * the router, so that many large responses at once do not use up the memory of its VM.
+ */
+
+/** Bytes that all responses may hold together. */
+const MAX_TOTAL_BYTES = 33_554_432;
+/** Bytes that a response may hold in any case. */
+const MIN_RESPONSE_BYTES = 65_536;
+
+export class ResponseMemory {
+  #total = 0;
+
+  /** Bytes held by all responses. */
+  get total(): number {
+    return this.#total;
+  }
+
+  /** Opens the account of one request's responses. */
+  open(): HeldBytes {
+    return new HeldBytes(change => {
+      this.#total += change;
+      return this.#total <= MAX_TOTAL_BYTES;
+    });
+  }
+}
+
+/** What the responses of one request hold. */
+export class HeldBytes {
+  readonly #change: (by: number) => boolean;
+  #bytes = 0;
+
+  /** `change` returns whether all responses are within their limit after it. */
+  constructor(change: (by: number) => boolean) {
+    this.#change = change;
+  }
+
+  /** Records how many bytes are held; returns whether they may be. */
+  set(bytes: number): boolean {
+    const isWithinTotal = this.#change(bytes - this.#bytes);
+    this.#bytes = bytes;
+    return isWithinTotal || bytes <= MIN_RESPONSE_BYTES;
+  }
+
+  release(): void {
+    this.set(0);
+  }
+}
--- a/packages/gateway/src/forwarding/response-relay.ts
+++ b/packages/gateway/src/forwarding/response-relay.ts
@@ -6,6 +6,7 @@
 import type { CallerExchange } from '../callers/caller-exchange';
 import { ResponseSink } from '../endpoints/attempt';
 import type { ResponseHead } from '../endpoints/endpoint-protocol';
+import type { HeldBytes } from './response-memory';
 import { EventStreamSink } from './event-stream-sink';
 import { WholeResponseSink } from './whole-response-sink';
 
@@ -20,6 +21,7 @@
 
 export interface ResponseRelayOptions {
   readonly exchange: CallerExchange;
+  readonly memory: HeldBytes;
   /** Resumes reading from the endpoint of the running attempt. */
   readonly resume: () => void;
   /** Aborts the running attempt with the given result. */
@@ -76,6 +78,13 @@
     return this.#sink?.heldBytes ?? 0;
   }
 
+  /** Whether the bytes of this request that the caller has not got may be held. */
+  mayHold(): boolean {
+    const { exchange, memory } = this.#options;
+    const buffered = this.#bufferedResponse?.body.length ?? 0;
+    return memory.set(this.heldBytes + buffered + exchange.unsentBytes);
+  }
+
   /** Creates the sink of the next attempt. */
   sink(): ResponseSink {
     this.#sink = new RelayingSink(this, this.#options);
@@ -148,7 +157,14 @@
   }
 
   override onData(chunk: Buffer): boolean {
-    return this.#sink.onData(chunk);
+    const isWritable = this.#sink.onData(chunk);
+    return this.#relay.mayHold()
+      ? isWritable
+      : this.#sink.onMemoryFull() && isWritable;
+  }
+
+  override onMemoryFull(): boolean {
+    return this.#sink.onMemoryFull();
   }
 
   override onComplete(
--- a/packages/gateway/src/forwarding/whole-response-sink.ts
+++ b/packages/gateway/src/forwarding/whole-response-sink.ts
@@ -61,6 +61,10 @@
     return { kind: 'delivered', status: head.status };
   }
 
+  override onMemoryFull(): boolean {
+    return this.#isPassedOn || this.#passOn();
+  }
+
   #passOn(): boolean {
     this.#isPassedOn = true;
     if (this.#head) {
