Let readers of the routers' logs stall and close in the soak

The soak read every pipe for good, so that it could not show a router that ends as the reader of its log closes. A scenario of its own, which leaves the draws of the others as they are, lets the reader of a random router's standard output and error stall or close.

--- a/packages/stand-ins/src/deployment/router-process.ts
+++ b/packages/stand-ins/src/deployment/router-process.ts
@@ -4,6 +4,7 @@
 import { once } from 'node:events';
 import { appendFileSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
+import { setTimeout as pause } from 'node:timers/promises';
 
 import { fixedPorts } from '../http/free-port';
 
@@ -108,12 +109,14 @@
           SESAMEGRADE_CONFIG: file,
           SESAMEGRADE_PEER_SECRET: SECRET,
         },
-        stdio: ['ignore', 'pipe', 'inherit'],
+        stdio: ['ignore', 'pipe', 'pipe'],
       },
     );
-    child.stdout.on('data', (output: Buffer) => {
-      appendFileSync(join(folder, `${name}.log`), output);
-    });
+    for (const reader of [child.stdout, child.stderr]) {
+      reader.on('data', (output: Buffer) => {
+        appendFileSync(join(folder, `${name}.log`), output);
+      });
+    }
     child.once('exit', (code, signal) => {
       if (!this.#expectedExits.has(child)) {
         this.#unexpectedExits.push(signal ?? `exit code ${code ?? 0}`);
@@ -122,6 +125,22 @@
     this.#process = child;
   }
 
+  /** Lets the reader of what the process writes stall for a time in ms. */
+  async stallLogReader(durationMs: number): Promise<void> {
+    const child = this.#process;
+    child?.stdout?.pause();
+    child?.stderr?.pause();
+    await pause(durationMs);
+    child?.stdout?.resume();
+    child?.stderr?.resume();
+  }
+
+  /** Closes the reader of what the process writes until its end. */
+  closeLogReader(): void {
+    this.#process?.stdout?.destroy();
+    this.#process?.stderr?.destroy();
+  }
+
   sendSignal(signal: NodeJS.Signals): void {
     if (this.#process?.kill(signal) === true) {
       this.#options.onEvent?.(signal);
--- a/packages/stand-ins/src/soak/soak.ts
+++ b/packages/stand-ins/src/soak/soak.ts
@@ -66,6 +66,8 @@
 const REQUEST_INTERVAL_MS = 20;
 const FAULT_INTERVAL_MS = 500;
 const MAX_FAULT_MS = 1500;
+/** Of so many disturbed readers of a router's log one closes, and the others stall. */
+const LOG_READERS_PER_CLOSE = 3;
 /** Time from one router's loss of contact to that of another. */
 const CONTACT_LOSS_INTERVAL_MS = 2000;
 /** Time without faults after which every router must know which content ends endpoints. */
@@ -190,6 +192,7 @@
     const end = this.#now() + this.#options.seconds * 1000;
     this.#pending.push(
       this.#loseContacts(),
+      this.#disturbLogReaders(end),
       this.#stopScenario.run(end),
       this.#slowEndpoints.run(end),
     );
@@ -239,6 +242,23 @@
     await Promise.all(losses);
   }
 
+  /** Lets readers of the routers' logs stall or close, one after the other. */
+  async #disturbLogReaders(end: number): Promise<void> {
+    const random = new Random(this.#options.seed);
+    while (this.#now() < end) {
+      const router = random.pick(this.#routers);
+      const durationMs = random.integer(200, MAX_FAULT_MS);
+      if (random.integer(1, LOG_READERS_PER_CLOSE) === 1) {
+        this.#faults.push(`${router.name} log reader closed`);
+        router.closeLogReader();
+        await pause(durationMs);
+      } else {
+        this.#faults.push(`${router.name} log reader stalled`);
+        await router.stallLogReader(durationMs);
+      }
+    }
+  }
+
   #now(): number {
     return performance.now() - this.#startedAt;
   }
