--- a/packages/core/src/engines/engine-placement.ts
+++ b/packages/core/src/engines/engine-placement.ts
@@ -138,15 +138,45 @@
     isFetchable: (part: PromptPartId) => boolean,
     view: EngineView = COMPLETE_VIEW,
   ): EngineChoice | undefined {
-    const { unseen, subjectShare, random } = view;
     const bound = this.bound(candidates);
+    const options = this.#viewed(
+      prompt,
+      candidates,
+      isCachedAt,
+      isFetchable,
+      view,
+    );
+    this.#placeUnseen(options, bound, view);
+    const best = this.#cheapest(options, bound);
+    if (!best) {
+      return undefined;
+    }
+    const { candidate, missing, isHome } = best;
+    const subject = subjectPart(prompt);
+    const isHolder =
+      subject !== undefined && isCachedAt(subject.id, candidate.id);
+    return {
+      id: candidate.id,
+      reason: isHolder ? 'holder' : isHome ? 'home' : 'spilled',
+      missing,
+      load: candidate.own + candidate.others,
+      bound,
+    };
+  }
+
+  /** The candidates with their costs and an estimate of their loads. */
+  #viewed(
+    prompt: Prompt,
+    candidates: readonly EngineCandidate[],
+    isCachedAt: (part: PromptPartId, engine: EndpointId) => boolean,
+    isFetchable: (part: PromptPartId) => boolean,
+    { unseen, subjectShare, random }: EngineView,
+  ): Option[] {
+    const unseenOfOthers =
+      (unseen.running * (1 - subjectShare)) / Math.max(1, candidates.length);
     const ranks = candidates.map(({ id }) => rankOf(prompt, id));
     const homeRank = Math.min(...ranks);
-    const unseenOfSubject = unseen.running * subjectShare;
-    const unseenOfOthers =
-      (unseen.running - unseenOfSubject) / Math.max(1, candidates.length);
-    const options = candidates.map((candidate, at): Option => {
-      const { own, others } = candidate;
+    return candidates.map((candidate, at): Option => {
       const rank = ranks[at] ?? 1;
       const isHome = rank === homeRank;
       return {
@@ -161,36 +191,27 @@
         isHome,
         rank,
         load:
-          own +
-          others * unseen.persistence +
+          candidate.own +
+          candidate.others * unseen.persistence +
           random.exponential(unseenOfOthers),
       };
     });
-    const before = Math.min(
-      MAX_PLACED_BEFORE,
-      Math.floor(random.fraction() * (unseenOfSubject + 1)),
-    );
-    for (let count = 0; count < before; count += 1) {
+  }
+
+  /** Places a random number of the subject's unseen requests, as if they had come before. */
+  #placeUnseen(
+    options: readonly Option[],
+    bound: number,
+    { unseen, subjectShare, random }: EngineView,
+  ): void {
+    const most = Math.min(MAX_PLACED_BEFORE, unseen.running * subjectShare);
+    const count = Math.floor(random.fraction() * (most + 1));
+    for (let placed = 0; placed < count; placed += 1) {
       const taken = this.#cheapest(options, bound);
       if (taken) {
         taken.load += 1;
       }
     }
-    const best = this.#cheapest(options, bound);
-    if (!best) {
-      return undefined;
-    }
-    const { candidate, missing, isHome } = best;
-    const subject = subjectPart(prompt);
-    const isHolder =
-      subject !== undefined && isCachedAt(subject.id, candidate.id);
-    return {
-      id: candidate.id,
-      reason: isHolder ? 'holder' : isHome ? 'home' : 'spilled',
-      missing,
-      load: candidate.own + candidate.others,
-      bound,
-    };
   }
 
   #cheapest(options: readonly Option[], bound: number): Option | undefined {
--- a/packages/router/src/logs/file-output.ts
+++ b/packages/router/src/logs/file-output.ts
@@ -32,8 +32,4 @@
       });
     });
   }
-
-  protected override release(): void {
-    this.#file.destroy();
-  }
 }
--- a/packages/router/src/logs/log-output.ts
+++ b/packages/router/src/logs/log-output.ts
@@ -33,6 +33,8 @@
   /** Resolves once what is buffered has been written or has failed. */
   protected abstract flush(): Promise<void>;
 
-  /** Lets the program end while lines are buffered. */
-  protected abstract release(): void;
+  /** Lets the program end while lines are buffered; a write to a file that has begun cannot be left. */
+  protected release(): void {
+    return;
+  }
 }
