Break no stream off for its slow caller while the memory for responses is used up

Found in the read-through of the bound on what responses hold together: while it was used up, a stream with a part of an event at hand and over 64 KiB that its caller had not read was broken off as malformed, though only its caller was slow. Only an event of its own over 64 KiB that has not ended is given up now (the new test of event-stream-sink fails on the commit before).

--- a/packages/gateway/src/forwarding/event-stream-sink.test.ts
+++ b/packages/gateway/src/forwarding/event-stream-sink.test.ts
@@ -60,10 +60,13 @@
       drain = listener;
     },
     end: () => received.push('end'),
-    unsentBytes: 0,
+    get unsentBytes() {
+      return unsentBytes;
+    },
   } as unknown as CallerExchange;
 
   let responseMemory: ResponseMemory;
+  let unsentBytes: number;
 
   const open = (admit: () => true | Promise<boolean>) => {
     relay = new ResponseRelay({
@@ -107,6 +110,7 @@
 
   beforeEach(() => {
     responseMemory = new ResponseMemory();
+    unsentBytes = 0;
     rejections = watchRejections();
     received = [];
     aborted = [];
@@ -139,6 +143,17 @@
     expect(aborted).to.deep.equal([{ kind: 'broken', breakage: 'malformed' }]);
   });
 
+  // Guards against a stream that is broken off as its caller reads slowly.
+  it('goes on while other responses use up the memory and the caller has not read what was sent', () => {
+    responseMemory.open().set(2 ** 25);
+    unsentBytes = 2 ** 17;
+    open(() => true);
+    feed(`${event(1)}id: 2\nda`);
+    feed('ta: 2\n\n');
+    expect(aborted).to.deep.equal([]);
+    expect(text()).to.equal(events(1, 2));
+  });
+
   // Guards against a first event that is passed on before its stream is recorded, and events that overtake it.
   it('holds all events while that is not decided, and passes them on in order', async () => {
     openPending();
--- a/packages/gateway/src/forwarding/event-stream-sink.ts
+++ b/packages/gateway/src/forwarding/event-stream-sink.ts
@@ -7,6 +7,7 @@
 import { MIN_SOUND_EVENTS } from '@sesamegrade/core/poison/attempt-evidence';
 import { ResponseSink } from '../endpoints/attempt';
 import type { ResponseHead } from '../endpoints/endpoint-protocol';
+import { MIN_RESPONSE_BYTES } from './response-memory';
 import type { ResponseRelay, ResponseRelayOptions } from './response-relay';
 
 /** Largest event of a stream. */
@@ -61,11 +62,11 @@
     return events.count === 0 || this.#onEvents(events);
   }
 
-  /** An event that does not end can only be given up; others wait for the caller or a decision. */
+  /** A large event that does not end can only be given up; what else is held waits for the caller or a decision. */
   override onMemoryFull(): boolean {
     return (
       this.#isAborted ||
-      !this.#splitter.isWithinEvent ||
+      this.#splitter.tail.length <= MIN_RESPONSE_BYTES ||
       this.#abort('malformed')
     );
   }
--- a/packages/gateway/src/forwarding/response-memory.ts
+++ b/packages/gateway/src/forwarding/response-memory.ts
@@ -6,7 +6,7 @@
 /** Bytes that all responses may hold together. */
 const MAX_TOTAL_BYTES = 33_554_432;
 /** Bytes that a response may hold in any case. */
-const MIN_RESPONSE_BYTES = 65_536;
+export const MIN_RESPONSE_BYTES = 65_536;
 
 export class ResponseMemory {
   #total = 0;
@@ -29,6 +29,7 @@
 export class HeldBytes {
   readonly #change: (by: number) => boolean;
   #bytes = 0;
+  #isReleased = false;
 
   /** `change` returns whether all responses are within their limit after it. */
   constructor(change: (by: number) => boolean) {
@@ -37,12 +38,17 @@
 
   /** Records how many bytes are held; returns whether they may be. */
   set(bytes: number): boolean {
+    if (this.#isReleased) {
+      return true;
+    }
     const isWithinTotal = this.#change(bytes - this.#bytes);
     this.#bytes = bytes;
     return isWithinTotal || bytes <= MIN_RESPONSE_BYTES;
   }
 
+  /** Gives the memory back; what is recorded later no longer counts. */
   release(): void {
     this.set(0);
+    this.#isReleased = true;
   }
 }
