Choose among 880 engines in two thirds of the former time

Found when the change was read again: on a quiet machine a choice took 0.81 ms among 98 engines and 8.3 ms among 880, on 0.47 and 4.7 ms. The cost of each candidate was computed anew for each unseen request that is placed first, and each candidate was copied from two objects.

Each cost is computed once now, and again only where a request is placed: 0.32 and 3.2 ms. The choices are the same: the same draws, and the same figures in late-loads.test.ts, which has two more cases, with 370 routers (red with the former functions, as 10 of its 14 cases are).

--- a/packages/core/src/engines/engine-placement.ts
+++ b/packages/core/src/engines/engine-placement.ts
@@ -94,16 +94,16 @@
 /** Unseen requests of a subject up to which they are placed before one that is. */
 const MAX_PLACED_BEFORE = 64;
 
-/** A candidate with what a prompt costs there. */
+/** A candidate with what a prompt costs there, in milliseconds. */
 interface Option {
   readonly candidate: EngineCandidate;
-  /** Time in milliseconds to prefill or fetch what is missing. */
-  readonly prefillCost: number;
-  /** Breaks ties in the same way on every router; at most one millisecond. */
-  readonly rank: number;
+  /** Prompt tokens that are not cached there. */
   readonly missing: number;
   readonly isHome: boolean;
+  /** The cost without that of the load. */
+  readonly fixedCost: number;
   load: number;
+  cost: number;
 }
 
 export class EnginePlacement {
@@ -144,10 +144,11 @@
       candidates,
       isCachedAt,
       isFetchable,
+      bound,
       view,
     );
     this.#placeUnseen(options, bound, view);
-    const best = this.#cheapest(options, bound);
+    const best = cheapest(options);
     if (!best) {
       return undefined;
     }
@@ -170,6 +171,7 @@
     candidates: readonly EngineCandidate[],
     isCachedAt: (part: PromptPartId, engine: EndpointId) => boolean,
     isFetchable: (part: PromptPartId) => boolean,
+    bound: number,
     { unseen, subjectShare, random }: EngineView,
   ): Option[] {
     const unseenOfOthers =
@@ -177,24 +179,18 @@
     const ranks = candidates.map(({ id }) => rankOf(prompt, id));
     const homeRank = Math.min(...ranks);
     return candidates.map((candidate, at): Option => {
+      const { id, own, others, slots } = candidate;
       const rank = ranks[at] ?? 1;
       const isHome = rank === homeRank;
-      return {
-        ...this.#prefillCost(
-          prompt,
-          candidate,
-          isHome,
-          isCachedAt,
-          isFetchable,
-        ),
-        candidate,
-        isHome,
-        rank,
-        load:
-          candidate.own +
-          candidate.others * unseen.persistence +
-          random.exponential(unseenOfOthers),
-      };
+      const isCached = (part: PromptPartId) => isCachedAt(part, id);
+      const missing = missingTokens(prompt, isCached);
+      const fixedCost =
+        rank +
+        this.#prefillCost(prompt, missing, isHome, isCached, isFetchable);
+      const load =
+        own + others * unseen.persistence + random.exponential(unseenOfOthers);
+      const cost = fixedCost + this.#loadCost(load, slots, bound);
+      return { candidate, missing, isHome, fixedCost, load, cost };
     });
   }
 
@@ -207,59 +203,54 @@
     const most = Math.min(MAX_PLACED_BEFORE, unseen.running * subjectShare);
     const count = Math.floor(random.fraction() * (most + 1));
     for (let placed = 0; placed < count; placed += 1) {
-      const taken = this.#cheapest(options, bound);
+      const taken = cheapest(options);
       if (taken) {
+        const { slots } = taken.candidate;
         taken.load += 1;
+        taken.cost = taken.fixedCost + this.#loadCost(taken.load, slots, bound);
       }
     }
   }
 
-  #cheapest(options: readonly Option[], bound: number): Option | undefined {
-    let best: Option | undefined;
-    let bestCost = Number.POSITIVE_INFINITY;
-    for (const option of options) {
-      const cost =
-        option.prefillCost + option.rank + this.#loadCost(option, bound);
-      if (cost < bestCost) {
-        bestCost = cost;
-        best = option;
-      }
-    }
-    return best;
-  }
-
+  /** Returns the time to prefill or fetch what is missing, in milliseconds. */
   #prefillCost(
     prompt: Prompt,
-    { id }: EngineCandidate,
+    missing: number,
     isHome: boolean,
-    isCachedAt: (part: PromptPartId, engine: EndpointId) => boolean,
+    isCached: (part: PromptPartId) => boolean,
     isFetchable: (part: PromptPartId) => boolean,
-  ): Pick<Option, 'prefillCost' | 'missing'> {
+  ): number {
     const { prefillTokensPerMs, fetchTokensPerMs, homeDiscount } =
       this.#options;
-    const missing = missingTokens(prompt, part => isCachedAt(part, id));
-    const fetchable = fetchableTokens(prompt, id, isCachedAt, isFetchable);
-    const subject = subjectPart(prompt);
-    const hasDiscount = isHome && subject && !isCachedAt(subject.id, id);
-    const discount = hasDiscount
-      ? (subject.tokens - fetchable) * homeDiscount
-      : 0;
+    const fetchable = fetchableTokens(prompt, isCached, isFetchable);
+    const subject = isHome ? subjectPart(prompt) : undefined;
+    const discount =
+      subject && !isCached(subject.id)
+        ? (subject.tokens - fetchable) * homeDiscount
+        : 0;
     const toPrefill = missing - fetchable - Math.max(0, discount);
-    return {
-      missing,
-      prefillCost:
-        toPrefill / prefillTokensPerMs + fetchable / fetchTokensPerMs,
-    };
+    return toPrefill / prefillTokensPerMs + fetchable / fetchTokensPerMs;
   }
 
   /** Returns the cost in milliseconds; an engine at its bound costs more than any below it. */
-  #loadCost({ candidate, load }: Option, bound: number): number {
+  #loadCost(load: number, slots: number, bound: number): number {
     const overload = load + 1 > bound ? 1e6 * load : 0;
-    const full = 1e9 * Math.max(0, load + 1 - candidate.slots);
+    const full = 1e9 * Math.max(0, load + 1 - slots);
     return load * this.#options.waitMsPerRequest + overload + full;
   }
 }
 
+function cheapest(options: readonly Option[]): Option | undefined {
+  let best: Option | undefined;
+  for (const option of options) {
+    if (!best || option.cost < best.cost) {
+      best = option;
+    }
+  }
+  return best;
+}
+
+/** Breaks ties in the same way on every router; at most one millisecond. */
 function rankOf(prompt: Prompt, engine: EndpointId): number {
   const subject = subjectPart(prompt);
   return subject ? 1 - rendezvousWeight(subject.id, engine) / HASH_RANGE : 0;
@@ -268,13 +259,12 @@
 /** Returns the tokens that the engine has not cached and can fetch from another one. */
 function fetchableTokens(
   prompt: Prompt,
-  engine: EndpointId,
-  isCachedAt: (part: PromptPartId, engine: EndpointId) => boolean,
+  isCached: (part: PromptPartId) => boolean,
   isFetchable: (part: PromptPartId) => boolean,
 ): number {
   let tokens = 0;
   for (const part of sharedParts(prompt)) {
-    if (isCachedAt(part.id, engine)) {
+    if (isCached(part.id)) {
       continue;
     }
     if (!isFetchable(part.id)) {
--- a/packages/measure/src/late-loads/late-loads.test.ts
+++ b/packages/measure/src/late-loads/late-loads.test.ts
@@ -12,6 +12,8 @@
   { routers: 135, endpoints: 98, rate: 500, lag: 165, hotShare: 0.2 },
   { routers: 135, endpoints: 98, rate: 800, lag: 165, hotShare: 0.1 },
   { routers: 135, endpoints: 98, rate: 500, lag: 350, hotShare: 0.1 },
+  { routers: 370, endpoints: 98, rate: 500, lag: 200, hotShare: 0.1 },
+  { routers: 370, endpoints: 98, rate: 500, lag: 400, hotShare: 0.2 },
   { routers: 113, endpoints: 42, rate: 293, lag: 165, hotShare: 0.2 },
   { routers: 17, endpoints: 8, rate: 60, lag: 150, hotShare: 0.2 },
 ];
