--- a/packages/gateway/src/callers/caller-exchange.ts
+++ b/packages/gateway/src/callers/caller-exchange.ts
@@ -6,6 +6,7 @@
 import type { Milliseconds } from '@sesamegrade/core/types/units';
 import type { ResponseHead } from '../endpoints/endpoint-protocol';
 import type { HeaderList, RefusalResponse } from './caller-protocol';
+import { lingerAtClose } from './lingering-close';
 
 const EMPTY_BODY = Buffer.alloc(0);
 /** Time between the last bytes of a broken response and the reset of its connection. */
@@ -258,6 +259,9 @@
     if (length !== undefined && status !== 204 && status !== 304) {
       framed.push('content-length', String(length));
     }
+    if (this.#closesConnection && !this.#request.complete) {
+      lingerAtClose(this.#request, this.#timers);
+    }
     this.#response.writeHead(status, framed);
     this.#response.end(this.method === 'HEAD' ? undefined : body);
   }
