--- a/packages/cli/src/commands/commands.ts
+++ b/packages/cli/src/commands/commands.ts
@@ -10,6 +10,7 @@
 import { MeasureEventsCommand } from './measure-events';
 import { MeasureCommand } from './measure';
 import { MeasureGossipCommand } from './measure-gossip';
+import { MeasureLateLoadsCommand } from './measure-late-loads';
 import { MeasureLimitsCommand } from './measure-limits';
 import { MeasureLoadExchangeCommand } from './measure-load-exchange';
 import { MeasureOrdersCommand } from './measure-orders';
@@ -41,6 +42,7 @@
     new MeasureRelayCommand(),
     new MeasureEventsCommand(),
     new MeasureGossipCommand(),
+    new MeasureLateLoadsCommand(),
     new MeasureLimitsCommand(),
     new MeasureLoadExchangeCommand(),
     new MeasureOrdersCommand(),
