Log silent endpoints, unfinished responses and the hold-up before a stop

The record of the lost streams (docs/incidents/streams-lost-around-sigterm.md) cannot tell a stream that was given up at a silent endpoint from one that the kill cut, or that a connection closed in the drain took along: a stop logs only the time of the signal's handler, an abort for silence nothing of what is left elsewhere, and the exit nothing of what it cuts.

stop-begun now has heldUp, the time for which the process may have been held up when it got the signal: since the timers last fired, if one is overdue. silent has the state in which an attempt is given up. unfinished names each response that the exit cuts, and whether it waits for the endpoint or the caller.

--- a/packages/core/src/time/timer-service.ts
+++ b/packages/core/src/time/timer-service.ts
@@ -2,9 +2,12 @@
  * Clock and timers of a process; tests replace them by ones that they advance
  * themselves.
  */
-import { addTime } from '../types/units';
+import { addTime, elapsed, milliseconds } from '../types/units';
 import type { Instant, Milliseconds } from '../types/units';
 
+/** Lateness of a timer from which the process counts as held up. */
+export const HELD_UP: Milliseconds = milliseconds(20);
+
 /** Called with the time at which the timer fired. */
 export type TimerListener = (now: Instant) => void;
 
@@ -20,6 +23,7 @@
 /** Reads a monotonic clock and calls listeners at their due times. */
 export abstract class TimerService {
   readonly #subscriptions = new Set<Subscription>();
+  #lastRun: Instant | undefined;
 
   abstract now(): Instant;
 
@@ -39,6 +43,17 @@
     return this.#subscribe(delay, undefined, listener);
   }
 
+  /**
+   * Earliest time since when the process may have been held up, as a timer is overdue that has not
+   * fired yet; undefined if none is. What the process learns now may have happened since.
+   */
+  get heldUpSince(): Instant | undefined {
+    const due = this.nextDue();
+    return due !== undefined && elapsed(due, this.now()) >= HELD_UP
+      ? (this.#lastRun ?? due)
+      : undefined;
+  }
+
   /** Cancels all timers. */
   stop(): void {
     this.#subscriptions.clear();
@@ -49,6 +64,7 @@
     const due = [...this.#subscriptions].filter(
       subscription => subscription.due <= now,
     );
+    this.#lastRun = now;
     due.sort((left, right) => left.due - right.due);
     for (const subscription of due) {
       this.#fire(subscription, now);
--- a/packages/gateway/src/callers/caller-exchange.ts
+++ b/packages/gateway/src/callers/caller-exchange.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
+import type { RequestId } from '@sesamegrade/core/types/ids';
 import { milliseconds } from '@sesamegrade/core/types/units';
 import type { Milliseconds } from '@sesamegrade/core/types/units';
 import type { ResponseHead } from '../endpoints/endpoint-protocol';
@@ -31,6 +32,8 @@
   /** Whether only the end of the connection marks the end of the started response. */
   #isUnframed = false;
   #closesConnection = false;
+  /** Id of the request for the log; undefined until its head has been parsed. */
+  requestId: RequestId | undefined;
 
   /** `isClosing` tells whether the connection ends with the response that is written now. */
   constructor(
--- a/packages/gateway/src/callers/gateway-caller-server.test.ts
+++ b/packages/gateway/src/callers/gateway-caller-server.test.ts
@@ -36,7 +36,10 @@
         return Promise.resolve();
       },
     };
-    const log: Pick<DecisionLog, 'write'> = { write: () => undefined };
+    const lines: unknown[] = [];
+    const log: Pick<DecisionLog, 'write'> = {
+      write: (kind, fields) => lines.push({ kind, ...fields }),
+    };
     server = new GatewayCallerServer({
       forwarder: forwarder as Forwarder,
       log: log as DecisionLog,
@@ -52,6 +55,12 @@
       await new Promise(resolve => setTimeout(resolve, 10));
     }
     expect(server.openExchangeCount).to.equal(1);
+    server.logUnfinished();
+    expect(lines).to.have.length(1);
+    expect(lines[0]).to.deep.include({
+      kind: 'unfinished',
+      waitsFor: 'caller',
+    });
     let received = 0;
     socket.on('data', data => {
       received += data.length;
--- a/packages/gateway/src/callers/gateway-caller-server.ts
+++ b/packages/gateway/src/callers/gateway-caller-server.ts
@@ -87,6 +87,18 @@
     return this.#exchanges.size;
   }
 
+  /** Logs each response that has not been written to its end, with what it waits for. */
+  logUnfinished(): void {
+    for (const exchange of this.#exchanges) {
+      this.#options.log.write('unfinished', {
+        request: exchange.requestId,
+        waitsFor: exchange.isOver ? 'caller' : 'endpoint',
+        started: exchange.hasResponseStarted,
+        unsent: exchange.unsentBytes,
+      });
+    }
+  }
+
   /** Listens at the address, or takes over the early listener there; returns the bound address. */
   async listen({ host, port }: Address): Promise<Address> {
     const onAcceptFailure = (error: Error) => {
--- a/packages/gateway/src/forwarding/forwarder.ts
+++ b/packages/gateway/src/forwarding/forwarder.ts
@@ -236,6 +236,7 @@
     }
     const head = parsed.value;
     running.head = head;
+    exchange.requestId = head.requestId;
     const body = await exchange.readBody(bodyLimit(routes.limits));
     if (body.kind === 'truncated') {
       return;
@@ -897,6 +898,14 @@
         );
       },
       abort: () => {
+        this.#options.log.write('silent', {
+          request: request.head.requestId,
+          endpoint: entry.id,
+          limit: Math.round(silenceLimit(request, relay)),
+          events: relay.events,
+          possibleRuns: request.possibleRuns,
+          untried: chooser.untried(request, timers.now()),
+        });
         attempt().abort({ kind: 'silent' });
       },
     });
--- a/packages/gateway/src/process/gateway-process.ts
+++ b/packages/gateway/src/process/gateway-process.ts
@@ -25,7 +25,7 @@
 import type { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
 import type { EndpointId } from '@sesamegrade/core/types/ids';
-import { addTime, milliseconds } from '@sesamegrade/core/types/units';
+import { addTime, elapsed, milliseconds } from '@sesamegrade/core/types/units';
 import type { Milliseconds } from '@sesamegrade/core/types/units';
 import type { GatewaySettings } from '@sesamegrade/settings/gateway-schema';
 import type { GatewayCallerServer } from '../callers/gateway-caller-server';
@@ -175,8 +175,12 @@
       tunnelServer,
       log,
     } = this.#options;
-    log.write('stop-begun', { running: forwarder.running });
-    shutdownSequence.start(timers.now());
+    const now = timers.now();
+    log.write('stop-begun', {
+      running: forwarder.running,
+      heldUp: Math.round(elapsed(timers.heldUpSince ?? now, now)),
+    });
+    shutdownSequence.start(now);
     callerServer.startDraining();
     await shutdownSequence.waitUntilDrained(timers, {
       running: () =>
@@ -193,7 +197,9 @@
     // Requests may have been read since the last poll.
     forwarder.endRunning();
     await nextLoopTurn();
+    callerServer.logUnfinished();
     log.write('stop', {
+      took: Math.round(elapsed(now, timers.now())),
       running: forwarder.running,
       unwritten: callerServer.openExchangeCount,
       tunnels: tunnelServer.openCount,
--- a/packages/router/src/process/system-timer-service.test.ts
+++ b/packages/router/src/process/system-timer-service.test.ts
@@ -70,6 +70,22 @@
     expect(events).to.deep.equal([]);
   });
 
+  // Guards against what arrived during a hold-up, such as a signal, and is dated to its end.
+  it('tells since when the process may have been held up until the late timers have fired', () => {
+    wakeAt(51);
+    now = 90;
+    expect(timers.heldUpSince).to.equal(undefined);
+    now = 1300;
+    expect(timers.heldUpSince).to.equal(51);
+    wakeAt(1301);
+    expect(timers.heldUpSince).to.equal(51);
+    now = 1302;
+    afterReads.forEach(callback => {
+      callback();
+    });
+    expect(timers.heldUpSince).to.equal(undefined);
+  });
+
   it('sets no second timeout while it waits for reads', () => {
     wakeAt(1000);
     timers.after(milliseconds(10), () => undefined);
--- a/packages/router/src/process/system-timer-service.ts
+++ b/packages/router/src/process/system-timer-service.ts
@@ -1,9 +1,6 @@
-import { TimerService } from '@sesamegrade/core/time/timer-service';
-import { elapsed, instant, milliseconds } from '@sesamegrade/core/types/units';
-import type { Instant, Milliseconds } from '@sesamegrade/core/types/units';
-
-/** Lateness of a timer from which the event loop counts as held up. */
-const HELD_UP: Milliseconds = milliseconds(20);
+import { HELD_UP, TimerService } from '@sesamegrade/core/time/timer-service';
+import { elapsed, instant } from '@sesamegrade/core/types/units';
+import type { Instant } from '@sesamegrade/core/types/units';
 
 /** The monotonic clock and the event loop of a process. */
 export interface EventLoop {
