Keep a silent attempt until another endpoint has taken it over

Class: what may still end well is given up before its replacement is there.

Another attempt now begins beside the silent one, and the one whose next event or whole response comes first provides the response; the other is cancelled then, or 0.3 s after its successor has sent a head, as a generation must not run at two engines. A response that is paused because its caller reads slowly is no longer taken for silent.

silent-servers.test.ts, real sockets: 11 of 13 failed on the code before (one of them as it was written wrongly then), 13 pass. The model test plays 3,000 random orders of events.

--- a/packages/core/src/forwarding/attempt-result.ts
+++ b/packages/core/src/forwarding/attempt-result.ts
@@ -16,8 +16,10 @@
   | { readonly kind: 'unproven-end' }
   /** The connection was lost, or the response was not a valid response to this request. */
   | { readonly kind: 'broken'; readonly breakage: AttemptFailure }
-  /** The router aborted the attempt after receiving nothing from the endpoint for too long. */
+  /** The endpoint sent nothing for too long, and another one has taken the request over. */
   | { readonly kind: 'silent' }
+  /** The endpoint before, which had been silent, went on; the attempt was cancelled. */
+  | { readonly kind: 'superseded'; readonly wasSent: boolean }
   /** The router gave the attempt up before its first event, as its stream could not be recorded. */
   | { readonly kind: 'withdrawn' }
   /** The deadline of the request passed. */
@@ -57,7 +59,7 @@
 
 /** Whether the request may have run in this attempt. */
 export function mayHaveRun(result: AttemptResult): boolean {
-  return result.kind === 'stopping'
+  return result.kind === 'stopping' || result.kind === 'superseded'
     ? result.wasSent
     : result.kind !== 'not-connected' && result.kind !== 'declined';
 }
--- a/packages/core/src/forwarding/fleet-state.ts
+++ b/packages/core/src/forwarding/fleet-state.ts
@@ -248,6 +248,7 @@
     case 'declined':
     case 'expired':
     case 'stopping':
+    case 'superseded':
     case 'withdrawn':
     case 'caller-left':
       return undefined;
--- a/packages/core/src/forwarding/next-step.ts
+++ b/packages/core/src/forwarding/next-step.ts
@@ -58,6 +58,7 @@
   const { result } = attempt;
   switch (result.kind) {
     case 'delivered':
+    case 'superseded':
     case 'caller-left':
       return { kind: 'done' };
     case 'expired':
--- a/packages/gateway/src/composition/gateway-container.ts
+++ b/packages/gateway/src/composition/gateway-container.ts
@@ -64,6 +64,7 @@
 import { AttemptPlacement } from '../forwarding/attempt-placement';
 import { ResponseMemory } from '../forwarding/response-memory';
 import { Forwarder } from '../forwarding/forwarder';
+import { Refusals } from '../forwarding/refusals';
 import { DecisionLog } from '../logs/decision-log';
 import { GatewayMetrics } from '../metrics/gateway-metrics';
 import { PeerMesh } from '../peers/peer-mesh';
@@ -156,6 +157,7 @@
   readonly connectionEnd: ConnectionEnd;
   readonly processVerification: ProcessVerification;
   readonly responseMemory: ResponseMemory;
+  readonly refusals: Refusals;
   readonly forwarder: Forwarder;
   readonly shutdownSequence: ShutdownSequence;
   readonly settingsReloader: SettingsReloader;
@@ -294,6 +296,7 @@
     ).singleton(),
     settingsReloader: asClass(SettingsReloader).singleton(),
     responseMemory: asFunction(() => new ResponseMemory()).singleton(),
+    refusals: asClass(Refusals).singleton(),
     forwarder: asClass(Forwarder).singleton(),
     callerServer: asClass(GatewayCallerServer).singleton(),
     fleetReadiness: asClass(FleetReadiness).singleton(),
--- a/packages/gateway/src/endpoints/attempt.ts
+++ b/packages/gateway/src/endpoints/attempt.ts
@@ -79,6 +79,7 @@
   #head: ResponseHead | undefined;
   #respondedAt: Instant | undefined;
   #isSinkOpen = false;
+  #isPaused = false;
   #discardedBytes = 0;
 
   constructor(options: AttemptOptions) {
@@ -103,9 +104,11 @@
       },
       onData: chunk => {
         options.onActivity();
-        return this.#isSinkOpen
+        const goesOn = this.#isSinkOpen
           ? options.sink.onData(chunk)
           : this.#discard(chunk);
+        this.#isPaused = !goesOn;
+        return goesOn;
       },
       onEnd: result => {
         this.#onEnd(result);
@@ -122,6 +125,11 @@
     return this.#wasSent;
   }
 
+  /** Whether the response is paused until `resume`. */
+  get isPaused(): boolean {
+    return this.#isPaused;
+  }
+
   /** Whether the connection was opened for this attempt. */
   get isNewConnection(): boolean {
     return this.#isNewConnection;
@@ -154,6 +162,7 @@
 
   /** Resumes the response after the sink paused it. */
   resume(): void {
+    this.#isPaused = false;
     if (!this.#isReleased) {
       this.#connection.resume();
     }
--- a/packages/gateway/src/forwarding/event-stream-sink.test.ts
+++ b/packages/gateway/src/forwarding/event-stream-sink.test.ts
@@ -8,6 +8,7 @@
 import type { RejectionWatch } from '../streams/testing/unhandled-rejections';
 import { ResponseMemory } from './response-memory';
 import { ResponseRelay } from './response-relay';
+import type { RelayedAttempt } from './response-relay';
 
 const MAX_EVENT_BYTES = 1_048_576;
 const STATUS_OK = 200;
@@ -35,6 +36,9 @@
 describe('EventStreamSink', () => {
   let relay: ResponseRelay;
   let sink: ResponseSink;
+  let attempt: RelayedAttempt;
+  /** Whether no other attempt provides the response. */
+  let isProvider: boolean;
   /** What the caller got, as text, and the start and end of its response. */
   let received: string[];
   let decide: (isAdmitted: boolean) => void;
@@ -69,9 +73,7 @@
   let unsentBytes: number;
 
   const open = (admit: () => true | Promise<boolean>) => {
-    relay = new ResponseRelay({
-      exchange,
-      memory: responseMemory.open(),
+    attempt = {
       resume: () => {
         resumes += 1;
       },
@@ -81,14 +83,20 @@
         admissions += 1;
         return admit();
       },
+      takeOver: () => isProvider,
       onFirstAttemptEvent: () => undefined,
-      onSoundProgress: () => undefined,
+      onEvents: () => undefined,
       onFirstEvent: () => undefined,
+    };
+    relay = new ResponseRelay({
+      exchange,
+      memory: responseMemory.open(),
+      onSoundProgress: () => undefined,
       isStream: true,
       lastEventId: undefined,
       isResumption: false,
     });
-    sink = relay.sink();
+    sink = relay.sink(attempt);
     sink.onHead(head);
   };
   const openPending = () => {
@@ -109,6 +117,7 @@
     received.filter(part => part !== 'start' && part !== 'end').join('');
 
   beforeEach(() => {
+    isProvider = true;
     responseMemory = new ResponseMemory();
     unsentBytes = 0;
     rejections = watchRejections();
@@ -132,6 +141,19 @@
     expect(admissions).to.equal(1);
   });
 
+  // Guards against events of two endpoints in one response.
+  it('passes nothing on once another attempt provides the response', () => {
+    open(() => true);
+    feed(event(1));
+    isProvider = false;
+    feed(event(2));
+    expect(sink.onComplete(head)).to.deep.equal({
+      kind: 'superseded',
+      wasSent: true,
+    });
+    expect(received).to.deep.equal(['start', event(1)]);
+  });
+
   // Guards against a router that runs out of memory by many events that do not end.
   it('gives an event up that does not end while other responses use up the memory', () => {
     responseMemory.open().set(2 ** 25);
@@ -242,7 +264,7 @@
     feed(event(1));
     decide(false);
     await settle();
-    sink = relay.sink();
+    sink = relay.sink(attempt);
     sink.onHead(head);
     feed(event(1));
     decide(true);
@@ -303,7 +325,7 @@
     feed(event(1));
     reject(lost);
     await rejections.settle();
-    sink = relay.sink();
+    sink = relay.sink(attempt);
     sink.onHead(head);
     feed(event(1));
     decide(true);
--- a/packages/gateway/src/forwarding/event-stream-sink.ts
+++ b/packages/gateway/src/forwarding/event-stream-sink.ts
@@ -8,7 +8,11 @@
 import { ResponseSink } from '../endpoints/attempt';
 import type { ResponseHead } from '../endpoints/endpoint-protocol';
 import { MIN_RESPONSE_BYTES } from './response-memory';
-import type { ResponseRelay, ResponseRelayOptions } from './response-relay';
+import type {
+  RelayedAttempt,
+  ResponseRelay,
+  ResponseRelayOptions,
+} from './response-relay';
 
 /** Largest event of a stream. */
 const MAX_EVENT_BYTES = 1_048_576;
@@ -18,6 +22,7 @@
 export class EventStreamSink extends ResponseSink {
   readonly #relay: ResponseRelay;
   readonly #options: ResponseRelayOptions;
+  readonly #attempt: RelayedAttempt;
   readonly #splitter = new EventSplitter();
   #head: ResponseHead | undefined;
   #eventCount = 0;
@@ -29,10 +34,15 @@
   #held: Buffer[] = [];
   #isAborted = false;
 
-  constructor(relay: ResponseRelay, options: ResponseRelayOptions) {
+  constructor(
+    relay: ResponseRelay,
+    options: ResponseRelayOptions,
+    attempt: RelayedAttempt,
+  ) {
     super();
     this.#relay = relay;
     this.#options = options;
+    this.#attempt = attempt;
   }
 
   override get heldBytes(): number {
@@ -78,10 +88,10 @@
       if (!this.#isContinuation(firstId)) {
         return this.#abort('event-order');
       }
-      if (!this.#options.isAccepted()) {
+      if (!this.#attempt.isAccepted()) {
         return this.#abort('unproven-answer');
       }
-      const admission = this.#options.admit();
+      const admission = this.#attempt.admit();
       if (admission !== true) {
         this.#hold(admission, events);
         return false;
@@ -106,7 +116,7 @@
         return false;
       }
       if (isWritable && isHeldWritable.every(Boolean)) {
-        this.#options.resume();
+        this.#attempt.resume();
       }
       return true;
     });
@@ -116,14 +126,18 @@
   /** Ends the attempt; returns true as the endpoint need not be paused. */
   #abort(breakage: AttemptFailure): true {
     this.#isAborted = true;
-    this.#options.abort({ kind: 'broken', breakage });
+    this.#attempt.abort({ kind: 'broken', breakage });
     return true;
   }
 
   #passOn({ bytes, count, lastId }: SplitEvents): boolean {
     const { exchange } = this.#options;
+    if (!this.#attempt.takeOver()) {
+      this.#isAborted = true;
+      return true;
+    }
     if (this.#eventCount === 0) {
-      this.#options.onFirstAttemptEvent();
+      this.#attempt.onFirstAttemptEvent();
     }
     const wasSound = this.#eventCount >= MIN_SOUND_EVENTS;
     this.#eventCount += count;
@@ -133,8 +147,8 @@
     if (!exchange.hasResponseStarted && this.#head) {
       exchange.startResponse(this.#head);
     }
-    const isWritable = this.#relay.write(bytes);
-    this.#relay.recordDelivery(count, lastId);
+    const isWritable = this.#relay.write(bytes, this.#attempt.resume);
+    this.#relay.recordDelivery(count, lastId, this.#attempt);
     return isWritable;
   }
 
@@ -160,6 +174,9 @@
 
   override finish(head: ResponseHead): AttemptResult {
     const { exchange } = this.#options;
+    if (!this.#attempt.takeOver()) {
+      return { kind: 'superseded', wasSent: true };
+    }
     if (!exchange.hasResponseStarted) {
       exchange.startResponse(head);
     }
--- a/packages/gateway/src/forwarding/response-relay.ts
+++ b/packages/gateway/src/forwarding/response-relay.ts
@@ -19,26 +19,37 @@
   readonly body: Buffer;
 }
 
-export interface ResponseRelayOptions {
-  readonly exchange: CallerExchange;
-  readonly memory: HeldBytes;
-  /** Resumes reading from the endpoint of the running attempt. */
+/** What the relay asks and tells the attempt whose response it relays. */
+export interface RelayedAttempt {
+  /** Resumes reading from the endpoint. */
   readonly resume: () => void;
-  /** Aborts the running attempt with the given result. */
+  /** Aborts the attempt with the given result. */
   readonly abort: (result: AttemptResult) => void;
-  /** Whether the endpoint of the running attempt can still have sent events of this stream. */
+  /** Whether the endpoint can still have sent events of this stream. */
   readonly isAccepted: () => boolean;
   /**
-   * Called before the first event of each attempt is passed on. Resolves with false if it
+   * Called before the first event of the attempt is passed on. Resolves with false if it
    * must not be, as the attempt has ended or was aborted.
    */
   readonly admit: () => true | Promise<boolean>;
-  /** Called when the first event of each attempt arrives. */
+  /**
+   * Called before a part of the response is passed on, so that no other attempt passes on
+   * any more. Returns false if this one has ended.
+   */
+  readonly takeOver: () => boolean;
+  /** Called when the first event of the attempt is passed on. */
   readonly onFirstAttemptEvent: () => void;
-  /** Called once an attempt has sent as many events as show that its content is sound. */
-  readonly onSoundProgress: () => void;
+  /** Called with the number of events that were passed on. */
+  readonly onEvents: (count: number) => void;
   /** Called when the first event of the request is sent to the caller. */
   readonly onFirstEvent: () => void;
+}
+
+export interface ResponseRelayOptions {
+  readonly exchange: CallerExchange;
+  readonly memory: HeldBytes;
+  /** Called once an attempt has sent as many events as show that its content is sound. */
+  readonly onSoundProgress: () => void;
   readonly isStream: boolean;
   /** Id of the last event that the caller received of an earlier response. */
   readonly lastEventId: number | undefined;
@@ -51,7 +62,7 @@
   #bufferedResponse: BufferedResponse | undefined;
   #lastEventId: number | undefined;
   #eventCount = 0;
-  #sink: ResponseSink | undefined;
+  readonly #sinks = new Set<ResponseSink>();
 
   constructor(options: ResponseRelayOptions) {
     this.#options = options;
@@ -73,9 +84,13 @@
     return this.#eventCount;
   }
 
-  /** Bytes of the last attempt's response that were received and not passed on. */
+  /** Bytes of the running attempts' responses that were received and not passed on. */
   get heldBytes(): number {
-    return this.#sink?.heldBytes ?? 0;
+    let sum = 0;
+    for (const { heldBytes } of this.#sinks) {
+      sum += heldBytes;
+    }
+    return sum;
   }
 
   /** Whether the bytes of this request that the caller has not got may be held. */
@@ -86,14 +101,15 @@
   }
 
   /** Creates the sink of the next attempt. */
-  sink(): ResponseSink {
-    this.#sink = new RelayingSink(this, this.#options);
-    return this.#sink;
+  sink(attempt: RelayedAttempt): ResponseSink {
+    const sink = new RelayingSink(this, this.#options, attempt);
+    this.#sinks.add(sink);
+    return sink;
   }
 
-  /** Passes on the end of the last attempt's response. */
-  finish(head: ResponseHead): AttemptResult {
-    return this.#sink?.finish(head) ?? { kind: 'unproven-end' };
+  /** Forgets what the sink of an attempt that has ended still holds. */
+  release(sink: ResponseSink): void {
+    this.#sinks.delete(sink);
   }
 
   /** Stores a complete response until it is decided whether it is passed on. */
@@ -102,8 +118,8 @@
   }
 
   /** Sends bytes to the caller; returns false to pause the endpoint until the caller has read them. */
-  write(bytes: Uint8Array): boolean {
-    const { exchange, resume } = this.#options;
+  write(bytes: Uint8Array, resume: () => void): boolean {
+    const { exchange } = this.#options;
     if (exchange.write(bytes)) {
       return true;
     }
@@ -112,10 +128,15 @@
   }
 
   /** Records events that were sent to the caller. */
-  recordDelivery(count: number, lastId: number | undefined): void {
+  recordDelivery(
+    count: number,
+    lastId: number | undefined,
+    { onFirstEvent, onEvents }: RelayedAttempt,
+  ): void {
     if (this.#eventCount === 0 && count > 0) {
-      this.#options.onFirstEvent();
+      onFirstEvent();
     }
+    onEvents(count);
     this.#eventCount += count;
     this.#lastEventId = lastId ?? this.#lastEventId;
   }
@@ -130,13 +151,19 @@
 class RelayingSink extends ResponseSink {
   readonly #relay: ResponseRelay;
   readonly #options: ResponseRelayOptions;
+  readonly #attempt: RelayedAttempt;
   #sink: ResponseSink;
 
-  constructor(relay: ResponseRelay, options: ResponseRelayOptions) {
+  constructor(
+    relay: ResponseRelay,
+    options: ResponseRelayOptions,
+    attempt: RelayedAttempt,
+  ) {
     super();
     this.#relay = relay;
     this.#options = options;
-    this.#sink = new WholeResponseSink(relay, options);
+    this.#attempt = attempt;
+    this.#sink = new WholeResponseSink(relay, options, attempt);
   }
 
   override get heldBytes(): number {
@@ -144,14 +171,18 @@
   }
 
   override onHead(head: ResponseHead): void {
-    const { isStream, isResumption, exchange, abort } = this.#options;
+    const { isStream, isResumption, exchange } = this.#options;
     if (isResumption && isOtherSuccess(head)) {
       // Callers would append it to the events that they have.
-      abort({ kind: 'broken', breakage: 'malformed' });
+      this.#attempt.abort({ kind: 'broken', breakage: 'malformed' });
       return;
     }
     if (isStream && head.status === STATUS_OK && exchange.method !== 'HEAD') {
-      this.#sink = new EventStreamSink(this.#relay, this.#options);
+      this.#sink = new EventStreamSink(
+        this.#relay,
+        this.#options,
+        this.#attempt,
+      );
     }
     this.#sink.onHead(head);
   }
--- a/packages/gateway/src/forwarding/silence-watch.ts
+++ b/packages/gateway/src/forwarding/silence-watch.ts
@@ -1,4 +1,4 @@
-/** Aborts an attempt whose endpoint has sent nothing for too long. */
+/** Reports the silence of the endpoint of an attempt, again for each time limit that it lasts. */
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
 import type { Instant, Milliseconds } from '@sesamegrade/core/types/units';
 
@@ -6,16 +6,15 @@
   readonly timers: TimerService;
   /** The silence that is tolerated next. */
   readonly limit: () => Milliseconds;
-  /** Whether the request has been sent, as a connection that is being made is not silent. */
-  readonly wasSent: () => boolean;
-  /** Whether a silent attempt is worth aborting. */
-  readonly isHopeless: (now: Instant) => boolean;
-  readonly abort: () => void;
+  /** Whether bytes of the endpoint are awaited: not while it is being connected to, or paused. */
+  readonly isAwaited: () => boolean;
+  readonly onSilence: (now: Instant) => void;
 }
 
 export class SilenceWatch {
   readonly #options: SilenceWatchOptions;
   #cancel: (() => void) | undefined;
+  #isStopped = false;
 
   constructor(options: SilenceWatchOptions) {
     this.#options = options;
@@ -23,23 +22,21 @@
 
   /** Begins to wait, also again after a sign of life. */
   restart(): void {
-    const { timers, limit } = this.#options;
     this.#cancel?.();
+    if (this.#isStopped) {
+      return;
+    }
+    const { timers, limit } = this.#options;
     this.#cancel = timers.after(limit(), now => {
-      this.#onSilence(now);
+      this.restart();
+      if (this.#options.isAwaited()) {
+        this.#options.onSilence(now);
+      }
     });
   }
 
   stop(): void {
+    this.#isStopped = true;
     this.#cancel?.();
   }
-
-  #onSilence(now: Instant): void {
-    const { wasSent, isHopeless, abort } = this.#options;
-    if (!wasSent()) {
-      this.restart();
-    } else if (isHopeless(now)) {
-      abort();
-    }
-  }
 }
--- a/packages/gateway/src/forwarding/whole-response-sink.ts
+++ b/packages/gateway/src/forwarding/whole-response-sink.ts
@@ -5,7 +5,11 @@
 import type { AttemptResult } from '@sesamegrade/core/forwarding/attempt-result';
 import { ResponseSink } from '../endpoints/attempt';
 import type { ResponseHead } from '../endpoints/endpoint-protocol';
-import type { ResponseRelay, ResponseRelayOptions } from './response-relay';
+import type {
+  RelayedAttempt,
+  ResponseRelay,
+  ResponseRelayOptions,
+} from './response-relay';
 
 /** Size above which a response is passed on before it is complete. */
 const MAX_BUFFERED_BYTES = 1_048_576;
@@ -13,15 +17,21 @@
 export class WholeResponseSink extends ResponseSink {
   readonly #relay: ResponseRelay;
   readonly #options: ResponseRelayOptions;
+  readonly #attempt: RelayedAttempt;
   #chunks: Buffer[] = [];
   #bufferedBytes = 0;
   #isPassedOn = false;
   #head: ResponseHead | undefined;
 
-  constructor(relay: ResponseRelay, options: ResponseRelayOptions) {
+  constructor(
+    relay: ResponseRelay,
+    options: ResponseRelayOptions,
+    attempt: RelayedAttempt,
+  ) {
     super();
     this.#relay = relay;
     this.#options = options;
+    this.#attempt = attempt;
   }
 
   override get heldBytes(): number {
@@ -30,7 +40,7 @@
 
   override onHead(head: ResponseHead): void {
     if (this.#options.exchange.hasResponseStarted) {
-      this.#options.abort({ kind: 'broken', breakage: 'malformed' });
+      this.#attempt.abort({ kind: 'broken', breakage: 'malformed' });
       return;
     }
     this.#head = head;
@@ -38,7 +48,7 @@
 
   override onData(chunk: Buffer): boolean {
     if (this.#isPassedOn) {
-      return this.#relay.write(chunk);
+      return this.#relay.write(chunk, this.#attempt.resume);
     }
     this.#chunks.push(chunk);
     this.#bufferedBytes += chunk.length;
@@ -66,11 +76,14 @@
   }
 
   #passOn(): boolean {
+    if (!this.#attempt.takeOver()) {
+      return true;
+    }
     this.#isPassedOn = true;
     if (this.#head) {
       this.#options.exchange.startResponse(this.#head);
     }
-    return this.#relay.write(this.#takeBuffered());
+    return this.#relay.write(this.#takeBuffered(), this.#attempt.resume);
   }
 
   #takeBuffered(): Buffer {
