Count a stop from when its signal may have been sent

A router that was held up as SIGTERM came accepted requests for a grace period that had begun long before, and the kill cut them; a hold-up of over half a second took the end of the stop away altogether, with its 503, 502 and clean breaks. The stop counted from the signal's handler, the kill from the signal.

Nothing tells a process when a signal was sent. It cannot have been sent before the timers last fired if one is overdue as the handler runs, as it would have been handled then: the stop counts from there (TimerService.heldUpSince). The time before the handler does not count as time in which no request came.

--- a/packages/cli/src/platform-router.test.ts
+++ b/packages/cli/src/platform-router.test.ts
@@ -12,9 +12,14 @@
 
 const PROGRAM = join(import.meta.dirname, 'platform-router.ts');
 
+/** Time from the signal to the kill of a process, and for which it is held up before it handles the signal. */
+const GRACE_MS = 6000;
+const HOLD_UP_MS = 4000;
+
 interface RouterLogLine {
   readonly message: string;
   readonly cause?: string;
+  readonly heldUp?: number;
   readonly applied?: readonly { readonly key: string }[];
 }
 
@@ -81,4 +86,31 @@
     expect(await exit).to.deep.equal([0, null]);
     expect(messages).to.include('stop');
   });
+
+  // Guards against a stop that outlasts the grace period, as the process was held up when it was told to stop.
+  it('ends in the grace period of a signal that it could handle only later', async () => {
+    const file = join(folder, 'router.ini');
+    const settings = await newRouterSettings();
+    await writeFile(file, settings.text(126, GRACE_MS / 1000));
+    program = spawn(process.execPath, ['--import', 'tsx', PROGRAM], {
+      env: { ...process.env, SESAMEGRADE_CONFIG: file },
+      stdio: ['ignore', 'pipe', 'inherit'],
+    });
+    const { pid } = program;
+    const exit = once(program, 'exit');
+    const logLines: RouterLogLine[] = [];
+    for await (const text of createInterface({ input: program.stdout! })) {
+      const line = JSON.parse(text) as RouterLogLine;
+      logLines.push(line);
+      if (line.message === 'start') {
+        process.kill(pid!, 'SIGSTOP');
+        process.kill(pid!, 'SIGTERM');
+        setTimeout(() => process.kill(pid!, 'SIGCONT'), HOLD_UP_MS);
+        setTimeout(() => program?.kill('SIGKILL'), GRACE_MS).unref();
+      }
+    }
+    expect(await exit).to.deep.equal([0, null]);
+    const begun = logLines.find(({ message }) => message === 'stop-begun');
+    expect(begun?.heldUp).to.be.greaterThan(HOLD_UP_MS / 2);
+  });
 });
--- a/packages/cli/src/testing/router-settings.ts
+++ b/packages/cli/src/testing/router-settings.ts
@@ -4,8 +4,8 @@
 export interface RouterSettings {
   readonly callersPort: number;
   readonly metricsPort: number;
-  /** The settings file's text; `slack` is the number of retries per window. */
-  text(slack: number): string;
+  /** The settings file's text; `slack` is the number of retries per window, `graceSeconds` the time from SIGTERM to SIGKILL. */
+  text(slack: number, graceSeconds?: number): string;
 }
 
 export async function newRouterSettings(): Promise<RouterSettings> {
@@ -18,7 +18,7 @@
   return {
     callersPort,
     metricsPort,
-    text: slack => `[router]
+    text: (slack, graceSeconds = 1) => `[router]
 id = r
 zone = a
 callers = 127.0.0.1:${callersPort}
@@ -28,7 +28,7 @@
 [store]
 address = 127.0.0.1:1
 [stop]
-grace_seconds = 1
+grace_seconds = ${graceSeconds}
 [retries]
 ratio = 0.2
 window_seconds = 10
--- a/packages/gateway/src/process/gateway-process.ts
+++ b/packages/gateway/src/process/gateway-process.ts
@@ -176,11 +176,13 @@
       log,
     } = this.#options;
     const now = timers.now();
+    // The kill is timed at the signal, which may have come at any time since.
+    const startedAt = timers.heldUpSince ?? now;
     log.write('stop-begun', {
       running: forwarder.running,
-      heldUp: Math.round(elapsed(timers.heldUpSince ?? now, now)),
+      heldUp: Math.round(elapsed(startedAt, now)),
     });
-    shutdownSequence.start(now);
+    shutdownSequence.start(startedAt);
     callerServer.startDraining();
     await shutdownSequence.waitUntilDrained(timers, {
       running: () =>
@@ -199,7 +201,7 @@
     await nextLoopTurn();
     callerServer.logUnfinished();
     log.write('stop', {
-      took: Math.round(elapsed(now, timers.now())),
+      took: Math.round(elapsed(startedAt, timers.now())),
       running: forwarder.running,
       unwritten: callerServer.openExchangeCount,
       tunnels: tunnelServer.openCount,
--- a/packages/gateway/src/process/shutdown-pauses.test.ts
+++ b/packages/gateway/src/process/shutdown-pauses.test.ts
@@ -45,8 +45,10 @@
     events = [];
   });
 
-  function shutDown(running: () => number): void {
-    const sequence = new ShutdownSequence(() => seconds(8));
+  function shutDown(
+    running: () => number,
+    sequence = new ShutdownSequence(() => seconds(8)),
+  ): void {
     sequence.start(timers.now());
     sequence
       .waitUntilDrained(timers, {
@@ -76,6 +78,22 @@
     expect(events).to.deep.equal(['exits']);
   });
 
+  // Guards against the same if the process was held up as it was told to stop.
+  it('does not take the time before it handled the signal for one in which no request came', async () => {
+    const sequence = new ShutdownSequence(() => seconds(8));
+    await timers.pass(seconds(5));
+    sequence.start(instant(0));
+    shutDown(() => 0, sequence);
+    await timers.pass(POLL_PERIOD);
+    await timers.pass(POLL_PERIOD);
+    await timers.pass(POLL_PERIOD);
+    expect(events).to.deep.equal([]);
+    for (let count = 0; count < 10; count += 1) {
+      await timers.pass(POLL_PERIOD);
+    }
+    expect(events).to.deep.equal(['exits']);
+  });
+
   // Guards against the same at the end of the grace period.
   it('reads once more before it exits', async () => {
     shutDown(() => 0);
--- a/packages/gateway/src/process/shutdown-sequence.ts
+++ b/packages/gateway/src/process/shutdown-sequence.ts
@@ -68,8 +68,9 @@
         );
   }
 
-  start(now: Instant): void {
-    this.#startedAt ??= now;
+  /** `startedAt` is the earliest time at which the signal may have been sent. */
+  start(startedAt: Instant): void {
+    this.#startedAt ??= startedAt;
   }
 
   /**
@@ -116,7 +117,7 @@
   ): Promise<void> {
     const startedAt = this.#startedAt ?? timers.now();
     this.#startedAt = startedAt;
-    let quietSince = startedAt;
+    let quietSince = timers.now();
     let wasQuiet = false;
     let hasEnded = false;
     return new Promise(resolve => {
