Abort the attempts of a request that failed

A task that threw while another attempt of its request ran would have left that one at its endpoint.

--- a/packages/gateway/src/forwarding/request-run.ts
+++ b/packages/gateway/src/forwarding/request-run.ts
@@ -201,6 +201,8 @@
         this.#onEvent(await this.#events.take());
       }
     } finally {
+      // Nothing runs any more unless the request failed.
+      this.#abortAll(() => ({ kind: 'caller-left' }));
       this.#memory.release();
     }
   }
