Find the hold-up before a stop also behind late timers

Ruled out: a signal that is handled before the hold-up (the stop began after it).

Timers that fire late now count only once everything that had arrived has been read behind them. Until then the stop counts from the timers before.

system-timer-service.test.ts has both cases with an injected event loop; the second one needs what the first version did not have.

--- a/packages/router/src/process/system-timer-service.test.ts
+++ b/packages/router/src/process/system-timer-service.test.ts
@@ -33,6 +33,13 @@
     });
   });
 
+  /** Lets the event loop read what has arrived. */
+  function readAll(): void {
+    afterReads.splice(0).forEach(callback => {
+      callback();
+    });
+  }
+
   /** Runs the timeout that was set last at a time. */
   function wakeAt(time: number): void {
     now = time;
@@ -80,9 +87,20 @@
     wakeAt(1301);
     expect(timers.heldUpSince).to.equal(51);
     now = 1302;
-    afterReads.forEach(callback => {
-      callback();
-    });
+    readAll();
+    expect(timers.heldUpSince).to.equal(51);
+    readAll();
+    expect(timers.heldUpSince).to.equal(undefined);
+  });
+
+  // Guards against a hold-up that hides behind one before it, on a processor that is always busy.
+  it('goes back to the last timers behind which everything was read', () => {
+    wakeAt(100);
+    readAll();
+    wakeAt(400);
+    readAll();
+    expect(timers.heldUpSince).to.equal(100);
+    readAll();
     expect(timers.heldUpSince).to.equal(undefined);
   });
 
--- a/packages/router/src/process/system-timer-service.ts
+++ b/packages/router/src/process/system-timer-service.ts
@@ -31,17 +31,26 @@
   readonly #loop: EventLoop;
   #timeout: NodeJS.Timeout | undefined;
   #scheduledFor: Instant | undefined;
+  /** When timers fired last and everything that had arrived by then was read afterwards. */
+  #readUpTo: Instant;
+  /** Late wake-ups whose time is not that yet. */
+  #unreadWakes = 0;
   #stopped = false;
 
   constructor(loop: EventLoop = PROCESS_LOOP) {
     super();
     this.#loop = loop;
+    this.#readUpTo = this.now();
   }
 
   now(): Instant {
     return instant(this.#loop.now());
   }
 
+  override get heldUpSince(): Instant | undefined {
+    return this.#unreadWakes > 0 ? this.#readUpTo : super.heldUpSince;
+  }
+
   wallTime(): number {
     return Date.now();
   }
@@ -72,10 +81,18 @@
   #wake(due: Instant): void {
     if (elapsed(due, this.now()) < HELD_UP) {
       this.#runAll();
+      this.#readUpTo = this.now();
       return;
     }
+    this.#unreadWakes += 1;
     this.#loop.afterReads(() => {
       this.#runAll();
+      // The process may have been held up within the turn that fired them, and not have read since.
+      const firedAt = this.now();
+      this.#loop.afterReads(() => {
+        this.#unreadWakes -= 1;
+        this.#readUpTo = firedAt;
+      });
     });
   }
 
