Let endpoints fall silent and hold routers up in the soak

Routers are held up for 0.3 to 2 s at and within stops. A stream that breaks off although an endpoint ends it in time is a violation, and a hold-up excuses a call only if its last response was due in it.

--- a/packages/stand-ins/src/deployment/router-process.ts
+++ b/packages/stand-ins/src/deployment/router-process.ts
@@ -21,8 +21,12 @@
   readonly afterMs: number;
 }
 
-/** What happened to a process: a signal, the end of its grace period, or its exit. */
-export type ProcessEvent = NodeJS.Signals | 'grace-over' | 'exit';
+/**
+ * What happened to a process: a signal, the end of its grace period, its exit, or that it got no
+ * processor time for a while.
+ */
+export type ProcessEvent =
+  NodeJS.Signals | 'grace-over' | 'exit' | 'hold-up' | 'hold-up-over';
 
 export interface RouterProcessOptions {
   readonly name: string;
@@ -41,6 +45,8 @@
   /** Whether the first start of the process is the fleet's first one. */
   readonly isFirstStart?: boolean;
   readonly graceSeconds?: number;
+  /** The processor core on which the process runs; any if undefined. */
+  readonly core?: number;
   readonly onEvent?: (event: ProcessEvent) => void;
 }
 
@@ -89,29 +95,28 @@
   }
 
   start(): void {
-    const { name, folder, flags, programArguments, environment } =
+    const { name, folder, flags, programArguments, environment, core } =
       this.#options;
     const file = join(folder, `${name}.ini`);
     writeFileSync(file, this.#settings());
-    const child = spawn(
+    const command = [
+      ...(core === undefined ? [] : ['taskset', '--cpu-list', String(core)]),
       process.execPath,
-      [
-        ...(flags ?? []),
-        PROGRAM,
-        '--callers',
-        this.callerAddress,
-        ...(programArguments ?? []),
-      ],
-      {
-        env: {
-          ...process.env,
-          ...environment?.(),
-          SESAMEGRADE_CONFIG: file,
-          SESAMEGRADE_PEER_SECRET: SECRET,
-        },
-        stdio: ['ignore', 'pipe', 'pipe'],
+      ...(flags ?? []),
+      PROGRAM,
+      '--callers',
+      this.callerAddress,
+      ...(programArguments ?? []),
+    ];
+    const child = spawn(command[0] ?? process.execPath, command.slice(1), {
+      env: {
+        ...process.env,
+        ...environment?.(),
+        SESAMEGRADE_CONFIG: file,
+        SESAMEGRADE_PEER_SECRET: SECRET,
       },
-    );
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
     for (const reader of [child.stdout, child.stderr]) {
       reader.on('data', (output: Buffer) => {
         appendFileSync(join(folder, `${name}.log`), output);
@@ -147,6 +152,18 @@
     }
   }
 
+  /** Keeps the process from running for a time in ms, as a busy machine does. */
+  async holdUp(durationMs: number): Promise<void> {
+    const child = this.#process;
+    if (child?.kill('SIGSTOP') !== true) {
+      return;
+    }
+    this.#options.onEvent?.('hold-up');
+    await pause(durationMs);
+    child.kill('SIGCONT');
+    this.#options.onEvent?.('hold-up-over');
+  }
+
   /**
    * Ends the process with a signal and starts it again, after earlier restarts have finished.
    * As on the platform, a process that got SIGTERM is killed when its grace period is over.
--- a/packages/stand-ins/src/deployment/scripted-server.ts
+++ b/packages/stand-ins/src/deployment/scripted-server.ts
@@ -28,6 +28,7 @@
   #script: Script;
   #connections = 0;
   #cancelled = 0;
+  #isSilent = false;
 
   constructor(script: Script) {
     this.#script = script;
@@ -68,6 +69,22 @@
     this.#server.close();
   }
 
+  /** Holds back all bytes that are sent from now on, until `resume`. */
+  fallSilent(): void {
+    this.#isSilent = true;
+    this.#sockets.forEach(socket => {
+      socket.cork();
+    });
+  }
+
+  /** Sends what was held back. */
+  resume(): void {
+    this.#isSilent = false;
+    this.#sockets.forEach(socket => {
+      socket.uncork();
+    });
+  }
+
   async stop(): Promise<void> {
     for (const socket of this.#sockets) {
       socket.destroy();
@@ -83,6 +100,9 @@
     this.#connections += 1;
     const connection = this.#connections;
     this.#sockets.add(socket);
+    if (this.#isSilent) {
+      socket.cork();
+    }
     socket.on('error', () => undefined);
     socket.on('close', () => {
       this.#cancelled += 1;
--- a/packages/stand-ins/src/soak/planned-stop-record.test.ts
+++ b/packages/stand-ins/src/soak/planned-stop-record.test.ts
@@ -10,7 +10,10 @@
   events: readonly (readonly [ProcessEvent, number])[] = [],
   prepare: (record: PlannedStopRecord) => void = () => undefined,
 ): string[] {
-  const record = new PlannedStopRecord();
+  const record = new PlannedStopRecord({
+    graceMs: 4000,
+    isDetoured: (_router, endpoint) => endpoint === 'detoured',
+  });
   const stop = [
     ['SIGTERM', 1000],
     ['exit', 4500],
@@ -55,6 +58,38 @@
     expect(play({ expiresAt: 4490 })).to.deep.equal(['answered']);
   });
 
+  // Guards against streams that a router cuts although their endpoints end them in time.
+  it('finds a stream that broke off although an endpoint ends it in time', () => {
+    const ending = 'broke-off';
+    const stream = { ending, isStream: true } as const;
+    const runsTo = (end: number, endpoint = 'f') =>
+      play(stream, [], record => {
+        record.recordRun('a', endpoint, 1100, end);
+      });
+    expect(runsTo(3800)).to.deep.equal(['answered']);
+    expect(runsTo(4200)).to.deep.equal([]);
+    expect(runsTo(3800, 'detoured')).to.deep.equal([]);
+    const silent = (from: number, to: number) =>
+      play(stream, [], record => {
+        record.recordRun('a', 'f', 1100, 2000);
+        record.recordSilence({ endpoint: 'f', from, to });
+      });
+    expect(silent(1500, 3500)).to.deep.equal(['answered']);
+    expect(silent(1500, 4400)).to.deep.equal([]);
+    expect(silent(2400, 4400)).to.deep.equal(['answered']);
+  });
+
+  // Guards against a process that is held up early in its stop, and then accepts too much.
+  it('excuses a cut by a hold-up only if the last responses were due in it', () => {
+    const heldUp = (from: number, to: number) =>
+      play({}, [
+        ['hold-up', from],
+        ['hold-up-over', to],
+      ]);
+    expect(heldUp(900, 2500)).to.deep.equal(['answered']);
+    expect(heldUp(2500, 4300)).to.deep.equal([]);
+  });
+
   // Guards against refusals that promise what is not so.
   it('finds a request that ran although the router refused it as not run', () => {
     expect(play({ ending: 503 })).to.deep.equal(['not-run']);
--- a/packages/stand-ins/src/soak/planned-stop-record.ts
+++ b/packages/stand-ins/src/soak/planned-stop-record.ts
@@ -19,6 +19,8 @@
   readonly to: number;
   /** When the time that the caller stated is over. */
   readonly expiresAt: number;
+  /** When the time of the route is over, if it has one. */
+  readonly routeEndsAt?: number;
   /** Until when the caller read nothing, if it read late. */
   readonly pausedUntil?: number;
   readonly ending: CallEnding;
@@ -35,14 +37,45 @@
   readonly at: number;
 }
 
+interface EndpointRun extends EndpointEvent {
+  /** When the endpoint has sent the end of its response, unless it falls silent. */
+  readonly endsAt: number;
+}
+
+interface EndpointSilence {
+  readonly endpoint: string;
+  readonly from: number;
+  readonly to: number;
+}
+
+export interface PlannedStopRecordOptions {
+  /** Time from SIGTERM to SIGKILL. */
+  readonly graceMs: number;
+  /** Whether the router reaches the endpoint only through others, whose stops break its connections. */
+  readonly isDetoured: (router: string, endpoint: string) => boolean;
+}
+
+/** Share of the grace period at whose end an endpoint may still be at work on what is cut. */
+const LAST_SHARE = 1 / 6;
+/** Time in which a router that is about to exit writes its last responses. */
+const EXIT_MS = 800;
+/** Time for the end of a response on its way through a router. */
+const PASSING_MS = 300;
+
 /** Time in which the ends of two connections of one request may be seen in either order. */
 const SIMULTANEOUS_MS = 50;
 
 export class PlannedStopRecord {
   readonly #calls: StopCall[] = [];
   readonly #events: RouterEvent[] = [];
-  readonly #runs = new Map<string, EndpointEvent[]>();
-  readonly #breaks = new Map<string, EndpointEvent>();
+  readonly #options: PlannedStopRecordOptions;
+  readonly #runs = new Map<string, EndpointRun[]>();
+  readonly #breaks = new Map<string, EndpointEvent[]>();
+  readonly #silences: EndpointSilence[] = [];
+
+  constructor(options: PlannedStopRecordOptions) {
+    this.#options = options;
+  }
 
   recordCall(call: StopCall): void {
     this.#calls.push(call);
@@ -52,14 +85,25 @@
     this.#events.push({ router, event, at });
   }
 
-  recordRun(request: string, endpoint: string, at: number): void {
+  recordRun(
+    request: string,
+    endpoint: string,
+    at: number,
+    endsAt = Infinity,
+  ): void {
     const runs = this.#runs.get(request) ?? [];
-    this.#runs.set(request, [...runs, { endpoint, at }]);
+    this.#runs.set(request, [...runs, { endpoint, at, endsAt }]);
+  }
+
+  /** Records that an endpoint sent nothing for a while. */
+  recordSilence(silence: EndpointSilence): void {
+    this.#silences.push(silence);
   }
 
   /** Records that an endpoint broke off a request before its response was whole. */
   recordBreak(request: string, endpoint: string, at: number): void {
-    this.#breaks.set(request, { endpoint, at });
+    const breaks = this.#breaks.get(request) ?? [];
+    this.#breaks.set(request, [...breaks, { endpoint, at }]);
   }
 
   /** Number of calls at routers that were stopping, by what the callers got. */
@@ -78,10 +122,11 @@
         const { ending, request, isStream, to, expiresAt } = call;
         const stop = this.#stopDuring(call);
         const detail = this.#describe(call, stop);
-        // A response that has started can only break off when its time is over.
+        // A plain response that has started can only break off when its time is over.
         const isLost =
           ending === 'cut' ||
-          (ending === 'broke-off' && !isStream && to < expiresAt);
+          (ending === 'broke-off' &&
+            (isStream ? this.#endsInTime(call, stop) : to < expiresAt));
         if (isLost && !this.#isExcused(call, stop)) {
           return [{ promise: 'answered', request, detail }];
         }
@@ -101,6 +146,33 @@
     );
   }
 
+  /** Whether an endpoint sends the end of a stream before the caller's limit and the end of the stop. */
+  #endsInTime(call: StopCall, stop: RouterEvent | undefined): boolean {
+    const { request, router, expiresAt, routeEndsAt = Infinity } = call;
+    const { graceMs, isDetoured } = this.#options;
+    const lastMs = Math.max(EXIT_MS, graceMs * LAST_SHARE);
+    const stopEnd = stop ? stop.at + graceMs - lastMs : Infinity;
+    const dueBy = Math.min(expiresAt, routeEndsAt, stopEnd) - PASSING_MS;
+    const broken = (this.#breaks.get(request) ?? []).map(each => each.endpoint);
+    return (this.#runs.get(request) ?? []).some(
+      run =>
+        this.#endOf(run) <= dueBy &&
+        !broken.includes(run.endpoint) &&
+        !isDetoured(router, run.endpoint),
+    );
+  }
+
+  #endOf({ endpoint, at, endsAt }: EndpointRun): number {
+    return this.#silences
+      .filter(
+        silence =>
+          silence.endpoint === endpoint &&
+          silence.to >= at &&
+          silence.from <= endsAt + PASSING_MS,
+      )
+      .reduce((end, { to }) => Math.max(end, to), endsAt);
+  }
+
   /** Whether the endpoint broke off, or the router was frozen or killed, or the caller did not read. */
   #isExcused(call: StopCall, stop: RouterEvent | undefined): boolean {
     const { request, router, from, to, pausedUntil } = call;
@@ -115,8 +187,28 @@
           (event === 'SIGSTOP' &&
             this.#nextAfter({ router, at }, 'SIGCONT') >= begin)),
     );
-    const brokeAt = this.#breaks.get(request)?.at ?? Infinity;
-    return brokeAt <= until || wasDisturbed || wasPaused === true;
+    const hasBroken = (this.#breaks.get(request) ?? []).some(
+      ({ at }) => at <= until,
+    );
+    return (
+      hasBroken ||
+      wasDisturbed ||
+      wasPaused === true ||
+      (stop !== undefined && this.#isHeldUpAtEnd(stop))
+    );
+  }
+
+  /** Whether a process had no time to run when its last responses were due. */
+  #isHeldUpAtEnd(stop: RouterEvent): boolean {
+    const { graceMs } = this.#options;
+    const lastFrom = stop.at + graceMs - EXIT_MS - PASSING_MS;
+    return this.#eventsOf(stop.router).some(
+      ({ event, at }) =>
+        event === 'hold-up' &&
+        at <= stop.at + graceMs &&
+        this.#nextAfter({ router: stop.router, at }, 'hold-up-over') >=
+          lastFrom,
+    );
   }
 
   #nextAfter(
@@ -140,12 +232,17 @@
     const end = stop ? this.#nextAfter(stop, 'exit') : to + SIMULTANEOUS_MS;
     const since = (at: number) => `${Math.round(at - begin)} ms`;
     const runs = this.#runs.get(call.request) ?? [];
+    const breaks = this.#breaks.get(call.request) ?? [];
     const events = this.#eventsOf(router)
       .filter(({ at }) => at >= begin && at <= end)
       .map(({ event, at }) => `${event} ${since(at)}`);
     return [
       `${router} ${path} sent ${since(from)}`,
-      ...runs.map(({ endpoint, at }) => `ran at ${endpoint} ${since(at)}`),
+      ...runs.map(
+        run =>
+          `ran at ${run.endpoint} ${since(run.at)} to ${since(this.#endOf(run))}`,
+      ),
+      ...breaks.map(({ endpoint, at }) => `${endpoint} broke ${since(at)}`),
       `${ending} ${since(to)}`,
       ...events,
     ].join(', ');
--- a/packages/stand-ins/src/soak/planned-stop-scenario.ts
+++ b/packages/stand-ins/src/soak/planned-stop-scenario.ts
@@ -28,6 +28,9 @@
 const MAX_STOPPED_AT_ONCE = 3;
 /** Time from the first signal of a stop to the last repeated one. */
 const MAX_REPEAT_MS = 3500;
+/** Shares of the stops whose process is held up as the signal comes, and within the stop, and for how long. */
+const HOLD_UP_SHARE = 0.3;
+const HOLD_UP_MS = { min: 300, max: 2000 };
 const STATUS_OK = 200;
 
 export interface PlannedStopScenarioOptions {
@@ -104,8 +107,16 @@
       signal: random.pick(signals),
       afterMs: random.integer(0, MAX_REPEAT_MS),
     }));
+    const holdUps = [0, random.integer(0, MAX_REPEAT_MS)]
+      .filter(() => random.fraction() < HOLD_UP_SHARE)
+      .map(async afterMs => {
+        const durationMs = random.integer(HOLD_UP_MS.min, HOLD_UP_MS.max);
+        await pause(afterMs);
+        await router.holdUp(durationMs);
+      });
     await router.restart('SIGTERM', laterSignals);
     onEnd();
+    await Promise.all(holdUps);
   }
 
   /** Sends one request after the other on a connection, and on a new one once that has ended. */
@@ -153,7 +164,8 @@
     });
     const isStream = kind === 'draft' || kind === 'summary';
     const expiresAt = from + deadlineMs;
-    const times = { from, to: now(), expiresAt };
+    const routeEndsAt = from + ROUTE_TIMEOUT_MS;
+    const times = { from, to: now(), expiresAt, routeEndsAt };
     record.recordCall({
       ...{ request, router: router.name, path, isStream, ...times },
       pausedUntil,
--- a/packages/stand-ins/src/soak/soak-main.ts
+++ b/packages/stand-ins/src/soak/soak-main.ts
@@ -1,5 +1,5 @@
 /** `npm run soak -- --seed N [--seconds N] [--routers N] [--seeds N]
- * [--grace N] [--stop-callers N]`: exits with 1 if an invariant was violated. */
+ * [--grace N] [--stop-callers N] [--one-core]`: exits with 1 if an invariant was violated. */
 import { cac } from 'cac';
 
 import { Soak } from './soak';
@@ -19,7 +19,8 @@
   .option('--stop-callers <count>', 'connections to each router at its stops', {
     default: 4,
   })
-  .action(async (options: Record<string, string | number>) => {
+  .option('--one-core', 'run all routers on one processor core')
+  .action(async (options: Record<string, string | number | boolean>) => {
     const [first, count] = [Number(options.seed), Number(options.seeds)];
     const seconds = Number(options.seconds);
     const routers = Number(options.routers);
@@ -28,6 +29,7 @@
     for (let seed = first; seed < first + count; seed += 1) {
       const result = await new Soak({
         ...{ seed, seconds, routers, graceSeconds, stopCallers },
+        isOnOneCore: options.oneCore === true,
       }).run();
       const { violations, folder, ...rest } = result;
       console.log(JSON.stringify({ seed, ...rest, violations }));
--- a/packages/stand-ins/src/soak/soak.ts
+++ b/packages/stand-ins/src/soak/soak.ts
@@ -42,6 +42,8 @@
   readonly graceSeconds: number;
   /** Open connections of callers to each router during planned stops. */
   readonly stopCallers: number;
+  /** Whether all routers share one processor core. */
+  readonly isOnOneCore: boolean;
 }
 
 export interface SoakResult {
@@ -75,6 +77,8 @@
 /** How often each router gets each such content after that time. */
 const LAST_SENDS = 5;
 
+/** The router that reaches the first endpoints of the planned stops only through others. */
+const DETOURED_ROUTER = 'r0';
 /** One in so many seeds loses no contact, as an endpoint that left may get requests of routers out of touch. */
 const SEEDS_PER_RUN_IN_TOUCH = 4;
 export class Soak {
@@ -93,18 +97,25 @@
   readonly #takeUps = new TakeUpRecord();
   readonly #share = new ResumptionShare();
   readonly #outageTakeUps = new TakeUpRecord('resumption-in-outage');
-  readonly #plannedStops = new PlannedStopRecord();
+  readonly #plannedStops: PlannedStopRecord;
   readonly #slowEndpoints: SlowEndpoints;
   readonly #stopScenario: PlannedStopScenario;
   readonly #scenarios: readonly ContactLossScenario[];
   readonly #outageScenario: StoreOutageScenario;
   readonly #silenceScenario: StoreSilenceScenario;
   readonly #faultKinds: readonly FaultKind[];
+  /** Endpoints that one router reaches only through others. */
+  #detoured: ReadonlySet<string> = new Set();
   #version = 1;
 
   constructor(options: SoakOptions) {
     this.#options = options;
     this.#random = new Random(options.seed);
+    this.#plannedStops = new PlannedStopRecord({
+      graceMs: options.graceSeconds * 1000,
+      isDetoured: (router, endpoint) =>
+        router === DETOURED_ROUTER && this.#detoured.has(endpoint),
+    });
     this.#faultKinds =
       options.seed % 2 === 0
         ? FAULT_KINDS
@@ -275,7 +286,8 @@
     }
     for (let count = 0; count < this.#options.routers; count += 1) {
       const name = `r${count}`;
-      if (count === 0) {
+      if (name === DETOURED_ROUTER) {
+        this.#detoured = new Set(this.#slowEndpoints.names);
         this.#links.refuseDirect(name, this.#slowEndpoints.addresses);
       }
       const router = new RouterProcess({
@@ -286,6 +298,7 @@
         environment: () => this.#links.environmentOf(name),
         isFirstStart: true,
         graceSeconds: this.#options.graceSeconds,
+        ...(this.#options.isOnOneCore ? { core: 0 } : {}),
         onEvent: event => {
           this.#plannedStops.recordEvent(name, event, this.#now());
         },
