--- a/packages/core/src/time/manual-timer-service.ts
+++ b/packages/core/src/time/manual-timer-service.ts
@@ -40,7 +40,7 @@
     this.#now = end;
   }
 
-  protected reschedule(): void {
+  protected onAdded(): void {
     // No real timer is set: `advance` finds the due listeners itself.
   }
 }
--- a/packages/core/src/time/timer-service.ts
+++ b/packages/core/src/time/timer-service.ts
@@ -82,8 +82,11 @@
     return earliest;
   }
 
-  /** Called when the earliest due time may have changed. */
-  protected abstract reschedule(): void;
+  /**
+   * Called with the due time of a timer that was added. It must not look at all timers: requests
+   * add one with nearly every event that they relay.
+   */
+  protected abstract onAdded(due: Instant): void;
 
   #subscribe(
     delay: Milliseconds,
@@ -92,7 +95,7 @@
   ): Cancel {
     const subscription = { due: addTime(this.now(), delay), period, listener };
     this.#subscriptions.add(subscription);
-    this.reschedule();
+    this.onAdded(subscription.due);
     return () => {
       this.#subscriptions.delete(subscription);
     };
--- a/packages/gateway/src/callers/caller-exchange.ts
+++ b/packages/gateway/src/callers/caller-exchange.ts
@@ -10,6 +10,8 @@
 import { lingerAtClose } from './lingering-close';
 
 const EMPTY_BODY = Buffer.alloc(0);
+const LINE_END = Buffer.from('\r\n', 'latin1');
+const LAST_CHUNK = Buffer.from('0\r\n\r\n', 'latin1');
 /** Time between the last bytes of a broken response and the reset of its connection. */
 const RESET_DELAY: Milliseconds = milliseconds(50);
 
@@ -31,6 +33,8 @@
   #responseFinished = false;
   /** Whether only the end of the connection marks the end of the started response. */
   #isUnframed = false;
+  /** Whether this exchange frames the chunks of the started response. */
+  #isChunked = false;
   #closesConnection = false;
   /** Id of the request for the log; undefined until its head has been parsed. */
   requestId: RequestId | undefined;
@@ -189,11 +193,17 @@
     this.#response.flushHeaders();
     // There are no chunks in responses to HTTP/1.0 either.
     this.#isUnframed = !this.#response.chunkedEncoding;
+    this.#isChunked = this.#response.chunkedEncoding;
+    // Node.js would write each chunk in four parts, which took a fifth of a router's processor time.
+    this.#response.chunkedEncoding = false;
   }
 
   /** Returns false when the write buffer is full; `onDrain` fires when it is empty again. */
   write(chunk: Uint8Array): boolean {
-    return this.#disconnected || this.#response.write(chunk);
+    return (
+      this.#disconnected ||
+      this.#response.write(this.#isChunked ? framedChunk(chunk) : chunk)
+    );
   }
 
   onDrain(listener: () => void): void {
@@ -203,7 +213,7 @@
   end(): void {
     if (!this.#disconnected) {
       this.#responseFinished = true;
-      this.#response.end();
+      this.#response.end(this.#isChunked ? LAST_CHUNK : undefined);
     }
   }
 
@@ -278,6 +288,17 @@
   }
 }
 
+/** A chunk of the chunked transfer coding; an empty one would be the last. */
+function framedChunk(bytes: Uint8Array): Uint8Array {
+  return bytes.length === 0
+    ? bytes
+    : Buffer.concat([
+        Buffer.from(`${bytes.length.toString(16)}\r\n`, 'latin1'),
+        bytes,
+        LINE_END,
+      ]);
+}
+
 function nextLoopTurn(): Promise<void> {
   return new Promise(resolve => {
     setImmediate(resolve);
--- a/packages/gateway/src/process/shutdown-pauses.test.ts
+++ b/packages/gateway/src/process/shutdown-pauses.test.ts
@@ -31,7 +31,7 @@
     await Promise.resolve();
   }
 
-  protected reschedule(): void {
+  protected onAdded(): void {
     // The test moves the time itself.
   }
 }
--- a/packages/router/src/process/system-timer-service.ts
+++ b/packages/router/src/process/system-timer-service.ts
@@ -35,6 +35,7 @@
   #readUpTo: Instant;
   /** Late wake-ups whose time is not that yet. */
   #unreadWakes = 0;
+  #isRunning = false;
   #stopped = false;
 
   constructor(loop: EventLoop = PROCESS_LOOP) {
@@ -62,12 +63,18 @@
     clearTimeout(this.#timeout);
   }
 
-  protected reschedule(): void {
-    const due = this.nextDue();
-    if (this.#stopped || due === undefined) {
-      return;
+  protected onAdded(due: Instant): void {
+    // The timers that are being run are followed by a look at all of them.
+    if (!this.#isRunning) {
+      this.#schedule(due);
     }
-    if (this.#scheduledFor !== undefined && this.#scheduledFor <= due) {
+  }
+
+  /** Wakes up at a due time, or earlier if that is scheduled already. */
+  #schedule(due: Instant): void {
+    const isCovered =
+      this.#scheduledFor !== undefined && this.#scheduledFor <= due;
+    if (this.#stopped || isCovered) {
       return;
     }
     clearTimeout(this.#timeout);
@@ -98,7 +105,15 @@
 
   #runAll(): void {
     this.#scheduledFor = undefined;
-    this.runDue(this.now());
-    this.reschedule();
+    this.#isRunning = true;
+    try {
+      this.runDue(this.now());
+    } finally {
+      this.#isRunning = false;
+      const due = this.nextDue();
+      if (due !== undefined) {
+        this.#schedule(due);
+      }
+    }
   }
 }
