Check the entries of frames that come by the hundred without a schema

Cause: a router that joins gets up to 1,500 prompt parts and the loads of all endpoints from each of two relays. With code that has just been loaded, a schema takes some 10 to 20 us an entry, and the schema of the frame copies each list once more.

Change: counts and parts are checked by guards, the topics of a frame by their shape, and an answer that is data before the schema of all answers. The schemas of all other entries stay.

--- a/packages/core/src/peers/load-updates.ts
+++ b/packages/core/src/peers/load-updates.ts
@@ -5,22 +5,12 @@
  * receiver does not count its own requests twice. A message thus grows with the
  * endpoints whose load changed, not with the routers.
  */
-import { z } from 'zod';
-
 import type { LoadEstimate } from '../engines/load-estimate';
 import type { TopicEntries } from '../gossip/gossip-scheduler';
 import { endpointId } from '../types/ids';
 import type { EndpointId, RouterId } from '../types/ids';
 import type { Instant } from '../types/units';
-import { forEachValidEntry } from './entry-lists';
-
-const MAX_COUNT = 1_000_000;
-
-/** An endpoint and a number of requests there. */
-const countSchema = z.tuple([
-  z.string().min(1).max(200),
-  z.int().min(0).max(MAX_COUNT),
-]);
+import { forEachAcceptedEntry, isCountEntry } from './entry-lists';
 
 export const LoadTopic = {
   /** The sender's own requests. */
@@ -136,13 +126,13 @@
       loads.resetRelay(peer);
     }
     return (
-      forEachValidEntry(topics[LoadTopic.own], countSchema, entry => {
+      forEachAcceptedEntry(topics[LoadTopic.own], isCountEntry, entry => {
         this.#onPeerCount(peer, endpointId(entry[0]), entry[1], now);
       }) +
-      forEachValidEntry(topics[LoadTopic.totals], countSchema, entry => {
+      forEachAcceptedEntry(topics[LoadTopic.totals], isCountEntry, entry => {
         loads.applyRelayTotal(peer, endpointId(entry[0]), entry[1], now);
       }) +
-      forEachValidEntry(topics[LoadTopic.included], countSchema, entry => {
+      forEachAcceptedEntry(topics[LoadTopic.included], isCountEntry, entry => {
         loads.applyOwnIncluded(peer, endpointId(entry[0]), entry[1], now);
       })
     );
--- a/packages/core/src/peers/peer-updates.ts
+++ b/packages/core/src/peers/peer-updates.ts
@@ -16,18 +16,16 @@
 import { endpointId, promptPartId } from '../types/ids';
 import type { EndpointId, PromptPartId, RouterId } from '../types/ids';
 import type { Instant } from '../types/units';
-import { forEachValidEntry } from './entry-lists';
+import {
+  forEachAcceptedEntry,
+  forEachValidEntry,
+  isPartEntry,
+} from './entry-lists';
 import type { FeedUpdates } from './feed-updates';
 import type { LoadUpdates } from './load-updates';
 
 const nameSchema = z.string().min(1).max(200);
 
-/** A prompt part, an engine, and whether the engine has read the part. */
-const partSchema = z.tuple([
-  nameSchema,
-  nameSchema,
-  z.enum(['reading', 'held']),
-]);
 /**
  * An endpoint that the sender knows as leaving or gone, the start time of its
  * instance if known, and whether that instance itself said that it leaves.
@@ -82,12 +80,12 @@
  */
 const MAX_SENT_PARTS = 1500;
 
-type PartEntry = readonly [PromptPartId, EndpointId, PartState];
+type PartChange = readonly [PromptPartId, EndpointId, PartState];
 type DepartureEntry = z.input<typeof departureSchema>;
 
 export class PeerUpdates {
   readonly #options: PeerUpdatesOptions;
-  readonly #newParts: PartEntry[] = [];
+  readonly #newParts: PartChange[] = [];
   readonly #departures = new Map<EndpointId, DepartureEntry>();
   readonly #surveyedEngines = new Set<EndpointId>();
   #version: PeerVersion | undefined;
@@ -259,7 +257,7 @@
         this.#isRelay,
         now,
       ) +
-      forEachValidEntry(topics[UpdateTopic.parts], partSchema, entry => {
+      forEachAcceptedEntry(topics[UpdateTopic.parts], isPartEntry, entry => {
         this.#applyPart(promptPartId(entry[0]), endpointId(entry[1]), entry[2]);
       }) +
       forEachValidEntry(
--- a/packages/router/src/peers/peer-frame.ts
+++ b/packages/router/src/peers/peer-frame.ts
@@ -198,5 +198,23 @@
 
 /** Whether a decoded frame is an answer that tRPC's client reads without an exception. */
 export function isSoundAnswer(message: unknown): boolean {
-  return answerSchema.safeParse(message).success;
+  return isUpdate(message) || answerSchema.safeParse(message).success;
+}
+
+/** Whether an answer is data of a subscription or a call, as all but a few are. */
+function isUpdate(message: unknown): boolean {
+  if (!isRecord(message) || !isRecord(message.result)) {
+    return false;
+  }
+  const { id, result } = message;
+  return (
+    typeof id === 'number' &&
+    Number.isFinite(id) &&
+    result.type === 'data' &&
+    result.id === undefined
+  );
+}
+
+function isRecord(value: unknown): value is Record<string, unknown> {
+  return typeof value === 'object' && value !== null && !Array.isArray(value);
 }
--- a/packages/router/src/peers/peer-message.ts
+++ b/packages/router/src/peers/peer-message.ts
@@ -16,6 +16,7 @@
 
 const MAX_TOPICS = 32;
 const MAX_ENTRIES = 2000;
+const MAX_TOPIC_NAME_LENGTH = 40;
 /** Upper limit of a plausible `power`: more cores than any VM has. */
 const MAX_POWER = 10_000;
 
@@ -55,11 +56,26 @@
 /** A gossip message: `h` is the sender's timestamp, `t` holds the entries by topic. */
 const gossipSchema = z.object({
   h: timestampSchema,
-  t: z
-    .record(z.string().max(40), z.array(z.unknown()).max(MAX_ENTRIES))
-    .refine(topics => Object.keys(topics).length <= MAX_TOPICS),
+  t: z.custom<TopicEntries>(isTopics),
 });
 
+/** The entries are checked by their topics: a schema here would copy each list. */
+function isTopics(value: unknown): boolean {
+  if (typeof value !== 'object' || value === null || Array.isArray(value)) {
+    return false;
+  }
+  const topics = Object.entries(value);
+  return (
+    topics.length <= MAX_TOPICS &&
+    topics.every(
+      ([name, entries]) =>
+        name.length <= MAX_TOPIC_NAME_LENGTH &&
+        Array.isArray(entries) &&
+        entries.length <= MAX_ENTRIES,
+    )
+  );
+}
+
 export const feedMessageSchema = z.union([gossipSchema, helloSchema]);
 
 /** A gossip message; validation leaves its type unchanged. */
