Check a deployment's configuration with a command

Operators send a configuration without knowing what it would do. The command reads it with the codec of the running router, so that there is no second validation, and looks for what that lets through: routes and keys that another one shadows, prefixes without slashes, targets that do not exist or have no weight, services that no route uses, and limits that contradict each other. With the configuration in force it names the differences, but no API keys.

Tests: configuration-check.test.ts (7) and check-configuration.test.ts (4, the real command with its exit codes 0, 1 and 2).

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -107,9 +107,13 @@
     },
   },
   {
-    // The adapter is joined to the product in one place, its entry point.
+    // The adapter is joined to the product where the programs are composed.
     files: ['packages/**/*.ts'],
-    ignores: ['packages/cli/src/platform-router.ts', 'packages/core/src/**'],
+    ignores: [
+      'packages/cli/src/platform-router.ts',
+      'packages/cli/src/deployment-codec.ts',
+      'packages/core/src/**',
+    ],
     rules: {
       'no-restricted-imports': [
         'error',
--- a/packages/cli/src/commands/commands.ts
+++ b/packages/cli/src/commands/commands.ts
@@ -1,5 +1,7 @@
 import { LoopbackRouterLauncher } from '../launch/loopback-router-launcher';
+import { openDeploymentCodec } from '../deployment-codec';
 import { CheckCommand } from './check';
+import { CheckConfigurationCommand } from './check-configuration';
 import type { Command } from './command';
 import { DefaultsCommand } from './defaults';
 import { DemoCommand } from './demo';
@@ -28,6 +30,7 @@
   return [
     new RouterCommand(),
     new CheckCommand(),
+    new CheckConfigurationCommand(openDeploymentCodec()),
     new DemoCommand(new LoopbackRouterLauncher()),
     new StatusCommand(),
     new DefaultsCommand(),
