Let no router read the store for others that it does not reach

A router now reads for the fleet once another one receives updates from it, or if it is the only one.

Test: relay-selection.test.ts.

--- a/packages/core/src/peers/relay-selection.test.ts
+++ b/packages/core/src/peers/relay-selection.test.ts
@@ -34,6 +34,17 @@
     expect(select(next[0]!, all).isRelay).to.equal(true);
   });
 
+  // Guards against calls to the store by each of the routers that start at the same moment.
+  it('lets no router read the store for others that it does not reach', () => {
+    const known = routers.map(id => ({ id, power: 1 }));
+    const isReader = (self: RouterId, options: object) =>
+      selectRelays({ self, known, connected: new Set(), ...options }).isReader;
+    const isJoining = { hasSubscribers: false };
+    expect(routers.filter(self => isReader(self, isJoining))).to.deep.equal([]);
+    const isAlone = { ...isJoining, known: known.slice(0, 1) };
+    expect(isReader(routers[0]!, isAlone)).to.equal(true);
+  });
+
   it('adds lower ranks while relays are not connected, and keeps trying those', () => {
     const self = routers.find(router => !select(router, all).isRelay)!;
     const [first, second] = select(self, all).links;
--- a/packages/core/src/peers/relay-selection.ts
+++ b/packages/core/src/peers/relay-selection.ts
@@ -31,6 +31,8 @@
   readonly known: readonly RelayCandidate[];
   /** Routers with a connection to this one. */
   readonly connected: ReadonlySet<RouterId>;
+  /** Whether another router receives updates from this one; assumed if absent. */
+  readonly hasSubscribers?: boolean;
 }
 
 export interface RelaySelection {
@@ -50,6 +52,7 @@
   self,
   known,
   connected,
+  hasSubscribers = true,
 }: RelaySelectionOptions): RelaySelection {
   const links: RouterId[] = [];
   const relays: RouterId[] = [];
@@ -66,7 +69,8 @@
     }
     if (router === self) {
       isRelay = true;
-      isReader = connectedCount === 0;
+      // While it joins, each router is the first one that it is connected to.
+      isReader = connectedCount === 0 && (hasSubscribers || known.length === 1);
       relays.push(router);
       connectedCount += 1;
       continue;
--- a/packages/gateway/src/peers/peer-mesh.ts
+++ b/packages/gateway/src/peers/peer-mesh.ts
@@ -392,6 +392,7 @@
         ...routerDirectory.relayCandidates(),
       ],
       connected,
+      hasSubscribers: this.#subscribers.size > 0,
     });
     this.#relays = relays;
     this.#setRelay(isRelay);
