Limit cold endpoints by permits of the fleet

Cause: an endpoint that has just started tolerates coldPerS x 1.5 + 5 requests a second (9.3: 18.95) from all routers together, and routers took it for an empty one.

Change: ColdEndpoints derives from the list of endpoints and the configuration (coldS, coldPerS of a service) which endpoints are cold: recently started, listed later, restarted, warming up, or of a zone whose evacuation has ended. EndpointLimits merges a rate for them with the stated one, so that the existing permits apply. The rate is that at which two issuers with saved tokens and requests sent 0.2 s late stay within the bound. A request asks once for up to 8 cold endpoints, and after a refusal goes to those that are not cold. Services without coldPerS are served as before.

--- a/packages/core/src/endpoint-limits/endpoint-limits.ts
+++ b/packages/core/src/endpoint-limits/endpoint-limits.ts
@@ -1,7 +1,8 @@
-/** What endpoints state about the load that they accept from the whole fleet. */
+/** The load that endpoints accept from the whole fleet: what they state, and less while they are cold. */
 import type { EndpointEntry } from '../endpoints/endpoint-entry';
 import type { EndpointId } from '../types/ids';
 import type { Instant } from '../types/units';
+import type { ColdEndpoints } from './cold-endpoints';
 import type { LimitedEndpoint } from './permit-query';
 import type { RateStatement } from './rate-statement';
 import { StatedRates } from './stated-rates';
@@ -22,6 +23,12 @@
 export class EndpointLimits {
   readonly requests = new StatedRates();
   readonly rejections = new StatedRates();
+  readonly #coldEndpoints: Pick<ColdEndpoints, 'permitRate'> | undefined;
+
+  /** Without `coldEndpoints` only the limits apply that endpoints state. */
+  constructor(coldEndpoints?: Pick<ColdEndpoints, 'permitRate'>) {
+    this.#coldEndpoints = coldEndpoints;
+  }
 
   /** Calls the listener with each change. */
   onChanged(listener: (change: LimitChange) => void): void {
@@ -38,9 +45,17 @@
     return this.requests.hasChanges || this.rejections.hasChanges;
   }
 
-  /** The limits of an endpoint; undefined if it states none. */
+  /** Whether an endpoint accepts less than it states, as it is cold. */
+  isCold(entry: EndpointEntry): boolean {
+    return this.#coldEndpoints?.permitRate(entry) !== undefined;
+  }
+
+  /** The limits of an endpoint; undefined if it states none and is not cold. */
   of(entry: EndpointEntry): LimitedEndpoint | undefined {
-    const perSecond = this.requests.perSecond(entry);
+    const perSecond = lowerOf(
+      this.requests.perSecond(entry),
+      this.#coldEndpoints?.permitRate(entry),
+    );
     const rejections = this.rejections.perSecond(entry);
     return perSecond === undefined && rejections === undefined
       ? undefined
@@ -68,3 +83,12 @@
     this.rejections.remove(endpoint);
   }
 }
+
+function lowerOf(
+  left: number | undefined,
+  right: number | undefined,
+): number | undefined {
+  return left === undefined || right === undefined
+    ? (left ?? right)
+    : Math.min(left, right);
+}
--- a/packages/core/src/endpoint-limits/stated-rates.ts
+++ b/packages/core/src/endpoint-limits/stated-rates.ts
@@ -15,7 +15,7 @@
 import type { RateStatement } from './rate-statement';
 
 /** Rate above which a statement is the same as none, as no fleet sends more. */
-const MAX_LIMIT_PER_SECOND = 10_000;
+export const MAX_LIMIT_PER_SECOND = 10_000;
 const MAX_REVISION = 1_000_000_000;
 
 /**
--- a/packages/core/src/endpoint-limits/token-bucket.ts
+++ b/packages/core/src/endpoint-limits/token-bucket.ts
@@ -3,8 +3,8 @@
 import type { Instant, Milliseconds } from '../types/units';
 
 /** Tokens that are saved while nobody takes them, and the time for which more are saved. */
-const SAVED_TOKENS = 2;
-const SAVED_SECONDS = 0.5;
+export const SAVED_TOKENS = 2;
+export const SAVED_SECONDS = 0.5;
 const MS_PER_SECOND = 1000;
 
 export class TokenBucket {
--- a/packages/core/src/endpoints/endpoint-directory.ts
+++ b/packages/core/src/endpoints/endpoint-directory.ts
@@ -63,6 +63,13 @@
   | { readonly kind: 'lapsed'; readonly id: EndpointId }
   | { readonly kind: 'gone'; readonly id: EndpointId };
 
+/** Called with each entry that is put into the list; `isFirstList` for those that it began with. */
+export type EntryListener = (
+  entry: EndpointEntry,
+  now: Instant,
+  isFirstList: boolean,
+) => void;
+
 export class EndpointDirectory {
   readonly #rows = new Map<EndpointId, Row>();
   readonly #departures = new LRUCache<EndpointId, Departure>({
@@ -70,11 +77,17 @@
   });
   readonly #departureBound: Milliseconds;
   #isLoaded = false;
+  #entryListener: EntryListener = () => undefined;
 
   constructor(departureBound: Milliseconds = DEFAULT_DEPARTURE_BOUND) {
     this.#departureBound = departureBound;
   }
 
+  /** Calls the listener with each accepted entry, also if it tells nothing new of the instance. */
+  onEntry(listener: EntryListener): void {
+    this.#entryListener = listener;
+  }
+
   /** Whether the complete list was read at least once. */
   get isLoaded(): boolean {
     return this.#isLoaded;
@@ -144,6 +157,7 @@
     now: Instant,
     origin: ListOrigin = 'current',
   ): DirectoryEvent[] {
+    const isFirstList = !this.#isLoaded;
     this.#isLoaded = true;
     const listedIds = new Set(entries.map(entry => entry.id));
     const events: DirectoryEvent[] = [];
@@ -153,7 +167,7 @@
       }
     }
     for (const entry of entries) {
-      events.push(...this.#put(entry, now, origin));
+      events.push(...this.#put(entry, now, origin, isFirstList));
     }
     return events;
   }
@@ -226,6 +240,7 @@
     entry: EndpointEntry,
     now: Instant,
     origin: ListOrigin,
+    isFirstList = false,
   ): DirectoryEvent[] {
     const { id } = entry;
     const previous = this.#rows.get(id);
@@ -258,6 +273,7 @@
     if (isRestarted) {
       this.#departures.delete(id);
     }
+    this.#entryListener(entry, now, isFirstList);
     if (!previous) {
       return [{ kind: 'joined', entry }];
     }
--- a/packages/core/src/routes/fleet-configuration.ts
+++ b/packages/core/src/routes/fleet-configuration.ts
@@ -58,6 +58,10 @@
   readonly id: ServiceId;
   /** Connections that one endpoint accepts from all its clients together. */
   readonly maxConnections: number;
+  /** Time after a start, or after its zone was evacuated, for which an endpoint is cold. */
+  readonly coldTime: Milliseconds;
+  /** Requests a second that a cold endpoint accepts from all routers; 0 for no limit. */
+  readonly coldRequestsPerSecond: number;
   readonly engine: EngineConfiguration | undefined;
 }
 
--- a/packages/gateway/src/composition/gateway-container.ts
+++ b/packages/gateway/src/composition/gateway-container.ts
@@ -9,6 +9,7 @@
 import type { AwilixContainer } from 'awilix';
 import type { Logger } from 'winston';
 
+import { ColdEndpoints } from '@sesamegrade/core/endpoint-limits/cold-endpoints';
 import { EndpointLimits } from '@sesamegrade/core/endpoint-limits/endpoint-limits';
 import { PermitRefusals } from '@sesamegrade/core/endpoint-limits/permit-refusals';
 import { EndpointPaths } from '@sesamegrade/core/endpoint-paths/endpoint-paths';
@@ -120,6 +121,7 @@
   readonly locations: PartLocations;
   readonly health: ServiceHealth;
   readonly holds: RefusalHolds;
+  readonly coldEndpoints: ColdEndpoints;
   readonly endpointLimits: EndpointLimits;
   readonly permitRefusals: PermitRefusals;
   readonly fleetPermits: FleetPermits;
@@ -221,7 +223,18 @@
     locations: asFunction(() => new PartLocations()).singleton(),
     health: asFunction(newHealth).singleton(),
     holds: asFunction(() => new RefusalHolds()).singleton(),
-    endpointLimits: asFunction(() => new EndpointLimits()).singleton(),
+    coldEndpoints: asFunction(
+      ({ routes, timers, settings }: GatewayCradle) =>
+        new ColdEndpoints({
+          service: id => routes.service(id),
+          wallTime: () => timers.wallTime(),
+          overage: settings.bounds.cold_overage,
+          slack: settings.bounds.cold_slack,
+        }),
+    ).singleton(),
+    endpointLimits: asFunction(
+      ({ coldEndpoints }: GatewayCradle) => new EndpointLimits(coldEndpoints),
+    ).singleton(),
     permitRefusals: asFunction(
       ({ routerDirectory }: GatewayCradle) =>
         new PermitRefusals(() => routerDirectory.fleetSize),
--- a/packages/gateway/src/forwarding/attempt-placement.ts
+++ b/packages/gateway/src/forwarding/attempt-placement.ts
@@ -1,6 +1,6 @@
 /**
  * Chooses the endpoint of an attempt and obtains the permit for it if the endpoint
- * states a limit. Every attempt passes here: first ones, retries and continued streams.
+ * states a limit or is cold. Every attempt passes here: first ones, retries and continued streams.
  */
 import type { EndpointLimits } from '@sesamegrade/core/endpoint-limits/endpoint-limits';
 import type { PermitQuery } from '@sesamegrade/core/endpoint-limits/permit-query';
@@ -25,6 +25,12 @@
 /** Time beyond the deadline of a request after which its permit lapses. */
 const LIFETIME_MARGIN: Milliseconds = milliseconds(500);
 
+/**
+ * Cold endpoints that one query names. Placement prefers them as they are empty, and each
+ * router would otherwise ask for each of them in turn.
+ */
+const MAX_COLD_CANDIDATES = 8;
+
 /** What decides how long and before whom a request waits. */
 export interface PlacementClaim {
   readonly team: TeamId;
@@ -52,7 +58,7 @@
   readonly chooser: EndpointChooser;
   readonly endpointLimits: EndpointLimits;
   readonly permitRefusals: PermitRefusals;
-  readonly fleetPermits: FleetPermits;
+  readonly fleetPermits: Pick<FleetPermits, 'request'>;
   readonly timers: TimerService;
 }
 
@@ -66,8 +72,9 @@
 
   async place(query: ChoiceQuery, claim: PlacementClaim): Promise<Placement> {
     const { chooser, endpointLimits, permitRefusals, timers } = this.#options;
+    let eligible = query;
     for (;;) {
-      const choice = chooser.choose(query, timers.now());
+      const choice = chooser.choose(eligible, timers.now());
       const isLimited =
         choice.kind === 'endpoint' &&
         endpointLimits.of(choice.entry) !== undefined;
@@ -80,21 +87,73 @@
       ) {
         return this.#placeAtAny(query, claim, choice);
       }
+      const candidates = this.#candidates(query, choice.entry);
       const { answer, permit } = await this.#requestPermit(
         query,
         claim,
-        [choice.entry],
+        candidates,
         milliseconds(0),
       );
-      if (answer.kind === 'granted') {
+      if (answer.kind === 'granted' && answer.endpoint === choice.entry.id) {
         return { kind: 'endpoint', choice, permit };
       }
-      permitRefusals.addEndpoint(
-        choice.entry.id,
-        answer.retryAfter,
-        timers.now(),
+      if (answer.kind === 'granted') {
+        return this.#placeAtGranted(query, claim, answer.endpoint, permit);
+      }
+      for (const { id } of candidates) {
+        permitRefusals.addEndpoint(id, answer.retryAfter, timers.now());
+      }
+      if (endpointLimits.isCold(choice.entry)) {
+        eligible = this.#withoutCold(query);
+      }
+    }
+  }
+
+  /** The endpoint that was chosen, and others that will do as well if it is cold. */
+  #candidates(
+    query: ChoiceQuery,
+    chosen: EndpointEntry,
+  ): readonly EndpointEntry[] {
+    const { chooser, endpointLimits, permitRefusals, timers } = this.#options;
+    if (!endpointLimits.isCold(chosen)) {
+      return [chosen];
+    }
+    const now = timers.now();
+    const others = chooser
+      .limited(query, now)
+      .filter(
+        entry =>
+          entry.id !== chosen.id &&
+          endpointLimits.isCold(entry) &&
+          permitRefusals.remaining(entry.id, now) === 0,
       );
+    return [chosen, ...others].slice(0, MAX_COLD_CANDIDATES);
+  }
+
+  /** The query of a request that was refused a permit for cold endpoints and asks for no other one. */
+  #withoutCold(query: ChoiceQuery): ChoiceQuery {
+    const { endpointLimits } = this.#options;
+    return {
+      ...query,
+      accepts: entry =>
+        !endpointLimits.isCold(entry) && (query.accepts?.(entry) ?? true),
+    };
+  }
+
+  #placeAtGranted(
+    query: ChoiceQuery,
+    claim: PlacementClaim,
+    endpoint: EndpointId,
+    permit: IssuedPermit | undefined,
+  ): Promise<Placement> | Placement {
+    const { chooser, timers } = this.#options;
+    const choice = chooser.choose({ ...query, only: endpoint }, timers.now());
+    if (choice.kind === 'endpoint') {
+      return { kind: 'endpoint', choice, permit };
     }
+    // The endpoint has left meanwhile.
+    permit?.release(false);
+    return this.place(query, claim);
   }
 
   /** Places a request that can only go to endpoints with a limit; it may wait for the first permit of any. */
@@ -135,16 +194,7 @@
       );
       return { kind: 'none', retryAfter: answer.retryAfter };
     }
-    const choice = chooser.choose(
-      { ...query, only: answer.endpoint },
-      timers.now(),
-    );
-    if (choice.kind === 'endpoint') {
-      return { kind: 'endpoint', choice, permit };
-    }
-    // The endpoint has left meanwhile.
-    permit?.release(false);
-    return this.place(query, claim);
+    return this.#placeAtGranted(query, claim, answer.endpoint, permit);
   }
 
   #requestPermit(
--- a/packages/gateway/src/permits/fleet-permits.ts
+++ b/packages/gateway/src/permits/fleet-permits.ts
@@ -52,11 +52,14 @@
   readonly endpointLimits: EndpointLimits;
   readonly routerDirectory: RouterDirectory;
   readonly loads: LoadEstimate;
-  readonly peerMesh: PeerMesh;
+  readonly peerMesh: Pick<
+    PeerMesh,
+    'relays' | 'subscriberCount' | 'requestPermit' | 'releasePermit'
+  >;
   readonly timers: TimerService;
   readonly backgroundTasks: BackgroundTasks;
   readonly random: Random;
-  readonly log: DecisionLog;
+  readonly log: Pick<DecisionLog, 'write'>;
   readonly gatewayMetrics: GatewayMetrics;
 }
 
--- a/packages/gateway/src/process/gateway-process.ts
+++ b/packages/gateway/src/process/gateway-process.ts
@@ -2,6 +2,7 @@
  * Starts and stops a router on the platform, and connects the store's replica,
  * the fleet state and the peers while it runs.
  */
+import type { ColdEndpoints } from '@sesamegrade/core/endpoint-limits/cold-endpoints';
 import type { EndpointLimits } from '@sesamegrade/core/endpoint-limits/endpoint-limits';
 import type {
   EndpointPaths,
@@ -61,6 +62,7 @@
     EndpointReplica,
     'onFirstList' | 'onMissedChanges'
   >;
+  readonly coldEndpoints: ColdEndpoints;
   readonly endpointLimits: EndpointLimits;
   readonly permitRefusals: PermitRefusals;
   readonly fleetPermits: FleetPermits;
@@ -143,6 +145,7 @@
     timers.every(TICK_PERIOD, now => {
       const { endpointDirectory, fleetState } = this.#options;
       this.#onDirectoryEvents(endpointDirectory.tick(now));
+      this.#options.coldEndpoints.tick(now);
       fleetState.tick(now);
       this.#options.suspects.tick(now);
       fleetReplica.tick(now);
@@ -226,7 +229,23 @@
   }
 
   #subscribeEndpointChanges(): void {
-    const { endpointReplica, defaultVersionKeeper, log } = this.#options;
+    const {
+      endpointReplica,
+      endpointDirectory,
+      coldEndpoints,
+      permitRefusals,
+      defaultVersionKeeper,
+      log,
+    } = this.#options;
+    endpointDirectory.onEntry((entry, now, isFirstList) => {
+      coldEndpoints.onEntry(entry, now, isFirstList);
+    });
+    coldEndpoints.onChanged(change => {
+      log.write('endpoint-temperature', { ...change });
+      if (change.kind === 'warm') {
+        permitRefusals.remove(change.endpoint);
+      }
+    });
     endpointReplica.onFirstList(at => {
       log.write('endpoints-listed', { ...at });
     });
@@ -296,6 +315,7 @@
     fleetReplica.onConfiguration((configuration, era) => {
       const { version, limits } = configuration;
       this.#recordRoutes(configuration);
+      this.#options.coldEndpoints.tick(this.#options.timers.now());
       peerUpdates.onVersionChanged({ version, era });
       peerMesh.flushSoon();
       this.#options.callerServer.applyLimits(limits);
@@ -375,6 +395,7 @@
       }
       if (event.kind === 'gone') {
         connectionPool.closeIdle(event.id);
+        this.#options.coldEndpoints.onGone(event.id, timers.now());
         this.#forgetPermits(event.id);
         fleetState.forget(event.id);
         surveyPlan.remove(event.id);
@@ -485,6 +506,11 @@
       'Endpoints that state the rate of requests that they accept.',
       () => this.#options.endpointLimits.requests.size,
     );
+    gatewayMetrics.registerGauge(
+      'cold_endpoints',
+      'Endpoints that get requests only with permits, as they are cold.',
+      () => this.#options.coldEndpoints.size,
+    );
     gatewayMetrics.registerGauge(
       'brittle_endpoints',
       'Endpoints that state how many rejections make them fall over.',
--- a/packages/settings/src/gateway-schema.ts
+++ b/packages/settings/src/gateway-schema.ts
@@ -94,6 +94,14 @@
     .describe(
       'time within which a new configuration is in force, in milliseconds',
     ),
+  cold_overage: positive
+    .prefault(1.5)
+    .describe(
+      'requests a second at a cold endpoint, as a multiple of the rate of its service, beyond which it may crash',
+    ),
+  cold_slack: nonNegative
+    .prefault(5)
+    .describe('requests a second that are tolerated beyond that multiple'),
 });
 
 const stop = z.strictObject({
