--- a/packages/gateway/src/process/gateway-process.ts
+++ b/packages/gateway/src/process/gateway-process.ts
@@ -240,9 +240,9 @@
     endpointDirectory.onEntry((entry, now, isFirstList) => {
       coldEndpoints.onEntry(entry, now, isFirstList);
     });
-    coldEndpoints.onChanged(change => {
-      log.write('endpoint-temperature', { ...change });
-      if (change.kind === 'warm') {
+    coldEndpoints.onChanged(({ kind, ...change }) => {
+      log.write(kind === 'cold' ? 'endpoint-cold' : 'endpoint-warm', change);
+      if (kind === 'warm') {
         permitRefusals.remove(change.endpoint);
       }
     });
