Send no request to the endpoints of an evacuated zone

Cause: the operator's rows evacuate/ZONE had no effect; requests went on to the zone's endpoints. Change: the codec names the zone of a key, whatever the row's value is. FleetReplica applies the whole table and its changes. Peers send the complete set with its position when it changes, without delay, to each new subscriber, and with each confirmation of the table; a confirmation is accepted only if the set is known as of its position. EndpointChooser excludes the zones from all choices and as sources of cached parts, CacheSurvey leaves their engines due, and ProcessVerification requests no report from them. Log lines zone-evacuated and zone-returned, gauge evacuated_zones. Tests: the confirmation of the configuration in feed-updates.test.ts now follows a read of the zones, as it does in a router.

--- a/packages/core/src/engines/cache-survey-plan.test.ts
+++ b/packages/core/src/engines/cache-survey-plan.test.ts
@@ -68,6 +68,23 @@
     expect(engines.every(engine => plan.isKnown(engine))).to.equal(true);
   });
 
+  // Guards against an engine whose list is never read as its turn came during an evacuation.
+  it('leaves an engine due that may not be queried, and unknown', () => {
+    const plan = new CacheSurveyPlan(routerId('r'));
+    const only = [routerId('r')];
+    const engine = endpointId('e0');
+    plan.begin([engine], instant(0));
+    expect(
+      plan.takeEnginesToQuery(only, instant(4000), () => false),
+    ).to.deep.equal([]);
+    expect(plan.isKnown(engine)).to.equal(false);
+    plan.begin([], instant(5000));
+    expect(plan.takeEnginesToQuery(only, instant(5100))).to.deep.equal([]);
+    expect(plan.takeEnginesToQuery(only, instant(5500))).to.deep.equal([
+      engine,
+    ]);
+  });
+
   it('knows no engine and queries none before the survey has begun', () => {
     const plan = new CacheSurveyPlan(routers[0] ?? routerId('r'));
     expect(plan.isKnown(endpointId('e0'))).to.equal(false);
--- a/packages/core/src/engines/cache-survey-plan.ts
+++ b/packages/core/src/engines/cache-survey-plan.ts
@@ -65,8 +65,15 @@
     return this.hasBegun && !this.#pending.has(engine);
   }
 
-  /** Returns the engines that this router must query now; each engine is returned once. */
-  takeEnginesToQuery(routers: readonly RouterId[], now: Instant): EndpointId[] {
+  /**
+   * Returns the engines that this router must query now; each engine is returned once. One
+   * that may not be queried stays due.
+   */
+  takeEnginesToQuery(
+    routers: readonly RouterId[],
+    now: Instant,
+    mayQuery: (engine: EndpointId) => boolean = () => true,
+  ): EndpointId[] {
     if (this.#begunAt === undefined) {
       return [];
     }
@@ -74,7 +81,7 @@
     const toQuery = [...this.#pending].filter(engine => {
       const rank = rankMembers(`survey ${engine}`, routers).indexOf(this.#self);
       const isTurn = sinceBegin >= FIRST_TURN_DELAY + rank * TURN_INTERVAL;
-      return rank >= 0 && rank < MAX_TURNS && isTurn;
+      return rank >= 0 && rank < MAX_TURNS && isTurn && mayQuery(engine);
     });
     // An engine that does not respond is left to the router with the next turn.
     toQuery.forEach(engine => this.#pending.delete(engine));
--- a/packages/core/src/forwarding/endpoint-chooser.test.ts
+++ b/packages/core/src/forwarding/endpoint-chooser.test.ts
@@ -4,12 +4,14 @@
 import { PermitRefusals } from '../endpoint-limits/permit-refusals';
 import { EndpointDirectory } from '../endpoints/endpoint-directory';
 import type { EndpointEntry } from '../endpoints/endpoint-entry';
+import { EvacuatedZones } from '../endpoints/evacuated-zones';
 import { RefusalHolds } from '../endpoints/refusal-holds';
 import { LoadEstimate } from '../engines/load-estimate';
 import { PartLocations } from '../engines/part-locations';
 import { ServiceHealth } from '../outliers/service-health';
 import type { Prompt } from '../prompts/prompt-chain';
 import { Random } from '../random/random';
+import { revision, storeEra } from '../store/feed-position';
 import {
   attemptId,
   endpointId,
@@ -58,13 +60,17 @@
   const loads = new LoadEstimate();
   const locations = new PartLocations();
   const holds = new RefusalHolds();
+  const evacuatedZones = new EvacuatedZones();
+  let evacuationCount = 0;
+  const endpointLimits = new EndpointLimits();
   const chooser = new EndpointChooser({
     endpointDirectory,
+    evacuatedZones,
     health,
     loads,
     locations,
     holds,
-    endpointLimits: new EndpointLimits(),
+    endpointLimits,
     permitRefusals: new PermitRefusals(() => 1),
     streamAdmission: { prefer: pool => pool },
     random: new Random(1),
@@ -94,7 +100,25 @@
       health.onAttemptEnded(endpointId(id), attempt, { kind: 'error' }, now);
     }
   };
-  return { choose, chooser, fail, holds, loads, locations };
+  const evacuate = (...zones: readonly string[]) => {
+    evacuationCount += 1;
+    evacuatedZones.applyList(
+      zones.map(zoneId),
+      { era: storeEra(0), revision: revision(evacuationCount) },
+      { origin: 'store', now },
+    );
+  };
+  return {
+    choose,
+    chooser,
+    endpointLimits,
+    entries,
+    evacuate,
+    fail,
+    holds,
+    loads,
+    locations,
+  };
 }
 
 describe('EndpointChooser', () => {
@@ -158,4 +182,70 @@
     expect(choice.kind === 'endpoint' && choice.entry.id).to.equal('b');
     expect(choice.kind === 'endpoint' && choice.fetchFrom?.id).to.equal('a');
   });
+
+  describe('while a zone is evacuated', () => {
+    const query = { service, tried: noneTried };
+
+    // Guards against requests that reach an endpoint after its zone was evacuated.
+    it('chooses none of its endpoints, also if all others have failed', () => {
+      const { choose, chooser, evacuate, fail } = open(['a', 'b']);
+      evacuate('near');
+      expect(choose()).to.include({ reason: 'least-loaded' });
+      fail('b', 5);
+      for (const options of [{}, { prompt }, { repeatable: false }]) {
+        const choice = choose(options);
+        expect(choice.kind === 'endpoint' && choice.entry.id).to.equal('b');
+        expect(choice).to.include({ reason: 'last-resort' });
+      }
+      expect(chooser.untried(query, now)).to.equal(1);
+      expect(chooser.unlimited(query, now)).to.equal(1);
+      evacuate();
+      expect(chooser.untried(query, now)).to.equal(2);
+    });
+
+    it('finds no endpoint and no time to wait for while all zones are evacuated', () => {
+      const { choose, chooser, evacuate, holds } = open(['a', 'b']);
+      holds.hold(endpointId('a'), milliseconds(900), now);
+      holds.hold(endpointId('b'), milliseconds(900), now);
+      expect(chooser.holdTime(service, now)).to.equal(900);
+      evacuate('near', 'far', 'unknown');
+      expect(choose()).to.deep.equal({ kind: 'none', known: 0 });
+      expect(chooser.holdTime(service, now)).to.equal(undefined);
+      expect(chooser.untried(query, now)).to.equal(0);
+    });
+
+    it('neither offers its endpoints for a permit nor uses one that was granted before', () => {
+      const { chooser, endpointLimits, entries, evacuate } = open(['a', 'b']);
+      for (const each of entries) {
+        const statement = {
+          requestLimit: { kind: 'limit', perSecond: 2 },
+          rejectionLimit: { kind: 'none' },
+        } as const;
+        endpointLimits.onStatement(each, statement, now, now);
+      }
+      const limited = () => chooser.limited(query, now).map(({ id }) => id);
+      expect(limited()).to.deep.equal(['a', 'b']);
+      evacuate('near');
+      expect(limited()).to.deep.equal(['b']);
+      const granted = { ...query, prompt: undefined, repeatable: true };
+      const choice = chooser.choose({ ...granted, only: endpointId('a') }, now);
+      expect(choice.kind).to.equal('none');
+    });
+
+    it('fetches no cached parts from its engines', () => {
+      const { choose, evacuate, locations, loads } = open(['a', 'b', 'c']);
+      const subject = promptPartId('subject');
+      locations.add(subject, endpointId('b'), 'held');
+      for (let count = 0; count < 60; count += 1) {
+        loads.onRequestStarted(endpointId('b'));
+      }
+      const source = () => {
+        const choice = choose({ prompt });
+        return choice.kind === 'endpoint' ? choice.fetchFrom?.id : undefined;
+      };
+      expect(source()).to.equal('b');
+      evacuate('far');
+      expect(source()).to.equal(undefined);
+    });
+  });
 });
--- a/packages/core/src/forwarding/endpoint-chooser.ts
+++ b/packages/core/src/forwarding/endpoint-chooser.ts
@@ -3,6 +3,7 @@
 import type { PermitRefusals } from '../endpoint-limits/permit-refusals';
 import type { EndpointDirectory } from '../endpoints/endpoint-directory';
 import type { EndpointEntry } from '../endpoints/endpoint-entry';
+import type { EvacuatedZones } from '../endpoints/evacuated-zones';
 import type { RefusalHolds } from '../endpoints/refusal-holds';
 import { chooseServiceEndpoint } from '../endpoints/service-placement';
 import { EnginePlacement } from '../engines/engine-placement';
@@ -67,6 +68,7 @@
 
 export interface EndpointChooserOptions {
   readonly endpointDirectory: EndpointDirectory;
+  readonly evacuatedZones: Pick<EvacuatedZones, 'size' | 'includes'>;
   readonly loads: LoadEstimate;
   readonly locations: PartLocations;
   readonly health: ServiceHealth;
@@ -113,7 +115,7 @@
   }
 
   choose(query: ChoiceQuery, now: Instant): EndpointChoice {
-    const known = this.#options.endpointDirectory.usable(query.service);
+    const known = this.#usable(query.service);
     const untried =
       query.only === undefined
         ? this.#preferred(this.#untried(known, query, now), query, now)
@@ -136,14 +138,14 @@
 
   /** Number of endpoints that take a request which has not been attempted there. */
   untried(query: UntriedQuery, now: Instant): number {
-    const known = this.#options.endpointDirectory.usable(query.service);
+    const known = this.#usable(query.service);
     return this.#untried(known, query, now).length;
   }
 
   /** Number of endpoints that take the request and state no limit. */
   unlimited(query: UntriedQuery, now: Instant): number {
-    const { endpointDirectory, endpointLimits } = this.#options;
-    const known = endpointDirectory.usable(query.service);
+    const { endpointLimits } = this.#options;
+    const known = this.#usable(query.service);
     return this.#untried(known, query, now).filter(
       entry => endpointLimits.of(entry) === undefined,
     ).length;
@@ -154,16 +156,14 @@
    * lately; only healthy ones if there are any.
    */
   limited(query: LimitedQuery, now: Instant): readonly EndpointEntry[] {
-    const { endpointDirectory, endpointLimits, holds, health } = this.#options;
-    const limited = endpointDirectory
-      .usable(query.service)
-      .filter(
-        entry =>
-          !query.tried.has(entry.id) &&
-          isAccepted(query, entry) &&
-          holds.remaining(entry.id, now) === 0 &&
-          endpointLimits.of(entry) !== undefined,
-      );
+    const { endpointLimits, holds, health } = this.#options;
+    const limited = this.#usable(query.service).filter(
+      entry =>
+        !query.tried.has(entry.id) &&
+        isAccepted(query, entry) &&
+        holds.remaining(entry.id, now) === 0 &&
+        endpointLimits.of(entry) !== undefined,
+    );
     const preferred = this.#preferred(limited, query, now);
     const healthy = preferred.filter(({ id }) => health.accepts(id));
     return healthy.length > 0 ? healthy : preferred;
@@ -174,18 +174,25 @@
    * if one takes them now or there is none.
    */
   holdTime(service: ServiceId, now: Instant): Milliseconds | undefined {
-    const { endpointDirectory, holds, permitRefusals } = this.#options;
-    const times = endpointDirectory
-      .usable(service)
-      .map(({ id }) =>
-        Math.max(holds.remaining(id, now), permitRefusals.remaining(id, now)),
-      );
+    const { holds, permitRefusals } = this.#options;
+    const times = this.#usable(service).map(({ id }) =>
+      Math.max(holds.remaining(id, now), permitRefusals.remaining(id, now)),
+    );
     const shortest = Math.min(...times);
     return times.length > 0 && shortest > 0
       ? milliseconds(shortest)
       : undefined;
   }
 
+  /** The endpoints of a service that take requests, without those of evacuated zones. */
+  #usable(service: ServiceId): readonly EndpointEntry[] {
+    const { endpointDirectory, evacuatedZones } = this.#options;
+    const usable = endpointDirectory.usable(service);
+    return evacuatedZones.size === 0
+      ? usable
+      : usable.filter(({ zone }) => !evacuatedZones.includes(zone));
+  }
+
   #untried(
     known: readonly EndpointEntry[],
     query: UntriedQuery,
@@ -278,11 +285,17 @@
 
   /** Returns a healthy engine that has cached the part, one of the zone if there is one. */
   #sourceOf(part: PromptPartId, zone?: ZoneId): EndpointEntry | undefined {
-    const { endpointDirectory, locations, health } = this.#options;
+    const { endpointDirectory, evacuatedZones, locations, health } =
+      this.#options;
     let source: EndpointEntry | undefined;
     for (const [id, state] of locations.engines(part)) {
       const entry = endpointDirectory.get(id);
-      if (!entry || state !== 'held' || !health.accepts(id)) {
+      const isSource =
+        entry !== undefined &&
+        state === 'held' &&
+        health.accepts(id) &&
+        !evacuatedZones.includes(entry.zone);
+      if (!isSource) {
         continue;
       }
       if (entry.zone === zone) {
--- a/packages/core/src/peers/feed-updates.test.ts
+++ b/packages/core/src/peers/feed-updates.test.ts
@@ -2,6 +2,7 @@
 import fc from 'fast-check';
 
 import { EndpointDirectory } from '../endpoints/endpoint-directory';
+import { EvacuatedZones } from '../endpoints/evacuated-zones';
 import { EndpointReplica } from '../endpoints/endpoint-replica';
 import type { EndpointRow } from '../endpoints/endpoint-replica';
 import type { TopicEntries } from '../gossip/gossip-scheduler';
@@ -9,6 +10,7 @@
 import { RouteTable } from '../routes/route-table';
 import { FeedCoverage } from '../store/feed-coverage';
 import { revision, storeEra } from '../store/feed-position';
+import type { FeedPosition } from '../store/feed-position';
 import { StoreClock } from '../store/store-clock';
 import {
   endpointId,
@@ -73,6 +75,7 @@
   readonly routes = new RouteTable();
   readonly coverage: Record<'endpoints' | 'configuration', FeedCoverage>;
   readonly clock = new StoreClock();
+  readonly zones = new EvacuatedZones();
   readonly updates: FeedUpdates;
 
   constructor(name: string, isRelay = false) {
@@ -85,6 +88,7 @@
     this.updates = new FeedUpdates({
       self: routerId(name),
       endpointReplica: this.replica,
+      evacuatedZones: this.zones,
       routes: this.routes,
       coverage: this.coverage,
       storeClock: this.clock,
@@ -111,6 +115,14 @@
     this.updates.onTableRead('endpoints', store.position(), now);
   }
 
+  /** Reads all rows of evacuated zones from the store. */
+  readZones(zones: readonly string[], position: FeedPosition, now: Instant) {
+    const source = { origin: 'store', now } as const;
+    if (this.zones.applyList(zones.map(zoneId), position, source)) {
+      this.updates.onZonesRead();
+    }
+  }
+
   content(): string[] {
     return this.directory
       .all()
@@ -187,9 +199,11 @@
       ({ version, routes: [], services: new Map(), teams: [] }) as never;
     for (const router of [relay, member]) {
       router.routes.apply(configuration(4));
+      router.readZones([], at(10), instant(0));
       router.updates.onTableRead('configuration', at(10), instant(0));
     }
     relay.routes.apply(configuration(5));
+    relay.readZones([], at(11), instant(700));
     relay.updates.onTableRead('configuration', at(11), instant(700));
     const message = relay.updates.takeChanges(instant(700));
     member.updates.receive(message, instant(700));
@@ -199,6 +213,110 @@
     expect(member.coverage.configuration.latest?.confirmedAt).to.equal(710);
   });
 
+  describe('with evacuated zones', () => {
+    const zonesOf = ({ zones }: Router) => zones.list?.zones;
+
+    /** A relay and a member that have read the store at the same position. */
+    function open() {
+      const routers = [
+        new Router('relay', true),
+        new Router('member'),
+      ] as const;
+      for (const router of routers) {
+        router.readZones([], at(10), instant(0));
+        router.updates.onTableRead('configuration', at(10), instant(0));
+        router.updates.takeChanges(instant(0));
+      }
+      return routers;
+    }
+
+    // Guards against an evacuation that reaches other routers only by their own reads.
+    it('passes a change on without delay, through relays and no one else', () => {
+      const [relay, member] = open();
+      const reader = new Router('reader');
+      reader.readZones(['z'], at(11), instant(100));
+      expect(reader.updates.isUrgent).to.equal(true);
+      relay.updates.receive(
+        reader.updates.takeChanges(instant(100)),
+        instant(100),
+      );
+      expect(relay.updates.isUrgent).to.equal(true);
+      const message = relay.updates.takeChanges(instant(110));
+      expect(relay.updates.isUrgent).to.equal(false);
+      expect(member.updates.receive(message, instant(120))).to.equal(0);
+      expect(zonesOf(member)).to.deep.equal(['z']);
+      expect(member.updates.takeChanges(instant(130))).to.deep.equal({});
+      // An older set of another relay, which is late.
+      const late = new Router('late', true);
+      late.readZones([], at(10), instant(0));
+      member.updates.receive(
+        late.updates.fullState(instant(140)),
+        instant(140),
+      );
+      expect(zonesOf(member)).to.deep.equal(['z']);
+    });
+
+    // Guards against a confirmation by which a router would never read the change itself.
+    it('believes no confirmation of the table before it knows the zones as of its position', () => {
+      const [relay, member] = open();
+      relay.readZones(['z'], at(11), instant(700));
+      relay.updates.onTableRead('configuration', at(12), instant(700));
+      relay.zones.recordRead(at(12));
+      const { q: zones, ...withoutZones } = relay.updates.takeChanges(
+        instant(700),
+      );
+      member.updates.receive(withoutZones, instant(700));
+      expect(member.coverage.configuration.latest?.confirmedAt).to.equal(0);
+      expect(member.coverage.configuration.position).to.deep.equal(at(10));
+      member.updates.receive({ ...withoutZones, q: zones! }, instant(710));
+      expect(member.coverage.configuration.latest?.confirmedAt).to.equal(710);
+      expect(zonesOf(member)).to.deep.equal(['z']);
+    });
+
+    // Guards against a set that changed and changed back while one relay lists the table anew.
+    it('states the zones with every confirmation, also if they are the same as before', () => {
+      const [relay, member] = open();
+      const slow = new Router('slow', true);
+      slow.readZones(['z'], at(11), instant(100));
+      // The relay's own list shows neither the begin nor the end of the evacuation.
+      relay.readZones([], at(12), instant(200));
+      relay.updates.onTableRead('configuration', at(12), instant(200));
+      member.updates.receive(
+        slow.updates.takeChanges(instant(300)),
+        instant(300),
+      );
+      expect(zonesOf(member)).to.deep.equal(['z']);
+      member.updates.receive(
+        relay.updates.takeChanges(instant(300)),
+        instant(300),
+      );
+      expect(zonesOf(member)).to.deep.equal([]);
+      expect(member.coverage.configuration.position).to.deep.equal(at(12));
+    });
+
+    it('sends them to every new subscriber once they are known', () => {
+      const starting = new Router('starting');
+      const other = new Router('other');
+      expect(other.updates.fullState(instant(0))).to.deep.equal({});
+      other.readZones(['z', 'y'], at(3), instant(0));
+      starting.updates.receive(other.updates.fullState(instant(0)), instant(0));
+      expect(zonesOf(starting)).to.deep.equal(['z', 'y']);
+    });
+
+    it('counts sets that it cannot use as malformed', () => {
+      const [, member] = open();
+      const malformed = [
+        [1, 20],
+        [1, -1, ['z']],
+        [1, 20, ['']],
+        [1, 20, Array.from({ length: 1001 }, (_value, index) => `z${index}`)],
+        'z',
+      ];
+      expect(member.updates.receive({ q: malformed }, instant(0))).to.equal(5);
+      expect(zonesOf(member)).to.deep.equal([]);
+    });
+  });
+
   // Guards against news that waited while a connection was cut and passes for that of the moment it arrives.
   it('dates a confirmation by the clock of the store, however late it arrives', () => {
     const store = new Store();
--- a/packages/core/src/peers/feed-updates.ts
+++ b/packages/core/src/peers/feed-updates.ts
@@ -12,6 +12,7 @@
 } from '../endpoints/endpoint-replica';
 import { endpointKeySchema } from '../endpoints/endpoint-entry';
 import type { EndpointEntry } from '../endpoints/endpoint-entry';
+import type { EvacuatedZones } from '../endpoints/evacuated-zones';
 import type { TopicEntries } from '../gossip/gossip-scheduler';
 import type { RouteTable } from '../routes/route-table';
 import type { FeedCoverage } from '../store/feed-coverage';
@@ -91,12 +92,23 @@
   z.number(),
 ]);
 
+/** Most evacuated zones in a message. */
+const MAX_EVACUATED_ZONES = 1000;
+
+/** Era and revision as of which the evacuated zones are known, and all of them. */
+export const evacuatedZonesSchema = z.tuple([
+  countSchema,
+  countSchema,
+  z.array(nameSchema).max(MAX_EVACUATED_ZONES),
+]);
+
 export const FeedTopic = {
   rows: 'e',
   list: 'w',
   versions: 'v',
   confirmations: 'f',
   storeTimes: 'm',
+  zones: 'q',
 } as const;
 
 /** The tables that routers read from the store. */
@@ -115,6 +127,7 @@
 export interface FeedUpdatesOptions {
   readonly self: RouterId;
   readonly endpointReplica: EndpointReplica;
+  readonly evacuatedZones: EvacuatedZones;
   readonly routes: RouteTable;
   readonly coverage: Readonly<Record<FeedTable, FeedCoverage>>;
   readonly storeClock: StoreClock;
@@ -127,6 +140,8 @@
   readonly #sentUpTo = new Map<FeedTable, Instant>();
   #isRelay = false;
   #isUrgent = false;
+  /** Whether the evacuated zones changed since they were last sent. */
+  #hasNewZones = false;
   #newestEra: StoreEra = FIRST_ERA;
 
   constructor(options: FeedUpdatesOptions) {
@@ -139,7 +154,7 @@
 
   /** Whether there are updates that should be sent without a batching delay. */
   get isUrgent(): boolean {
-    return this.#isUrgent || this.#changedRows.size > 0;
+    return this.#isUrgent || this.#hasNewZones || this.#changedRows.size > 0;
   }
 
   /** The newest era of the store that a peer has named. */
@@ -152,6 +167,11 @@
     this.#changedRows.set(row.id, row);
   }
 
+  /** Records that this router has read a change of the evacuated zones from the store. */
+  onZonesRead(): void {
+    this.#hasNewZones = true;
+  }
+
   /** Records that this router has read a table of the store. */
   onTableRead(table: FeedTable, position: FeedPosition, now: Instant): void {
     this.#recordConfirmation(table, this.#options.self, position, now);
@@ -172,6 +192,7 @@
       if (confirmations.length > 0) {
         topics[FeedTopic.confirmations] = confirmations;
         topics[FeedTopic.storeTimes] = this.#storeTimes(confirmations);
+        Object.assign(topics, this.#zoneTopic());
       }
       for (const table of FEED_TABLES) {
         const confirmedAt = this.#options.coverage[table].latest?.confirmedAt;
@@ -180,6 +201,10 @@
         }
       }
     }
+    if (this.#hasNewZones) {
+      Object.assign(topics, this.#zoneTopic());
+    }
+    this.#hasNewZones = false;
     this.#isUrgent = false;
     return topics;
   }
@@ -196,11 +221,14 @@
     return rows;
   }
 
-  /** All rows and confirmations, for a peer that has just subscribed to this relay. */
+  /**
+   * All rows and confirmations, for a peer that has just subscribed to this relay. The
+   * evacuated zones are sent by every router, as one that starts needs them to be ready.
+   */
   fullState(now: Instant): TopicEntries {
     const { endpointReplica, coverage } = this.#options;
     if (!this.#isRelay || endpointReplica.baseRevision === undefined) {
-      return {};
+      return this.#zoneTopic();
     }
     const { position } = coverage.endpoints;
     // With the complete table a peer has every change before.
@@ -209,6 +237,7 @@
       now,
     );
     return {
+      ...this.#zoneTopic(),
       [FeedTopic.list]: position ? [[position.era, position.revision]] : [],
       ...this.#rowTopics(endpointReplica.rows()),
       [FeedTopic.confirmations]: confirmations,
@@ -257,6 +286,14 @@
     for (const { era, row } of rows) {
       this.#applyRow(era, row, now);
     }
+    // Before the confirmations, which are accepted only if the zones are known.
+    const malformedZones = forEachValidEntry(
+      topics[FeedTopic.zones],
+      evacuatedZonesSchema,
+      entry => {
+        this.#applyZones(entry, now);
+      },
+    );
     const storeTimes = new Map<string, number>();
     const malformedTimes = forEachValidEntry(
       topics[FeedTopic.storeTimes],
@@ -276,6 +313,7 @@
     );
     return (
       malformedTimes +
+      malformedZones +
       malformedVersions +
       malformedRows +
       malformedLists +
@@ -313,6 +351,22 @@
     }
   }
 
+  #applyZones(
+    [era, knownAsOf, names]: z.output<typeof evacuatedZonesSchema>,
+    now: Instant,
+  ): void {
+    const position = { era: storeEra(era), revision: revision(knownAsOf) };
+    this.#recordEra(position.era);
+    const hasChanged = this.#options.evacuatedZones.applyList(
+      names.map(zoneId),
+      position,
+      { origin: 'peer', now },
+    );
+    if (hasChanged && this.#isRelay) {
+      this.#hasNewZones = true;
+    }
+  }
+
   #applyConfirmation(
     [table, origin, era, base, known, age, version]: Confirmation,
     storeTime: number | undefined,
@@ -322,7 +376,7 @@
     this.#recordEra(position.era);
     if (
       routerId(origin) === this.#options.self ||
-      !this.#hasChangesBefore(table, position.era, base, version)
+      !this.#hasChangesBefore(table, position, base, version)
     ) {
       return;
     }
@@ -352,18 +406,19 @@
   /** Whether this router has every change up to the revision after which the sender passed all on. */
   #hasChangesBefore(
     table: FeedTable,
-    era: StoreEra,
+    position: FeedPosition,
     base: number,
     version: number,
   ): boolean {
-    const { coverage, routes } = this.#options;
+    const { coverage, routes, evacuatedZones } = this.#options;
     const own = coverage[table].position;
-    if (own?.era !== era) {
+    if (own?.era !== position.era) {
       return false;
     }
     return table === 'endpoints'
       ? own.revision >= base
-      : (routes.version ?? NO_VERSION) >= version;
+      : (routes.version ?? NO_VERSION) >= version &&
+          evacuatedZones.isKnownAsOf(position);
   }
 
   #recordConfirmation(
@@ -424,6 +479,16 @@
     });
   }
 
+  /** The evacuated zones; none before they are known. */
+  #zoneTopic(): TopicEntries {
+    const { list } = this.#options.evacuatedZones;
+    if (!list) {
+      return {};
+    }
+    const { zones, position } = list;
+    return { [FeedTopic.zones]: [[position.era, position.revision, zones]] };
+  }
+
   #rowTopics(rows: readonly EndpointRow[]): TopicEntries {
     const { era } = this.#options.endpointReplica;
     return {
--- a/packages/core/src/peers/malformed-updates.test.ts
+++ b/packages/core/src/peers/malformed-updates.test.ts
@@ -3,6 +3,7 @@
 
 import { EndpointLimits } from '../endpoint-limits/endpoint-limits';
 import { EndpointDirectory } from '../endpoints/endpoint-directory';
+import { EvacuatedZones } from '../endpoints/evacuated-zones';
 import { EndpointReplica } from '../endpoints/endpoint-replica';
 import { CacheSurveyPlan } from '../engines/cache-survey-plan';
 import { LoadEstimate } from '../engines/load-estimate';
@@ -44,6 +45,7 @@
     feedUpdates: new FeedUpdates({
       self,
       endpointReplica,
+      evacuatedZones: new EvacuatedZones(),
       routes: new RouteTable(),
       coverage,
       storeClock: new StoreClock(),
--- a/packages/gateway/src/composition/gateway-container.ts
+++ b/packages/gateway/src/composition/gateway-container.ts
@@ -13,6 +13,7 @@
 import { PermitRefusals } from '@sesamegrade/core/endpoint-limits/permit-refusals';
 import { EndpointPaths } from '@sesamegrade/core/endpoint-paths/endpoint-paths';
 import { EndpointDirectory } from '@sesamegrade/core/endpoints/endpoint-directory';
+import { EvacuatedZones } from '@sesamegrade/core/endpoints/evacuated-zones';
 import { CacheSurveyPlan } from '@sesamegrade/core/engines/cache-survey-plan';
 import { EndpointReplica } from '@sesamegrade/core/endpoints/endpoint-replica';
 import { RefusalHolds } from '@sesamegrade/core/endpoints/refusal-holds';
@@ -116,6 +117,7 @@
   readonly gatewayMetrics: GatewayMetrics;
   readonly routes: RouteTable;
   readonly endpointDirectory: EndpointDirectory;
+  readonly evacuatedZones: EvacuatedZones;
   readonly loads: LoadEstimate;
   readonly locations: PartLocations;
   readonly health: ServiceHealth;
@@ -217,6 +219,7 @@
       ({ settings }: GatewayCradle) =>
         new EndpointDirectory(settings.bounds.departure_ms),
     ).singleton(),
+    evacuatedZones: asFunction(() => new EvacuatedZones()).singleton(),
     loads: asFunction(() => new LoadEstimate()).singleton(),
     locations: asFunction(() => new PartLocations()).singleton(),
     health: asFunction(newHealth).singleton(),
@@ -313,6 +316,7 @@
     feedUpdates: asFunction(
       ({
         endpointReplica,
+        evacuatedZones,
         routes,
         coverage,
         storeClock,
@@ -321,6 +325,7 @@
         new FeedUpdates({
           self: routerId(settings.router.id),
           endpointReplica,
+          evacuatedZones,
           routes,
           coverage,
           storeClock,
@@ -446,6 +451,7 @@
 
 function newChooser({
   endpointDirectory,
+  evacuatedZones,
   loads,
   locations,
   health,
@@ -461,6 +467,7 @@
   const zone = zoneId(settings.router.zone);
   return new EndpointChooser({
     endpointDirectory,
+    evacuatedZones,
     loads,
     locations,
     health,
--- a/packages/gateway/src/endpoints/cache-survey.ts
+++ b/packages/gateway/src/endpoints/cache-survey.ts
@@ -3,6 +3,7 @@
  * router's turn, and shares them with peers.
  */
 import type { EndpointDirectory } from '@sesamegrade/core/endpoints/endpoint-directory';
+import type { EvacuatedZones } from '@sesamegrade/core/endpoints/evacuated-zones';
 import type { CacheSurveyPlan } from '@sesamegrade/core/engines/cache-survey-plan';
 import type { EndpointEntry } from '@sesamegrade/core/endpoints/endpoint-entry';
 import type { FleetState } from '@sesamegrade/core/forwarding/fleet-state';
@@ -35,6 +36,7 @@
   readonly fleetReadiness: FleetReadiness;
   readonly peerUpdates: PeerUpdates;
   readonly endpointDirectory: EndpointDirectory;
+  readonly evacuatedZones: EvacuatedZones;
   readonly routes: RouteTable;
   readonly fleetState: FleetState;
   readonly connectionPool: ConnectionPool;
@@ -49,6 +51,13 @@
 
   constructor(options: CacheSurveyOptions) {
     this.#options = options;
+    const { evacuatedZones, surveyPlan } = options;
+    evacuatedZones.onChanged(({ removed }, now) => {
+      if (removed.length > 0 && surveyPlan.hasBegun) {
+        // The routers take turns anew: with all turns over they would query an engine at once.
+        surveyPlan.begin([], now);
+      }
+    });
   }
 
   /** Requests the lists that are due; does nothing until the engines and the routers are known. */
@@ -58,6 +67,7 @@
       routerDirectory,
       fleetReadiness,
       endpointDirectory,
+      evacuatedZones,
       backgroundTasks,
     } = this.#options;
     if (!fleetReadiness.isReady || !routerDirectory.isListRead) {
@@ -71,7 +81,10 @@
       ...routerDirectory.ids,
     ];
     const engines = surveyPlan
-      .takeEnginesToQuery(routers, now)
+      .takeEnginesToQuery(routers, now, id => {
+        const zone = endpointDirectory.get(id)?.zone;
+        return zone === undefined || !evacuatedZones.includes(zone);
+      })
       .map(id => endpointDirectory.get(id))
       .filter((entry): entry is EndpointEntry => entry !== undefined);
     for (const engine of engines) {
--- a/packages/gateway/src/endpoints/process-verification.ts
+++ b/packages/gateway/src/endpoints/process-verification.ts
@@ -9,6 +9,7 @@
 
 import type { EndpointDirectory } from '@sesamegrade/core/endpoints/endpoint-directory';
 import type { EndpointEntry } from '@sesamegrade/core/endpoints/endpoint-entry';
+import type { EvacuatedZones } from '@sesamegrade/core/endpoints/evacuated-zones';
 import type { FleetState } from '@sesamegrade/core/forwarding/fleet-state';
 import type { FeedTable } from '@sesamegrade/core/peers/feed-updates';
 import type { FeedCoverage } from '@sesamegrade/core/store/feed-coverage';
@@ -69,6 +70,7 @@
 export interface ProcessVerificationOptions {
   readonly settings: Pick<GatewaySettings, 'bounds'>;
   readonly endpointDirectory: EndpointDirectory;
+  readonly evacuatedZones: Pick<EvacuatedZones, 'includes'>;
   readonly coverage: Readonly<
     Pick<Record<FeedTable, FeedCoverage>, 'endpoints'>
   >;
@@ -154,6 +156,10 @@
     if (process.isReplaced) {
       return 'other';
     }
+    if (this.#options.evacuatedZones.includes(entry.zone)) {
+      // The request for a report would reach an endpoint that gets no requests.
+      return 'unknown';
+    }
     const running = process.probe;
     if (running) {
       const verdict = await running.verdict;
--- a/packages/gateway/src/peers/fleet-snapshot.ts
+++ b/packages/gateway/src/peers/fleet-snapshot.ts
@@ -1,13 +1,19 @@
 /**
- * The configuration and endpoints that a router gives a peer which cannot read
- * them from the store.
+ * The configuration, endpoints and evacuated zones that a router gives a peer which
+ * cannot read them from the store.
  */
 import { z } from 'zod';
 
 import type { EndpointDirectory } from '@sesamegrade/core/endpoints/endpoint-directory';
 import { endpointKeySchema } from '@sesamegrade/core/endpoints/endpoint-entry';
 import type { EndpointEntry } from '@sesamegrade/core/endpoints/endpoint-entry';
+import type {
+  EvacuatedZoneList,
+  EvacuatedZones,
+} from '@sesamegrade/core/endpoints/evacuated-zones';
+import { evacuatedZonesSchema } from '@sesamegrade/core/peers/feed-updates';
 import { forEachValidEntry } from '@sesamegrade/core/peers/entry-lists';
+import { revision, storeEra } from '@sesamegrade/core/store/feed-position';
 import { hostSchema, portSchema } from '@sesamegrade/core/types/address';
 import {
   endpointId,
@@ -61,6 +67,14 @@
     .max(MAX_ENDPOINTS)
     .transform(entries => validEntries(entries))
     .optional(),
+  /** Absent when the sender does not know the evacuated zones, or is of an older build. */
+  zones: evacuatedZonesSchema
+    .transform(([era, knownAsOf, names]): EvacuatedZoneList => ({
+      zones: names.map(zoneId),
+      position: { era: storeEra(era), revision: revision(knownAsOf) },
+    }))
+    .optional()
+    .catch(undefined),
 });
 
 /** The valid entries of a list, and the number of the others. */
@@ -100,3 +114,10 @@
     softwareVersion: entry.softwareVersion,
   }));
 }
+
+/** Returns the evacuated zones in the snapshot's format; undefined before they are known. */
+export function snapshotZones({
+  list,
+}: EvacuatedZones): z.input<typeof evacuatedZonesSchema> | undefined {
+  return list && [list.position.era, list.position.revision, [...list.zones]];
+}
--- a/packages/gateway/src/peers/peer-mesh.ts
+++ b/packages/gateway/src/peers/peer-mesh.ts
@@ -1,4 +1,5 @@
 /** Connects this router to the others and exchanges updates with them. */
+import type { EvacuatedZones } from '@sesamegrade/core/endpoints/evacuated-zones';
 import type { EndpointDirectory } from '@sesamegrade/core/endpoints/endpoint-directory';
 import type { RouterIdentity } from '@sesamegrade/core/membership/router-table';
 import { selectRelays } from '@sesamegrade/core/peers/relay-selection';
@@ -45,7 +46,11 @@
 import type { OriginConfirmation } from '../streams/origin-confirmation';
 import type { OriginSharing } from '../streams/origin-sharing';
 import type { StreamLedger } from '../streams/stream-ledger';
-import { fleetSnapshotSchema, snapshotEndpoints } from './fleet-snapshot';
+import {
+  fleetSnapshotSchema,
+  snapshotEndpoints,
+  snapshotZones,
+} from './fleet-snapshot';
 import { UpdateSender } from './update-sender';
 import { SeedLinks } from './seed-links';
 
@@ -91,6 +96,7 @@
   readonly feedUpdates: FeedUpdates;
   readonly routerDirectory: RouterDirectory;
   readonly endpointDirectory: EndpointDirectory;
+  readonly evacuatedZones: EvacuatedZones;
   readonly routes: RouteTable;
   readonly fleetReplica: FleetReplica;
   readonly coverage: Readonly<Record<FeedTable, FeedCoverage>>;
@@ -162,6 +168,7 @@
         era: options.fleetReplica.configurationEra,
         raw: options.fleetReplica.rawConfiguration ?? new Uint8Array(0),
         endpoints: snapshotEndpoints(options.endpointDirectory),
+        zones: snapshotZones(options.evacuatedZones),
       }),
       onAcceptFailure: error => {
         options.log.write('accept-failed', { error: error.message });
@@ -542,7 +549,10 @@
         log.write('peer-malformed', { peer: peer.identity.id });
         return;
       }
-      const { version, era, raw, endpoints } = parsed.data;
+      const { version, era, raw, endpoints, zones } = parsed.data;
+      if (zones) {
+        fleetReplica.applyPeerZones(zones);
+      }
       if (this.#isNewer({ version, era }) && raw.length > 0) {
         fleetReplica.applyPeerConfiguration(raw, storeEra(era));
       }
--- a/packages/gateway/src/process/gateway-process.ts
+++ b/packages/gateway/src/process/gateway-process.ts
@@ -12,6 +12,7 @@
   EndpointDirectory,
   DirectoryEvent,
 } from '@sesamegrade/core/endpoints/endpoint-directory';
+import type { EvacuatedZones } from '@sesamegrade/core/endpoints/evacuated-zones';
 import type { CacheSurveyPlan } from '@sesamegrade/core/engines/cache-survey-plan';
 import type { FleetState } from '@sesamegrade/core/forwarding/fleet-state';
 import type { PeerUpdates } from '@sesamegrade/core/peers/peer-updates';
@@ -61,6 +62,7 @@
     EndpointReplica,
     'onFirstList' | 'onMissedChanges'
   >;
+  readonly evacuatedZones: EvacuatedZones;
   readonly endpointLimits: EndpointLimits;
   readonly permitRefusals: PermitRefusals;
   readonly fleetPermits: FleetPermits;
@@ -278,6 +280,16 @@
       permitRefusals.remove(change.endpoint);
       peerMesh.flushSoon();
     });
+    this.#options.evacuatedZones.onChanged(
+      ({ added, removed, origin, position }) => {
+        for (const zone of added) {
+          log.write('zone-evacuated', { zone, origin, ...position });
+        }
+        for (const zone of removed) {
+          log.write('zone-returned', { zone, origin, ...position });
+        }
+      },
+    );
     this.#options.endpointPaths.onChanged(change => {
       log.write('endpoint-path', { ...change });
       this.#closeAffectedConnections(change);
@@ -500,6 +512,11 @@
       'Streams whose origin this router knows.',
       () => this.#options.streamOrigins.size,
     );
+    gatewayMetrics.registerGauge(
+      'evacuated_zones',
+      'Zones whose endpoints receive no requests.',
+      () => this.#options.evacuatedZones.size,
+    );
     gatewayMetrics.registerGauge(
       'endpoints',
       'Endpoints known.',
--- a/packages/gateway/src/store/deployment-codec.ts
+++ b/packages/gateway/src/store/deployment-codec.ts
@@ -1,6 +1,7 @@
 /** Decodes the rows that the operator and the endpoints write to the store. */
 import type { EndpointEntry } from '@sesamegrade/core/endpoints/endpoint-entry';
 import type { FleetConfiguration } from '@sesamegrade/core/routes/fleet-configuration';
+import type { ZoneId } from '@sesamegrade/core/types/ids';
 import type { Result } from '@sesamegrade/core/types/result';
 
 /** Why bytes could not be decoded. */
@@ -14,6 +15,12 @@
   /** Key of the configuration among the operator's rows. */
   abstract readonly configurationKey: string;
 
+  /**
+   * Returns the zone that the existence of one of the operator's rows evacuates, whatever
+   * the row's value is; undefined for other keys.
+   */
+  abstract evacuatedZone(key: string): ZoneId | undefined;
+
   /** Decodes the operator's configuration. */
   abstract decodeConfiguration(
     bytes: Uint8Array,
--- a/packages/gateway/src/store/fleet-readiness.ts
+++ b/packages/gateway/src/store/fleet-readiness.ts
@@ -1,8 +1,9 @@
 /**
- * Tracks whether this router has read the configuration and the list of
- * endpoints at least once.
+ * Tracks whether this router has read the configuration, the list of endpoints and the
+ * evacuated zones at least once.
  */
 import type { EndpointDirectory } from '@sesamegrade/core/endpoints/endpoint-directory';
+import type { EvacuatedZones } from '@sesamegrade/core/endpoints/evacuated-zones';
 import type { RouteTable } from '@sesamegrade/core/routes/route-table';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
 import type { Milliseconds } from '@sesamegrade/core/types/units';
@@ -10,22 +11,34 @@
 export interface FleetReadinessOptions {
   readonly routes: RouteTable;
   readonly endpointDirectory: EndpointDirectory;
+  readonly evacuatedZones: EvacuatedZones;
 }
 
 export class FleetReadiness {
   readonly #options: FleetReadinessOptions;
   #waiting: (() => void)[] = [];
 
-  constructor({ routes, endpointDirectory }: FleetReadinessOptions) {
-    this.#options = { routes, endpointDirectory };
+  constructor({
+    routes,
+    endpointDirectory,
+    evacuatedZones,
+  }: FleetReadinessOptions) {
+    this.#options = { routes, endpointDirectory, evacuatedZones };
+    evacuatedZones.onKnown(() => {
+      this.notifyIfReady();
+    });
   }
 
   get isReady(): boolean {
-    const { routes, endpointDirectory } = this.#options;
-    return routes.version !== undefined && endpointDirectory.isLoaded;
+    const { routes, endpointDirectory, evacuatedZones } = this.#options;
+    return (
+      routes.version !== undefined &&
+      endpointDirectory.isLoaded &&
+      evacuatedZones.isKnown
+    );
   }
 
-  /** Resolves all waits if both are known by now; called after each change. */
+  /** Resolves all waits if all are known by now; called after each change. */
   notifyIfReady(): void {
     if (!this.isReady) {
       return;
@@ -37,7 +50,7 @@
     });
   }
 
-  /** Resolves when both are known, or after `timeout`. */
+  /** Resolves when all are known, or after `timeout`. */
   waitUntilReady(timers: TimerService, timeout: Milliseconds): Promise<void> {
     if (this.isReady) {
       return Promise.resolve();
--- a/packages/gateway/src/store/fleet-replica.test.ts
+++ b/packages/gateway/src/store/fleet-replica.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai';
 
 import { EndpointDirectory } from '@sesamegrade/core/endpoints/endpoint-directory';
+import { EvacuatedZones } from '@sesamegrade/core/endpoints/evacuated-zones';
 import type { EndpointEntry } from '@sesamegrade/core/endpoints/endpoint-entry';
 import { EndpointReplica } from '@sesamegrade/core/endpoints/endpoint-replica';
 import type { TopicEntries } from '@sesamegrade/core/gossip/gossip-scheduler';
@@ -25,6 +26,7 @@
   softwareVersion,
   zoneId,
 } from '@sesamegrade/core/types/ids';
+import type { ZoneId } from '@sesamegrade/core/types/ids';
 import { fail, succeed } from '@sesamegrade/core/types/result';
 import { milliseconds, seconds } from '@sesamegrade/core/types/units';
 import type { Milliseconds } from '@sesamegrade/core/types/units';
@@ -165,6 +167,12 @@
 class TestCodec extends DeploymentCodec {
   override readonly configurationKey = 'config';
 
+  override evacuatedZone(key: string): ZoneId | undefined {
+    return key.startsWith('evacuate/')
+      ? zoneId(key.slice('evacuate/'.length))
+      : undefined;
+  }
+
   override decodeConfiguration(
     bytes: Uint8Array,
   ): ReturnType<DeploymentCodec['decodeConfiguration']> {
@@ -215,6 +223,7 @@
 class Router {
   readonly routes = new RouteTable();
   readonly directory = new EndpointDirectory(BOUND);
+  readonly zones = new EvacuatedZones();
   readonly replica: FleetReplica;
   readonly updates: FeedUpdates;
   isFetching = false;
@@ -234,6 +243,7 @@
     this.updates = new FeedUpdates({
       self: routerId(name),
       endpointReplica,
+      evacuatedZones: this.zones,
       routes: this.routes,
       coverage,
       storeClock,
@@ -246,11 +256,13 @@
       routes: this.routes,
       endpointDirectory: this.directory,
       endpointReplica,
+      evacuatedZones: this.zones,
       coverage,
       feedUpdates: this.updates,
       fleetReadiness: new FleetReadiness({
         routes: this.routes,
         endpointDirectory: this.directory,
+        evacuatedZones: this.zones,
       }),
       storeClock,
       timers,
--- a/packages/gateway/src/store/fleet-replica.ts
+++ b/packages/gateway/src/store/fleet-replica.ts
@@ -1,4 +1,8 @@
 /** Maintains this router's copy of the store's configuration and list of endpoints. */
+import type {
+  EvacuatedZoneList,
+  EvacuatedZones,
+} from '@sesamegrade/core/endpoints/evacuated-zones';
 import type { EndpointDirectory } from '@sesamegrade/core/endpoints/endpoint-directory';
 import type { EndpointEntry } from '@sesamegrade/core/endpoints/endpoint-entry';
 import type {
@@ -38,6 +42,7 @@
   readonly routes: RouteTable;
   readonly endpointDirectory: EndpointDirectory;
   readonly endpointReplica: EndpointReplica;
+  readonly evacuatedZones: EvacuatedZones;
   readonly coverage: Readonly<Record<FeedTable, FeedCoverage>>;
   readonly feedUpdates: FeedUpdates;
   readonly fleetReadiness: FleetReadiness;
@@ -106,7 +111,8 @@
       bound: settings.bounds.configuration_ms,
       listener: {
         onList: (page, madeAt) => {
-          this.applyConfigurationChanges(page, madeAt);
+          this.#applyEvacuatedZones(page);
+          this.#onConfigurationPage(page, madeAt);
         },
         onChanges: (page, madeAt) => {
           this.applyConfigurationChanges(page, madeAt);
@@ -265,6 +271,13 @@
     this.#options.fleetReadiness.notifyIfReady();
   }
 
+  /** Applies the evacuated zones that a peer knows. */
+  applyPeerZones({ zones, position }: EvacuatedZoneList): void {
+    const { evacuatedZones, timers } = this.#options;
+    const now = timers.now();
+    evacuatedZones.applyList(zones, position, { origin: 'peer', now });
+  }
+
   /** Applies endpoints that were read from the store after the position that is known. */
   applyEndpointChanges({ rows, position }: FeedPage, madeAt: Instant): void {
     const { endpointReplica, feedUpdates, timers } = this.#options;
@@ -278,11 +291,47 @@
     this.#readListener();
   }
 
+  /** Applies the operator's rows that were read from the store after the position that is known. */
+  applyConfigurationChanges(page: FeedPage, madeAt: Instant): void {
+    this.#applyZoneChanges(page);
+    this.#onConfigurationPage(page, madeAt);
+  }
+
+  /** A zone whose row is missing in the whole table is not evacuated. */
+  #applyEvacuatedZones({ rows, position }: FeedPage): void {
+    const { codec, evacuatedZones, feedUpdates, timers } = this.#options;
+    const zones = rows
+      .filter(({ value }) => value !== undefined)
+      .map(({ key }) => codec.evacuatedZone(key))
+      .filter(zone => zone !== undefined);
+    const source = { origin: 'store', now: timers.now() } as const;
+    if (evacuatedZones.applyList(zones, position, source)) {
+      feedUpdates.onZonesRead();
+    }
+  }
+
+  #applyZoneChanges({ rows, position }: FeedPage): void {
+    const { codec, evacuatedZones, feedUpdates, timers } = this.#options;
+    const source = { origin: 'store', now: timers.now() } as const;
+    // A change is dropped unless it follows the ones before, so that their order counts.
+    const ordered = rows.toSorted(
+      (left, right) => left.revision - right.revision,
+    );
+    for (const { key, value, revision } of ordered) {
+      const zone = codec.evacuatedZone(key);
+      const at = { era: position.era, revision };
+      const hasChanged =
+        zone !== undefined &&
+        evacuatedZones.applyChange(zone, value !== undefined, at, source);
+      if (hasChanged) {
+        feedUpdates.onZonesRead();
+      }
+    }
+    evacuatedZones.recordRead(position);
+  }
+
   /** Puts the configuration in force that was read from the store, if it is a newer one. */
-  applyConfigurationChanges(
-    { rows, position }: FeedPage,
-    madeAt: Instant,
-  ): void {
+  #onConfigurationPage({ rows, position }: FeedPage, madeAt: Instant): void {
     const { codec, feedUpdates } = this.#options;
     const isRestored = position.era > this.#era && this.#raw !== undefined;
     this.#era = position.era;
