Evacuate a zone and take it back in the soak

Cause: no run with faults showed that an evacuation is kept. Change: one endpoint of a service of its own lies in a zone that is evacuated and taken back while all routers send requests and the other faults go on. No request may reach it later than 5 s after the store's acknowledgement, or after the routers were in touch again.

--- a/packages/stand-ins/src/soak/soak-invariant-checker.test.ts
+++ b/packages/stand-ins/src/soak/soak-invariant-checker.test.ts
@@ -59,6 +59,17 @@
     }
   });
 
+  it('finds requests that reach an endpoint in an evacuated zone, not before or after it', () => {
+    const checker = new SoakInvariantChecker();
+    checker.recordEvacuation({ endpoint: 'e', from: 100, to: 200 });
+    checker.recordArrival('e', 99);
+    checker.recordArrival('e', 200);
+    checker.recordArrival('other', 150);
+    expect(violatedPromises(checker)).to.deep.equal([]);
+    checker.recordArrival('e', 199);
+    expect(violatedPromises(checker)).to.deep.equal(['evacuated']);
+  });
+
   it('finds a stream with events of two software versions', () => {
     const [first = ''] = SoakInvariantChecker.streamEvents('a', 'v1');
     const [, second = ''] = SoakInvariantChecker.streamEvents('a', 'v2');
--- a/packages/stand-ins/src/soak/soak-invariant-checker.ts
+++ b/packages/stand-ins/src/soak/soak-invariant-checker.ts
@@ -38,6 +38,7 @@
     | 'alive'
     | 'crashing-content'
     | 'limit'
+    | 'evacuated'
     | 'goes-on'
     | 'resumption-share'
     | 'resumption-in-outage'
@@ -56,6 +57,9 @@
   readonly to: number;
 }
 
+/** A time in which no request may reach an endpoint, as its zone is evacuated. */
+export type SoakEvacuation = Omit<SoakLimit, 'perSecond'>;
+
 /** What ends endpoints: the same request each time, or a part of new prompts. */
 export type CrashingContent = 'request' | 'part';
 
@@ -95,6 +99,7 @@
   readonly #leaving = new Map<string, number>();
   readonly #deaths: SoakViolation[] = [];
   readonly #limits: SoakLimit[] = [];
+  readonly #evacuations: SoakEvacuation[] = [];
   readonly #arrivals = new Map<string, number[]>();
   readonly #disturbances: number[] = [];
   readonly #crashes = { request: 0, part: 0 };
@@ -124,6 +129,10 @@
     this.#limits.push(limit);
   }
 
+  recordEvacuation(evacuation: SoakEvacuation): void {
+    this.#evacuations.push(evacuation);
+  }
+
   /** Records that a router is ended or frozen at a time. */
   recordDisturbance(at: number): void {
     this.#disturbances.push(at);
@@ -188,6 +197,7 @@
       ...this.#deaths,
       ...this.#lateCrashes(),
       ...this.#limits.flatMap(limit => this.#exceededLimit(limit)),
+      ...this.#evacuations.flatMap(each => this.#reachedEvacuation(each)),
     ];
   }
 
@@ -233,6 +243,22 @@
     return [];
   }
 
+  #reachedEvacuation({ endpoint, from, to }: SoakEvacuation): SoakViolation[] {
+    const late = (this.#arrivals.get(endpoint) ?? []).filter(
+      at => at >= from && at < to,
+    );
+    const [first] = late;
+    return first === undefined
+      ? []
+      : [
+          {
+            promise: 'evacuated',
+            request: endpoint,
+            detail: `${late.length} from ${Math.round(from)} on, the first at ${Math.round(first)}`,
+          },
+        ];
+  }
+
   #repeatedRuns(): SoakViolation[] {
     return [...this.#atMostOnce]
       .map(request => this.#runs.get(request) ?? [])
--- a/packages/stand-ins/src/soak/soak.ts
+++ b/packages/stand-ins/src/soak/soak.ts
@@ -34,6 +34,7 @@
 import { StoreSilenceScenario } from './store-silence-scenario';
 import { TakeUpRecord } from './take-up-record';
 import type { TakeUpCounts } from './take-up-record';
+import { ZoneEvacuationScenario } from './zone-evacuation-scenario';
 
 export interface SoakOptions {
   readonly seed: number;
@@ -103,6 +104,7 @@
   readonly #scenarios: readonly ContactLossScenario[];
   readonly #outageScenario: StoreOutageScenario;
   readonly #silenceScenario: StoreSilenceScenario;
+  readonly #evacuationScenario: ZoneEvacuationScenario;
   readonly #faultKinds: readonly FaultKind[];
   /** Endpoints that one router reaches only through others. */
   #detoured: ReadonlySet<string> = new Set();
@@ -176,6 +178,14 @@
       takeUps: this.#outageTakeUps,
       now: () => this.#now(),
     });
+    this.#evacuationScenario = new ZoneEvacuationScenario({
+      store: this.#store,
+      routers: this.#routers,
+      checker: this.#checker,
+      isOutOfTouch: () =>
+        this.#scenarios.some(({ isOutOfTouch }) => isOutOfTouch),
+      now: () => this.#now(),
+    });
     const scenarios =
       options.seed % SEEDS_PER_RUN_IN_TOUCH === 0
         ? 0
@@ -206,6 +216,7 @@
       this.#disturbLogReaders(end),
       this.#stopScenario.run(end),
       this.#slowEndpoints.run(end),
+      this.#evacuationScenario.run(),
     );
     let nextFaultAt = this.#now();
     while (this.#now() < end) {
@@ -281,6 +292,7 @@
     await this.#slowEndpoints.open();
     await this.#outageScenario.open();
     await this.#silenceScenario.open();
+    await this.#evacuationScenario.open();
     for (const scenario of this.#scenarios) {
       await scenario.open();
     }
@@ -322,6 +334,7 @@
         ...PlannedStopScenario.routes,
         StoreOutageScenario.route,
         StoreSilenceScenario.route,
+        ZoneEvacuationScenario.route,
         ...this.#scenarios.map(({ route }) => route),
       ],
       [TEST_KEY],
@@ -329,6 +342,7 @@
         SLOW_SERVICE,
         StoreOutageScenario.service,
         StoreSilenceScenario.service,
+        ZoneEvacuationScenario.service,
         ...this.#scenarios.map(({ service }) => service),
       ],
     );
@@ -346,6 +360,7 @@
     await this.#slowEndpoints.close();
     await this.#outageScenario.close();
     await this.#silenceScenario.close();
+    await this.#evacuationScenario.close();
     await Promise.all(this.#scenarios.map(scenario => scenario.close()));
     await this.#links.close();
     await this.#store.stop();
@@ -366,7 +381,8 @@
         this.#callers.requestCount +
           this.#stopScenario.requestCount +
           this.#outageScenario.requestCount +
-          this.#silenceScenario.requestCount,
+          this.#silenceScenario.requestCount +
+          this.#evacuationScenario.requestCount,
       ),
       served: this.#checker.served,
       faults: this.#faults,
