Check the evacuated zones in random orders of reads, messages and restores

Change: zones are evacuated and returned among the other events, 36 instead of 30 a series as there are two more kinds. After every 25 ms each router knows the zones exactly as of its position, and no position of the table is confirmed beyond that.

--- a/packages/gateway/src/peers/fleet-snapshot.test.ts
+++ b/packages/gateway/src/peers/fleet-snapshot.test.ts
@@ -1,6 +1,10 @@
 import { expect } from 'chai';
 
-import { fleetSnapshotSchema } from './fleet-snapshot';
+import { EvacuatedZones } from '@sesamegrade/core/endpoints/evacuated-zones';
+import { revision, storeEra } from '@sesamegrade/core/store/feed-position';
+import { zoneId } from '@sesamegrade/core/types/ids';
+import { instant } from '@sesamegrade/core/types/units';
+import { fleetSnapshotSchema, snapshotZones } from './fleet-snapshot';
 
 const sound = {
   id: 'e-1',
@@ -44,4 +48,22 @@
     });
     expect(snapshot.endpoints?.entries).to.have.length(1);
   });
+
+  // Guards against a starting router that sends requests to an evacuated zone.
+  it('holds the evacuated zones, and none that are malformed or of an older build', () => {
+    const zones = new EvacuatedZones();
+    expect(snapshotZones(zones)).to.equal(undefined);
+    const list = {
+      zones: [zoneId('z')],
+      position: { era: storeEra(2), revision: revision(7) },
+    };
+    const source = { origin: 'store', now: instant(0) } as const;
+    zones.applyList(list.zones, list.position, source);
+    const snapshot = { version: 1, era: 0, raw: new Uint8Array(0) };
+    const parse = (value: unknown) =>
+      fleetSnapshotSchema.parse({ ...snapshot, zones: value }).zones;
+    expect(parse(snapshotZones(zones))).to.deep.equal(list);
+    expect(parse([2, 'x', ['z']])).to.equal(undefined);
+    expect(fleetSnapshotSchema.parse(snapshot).zones).to.equal(undefined);
+  });
 });
--- a/packages/gateway/src/store/fleet-replica.test.ts
+++ b/packages/gateway/src/store/fleet-replica.test.ts
@@ -45,6 +45,7 @@
 const MAX_DELAY_MS = 600;
 /** Time after which a restored configuration is in force, and some for the reads before it. */
 const SETTLE_MS = 16_000;
+const ZONES = ['z-1', 'z-2'];
 
 type Table = 'configuration' | 'endpoints';
 type History = readonly (FeedRow & { readonly table: Table })[];
@@ -57,6 +58,7 @@
   history: History = [];
   era: StoreEra = FIRST_ERA;
   isAvailable = true;
+  readonly #earlier = new Map<number, History>();
   #compactedUpTo = 0;
 
   get revision(): Revision {
@@ -70,6 +72,7 @@
   }
 
   restore(history: History): void {
+    this.#earlier.set(this.era, this.history);
     this.history = history;
     this.era = storeEra(this.era + 1);
     this.#compactedUpTo = history.length;
@@ -79,14 +82,23 @@
     this.#compactedUpTo = this.history.length;
   }
 
-  rows(table: Table): FeedRow[] {
+  rows(table: Table, history = this.history): FeedRow[] {
     const rows = new Map<string, FeedRow>();
-    for (const row of this.history.filter(each => each.table === table)) {
+    for (const row of history.filter(each => each.table === table)) {
       rows.set(row.key, row);
     }
     return [...rows.values()].filter(({ value }) => value);
   }
 
+  /** The evacuated zones as of a position of this era or an earlier one. */
+  zonesAt(era: number, version: number): string[] {
+    const history = this.#earlier.get(era) ?? this.history;
+    return this.rows('configuration', history.slice(0, version))
+      .filter(({ key }) => key.startsWith('evacuate/'))
+      .map(({ key }) => key.slice('evacuate/'.length))
+      .sort();
+  }
+
   changes(table: Table, after: Revision): FeedRow[] | undefined {
     const isLost = after < this.#compactedUpTo || after > this.history.length;
     return isLost
@@ -227,6 +239,8 @@
   readonly replica: FleetReplica;
   readonly updates: FeedUpdates;
   isFetching = false;
+  /** Coverage of the table that holds the evacuated zones. */
+  readonly configurationCoverage: FeedCoverage;
   /** Version in force at the last check, and the era of the store that it was read in. */
   last: { readonly version: number; readonly era: number } | undefined;
 
@@ -235,6 +249,7 @@
       endpoints: new FeedCoverage({ bound: BOUND, random }),
       configuration: new FeedCoverage({ bound: BOUND, random }),
     };
+    this.configurationCoverage = coverage.configuration;
     const endpointReplica = new EndpointReplica(
       this.directory,
       coverage.endpoints,
@@ -332,6 +347,7 @@
         this.#deliver(changes);
       }
       this.#checkVersions();
+      this.#checkZones();
     }
   }
 
@@ -392,6 +408,23 @@
     });
   }
 
+  /** A router knows the zones as of their position, and no later change is confirmed to it. */
+  #checkZones(): void {
+    for (const { zones, configurationCoverage } of [this.relay, this.member]) {
+      const { list } = zones;
+      const { position } = configurationCoverage;
+      if (list) {
+        const { era, revision: version } = list.position;
+        expect([...list.zones].sort()).to.deep.equal(
+          this.store.zonesAt(era, version),
+        );
+      }
+      if (position) {
+        expect(zones.isKnownAsOf(position)).to.equal(true);
+      }
+    }
+  }
+
   /** A router steps back only to what a restored store has. */
   #checkVersions(): void {
     for (const router of [this.relay, this.member]) {
@@ -421,6 +454,8 @@
 const EVENTS = [
   'configure',
   'configure',
+  'evacuate',
+  'return',
   'endpoint',
   'endpoint',
   'remove',
@@ -470,7 +505,7 @@
       let copy = store.history;
       const series: string[] = [];
       await world.pass(500);
-      for (let step = 0; step < 30; step += 1) {
+      for (let step = 0; step < 36; step += 1) {
         const event = random.pick(EVENTS);
         series.push(event);
         switch (event) {
@@ -478,6 +513,16 @@
             version += 1;
             store.write('configuration', 'config', { version });
             break;
+          case 'evacuate':
+            store.write('configuration', `evacuate/${random.pick(ZONES)}`, {});
+            break;
+          case 'return':
+            store.write(
+              'configuration',
+              `evacuate/${random.pick(ZONES)}`,
+              undefined,
+            );
+            break;
           case 'endpoint':
             store.write('endpoints', `e-${random.integer(1, 3)}`, {
               slots: random.integer(1, 99),
@@ -521,7 +566,9 @@
       world.reconnect();
       store.isAvailable = true;
       await world.pass(SETTLE_MS);
-      const [row] = store.rows('configuration');
+      const row = store
+        .rows('configuration')
+        .find(({ key }) => key === 'config');
       const newest = JSON.parse(new TextDecoder().decode(row?.value)) as {
         version: number;
       };
@@ -538,6 +585,10 @@
       for (const router of [world.relay, world.member]) {
         expect(router.routes.version, detail).to.equal(newest.version);
         expect(router.content(), detail).to.deep.equal(endpoints);
+        expect(
+          [...(router.zones.list?.zones ?? [])].sort(),
+          detail,
+        ).to.deep.equal(store.zonesAt(store.era, store.revision));
       }
     }
   });
