--- a/packages/core/src/peers/feed-updates.test.ts
+++ b/packages/core/src/peers/feed-updates.test.ts
@@ -119,7 +119,7 @@
   readZones(zones: readonly string[], position: FeedPosition, now: Instant) {
     const source = { origin: 'store', now } as const;
     if (this.zones.applyList(zones.map(zoneId), position, source)) {
-      this.updates.onZonesRead();
+      this.updates.onZonesLearned();
     }
   }
 
@@ -303,6 +303,17 @@
       expect(zonesOf(starting)).to.deep.equal(['z', 'y']);
     });
 
+    // Guards against routers that never become ready as the store is away when all start.
+    it('forwards the first set that a relay learns, although it is empty', () => {
+      const [source, relay] = [new Router('source'), new Router('relay', true)];
+      source.readZones([], at(3), instant(0));
+      relay.updates.receive(source.updates.fullState(instant(0)), instant(0));
+      expect(relay.updates.isUrgent).to.equal(true);
+      const member = new Router('member');
+      member.updates.receive(relay.updates.takeChanges(instant(9)), instant(9));
+      expect(zonesOf(member)).to.deep.equal([]);
+    });
+
     it('counts sets that it cannot use as malformed', () => {
       const [, member] = open();
       const malformed = [
--- a/packages/core/src/peers/feed-updates.ts
+++ b/packages/core/src/peers/feed-updates.ts
@@ -167,8 +167,8 @@
     this.#changedRows.set(row.id, row);
   }
 
-  /** Records that this router has read a change of the evacuated zones from the store. */
-  onZonesRead(): void {
+  /** Records that this router has learned of the evacuated zones from the store or a snapshot. */
+  onZonesLearned(): void {
     this.#hasNewZones = true;
   }
 
@@ -357,12 +357,14 @@
   ): void {
     const position = { era: storeEra(era), revision: revision(knownAsOf) };
     this.#recordEra(position.era);
-    const hasChanged = this.#options.evacuatedZones.applyList(
-      names.map(zoneId),
-      position,
-      { origin: 'peer', now },
-    );
-    if (hasChanged && this.#isRelay) {
+    const { evacuatedZones } = this.#options;
+    const isFirst = !evacuatedZones.isKnown;
+    const hasChanged = evacuatedZones.applyList(names.map(zoneId), position, {
+      origin: 'peer',
+      now,
+    });
+    // Routers that start wait for the set, also for an empty one.
+    if ((hasChanged || isFirst) && this.#isRelay) {
       this.#hasNewZones = true;
     }
   }
--- a/packages/gateway/src/store/fleet-replica.ts
+++ b/packages/gateway/src/store/fleet-replica.ts
@@ -273,9 +273,12 @@
 
   /** Applies the evacuated zones that a peer knows. */
   applyPeerZones({ zones, position }: EvacuatedZoneList): void {
-    const { evacuatedZones, timers } = this.#options;
-    const now = timers.now();
-    evacuatedZones.applyList(zones, position, { origin: 'peer', now });
+    const { evacuatedZones, feedUpdates, timers } = this.#options;
+    const isFirst = !evacuatedZones.isKnown;
+    const source = { origin: 'peer', now: timers.now() } as const;
+    if (evacuatedZones.applyList(zones, position, source) || isFirst) {
+      feedUpdates.onZonesLearned();
+    }
   }
 
   /** Applies endpoints that were read from the store after the position that is known. */
@@ -306,7 +309,7 @@
       .filter(zone => zone !== undefined);
     const source = { origin: 'store', now: timers.now() } as const;
     if (evacuatedZones.applyList(zones, position, source)) {
-      feedUpdates.onZonesRead();
+      feedUpdates.onZonesLearned();
     }
   }
 
@@ -324,7 +327,7 @@
         zone !== undefined &&
         evacuatedZones.applyChange(zone, value !== undefined, at, source);
       if (hasChanged) {
-        feedUpdates.onZonesRead();
+        feedUpdates.onZonesLearned();
       }
     }
     evacuatedZones.recordRead(position);
