--- a/packages/core/src/endpoint-limits/cold-endpoints.test.ts
+++ b/packages/core/src/endpoint-limits/cold-endpoints.test.ts
@@ -115,6 +115,19 @@
     expect(changes[0]).to.include({ kind: 'cold', reason: 'warm-up' });
   });
 
+  // Guards against endpoints that are never warm as all of their rows name the same time.
+  it('counts a warm-up time once that rows repeat, and anew after another one', () => {
+    const { coldEndpoints, isCold } = openWithWarm();
+    const row = entryOf({ warmUp: seconds(8) });
+    coldEndpoints.onEntry(row, at(10), false);
+    coldEndpoints.onEntry(row, at(16), false);
+    expect(isCold(18.5)).to.equal(false);
+    coldEndpoints.onEntry(entryOf(), at(19), false);
+    coldEndpoints.onEntry(row, at(20), false);
+    expect(isCold(28.4)).to.equal(true);
+    expect(isCold(28.5)).to.equal(false);
+  });
+
   it('takes the endpoints of a zone for cold whose evacuation ends, and no others', () => {
     const { coldEndpoints, changes, isCold } = openWithWarm();
     coldEndpoints.onEntry(
--- a/packages/core/src/endpoint-limits/cold-endpoints.ts
+++ b/packages/core/src/endpoint-limits/cold-endpoints.ts
@@ -118,8 +118,7 @@
       ...this.#startOf(entry, before, now, isFirstList),
       entry,
       isListed: true,
-      warmUpEndsAt:
-        entry.warmUp > 0 ? addTime(now, entry.warmUp) : before?.warmUpEndsAt,
+      warmUpEndsAt: warmUpEndOf(entry, before, now),
       reopenedAt: before?.reopenedAt,
     };
     this.#known.set(entry.id, known);
@@ -239,6 +238,23 @@
   }
 }
 
+/**
+ * When the warm-up time of a row ends. A row that repeats the time of the one before says
+ * nothing new: an endpoint that always names the same one would never be warm.
+ */
+function warmUpEndOf(
+  entry: EndpointEntry,
+  before: Known | undefined,
+  now: Instant,
+): Instant | undefined {
+  const isRepeated =
+    before?.entry.warmUp === entry.warmUp &&
+    before.entry.startedAt === entry.startedAt;
+  return entry.warmUp > 0 && !isRepeated
+    ? addTime(now, entry.warmUp)
+    : before?.warmUpEndsAt;
+}
+
 /** When an endpoint is warm, and what makes it cold until then. */
 function endOf(
   { startedAt, startReason, warmUpEndsAt, reopenedAt }: Known,
--- a/packages/core/src/routes/configuration-check.test.ts
+++ b/packages/core/src/routes/configuration-check.test.ts
@@ -32,7 +32,16 @@
     version: configurationVersion(1),
     routes: [route('drafts')],
     services: new Map([
-      [service, { id: service, maxConnections: 100, engine: undefined }],
+      [
+        service,
+        {
+          id: service,
+          maxConnections: 100,
+          engine: undefined,
+          coldTime: milliseconds(0),
+          coldRequestsPerSecond: 0,
+        },
+      ],
     ]),
     limits: {
       headerBytes: bytes(16_384),
--- a/packages/gateway/src/composition/gateway-container.ts
+++ b/packages/gateway/src/composition/gateway-container.ts
@@ -14,6 +14,7 @@
 import { PermitRefusals } from '@sesamegrade/core/endpoint-limits/permit-refusals';
 import { EndpointPaths } from '@sesamegrade/core/endpoint-paths/endpoint-paths';
 import { EndpointDirectory } from '@sesamegrade/core/endpoints/endpoint-directory';
+import { EvacuatedZones } from '@sesamegrade/core/endpoints/evacuated-zones';
 import { CacheSurveyPlan } from '@sesamegrade/core/engines/cache-survey-plan';
 import { EndpointReplica } from '@sesamegrade/core/endpoints/endpoint-replica';
 import { RefusalHolds } from '@sesamegrade/core/endpoints/refusal-holds';
@@ -117,6 +118,7 @@
   readonly gatewayMetrics: GatewayMetrics;
   readonly routes: RouteTable;
   readonly endpointDirectory: EndpointDirectory;
+  readonly evacuatedZones: EvacuatedZones;
   readonly loads: LoadEstimate;
   readonly locations: PartLocations;
   readonly health: ServiceHealth;
@@ -219,6 +221,7 @@
       ({ settings }: GatewayCradle) =>
         new EndpointDirectory(settings.bounds.departure_ms),
     ).singleton(),
+    evacuatedZones: asFunction(() => new EvacuatedZones()).singleton(),
     loads: asFunction(() => new LoadEstimate()).singleton(),
     locations: asFunction(() => new PartLocations()).singleton(),
     health: asFunction(newHealth).singleton(),
@@ -326,6 +329,7 @@
     feedUpdates: asFunction(
       ({
         endpointReplica,
+        evacuatedZones,
         routes,
         coverage,
         storeClock,
@@ -334,6 +338,7 @@
         new FeedUpdates({
           self: routerId(settings.router.id),
           endpointReplica,
+          evacuatedZones,
           routes,
           coverage,
           storeClock,
@@ -459,6 +464,7 @@
 
 function newChooser({
   endpointDirectory,
+  evacuatedZones,
   loads,
   locations,
   health,
@@ -474,6 +480,7 @@
   const zone = zoneId(settings.router.zone);
   return new EndpointChooser({
     endpointDirectory,
+    evacuatedZones,
     loads,
     locations,
     health,
--- a/packages/gateway/src/forwarding/testing/cold-fleet.ts
+++ b/packages/gateway/src/forwarding/testing/cold-fleet.ts
@@ -6,6 +6,7 @@
 import { EndpointLimits } from '@sesamegrade/core/endpoint-limits/endpoint-limits';
 import { PermitRefusals } from '@sesamegrade/core/endpoint-limits/permit-refusals';
 import { EndpointDirectory } from '@sesamegrade/core/endpoints/endpoint-directory';
+import { EvacuatedZones } from '@sesamegrade/core/endpoints/evacuated-zones';
 import type { EndpointEntry } from '@sesamegrade/core/endpoints/endpoint-entry';
 import { RefusalHolds } from '@sesamegrade/core/endpoints/refusal-holds';
 import { LoadEstimate } from '@sesamegrade/core/engines/load-estimate';
@@ -233,6 +234,7 @@
       locations: new PartLocations(),
       health,
       holds: new RefusalHolds(),
+      evacuatedZones: new EvacuatedZones(),
       endpointLimits,
       permitRefusals,
       streamAdmission: { prefer: pool => pool },
