--- a/packages/gateway/src/endpoints/endpoint-protocol.ts
+++ b/packages/gateway/src/endpoints/endpoint-protocol.ts
@@ -29,11 +29,13 @@
   readonly priority: number | undefined;
 }
 
-/** The load that an endpoint reports of itself, in requests. */
+/** The load, in requests, and the speed that an endpoint reports of itself. */
 export interface EndpointCapacityReport {
   readonly running: number;
   readonly waiting: number;
   readonly slots: number;
+  /** Time that work takes at this moment, as a multiple of the usual time; 1 if not stated. */
+  readonly slowdown: number;
 }
 
 /**
