Place requests by the load and the speed that engines report

Reports were applied when a stream ended, some seconds after the head that carried them, and used only while no peer was heard; a response with status 421, which is of another instance, was applied as well. A report is now applied when the head arrives. The bound on uneven load and the estimate of unseen requests are taken from the counts alone. An endpoint whose last report had no slowdown is placed as before.

The line 'attempt' has the fields speed and slowdown where they are not 1.

--- a/packages/core/src/endpoints/service-placement.test.ts
+++ b/packages/core/src/endpoints/service-placement.test.ts
@@ -111,4 +111,36 @@
     expect([...counts.keys()].sort()).to.deep.equal(['e1', 'e2']);
     expect(counts.get('e1')).to.be.within(3900, 4100);
   });
+
+  // Guards against a slow endpoint that gets as many requests as the others, and against one that gets none.
+  it('gives less to an endpoint that is slow or that reports requests which no peer counts', () => {
+    const random = new Random(1);
+    const candidates = [
+      { speed: 0.4, correction: 0 },
+      { speed: 1, correction: 0 },
+      { speed: 1, correction: 2 },
+    ].map((reported, at) => ({
+      id: endpointId(`e${at}`),
+      own: 0,
+      others: 0,
+      slots: SLOTS,
+      near: true,
+      ...reported,
+    }));
+    const counts = [0, 0, 0];
+    for (let count = 0; count < 6000; count += 1) {
+      const chosen = chooseServiceEndpoint(
+        candidates,
+        { persistence: 1, running: 9 },
+        () => random.fraction(),
+      );
+      const at = Number(chosen?.slice(1));
+      counts[at] = (counts[at] ?? 0) + 1;
+    }
+    const [slow = 0, usual = 0, fuller = 0] = counts;
+    // Ten requests bring e0 to 2, e1 to 5, and e2 from 2 to 5.
+    expect(slow).to.be.within(1100, 1300);
+    expect(usual).to.be.within(2900, 3100);
+    expect(fuller).to.be.within(1700, 1900);
+  });
 });
--- a/packages/core/src/endpoints/service-placement.ts
+++ b/packages/core/src/endpoints/service-placement.ts
@@ -11,6 +11,8 @@
   readonly own: number;
   /** Those of other routers, as this router sees them. */
   readonly others: number;
+  /** Requests to be added to those of the others by the endpoint's own report; 0 if undefined. */
+  readonly correction?: number;
   readonly slots: number;
   /** Whether the endpoint is in the router's own availability zone. */
   readonly near: boolean;
@@ -42,11 +44,11 @@
   fraction: () => number,
 ): EndpointId | undefined {
   const shares = candidates.map(
-    ({ id, own, others, slots, near, speed }): Share => ({
+    ({ id, own, others, correction = 0, slots, near, speed }): Share => ({
       id,
       load:
         own +
-        others * unseen.persistence +
+        Math.max(0, others * unseen.persistence + Math.min(slots, correction)) +
         (near ? 0 : OTHER_ZONE_COST * slots),
       weight: Math.max(1, slots) * Math.max(MIN_SPEED, speed),
     }),
--- a/packages/core/src/engines/engine-placement.test.ts
+++ b/packages/core/src/engines/engine-placement.test.ts
@@ -102,4 +102,36 @@
   it('returns undefined without candidates', () => {
     expect(place('s', [])).to.equal(undefined);
   });
+
+  // Guards against a false report of one engine that shifts the bound of all, and with it the balance.
+  it('leaves what engines report of themselves out of the bound', () => {
+    const placement = new EnginePlacement();
+    const [first, ...others] = engines([5, 5, 5, 5]);
+    const reported = first ? [{ ...first, correction: 1e6, speed: 0.01 }] : [];
+    expect(placement.bound([...reported, ...others])).to.equal(
+      placement.bound(engines([5, 5, 5, 5])),
+    );
+  });
+
+  // Guards against requests that wait at an engine which no peer counts as full.
+  it('avoids an engine whose own report shows that it is full', () => {
+    const holders = [endpointId('e0')];
+    const cached = new Map([
+      ['s', holders],
+      ['system', holders],
+    ]);
+    const placeBy = (correction: number) =>
+      new EnginePlacement().choose(
+        prompt('s'),
+        engines([20, 20, 20]).map((candidate, at) => ({
+          ...candidate,
+          slots: 24,
+          correction: at === 0 ? correction : 0,
+        })),
+        isCachedIn(cached),
+        isFetchableIn(cached),
+      )?.id;
+    expect(placeBy(0)).to.equal('e0');
+    expect(placeBy(4)).to.not.equal('e0');
+  });
 });
--- a/packages/core/src/engines/engine-placement.ts
+++ b/packages/core/src/engines/engine-placement.ts
@@ -24,6 +24,10 @@
   readonly own: number;
   /** Those of other routers, as this router sees them. */
   readonly others: number;
+  /** Requests to be added to those of the others by the engine's own report; 0 if undefined. */
+  readonly correction?: number;
+  /** Fraction, in 0..1, of its usual speed at which the engine runs; undefined if it states none. */
+  readonly speed?: number;
   readonly slots: number;
 }
 
@@ -80,6 +84,8 @@
   readonly missing: number;
   readonly load: number;
   readonly bound: number;
+  /** The speed by which it was chosen. */
+  readonly speed: number;
 }
 
 const HASH_RANGE = 0x1_0000_0000;
@@ -102,6 +108,7 @@
   readonly isHome: boolean;
   /** The cost without that of the load. */
   readonly fixedCost: number;
+  readonly speed: number;
   load: number;
   cost: number;
 }
@@ -115,7 +122,10 @@
     this.#options = options;
   }
 
-  /** Load above which an engine takes no more requests while others are below it. */
+  /**
+   * Load above which an engine takes no more requests while others are below it. What engines
+   * report of themselves is left out, as one false report would shift the bound of all.
+   */
   bound(candidates: readonly EngineCandidate[]): number {
     const total = candidates.reduce(
       (sum, { own, others }) => sum + own + others,
@@ -162,6 +172,7 @@
       missing,
       load: candidate.own + candidate.others,
       bound,
+      speed: best.speed,
     };
   }
 
@@ -179,18 +190,30 @@
     const ranks = candidates.map(({ id }) => rankOf(prompt, id));
     const homeRank = Math.min(...ranks);
     return candidates.map((candidate, at): Option => {
-      const { id, own, others, slots } = candidate;
+      const { id, own, others, slots, correction = 0, speed = 1 } = candidate;
       const rank = ranks[at] ?? 1;
       const isHome = rank === homeRank;
       const isCached = (part: PromptPartId) => isCachedAt(part, id);
       const missing = missingTokens(prompt, isCached);
       const fixedCost =
         rank +
-        this.#prefillCost(prompt, missing, isHome, isCached, isFetchable);
+        this.#prefillCost(prompt, missing, isHome, isCached, isFetchable) /
+          speed;
       const load =
-        own + others * unseen.persistence + random.exponential(unseenOfOthers);
-      const cost = fixedCost + this.#loadCost(load, slots, bound);
-      return { candidate, missing, isHome, fixedCost, load, cost };
+        own +
+        Math.max(0, others * unseen.persistence + Math.min(slots, correction)) +
+        random.exponential(unseenOfOthers);
+      const option = {
+        candidate,
+        missing,
+        isHome,
+        fixedCost,
+        speed,
+        load,
+        cost: 0,
+      };
+      option.cost = this.#cost(option, bound);
+      return option;
     });
   }
 
@@ -205,9 +228,8 @@
     for (let placed = 0; placed < count; placed += 1) {
       const taken = cheapest(options);
       if (taken) {
-        const { slots } = taken.candidate;
         taken.load += 1;
-        taken.cost = taken.fixedCost + this.#loadCost(taken.load, slots, bound);
+        taken.cost = this.#cost(taken, bound);
       }
     }
   }
@@ -233,10 +255,14 @@
   }
 
   /** Returns the cost in milliseconds; an engine at its bound costs more than any below it. */
-  #loadCost(load: number, slots: number, bound: number): number {
+  #cost(
+    { candidate, fixedCost, load }: Omit<Option, 'cost'>,
+    bound: number,
+  ): number {
+    const wait = load * this.#options.waitMsPerRequest;
     const overload = load + 1 > bound ? 1e6 * load : 0;
-    const full = 1e9 * Math.max(0, load + 1 - slots);
-    return load * this.#options.waitMsPerRequest + overload + full;
+    const full = 1e9 * Math.max(0, load + 1 - candidate.slots);
+    return fixedCost + wait + overload + full;
   }
 }
 
--- a/packages/core/src/engines/load-estimate.test.ts
+++ b/packages/core/src/engines/load-estimate.test.ts
@@ -45,4 +45,41 @@
     loads.removeEndpoint(engine);
     expect(loads.total(engine, instant(0))).to.equal(1);
   });
+
+  // Guards against a changed placement where engines state no speed: three figures are used as before.
+  it("ignores a report without slowdown while it hears a peer's counts", () => {
+    const loads = new LoadEstimate();
+    loads.applyPeerCount(peer, engine, 4, instant(0));
+    loads.onLoadReport(engine, 20, instant(0));
+    expect(loads.view(engine, instant(0))).to.deep.equal({
+      own: 0,
+      others: 4,
+      correction: 0,
+      speed: undefined,
+    });
+  });
+
+  // Guards against reports that reach other routers, or the requests that a limit counts.
+  it('corrects only its own placements by a report with a slowdown', () => {
+    const loads = new LoadEstimate();
+    loads.applyPeerCount(peer, engine, 4, instant(0));
+    loads.onRequestStarted(engine);
+    loads.onLoadReport(engine, 11, instant(0), 2.5);
+    const view = loads.view(engine, instant(0));
+    expect(view).to.include({ own: 1, others: 4 });
+    expect(view.correction).to.be.within(3, 6);
+    expect(view.speed).to.be.below(1);
+    expect(loads.total(engine, instant(0))).to.equal(5);
+    expect(loads.sum(engine)).to.equal(5);
+  });
+
+  // Guards against the report being counted twice, as the others and as their correction.
+  it('uses a report with a slowdown only once without peers', () => {
+    const loads = new LoadEstimate();
+    loads.onLoadReport(engine, 9, instant(0), 1);
+    expect(loads.view(engine, instant(0))).to.include({
+      others: 9,
+      correction: 0,
+    });
+  });
 });
--- a/packages/core/src/engines/load-estimate.ts
+++ b/packages/core/src/engines/load-estimate.ts
@@ -3,8 +3,10 @@
  * exactly, plus those of the others. A relay adds up the counts that the others
  * send it. Any other router takes the fleet's totals from its relays, without the
  * part of them that is its own. Without either, the load that the endpoint
- * reported with its last response is used.
+ * reported with its last response is used. With them, a recent report corrects
+ * this router's own placements, and never what it sends to other routers.
  */
+import { EndpointSpeeds } from '../loads/endpoint-speeds';
 import type { EndpointId, RouterId } from '../types/ids';
 import { elapsed, milliseconds } from '../types/units';
 import type { Instant, Milliseconds } from '../types/units';
@@ -41,7 +43,20 @@
   heardAt: Instant;
 }
 
+/** An endpoint as it counts for a placement by this router. */
+export interface EndpointView {
+  /** This router's requests at the endpoint. */
+  readonly own: number;
+  /** Those of other routers, as this router sees them. */
+  readonly others: number;
+  /** Requests to be added to those of the others by the endpoint's own report. */
+  readonly correction: number;
+  /** Fraction, in 0..1, of its usual speed at which the endpoint runs; undefined if it states none. */
+  readonly speed: number | undefined;
+}
+
 export class LoadEstimate {
+  readonly #speeds = new EndpointSpeeds();
   readonly #rows = new Map<EndpointId, Row>();
   readonly #peers = new Map<RouterId, PeerCounts>();
   readonly #relays = new Map<RouterId, RelayTotals>();
@@ -60,10 +75,22 @@
     row.own = Math.max(0, row.own - 1);
   }
 
-  /** Applies the number of running and waiting requests that an endpoint reported. */
-  onLoadReport(endpoint: EndpointId, requests: number, now: Instant): void {
+  /**
+   * Applies the number of running and waiting requests that an endpoint reported, and its slowdown.
+   * A report without slowdown counts only if no peer is heard.
+   */
+  onLoadReport(
+    endpoint: EndpointId,
+    requests: number,
+    now: Instant,
+    slowdown?: number,
+  ): void {
     const row = this.#row(endpoint);
-    row.report = { others: Math.max(0, requests - row.own), at: now };
+    const others = Math.max(0, requests - row.own);
+    row.report = { others, at: now };
+    if (slowdown !== undefined) {
+      this.#speeds.onReport(endpoint, { others, slowdown }, now);
+    }
   }
 
   /** Applies a peer's count of its own requests at an endpoint. */
@@ -156,6 +183,7 @@
   removeEndpoint(endpoint: EndpointId): void {
     const own = this.ownInFlight(endpoint);
     this.#rows.delete(endpoint);
+    this.#speeds.remove(endpoint);
     if (own > 0) {
       this.#row(endpoint).own = own;
     }
@@ -175,13 +203,38 @@
     return (row?.own ?? 0) + others;
   }
 
+  /** What a placement takes into account. */
+  view(endpoint: EndpointId, now: Instant): EndpointView {
+    const row = this.#rows.get(endpoint);
+    const counted = this.#countedOthers(endpoint, row, now);
+    return {
+      own: row?.own ?? 0,
+      others: counted ?? this.#reportedOthers(row, now),
+      correction:
+        counted === undefined
+          ? 0
+          : this.#speeds.correction(endpoint, counted, now),
+      speed: this.#speeds.speed(endpoint, now),
+    };
+  }
+
   #others(endpoint: EndpointId, row: Row | undefined, now: Instant): number {
+    return (
+      this.#countedOthers(endpoint, row, now) ?? this.#reportedOthers(row, now)
+    );
+  }
+
+  /** Returns undefined if no peer has been heard of late. */
+  #countedOthers(
+    endpoint: EndpointId,
+    row: Row | undefined,
+    now: Instant,
+  ): number | undefined {
     const byRelays = this.#othersByRelays(endpoint, now);
     const byPeers = this.#hasHeardPeer(now) ? (row?.peers ?? 0) : undefined;
-    if (byRelays === undefined && byPeers === undefined) {
-      return this.#reportedOthers(row, now);
-    }
-    return Math.max(byRelays ?? 0, byPeers ?? 0);
+    return byRelays === undefined && byPeers === undefined
+      ? undefined
+      : Math.max(byRelays ?? 0, byPeers ?? 0);
   }
 
   /** The highest of the relays' views, as a relay that has lost a router counts too few. */
--- a/packages/core/src/forwarding/endpoint-chooser.ts
+++ b/packages/core/src/forwarding/endpoint-chooser.ts
@@ -50,6 +50,8 @@
       readonly load: number;
       /** Estimated number of prompt tokens that are not in the engine's cache. */
       readonly missing: number;
+      /** Fraction of its usual speed, by its own report, at which the endpoint was taken to run. */
+      readonly speed: number;
       /** Engine from which the chosen one can fetch cached prompt parts that it lacks. */
       readonly fetchFrom: EndpointEntry | undefined;
     }
@@ -222,11 +224,11 @@
     pool: readonly EndpointEntry[],
     now: Instant,
   ): Extract<EndpointChoice, { kind: 'endpoint' }> {
-    const { locations, random } = this.#options;
+    const { loads, locations, random } = this.#options;
     const candidates = pool.map(({ id, slots }) => ({
       id,
       slots,
-      ...this.#loadsAt(id, now),
+      ...loads.view(id, now),
     }));
     const subject = subjectPart(prompt);
     const { service } = first(pool);
@@ -253,20 +255,11 @@
       reason: choice?.reason ?? 'spilled',
       load: choice?.load ?? 0,
       missing: choice?.missing ?? 0,
+      speed: choice?.speed ?? 1,
       fetchFrom: missingPart && this.#sourceOf(missingPart.id, entry.zone),
     };
   }
 
-  /** The requests of this router at an endpoint, and those of the others as it sees them. */
-  #loadsAt(
-    id: EndpointId,
-    now: Instant,
-  ): { readonly own: number; readonly others: number } {
-    const { loads } = this.#options;
-    const own = loads.ownInFlight(id);
-    return { own, others: loads.total(id, now) - own };
-  }
-
   #unseen(
     service: ServiceId,
     candidates: readonly { readonly others: number }[],
@@ -298,13 +291,16 @@
     now: Instant,
   ): Extract<EndpointChoice, { kind: 'endpoint' }> {
     const { loads, health, random, zone } = this.#options;
-    const candidates = pool.map(entry => ({
-      id: entry.id,
-      slots: entry.slots,
-      ...this.#loadsAt(entry.id, now),
-      near: entry.zone === zone,
-      speed: Math.max(MIN_SPEED, health.health(entry.id)),
-    }));
+    const candidates = pool.map(entry => {
+      const view = loads.view(entry.id, now);
+      return {
+        ...view,
+        id: entry.id,
+        slots: entry.slots,
+        near: entry.zone === zone,
+        speed: Math.max(MIN_SPEED, health.health(entry.id)) * (view.speed ?? 1),
+      };
+    });
     const service = first(pool).service;
     const id = chooseServiceEndpoint(
       candidates,
@@ -318,6 +314,7 @@
       reason: 'least-loaded',
       load: loads.total(entry.id, now),
       missing: 0,
+      speed: loads.view(entry.id, now).speed ?? 1,
       fetchFrom: undefined,
     };
   }
--- a/packages/core/src/forwarding/fleet-state.ts
+++ b/packages/core/src/forwarding/fleet-state.ts
@@ -27,10 +27,12 @@
 import type { Instant, Milliseconds } from '../types/units';
 import type { AttemptResult } from './attempt-result';
 
-/** Numbers of requests that an endpoint reports for itself. */
+/** Numbers of requests that an endpoint reports for itself, and its slowdown. */
 export interface EndpointLoadReport {
   readonly running: number;
   readonly waiting: number;
+  /** Time that work takes, as a multiple of the usual time; undefined if not stated. */
+  readonly slowdown: number | undefined;
 }
 
 /** Is notified of changes that must be sent to peers. */
@@ -49,6 +51,7 @@
   readonly status: number;
   readonly isLeaving: boolean;
   readonly retryAfter: Milliseconds | undefined;
+  readonly load: EndpointLoadReport | undefined;
 }
 
 export interface FleetStateOptions {
@@ -123,11 +126,16 @@
     statement: EndpointStatement,
     sentAt: Instant | undefined,
   ): void {
-    const { endpointDirectory, endpointLimits, holds, now } = this.#options;
+    const { endpointDirectory, endpointLimits, holds, loads, now } =
+      this.#options;
     if (statement.status === STATUS_MISDIRECTED) {
       // Another instance at the same address is speaking of itself.
       return;
     }
+    if (statement.load) {
+      const { running, waiting, slowdown } = statement.load;
+      loads.onLoadReport(entry.id, running + waiting, now(), slowdown);
+    }
     if (
       statement.isLeaving &&
       endpointDirectory.markLeaving(entry.id, entry.startedAt)
@@ -156,14 +164,10 @@
     endpoint: EndpointId,
     result: AttemptResult,
     firstToken: Milliseconds,
-    reported: EndpointLoadReport | undefined,
     now: Instant,
   ): void {
     const { loads, health } = this.#options;
     loads.onRequestEnded(endpoint);
-    if (reported) {
-      loads.onLoadReport(endpoint, reported.running + reported.waiting, now);
-    }
     this.#listener?.onLoadChanged(endpoint, loads.ownInFlight(endpoint));
     const attempt = this.#openAttempts.get(endpoint)?.shift();
     if (!attempt) {
--- a/packages/gateway/src/endpoints/endpoint-protocol.ts
+++ b/packages/gateway/src/endpoints/endpoint-protocol.ts
@@ -34,8 +34,8 @@
   readonly running: number;
   readonly waiting: number;
   readonly slots: number;
-  /** Time that work takes at this moment, as a multiple of the usual time; 1 if not stated. */
-  readonly slowdown: number;
+  /** Time that work takes at this moment, as a multiple of the usual time; undefined if not stated. */
+  readonly slowdown: number | undefined;
 }
 
 /**
--- a/packages/gateway/src/forwarding/request-run.ts
+++ b/packages/gateway/src/forwarding/request-run.ts
@@ -611,7 +611,6 @@
       choice.entry.id,
       result,
       elapsed(startedAt, attempt.respondedAt ?? now),
-      attempt.responseHead?.load,
       now,
     );
     if (result.kind === 'declined' && result.decline === 'other-instance') {
@@ -634,6 +633,8 @@
       endpoint: choice.entry.id,
       reason: choice.reason,
       load: Math.round(choice.load * 10) / 10,
+      speed: unusualSpeed(choice.speed),
+      slowdown: unusualSpeed(attempt.responseHead?.load?.slowdown),
       missing: choice.missing,
       fetchFrom: choice.fetchFrom?.id,
       subject: head.prompt && subjectPart(head.prompt)?.id,
@@ -887,6 +888,11 @@
   return result.kind === 'declined' && result.decline === 'full';
 }
 
+/** Rounds a speed or slowdown for the log; returns undefined for the usual one. */
+function unusualSpeed(factor = 1): number | undefined {
+  return factor === 1 ? undefined : Math.round(factor * 100) / 100;
+}
+
 /** Statuses from which callers conclude that their request did not run. */
 function promisesNotRun(status: number): boolean {
   return status === 408 || status === 421 || status === 429 || status === 503;
