--- a/packages/measure/src/late-loads/late-loads-fleet.ts
+++ b/packages/measure/src/late-loads/late-loads-fleet.ts
@@ -24,6 +24,8 @@
   readonly lag: number;
   /** Simulated time in seconds. */
   readonly length: number;
+  /** Routers whose requests the others never see. */
+  readonly unheardRouters?: number;
 }
 
 export interface LateLoadsResult {
@@ -91,6 +93,11 @@
     return estimateUnseen((othersRate / MS_PER_SECOND) * lag, seen);
   }
 
+  /** Runs something at a simulated time. */
+  protected schedule(at: number, run: () => void): void {
+    this.#events.add(at, run);
+  }
+
   #scheduleArrival(now: number): void {
     const { requestsPerSecond, routers } = this.options;
     const at = now + this.random.exponential(MS_PER_SECOND / requestsPerSecond);
@@ -115,6 +122,9 @@
 
   #change(placed: Placed, by: 1 | -1, now: number): void {
     this.view.change(placed, by);
+    if (placed.router < (this.options.unheardRouters ?? 0)) {
+      return;
+    }
     this.#events.add(now + this.options.lag, () => {
       this.view.show(placed, by);
     });
--- a/packages/measure/src/late-loads/late-loads-report.ts
+++ b/packages/measure/src/late-loads/late-loads-report.ts
@@ -1,5 +1,5 @@
 /** Reports how uneven the load of endpoints gets while routers see each other's requests late. */
-import { formatRows, rounded } from '../report/figures';
+import { rounded } from '../report/figures';
 import type { FigureRow } from '../report/figures';
 import { LateEngineFleet } from './late-engine-fleet';
 import type { LateLoadsResult } from './late-loads-fleet';
@@ -92,8 +92,6 @@
   });
 }
 
-export const formatLateLoads = (rows: readonly FigureRow[]) => formatRows(rows);
-
 function engines(
   routers: number,
   endpoints: number,
