Subscribe again when a peer has ended the feed of a link

Cause: a router connects to its seeds by address and to the same routers by id. The server keeps one feed for each router and ends the earlier one; the client took that for a regular end and never subscribed again. A relay then hears nothing of that router's requests.

Change: a link whose feed ends connects and subscribes anew.

--- a/packages/router/src/peers/peer-link.ts
+++ b/packages/router/src/peers/peer-link.ts
@@ -162,9 +162,25 @@
       onError: () => {
         this.#onConnectionLost();
       },
+      onComplete: () => {
+        this.#onFeedEnded();
+      },
     });
   }
 
+  /**
+   * Connects and subscribes anew, as the peer has ended the feed: it keeps one for each router,
+   * and one by its seed address may have replaced this one.
+   */
+  #onFeedEnded(): void {
+    if (this.#closed) {
+      return;
+    }
+    this.#onConnectionLost();
+    this.reset();
+    this.#subscribe();
+  }
+
   #onData(data: unknown): void {
     const { peer, listener } = this.#options;
     const parsed = feedMessageSchema.safeParse(data);
