Ask admission control before the first attempt of a request

Cause: the gateway offers each request to endpoints until its time is exhausted.

A wait ends when the caller leaves, its time is over, or the router stops. LoadEstimate states the age of its view. The settings get an optional section admission, which is on by default.

--- a/packages/core/src/engines/load-estimate.ts
+++ b/packages/core/src/engines/load-estimate.ts
@@ -175,6 +175,20 @@
     return (row?.own ?? 0) + others;
   }
 
+  /** Time since a peer or relay was last heard; undefined if none is known. */
+  viewAge(now: Instant): Milliseconds | undefined {
+    let age: Milliseconds | undefined;
+    for (const known of [this.#peers, this.#relays]) {
+      for (const { heardAt } of known.values()) {
+        const sinceHeard = elapsed(heardAt, now);
+        if (age === undefined || sinceHeard < age) {
+          age = sinceHeard;
+        }
+      }
+    }
+    return age;
+  }
+
   #others(endpoint: EndpointId, row: Row | undefined, now: Instant): number {
     const byRelays = this.#othersByRelays(endpoint, now);
     const byPeers = this.#hasHeardPeer(now) ? (row?.peers ?? 0) : undefined;
--- a/packages/gateway/src/composition/gateway-container.ts
+++ b/packages/gateway/src/composition/gateway-container.ts
@@ -61,6 +61,7 @@
 import { DirectDialer } from '../endpoints/endpoint-dialer';
 import type { EndpointDialer } from '../endpoints/endpoint-dialer';
 import type { EndpointProtocol } from '../endpoints/endpoint-protocol';
+import { AdmissionGate } from '../forwarding/admission-gate';
 import { AttemptPlacement } from '../forwarding/attempt-placement';
 import { ResponseMemory } from '../forwarding/response-memory';
 import { Forwarder } from '../forwarding/forwarder';
@@ -124,6 +125,7 @@
   readonly permitRefusals: PermitRefusals;
   readonly fleetPermits: FleetPermits;
   readonly attemptPlacement: AttemptPlacement;
+  readonly admissionGate: AdmissionGate;
   readonly routerDirectory: RouterDirectory;
   readonly retryBudget: FleetRetryBudget;
   readonly fleetState: FleetState;
@@ -228,6 +230,7 @@
     ).singleton(),
     fleetPermits: asClass(FleetPermits).singleton(),
     attemptPlacement: asClass(AttemptPlacement).singleton(),
+    admissionGate: asClass(AdmissionGate).singleton(),
     routerDirectory: asFunction(() => new RouterDirectory()).singleton(),
     retryBudget: asFunction(newRetryBudget).singleton(),
     fleetState: asFunction(newFleetState).singleton(),
--- a/packages/gateway/src/forwarding/forwarder.ts
+++ b/packages/gateway/src/forwarding/forwarder.ts
@@ -219,7 +219,7 @@
   ): Promise<void> {
     const { exchange } = running;
     const { route } = decision;
-    const { refusals, fleetState, chooser, timers } = this.#options;
+    const { refusals, chooser, timers } = this.#options;
     const isResumed = isResumable(route) && isResumption(head);
     const resumed = isResumed
       ? await this.#resumedTarget(head, decision)
@@ -262,7 +262,6 @@
       }),
       isResumption: isResumed,
     };
-    fleetState.onRequestStarted(service);
     const run = new RequestRun(this.#options, request, outcome => {
       this.#endedByStop[outcome] += 1;
     });
--- a/packages/gateway/src/forwarding/refusals.ts
+++ b/packages/gateway/src/forwarding/refusals.ts
@@ -65,6 +65,20 @@
     });
   }
 
+  /** `retryAfter` is what the load of the service suggests; `remaining` the time of the request. */
+  overloaded(retryAfter: Milliseconds, remaining: Milliseconds): CallerRefusal {
+    return {
+      kind: 'not-run',
+      cause: 'overloaded',
+      retryAfter: milliseconds(
+        Math.min(
+          Math.max(MIN_RETRY_AFTER, retryAfter),
+          remaining * RETRY_AFTER_SHARE,
+        ),
+      ),
+    };
+  }
+
   /** `remaining` is the time of the request; `holdTime` that before which no endpoint takes it. */
   notRun(
     cause: string,
--- a/packages/gateway/src/forwarding/request-run.ts
+++ b/packages/gateway/src/forwarding/request-run.ts
@@ -46,6 +46,7 @@
 import type { GatewayMetrics } from '../metrics/gateway-metrics';
 import type { ShutdownSequence } from '../process/shutdown-sequence';
 import type { PathMonitor } from '../tunnels/path-monitor';
+import type { AdmissionGate, PendingAdmission } from './admission-gate';
 import type { AttemptPlacement, Placement } from './attempt-placement';
 import { CrashGuard } from './crash-guard';
 import type { CrashGuardOptions } from './crash-guard';
@@ -74,6 +75,7 @@
  */
 const MAX_OVERLAP: Milliseconds = milliseconds(300);
 const STATUS_OK = 200;
+const MIN_SERVER_ERROR_STATUS = 500;
 /** Stands for the team of requests that need no key. */
 const NO_TEAM = teamId('');
 
@@ -85,6 +87,7 @@
   extends StreamGuardOptions, CrashGuardOptions {
   readonly chooser: EndpointChooser;
   readonly attemptPlacement: AttemptPlacement;
+  readonly admissionGate: AdmissionGate;
   readonly responseMemory: ResponseMemory;
   readonly fleetState: FleetState;
   readonly connectionPool: ConnectionPool;
@@ -153,6 +156,10 @@
   readonly #relay: ResponseRelay;
   readonly #memory: ReturnType<ResponseMemory['open']>;
   readonly #tried = new Set<EndpointId>();
+  /** Set while the request waits for a slot of its service. */
+  #pendingAdmission: PendingAdmission | undefined;
+  /** Time for which it has waited. */
+  #waited: Milliseconds | undefined;
   /** Attempts that have ended and may have run. */
   #possibleRuns = 0;
   /** Attempts that provably did not run. */
@@ -193,9 +200,15 @@
   /** Resolves when the request needs no further work. */
   async run(): Promise<void> {
     this.#request.exchange.onDisconnect(() => {
+      this.#pendingAdmission?.cancel();
       this.#abortAll(() => ({ kind: 'caller-left' }));
     });
     try {
+      const pending = this.#enterGate();
+      if (pending && !(await this.#isAdmitted(pending))) {
+        return;
+      }
+      this.#options.fleetState.onRequestStarted(this.#request.service);
       this.#placeAnother();
       while (!this.#attempts.isSettled) {
         this.#onEvent(await this.#events.take());
@@ -216,10 +229,49 @@
       this.#abortAll(({ wasSent }) => ({ kind: 'stopping', wasSent }));
       return;
     }
+    this.#pendingAdmission?.cancel();
     // The results of attempts that have ended may be being examined, and not counted yet.
     this.#giveUpAsStopping();
   }
 
+  /**
+   * Asks whether the request may be sent; undefined if it may at once. One that resumes a stream
+   * always may, as its caller has a part of the response.
+   */
+  #enterGate(): PendingAdmission | undefined {
+    const { decision, service, isResumption } = this.#request;
+    const { route, team } = decision;
+    return isResumption
+      ? undefined
+      : this.#options.admissionGate.enter({
+          service,
+          route: route.id,
+          team: team?.id ?? NO_TEAM,
+          priority: team?.priority ?? route.priority,
+          latencyGoal: route.latencyGoal,
+          remaining: this.#remaining,
+          repeatable: route.repeatable,
+        });
+  }
+
+  /** Waits for the decision; returns false if the request needs no further work. */
+  async #isAdmitted(pending: PendingAdmission): Promise<boolean> {
+    const { timers, refusals } = this.#options;
+    const begin = timers.now();
+    this.#pendingAdmission = pending;
+    const outcome = await pending.outcome;
+    this.#pendingAdmission = undefined;
+    this.#waited = elapsed(begin, timers.now());
+    if (this.#request.exchange.isOver || outcome.kind === 'cancelled') {
+      return false;
+    }
+    if (outcome.kind === 'refused') {
+      this.#refuse(refusals.overloaded(outcome.retryAfter, this.#remaining));
+      return false;
+    }
+    return true;
+  }
+
   #onEvent(event: RunEvent): void {
     if (event.kind === 'failed') {
       throw event.error;
@@ -603,7 +655,8 @@
 
   /** Records the end of an attempt and decides what follows if no other one runs. */
   #recordEnd(run: RunningAttempt, result: AttemptResult): AttemptEnding {
-    const { fleetState, timers, gatewayMetrics, log } = this.#options;
+    const { fleetState, timers, gatewayMetrics, log, admissionGate } =
+      this.#options;
     const { head, decision, service } = this.#request;
     const { attempt, choice, startedAt, sink } = run;
     const now = timers.now();
@@ -614,6 +667,13 @@
       attempt.responseHead?.load,
       now,
     );
+    if (showsDuration(result)) {
+      admissionGate.recordDuration(
+        service,
+        decision.route.id,
+        elapsed(startedAt, now),
+      );
+    }
     if (result.kind === 'declined' && result.decline === 'other-instance') {
       fleetState.onReplaced(choice.entry);
     }
@@ -646,6 +706,7 @@
       took: Math.round(elapsed(startedAt, now)),
       events: this.#relay.events,
       held: this.#relay.heldBytes || undefined,
+      waited: this.#waited && Math.round(this.#waited),
       beside: this.#attempts.running.length - 1 || undefined,
       next: step,
     });
@@ -887,6 +948,17 @@
   return result.kind === 'declined' && result.decline === 'full';
 }
 
+/** Whether an attempt ran to its end, or for all the time of its request. */
+function showsDuration(result: AttemptResult): boolean {
+  switch (result.kind) {
+    case 'answered':
+    case 'delivered':
+      return result.status < MIN_SERVER_ERROR_STATUS;
+    default:
+      return result.kind === 'unproven-end' || result.kind === 'expired';
+  }
+}
+
 /** Statuses from which callers conclude that their request did not run. */
 function promisesNotRun(status: number): boolean {
   return status === 408 || status === 421 || status === 429 || status === 503;
--- a/packages/gateway/src/metrics/gateway-metrics.ts
+++ b/packages/gateway/src/metrics/gateway-metrics.ts
@@ -34,6 +34,12 @@
     labelNames: ['origin', 'result'],
     registers: [this.#registry],
   });
+  readonly #admissions = new Counter({
+    name: 'sesamegrade_admissions_total',
+    help: 'Requests by the decision of admission control.',
+    labelNames: ['decision'],
+    registers: [this.#registry],
+  });
   readonly #latency = new Histogram({
     name: 'sesamegrade_request_seconds',
     help: 'Time from a request to the end of its response.',
@@ -69,6 +75,10 @@
     this.#permits.inc({ origin, result });
   }
 
+  recordAdmission(decision: string): void {
+    this.#admissions.inc({ decision });
+  }
+
   recordFirstEvent(_route: RouteId, duration: Milliseconds): void {
     this.#firstEvent.observe(duration / MS_PER_SECOND);
   }
--- a/packages/settings/src/gateway-schema.ts
+++ b/packages/settings/src/gateway-schema.ts
@@ -112,6 +112,26 @@
   ),
 });
 
+const admission = z.strictObject({
+  enabled: z
+    .union([z.boolean(), z.stringbool()])
+    .default(true)
+    .describe(
+      'whether requests wait or are refused while all slots of a service are taken',
+    ),
+  max_wait_ms: durationMs
+    .prefault(1000)
+    .describe(
+      'longest wait for a slot, in milliseconds; also limited to half of the latency goal',
+    ),
+  max_waiting: z.coerce
+    .number()
+    .int()
+    .min(0)
+    .default(256)
+    .describe('requests that may wait at this router for one service'),
+});
+
 const log = z.strictObject({
   level: z.enum(['error', 'warn', 'info']).default('info'),
 });
@@ -123,6 +143,7 @@
   bounds: bounds.prefault({}),
   stop,
   retries,
+  admission: admission.prefault({}),
   log: log.prefault({}),
 });
 
