--- a/packages/core/src/admission/overload-model.ts
+++ b/packages/core/src/admission/overload-model.ts
@@ -36,7 +36,7 @@
   readonly medianMs: number;
   readonly sigma: number;
   /** Latest begin of the work for a response in time. */
-  readonly goalMs: number;
+  readonly latencyGoalMs: number;
   readonly timeoutMs: number;
   readonly repeatable: boolean;
 }
@@ -309,7 +309,7 @@
         route: routeId(kind.route),
         team: teamId(kind.team),
         priority: kind.priority,
-        latencyGoal: milliseconds(kind.goalMs),
+        latencyGoal: milliseconds(kind.latencyGoalMs),
         remaining: milliseconds(remaining),
         repeatable: kind.repeatable,
       },
@@ -445,7 +445,7 @@
     endpoint.running.push({ call, endsAt: this.#now + call.work * factor });
     if (
       call.result &&
-      this.#now - call.arrivedAt <= call.kind.goalMs &&
+      this.#now - call.arrivedAt <= call.kind.latencyGoalMs &&
       call.work * factor <= this.#remaining(call)
     ) {
       call.result.inTime += 1;
--- a/packages/core/src/admission/overload-scenarios.ts
+++ b/packages/core/src/admission/overload-scenarios.ts
@@ -7,7 +7,7 @@
 function streams(
   perSecond: number,
   medianMs: number,
-  times: Pick<TrafficClass, 'goalMs' | 'timeoutMs'>,
+  times: Pick<TrafficClass, 'latencyGoalMs' | 'timeoutMs'>,
   weights: readonly number[] = [1, 1, 1],
   teamWeight: (team: number) => number = () => 1,
 ): TrafficClass[] {
@@ -32,7 +32,7 @@
   endpoints: 42,
   slots: 64,
   rejects: false,
-  classes: streams(400, 4750, { goalMs: 1000, timeoutMs: 15_000 }),
+  classes: streams(400, 4750, { latencyGoalMs: 1000, timeoutMs: 15_000 }),
   durationMs: 72_000,
   lossAtMs: 10_000,
   returnAtMs: 66_000,
@@ -47,7 +47,7 @@
   routers: 32,
   endpoints: 63,
   slots: 24,
-  classes: streams(1011, 1060, { goalMs: 800, timeoutMs: 6000 }),
+  classes: streams(1011, 1060, { latencyGoalMs: 800, timeoutMs: 6000 }),
   lost: 32,
 };
 
@@ -59,7 +59,7 @@
     perSecond: perSecond / TEAMS,
     medianMs,
     sigma: 0.3,
-    goalMs: 300,
+    latencyGoalMs: 300,
     timeoutMs: 600,
     repeatable: false,
   }));
@@ -82,18 +82,28 @@
     classes: streams(
       400,
       4750,
-      { goalMs: 1000, timeoutMs: 15_000 },
+      { latencyGoalMs: 1000, timeoutMs: 15_000 },
       [1, 1, 1],
       team => (team === 0 ? 7 : 1),
     ),
   },
   manyLessUrgent: {
     ...LARGE,
-    classes: streams(400, 4750, { goalMs: 1000, timeoutMs: 15_000 }, [1, 1, 8]),
+    classes: streams(
+      400,
+      4750,
+      { latencyGoalMs: 1000, timeoutMs: 15_000 },
+      [1, 1, 8],
+    ),
   },
   manyUrgent: {
     ...LARGE,
-    classes: streams(500, 4750, { goalMs: 1000, timeoutMs: 15_000 }, [8, 1, 1]),
+    classes: streams(
+      500,
+      4750,
+      { latencyGoalMs: 1000, timeoutMs: 15_000 },
+      [8, 1, 1],
+    ),
   },
   /** Teams with one priority each: two of eight are the least urgent. */
   urgentTeams: {
@@ -101,7 +111,7 @@
     classes: streams(
       500,
       4750,
-      { goalMs: 1000, timeoutMs: 15_000 },
+      { latencyGoalMs: 1000, timeoutMs: 15_000 },
       [1, 0, 0],
     ).map(kind => ({
       ...kind,
--- a/packages/core/src/engines/load-estimate.test.ts
+++ b/packages/core/src/engines/load-estimate.test.ts
@@ -45,4 +45,19 @@
     loads.removeEndpoint(engine);
     expect(loads.total(engine, instant(0))).to.equal(1);
   });
+
+  // Guards against a router that refuses requests by what it heard of the others long ago.
+  it('states the age of what it heard last, from a peer or a relay', () => {
+    const loads = new LoadEstimate();
+    expect(loads.viewAge(instant(0))).to.equal(undefined);
+    loads.applyPeerCount(peer, engine, 4, instant(0));
+    expect(loads.viewAge(instant(900))).to.equal(900);
+    loads.applyRelayTotal(routerId('s'), engine, 4, instant(500));
+    expect(loads.viewAge(instant(900))).to.equal(400);
+    loads.onPeerHeard(peer, instant(800));
+    expect(loads.viewAge(instant(900))).to.equal(100);
+    loads.removePeer(peer);
+    loads.removePeer(routerId('s'));
+    expect(loads.viewAge(instant(900))).to.equal(undefined);
+  });
 });
