--- a/packages/core/src/engines/load-estimate.ts
+++ b/packages/core/src/engines/load-estimate.ts
@@ -224,6 +224,20 @@
     };
   }
 
+  /** Time since a peer or relay was last heard; undefined if none is known. */
+  viewAge(now: Instant): Milliseconds | undefined {
+    let age: Milliseconds | undefined;
+    for (const known of [this.#peers, this.#relays]) {
+      for (const { heardAt } of known.values()) {
+        const sinceHeard = elapsed(heardAt, now);
+        if (age === undefined || sinceHeard < age) {
+          age = sinceHeard;
+        }
+      }
+    }
+    return age;
+  }
+
   #others(endpoint: EndpointId, row: Row | undefined, now: Instant): number {
     return (
       this.#countedOthers(endpoint, row, now) ?? this.#reportedOthers(row, now)
