--- a/packages/stand-ins/src/deployment/router-process.ts
+++ b/packages/stand-ins/src/deployment/router-process.ts
@@ -70,6 +70,15 @@
     return `127.0.0.1:${this.#ports[0] ?? 0}`;
   }
 
+  /** Address of the readiness check. */
+  get readyAddress(): string {
+    return `127.0.0.1:${this.#ports[1] ?? 0}`;
+  }
+
+  get metricsAddress(): string {
+    return `127.0.0.1:${this.#ports[3] ?? 0}`;
+  }
+
   get peerAddress(): string {
     return `127.0.0.1:${this.#ports[2] ?? 0}`;
   }
