Bound what a connection of a client costs a router

Cause: a router kept an object for each fragment of an incomplete body and each pipelined request of a read, had no limit on the bytes of incomplete bodies nor on connections, and served all pipelined requests of a connection at once.

Change: BoundedConnections, used by the servers of callers, readiness and metrics, passes on what a connection sends request by request and stops reading while earlier responses wait; it also limits connections in total and per address. Fragments of a body are copied into one buffer, and BodyMemory limits the buffers of all incomplete bodies. A body that takes too long is refused.

--- a/packages/gateway/src/callers/caller-exchange.ts
+++ b/packages/gateway/src/callers/caller-exchange.ts
@@ -6,6 +6,7 @@
 import { milliseconds } from '@sesamegrade/core/types/units';
 import type { Milliseconds } from '@sesamegrade/core/types/units';
 import type { ResponseHead } from '../endpoints/endpoint-protocol';
+import { BodyMemory } from './body-memory';
 import type { HeaderList, RefusalResponse } from './caller-protocol';
 import { lingerAtClose } from './lingering-close';
 
@@ -34,15 +35,26 @@
   #closesConnection = false;
   /** Id of the request for the log; undefined until its head has been parsed. */
   requestId: RequestId | undefined;
+  readonly #bodies: BodyMemory;
+  readonly #onBodyGivenUp: ((exchange: CallerExchange) => void) | undefined;
+  /** Gives the body up that is being read. */
+  #giveUpBody: (() => void) | undefined;
 
-  /** `isClosing` tells whether the connection ends with the response that is written now. */
+  /**
+   * `isClosing` tells whether the connection ends with the response that is written now;
+   * `onBodyGivenUp` refuses the request as its body lost its memory to others.
+   */
   constructor(
     request: IncomingMessage,
     response: ServerResponse,
     isClosing: () => boolean,
     timers: TimerService,
+    bodies: BodyMemory = new BodyMemory(Infinity),
+    onBodyGivenUp?: (exchange: CallerExchange) => void,
   ) {
     this.#timers = timers;
+    this.#bodies = bodies;
+    this.#onBodyGivenUp = onBodyGivenUp;
     this.#request = request;
     this.#response = response;
     this.#isClosing = isClosing;
@@ -68,6 +80,10 @@
     return this.#request.url ?? '/';
   }
 
+  get remoteAddress(): string | undefined {
+    return this.#request.socket.remoteAddress;
+  }
+
   get headers(): HeaderList {
     return this.#request.rawHeaders;
   }
@@ -106,32 +122,61 @@
     }
   }
 
-  /** Buffers the request body up to `limit` bytes; a larger one pauses the request. */
+  /**
+   * Buffers the request body up to `limit` bytes; a larger one pauses the request. A body
+   * that is given up counts as truncated, and its request has been refused.
+   */
   readBody(limit: number): Promise<BodyResult> {
-    const chunks: Buffer[] = [];
-    let size = 0;
+    const request = this.#request;
+    const body = this.#bodies.open(() => {
+      this.#giveUpBody?.();
+      this.#onBodyGivenUp?.(this);
+    });
+    const length = Number(request.headers['content-length'] ?? NaN);
+    const maxLength = length <= limit ? length : limit;
+    let whole: Buffer | undefined;
     return new Promise(resolve => {
-      this.#request.on('data', (chunk: Buffer) => {
-        size += chunk.length;
-        if (size > limit) {
-          this.#request.pause();
-          resolve({ kind: 'too-large' });
-          return;
+      const finish = (result: BodyResult) => {
+        this.#giveUpBody = undefined;
+        request.off('data', onData);
+        body.release();
+        resolve(result);
+      };
+      const onData = (fragment: Buffer) => {
+        if (body.size + fragment.length > limit) {
+          request.pause();
+          finish({ kind: 'too-large' });
+        } else if (fragment.length === length) {
+          // A body that arrives at once is used as it is.
+          whole = fragment;
+        } else {
+          body.append(fragment, maxLength);
         }
-        chunks.push(chunk);
-      });
-      this.#request.on('end', () => {
-        resolve({ kind: 'complete', body: Buffer.concat(chunks) });
+      };
+      this.#giveUpBody = () => {
+        finish({ kind: 'truncated' });
+        request.resume();
+      };
+      request.on('data', onData);
+      request.on('end', () => {
+        finish({ kind: 'complete', body: whole ?? body.take() });
       });
-      this.#request.on('close', () => {
-        resolve({ kind: 'truncated' });
+      request.on('close', () => {
+        finish({ kind: 'truncated' });
       });
-      this.#request.on('error', () => {
-        resolve({ kind: 'truncated' });
+      request.on('error', () => {
+        finish({ kind: 'truncated' });
       });
     });
   }
 
+  /** Stops reading the body and releases its memory; returns whether one was being read. */
+  giveUpBody(): boolean {
+    const giveUp = this.#giveUpBody;
+    giveUp?.();
+    return giveUp !== undefined;
+  }
+
   /**
    * Resolves once everything that had arrived when the request was read has been
    * handled. After the event loop was held up, the end of the caller's connection
--- a/packages/gateway/src/callers/gateway-caller-server.ts
+++ b/packages/gateway/src/callers/gateway-caller-server.ts
@@ -1,6 +1,7 @@
 /** HTTP server for the requests of callers. */
 import { createServer } from 'node:http';
 import type { Server } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 
 import Koa from 'koa';
@@ -8,10 +9,19 @@
 import type { Address } from '@sesamegrade/core/types/endpoint';
 import type { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
+import { elapsed, milliseconds, seconds } from '@sesamegrade/core/types/units';
+import type { Instant } from '@sesamegrade/core/types/units';
 import type { CallerLimits } from '@sesamegrade/core/routes/fleet-configuration';
 import { listen } from '@sesamegrade/router/http/listen';
 import type { Forwarder } from '../forwarding/forwarder';
 import type { DecisionLog } from '../logs/decision-log';
+import type { GatewayMetrics } from '../metrics/gateway-metrics';
+import { callerLimitsSchema } from '@sesamegrade/settings/gateway-schema';
+import type { GatewaySettings } from '@sesamegrade/settings/gateway-schema';
+import { BodyMemory } from './body-memory';
+import { BoundedConnections } from './bounded-connections';
+import type { CallerProtocol } from './caller-protocol';
+import type { ReachedLimit } from './connection-bounds';
 import { CallerExchange } from './caller-exchange';
 import { adoptEarlyListener } from './early-listener';
 
@@ -23,8 +33,12 @@
  */
 const IDLE_MARGIN_MS = 2000;
 const DEFAULT_IDLE_TIMEOUT_MS = 30_000;
-/** Time within which a complete request must arrive. */
-const REQUEST_TIMEOUT_MS = 30_000;
+/** Time after the limit of a body's time until Node.js closes a connection with an incomplete request. */
+const REQUEST_TIMEOUT_MARGIN_MS = 30_000;
+/** Accuracy of the limit of a body's time. */
+const BODY_CHECK_PERIOD = seconds(1);
+/** When a caller may retry a request whose body was given up. */
+const BODY_RETRY_AFTER = seconds(1);
 const BACKLOG = 1024;
 
 export interface CallerServerOptions {
@@ -32,12 +46,21 @@
   readonly log: DecisionLog;
   readonly timers: TimerService;
   readonly backgroundTasks: BackgroundTasks;
+  /** Builds the refusals of requests whose bodies are given up; plain ones without it. */
+  readonly callerProtocol?: Pick<CallerProtocol, 'refusalResponse'>;
+  /** The limits of callers; the defaults if absent. */
+  readonly settings?: Pick<GatewaySettings, 'caller_limits'>;
+  readonly gatewayMetrics?: Pick<GatewayMetrics, 'recordLimit'>;
 }
 
 export class GatewayCallerServer {
   readonly #options: CallerServerOptions;
   readonly #server: Server;
-  readonly #sockets = new Set<Socket>();
+  readonly #connections: BoundedConnections;
+  readonly #limits: GatewaySettings['caller_limits'];
+  readonly #bodies: BodyMemory;
+  /** When the bodies that are not complete began, oldest first. */
+  readonly #bodyStarts = new Map<CallerExchange, Instant>();
   /** Exchanges whose response has not ended. */
   readonly #exchanges = new Set<CallerExchange>();
   /** The exchange that began last on each connection. */
@@ -46,6 +69,9 @@
 
   constructor(options: CallerServerOptions) {
     this.#options = options;
+    this.#limits =
+      options.settings?.caller_limits ?? callerLimitsSchema.parse({});
+    this.#bodies = new BodyMemory(this.#limits.incomplete_body_bytes);
     const app = new Koa();
     app.use(async context => {
       // The exchange writes the response itself, so that it passes byte for byte.
@@ -56,30 +82,41 @@
       options.log.write('request-error', { error: String(error) });
     });
     const handle = app.callback();
-    this.#server = createServer(
-      {
-        maxHeaderSize: MAX_HEAD_BYTES,
-        requestTimeout: REQUEST_TIMEOUT_MS,
-        keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
-        noDelay: true,
+    this.#server = createServer({
+      maxHeaderSize: MAX_HEAD_BYTES,
+      requestTimeout: this.#limits.body_ms + REQUEST_TIMEOUT_MARGIN_MS,
+      // BoundedConnections refuses these requests.
+      requireHostHeader: false,
+      keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
+      noDelay: true,
+    });
+    this.#connections = new BoundedConnections({
+      server: this.#server,
+      bounds: {
+        connections: this.#limits.connections,
+        connectionsPerAddress:
+          this.#limits.connections_per_address ?? this.#limits.connections,
+        pipelinedRequests: this.#limits.pipelined_requests,
+        pipelinedTotal: this.#limits.pipelined_total,
+        unreadBytes: this.#limits.unread_bytes,
       },
-      (request, response) => {
+      serve: (request, response) => {
         options.backgroundTasks.run('caller-request', () =>
           handle(request, response),
         );
       },
-    );
-    this.#server.on('connection', socket => {
-      this.#sockets.add(socket);
-      socket.once('close', () => {
-        this.#sockets.delete(socket);
-      });
+      onLimit: (limit, address) => {
+        this.#onLimit(limit, address);
+      },
+    });
+    options.timers.every(BODY_CHECK_PERIOD, now => {
+      this.#giveUpSlowBodies(now);
     });
   }
 
   /** Open connections of callers. */
   get connectionCount(): number {
-    return this.#sockets.size;
+    return this.#connections.size;
   }
 
   /** Requests whose response has not been written to its end. */
@@ -144,8 +181,8 @@
   }
 
   async #serve(
-    request: ConstructorParameters<typeof CallerExchange>[0],
-    response: ConstructorParameters<typeof CallerExchange>[1],
+    request: IncomingMessage,
+    response: ServerResponse,
   ): Promise<void> {
     const { socket } = request;
     if (this.#latest.get(socket)?.closesConnection) {
@@ -157,7 +194,17 @@
       response,
       () => this.#draining && this.#latest.get(socket) === exchange,
       this.#options.timers,
+      this.#bodies,
+      () => {
+        this.#refuseIncomplete(exchange, 'incomplete-bodies');
+      },
     );
+    if (!request.complete) {
+      this.#bodyStarts.set(exchange, this.#options.timers.now());
+      request.once('close', () => {
+        this.#bodyStarts.delete(exchange);
+      });
+    }
     this.#latest.set(socket, exchange);
     this.#exchanges.add(exchange);
     const onClose = () => {
@@ -179,4 +226,43 @@
       exchange.abort();
     }
   }
+
+  #giveUpSlowBodies(now: Instant): void {
+    const limit = milliseconds(this.#limits.body_ms);
+    for (const [exchange, startedAt] of this.#bodyStarts) {
+      if (elapsed(startedAt, now) < limit) {
+        return;
+      }
+      this.#bodyStarts.delete(exchange);
+      if (exchange.giveUpBody()) {
+        this.#refuseIncomplete(exchange, 'body-time');
+      }
+    }
+  }
+
+  /** Refuses a request of which nothing has been passed on, as its body is not complete. */
+  #refuseIncomplete(exchange: CallerExchange, limit: ReachedLimit): void {
+    this.#onLimit(limit, exchange.remoteAddress);
+    const refusal = {
+      kind: 'not-run',
+      cause: limit,
+      retryAfter: BODY_RETRY_AFTER,
+    } as const;
+    exchange.refuse(
+      this.#options.callerProtocol?.refusalResponse(
+        refusal,
+        exchange.requestId,
+      ) ?? { status: 503, headers: ['retry-after', '1'], body: limit },
+      true,
+    );
+  }
+
+  #onLimit(limit: ReachedLimit, address: string | undefined): void {
+    this.#options.gatewayMetrics?.recordLimit('callers', limit);
+    this.#options.log.write('client-limit', {
+      server: 'callers',
+      limit,
+      address,
+    });
+  }
 }
--- a/packages/gateway/src/metrics/gateway-metrics.ts
+++ b/packages/gateway/src/metrics/gateway-metrics.ts
@@ -34,6 +34,12 @@
     labelNames: ['origin', 'result'],
     registers: [this.#registry],
   });
+  readonly #limits = new Counter({
+    name: 'sesamegrade_client_limits_total',
+    help: 'Limits that clients have reached, by server and limit.',
+    labelNames: ['server', 'limit'],
+    registers: [this.#registry],
+  });
   readonly #latency = new Histogram({
     name: 'sesamegrade_request_seconds',
     help: 'Time from a request to the end of its response.',
@@ -69,6 +75,10 @@
     this.#permits.inc({ origin, result });
   }
 
+  recordLimit(server: string, limit: string): void {
+    this.#limits.inc({ server, limit });
+  }
+
   recordFirstEvent(_route: RouteId, duration: Milliseconds): void {
     this.#firstEvent.observe(duration / MS_PER_SECOND);
   }
--- a/packages/gateway/src/process/gateway-process.ts
+++ b/packages/gateway/src/process/gateway-process.ts
@@ -28,6 +28,7 @@
 import { addTime, elapsed, milliseconds } from '@sesamegrade/core/types/units';
 import type { Milliseconds } from '@sesamegrade/core/types/units';
 import type { GatewaySettings } from '@sesamegrade/settings/gateway-schema';
+import type { LimitListener } from '../callers/connection-bounds';
 import type { GatewayCallerServer } from '../callers/gateway-caller-server';
 import type { CacheSurvey } from '../endpoints/cache-survey';
 import type { ConnectionPool } from '../endpoints/connection-pool';
@@ -97,24 +98,29 @@
 
   constructor(options: GatewayProcessOptions) {
     this.#options = options;
-    this.#readinessServer = new AdminServer(
-      {
-        [options.settings.router.ready_path]: () =>
+    const { settings, backgroundTasks: tasks } = options;
+    this.#readinessServer = new AdminServer({
+      routes: {
+        [settings.router.ready_path]: () =>
           this.isReady
             ? { status: 200, body: 'ready' }
             : { status: 503, body: 'not ready' },
       },
-      options.backgroundTasks,
-    );
-    this.#metricsServer = new AdminServer(
-      {
+      tasks,
+      maxConnections: settings.caller_limits.ready_connections,
+      onLimit: limitListener('readiness', options),
+    });
+    this.#metricsServer = new AdminServer({
+      routes: {
         '/metrics': async () => ({
           status: 200,
           body: await options.gatewayMetrics.text(),
         }),
       },
-      options.backgroundTasks,
-    );
+      tasks,
+      maxConnections: settings.caller_limits.metrics_connections,
+      onLimit: limitListener('metrics', options),
+    });
     this.#registerGauges();
   }
 
@@ -508,6 +514,20 @@
   }
 }
 
+/** Counts and logs the limits that clients of a server reach. */
+function limitListener(
+  server: string,
+  {
+    gatewayMetrics,
+    log,
+  }: Pick<GatewayProcessOptions, 'gatewayMetrics' | 'log'>,
+): LimitListener {
+  return (limit, address) => {
+    gatewayMetrics.recordLimit(server, limit);
+    log.write('client-limit', { server, limit, address });
+  };
+}
+
 function nextLoopTurn(): Promise<void> {
   return new Promise(resolve => {
     setImmediate(resolve);
--- a/packages/settings/src/gateway-schema.ts
+++ b/packages/settings/src/gateway-schema.ts
@@ -112,6 +112,51 @@
   ),
 });
 
+const count = z.coerce.number().int().positive();
+
+/** Bounds of what clients may cost; the reasons of the defaults are in docs/design/caller-limits.md. */
+export const callerLimitsSchema = z.strictObject({
+  connections: count
+    .default(768)
+    .describe(
+      'connections of callers; one more closes one on which no request runs',
+    ),
+  connections_per_address: count
+    .optional()
+    .describe(
+      'connections from one address; as many as `connections` unless set',
+    ),
+  ready_connections: count
+    .default(128)
+    .describe('connections at the address of the readiness check'),
+  metrics_connections: count
+    .default(32)
+    .describe('connections at the address of the metrics'),
+  pipelined_requests: count
+    .default(8)
+    .describe(
+      'requests of one connection that are served at once; later ones are read when a response has been sent',
+    ),
+  pipelined_total: count
+    .default(64)
+    .describe(
+      'requests of all connections that are served beside an earlier one of their connection',
+    ),
+  unread_bytes: count
+    .default(65_536)
+    .describe(
+      'response bytes not sent yet above which a connection gets no further request served, in bytes',
+    ),
+  incomplete_body_bytes: count
+    .default(16_777_216)
+    .describe(
+      'memory of all request bodies that are not complete, in bytes; beyond that those that have not grown for longest are refused',
+    ),
+  body_ms: durationMs
+    .prefault(30_000)
+    .describe('time within which a request body must arrive, in milliseconds'),
+});
+
 const log = z.strictObject({
   level: z.enum(['error', 'warn', 'info']).default('info'),
 });
@@ -123,6 +168,7 @@
   bounds: bounds.prefault({}),
   stop,
   retries,
+  caller_limits: callerLimitsSchema.prefault({}),
   log: log.prefault({}),
 });
 
