Give connections with more to do one turn of the event loop each

Cause: with 400 connections the ordinary request got no response in 60 s under chunks of one byte and under pipelined requests for the readiness path, and after 36 s under complete pipelined requests (trials at a heap of 160 MB). Each turn of the event loop parsed or served something for each of them, and Node.js accepts about one connection a turn: 151 descriptors were open after 10 s.

Change: what a connection sends is parsed at once for 0.5 ms; the rest, and requests that waited for earlier responses, take turns, one connection in a turn of the loop. Chunked bodies are parsed in steps of 1 KiB. A limit is reported once for each connection, so that neither the log nor the processor time grows with pipelined requests. 32 requests of a connection and 128 in total beside earlier ones are served at once, which moderate pipelining does not reach.

--- a/packages/gateway/src/callers/bounded-connection.ts
+++ b/packages/gateway/src/callers/bounded-connection.ts
@@ -11,6 +11,10 @@
 const END_OF_HEAD = '\r\n\r\n';
 /** The shortest request, `GET / HTTP/1.1` and an empty line, ends with the mark at this offset. */
 const MIN_HEAD_BYTES = 14;
+/** Bytes of a chunked body that are parsed in one step, as they may be hundreds of fragments. */
+const MAX_CHUNKED_STEP_BYTES = 1024;
+/** Time for which what a client sends is parsed at once; the rest takes turns with other connections. */
+const MAX_PARSE_MS = 0.5;
 
 export type RequestHandler = (
   request: IncomingMessage,
@@ -27,6 +31,8 @@
   readonly takePlace: () => boolean;
   readonly hasPlace: () => boolean;
   readonly freePlace: () => void;
+  /** Asks for a call of `proceed` when it is this connection's turn. */
+  readonly requestTurn: () => void;
   readonly onLimit: (limit: ReachedLimit) => void;
 }
 
@@ -48,9 +54,9 @@
   #rest: Buffer | undefined;
   #isHeld = false;
   #isFeeding = false;
-  #isScheduled = false;
   #hasServed = false;
   #isClosing = false;
+  #reported: ReachedLimit | undefined;
 
   /** Takes over the bytes of a socket to which an HTTP server has attached its parser. */
   constructor(options: BoundedConnectionOptions) {
@@ -65,14 +71,14 @@
     };
     socket.on('data', bytes => {
       this.#rest = this.#rest ? Buffer.concat([this.#rest, bytes]) : bytes;
-      this.#feed();
+      this.#feed(performance.now() + MAX_PARSE_MS);
     });
     socket.on('resume', () => {
       // Node.js also resumes the socket to read the body of an earlier request.
       if (this.#isHeld) {
         socket.pause();
       } else {
-        this.#feed();
+        this.#feed(0);
       }
     });
     socket.once('close', () => {
@@ -140,23 +146,19 @@
     if (open.takesPlace) {
       this.#options.freePlace();
     }
-    if ((this.#open.size > 0 || this.#isHeld) && !this.#isScheduled) {
-      this.#isScheduled = true;
-      // Other connections get their turn in between.
-      setImmediate(() => {
-        this.#isScheduled = false;
-        this.#proceed();
-      });
+    if (this.#isHeld || this.#open.size > this.#startedCount) {
+      this.#options.requestTurn();
     }
   }
 
-  #proceed(): void {
+  /** Serves the next request that waits, or parses the next part of what was read. */
+  proceed(): void {
     const { socket } = this.#options;
     if (socket.destroyed) {
       return;
     }
     this.#startNext();
-    if (this.#isHeld && !this.#isBlocked) {
+    if (this.#isHeld && !this.#mustWait()) {
       this.#isHeld = false;
       // The bytes are passed on at the event, which does not come while Node.js itself pauses the socket.
       socket.resume();
@@ -203,7 +205,7 @@
   }
 
   /** Whether what follows must wait: the body of a request that is being served must not. */
-  get #isBlocked(): boolean {
+  #mustWait(): boolean {
     const latest = this.#latest;
     if (this.#isClosing) {
       return true;
@@ -217,34 +219,55 @@
     return latest.request.complete && !this.#canServeAnother;
   }
 
-  #feed(): void {
+  /** Parses what was read, in one step and further ones until the time `end`. */
+  #feed(end: number): void {
     const { socket } = this.#options;
     if (this.#isFeeding) {
       return;
     }
     this.#isFeeding = true;
     while (this.#rest && !socket.isPaused() && !socket.destroyed) {
-      if (this.#isBlocked) {
+      if (this.#mustWait()) {
         this.#hold();
         break;
       }
       const bytes = this.#rest;
-      const mark = bytes.indexOf(END_OF_HEAD, MIN_HEAD_BYTES);
-      const end = mark < 0 ? bytes.length : mark + END_OF_HEAD.length;
-      this.#rest = end < bytes.length ? bytes.subarray(end) : undefined;
-      this.#parse(end < bytes.length ? bytes.subarray(0, end) : bytes);
+      const length = this.#stepLength(bytes);
+      this.#rest = length < bytes.length ? bytes.subarray(length) : undefined;
+      this.#parse(length < bytes.length ? bytes.subarray(0, length) : bytes);
+      const mayContinue = this.#rest !== undefined && !socket.isPaused();
+      if (mayContinue && !this.#mustWait() && performance.now() >= end) {
+        this.#isHeld = true;
+        socket.pause();
+        this.#options.requestTurn();
+      }
     }
     this.#isFeeding = false;
   }
 
+  /** Bytes up to the end of the next head or chunked body, and of a chunked body a bounded part. */
+  #stepLength(bytes: Buffer): number {
+    const request = this.#latest?.request;
+    const isChunked =
+      request?.complete === false &&
+      request.headers['transfer-encoding'] !== undefined;
+    const part = isChunked ? bytes.subarray(0, MAX_CHUNKED_STEP_BYTES) : bytes;
+    const mark = part.indexOf(END_OF_HEAD, MIN_HEAD_BYTES);
+    return mark < 0 ? part.length : mark + END_OF_HEAD.length;
+  }
+
   #hold(): void {
     const { socket, maxUnreadBytes, onLimit } = this.#options;
     this.#isHeld = true;
     socket.pause();
-    onLimit(
+    const limit =
       this.#unreadBytes > maxUnreadBytes
         ? 'unread-responses'
-        : 'pipelined-requests',
-    );
+        : 'pipelined-requests';
+    // A connection may reach the limit at each of its requests.
+    if (limit !== this.#reported && !this.#isClosing) {
+      this.#reported = limit;
+      onLimit(limit);
+    }
   }
 }
--- a/packages/gateway/src/callers/bounded-connections.ts
+++ b/packages/gateway/src/callers/bounded-connections.ts
@@ -33,6 +33,9 @@
   /** Open connections, oldest first. */
   readonly #connections = new Map<Duplex, BoundedConnection>();
   readonly #countByAddress = new Map<string | undefined, number>();
+  /** Connections that have more to do, in the order of their turns. */
+  readonly #waiting = new Set<BoundedConnection>();
+  #hasTurn = false;
   /** Requests that are served beside an earlier one of their connection. */
   #pipelined = 0;
 
@@ -65,7 +68,7 @@
   #open(socket: Socket): void {
     const { bounds, onLimit } = this.#options;
     const address = socket.remoteAddress;
-    const connection = new BoundedConnection({
+    const connection: BoundedConnection = new BoundedConnection({
       socket,
       serve: (request, response) => {
         this.#serve(request, response);
@@ -81,6 +84,10 @@
       freePlace: () => {
         this.#pipelined -= 1;
       },
+      requestTurn: () => {
+        this.#waiting.add(connection);
+        this.#giveTurn();
+      },
       onLimit: limit => {
         onLimit(limit, address);
       },
@@ -106,10 +113,35 @@
     });
   }
 
+  /**
+   * Lets one waiting connection go on in each turn of the event loop: Node.js accepts about one
+   * connection a turn, so that turns must stay short for others while many connections wait.
+   */
+  #giveTurn(): void {
+    if (this.#hasTurn) {
+      return;
+    }
+    this.#hasTurn = true;
+    setImmediate(() => {
+      this.#hasTurn = false;
+      const [next] = this.#waiting;
+      if (next) {
+        this.#waiting.delete(next);
+        next.proceed();
+      }
+      if (this.#waiting.size > 0) {
+        this.#giveTurn();
+      }
+    });
+  }
+
   #remove(socket: Duplex, address: string | undefined): void {
-    if (!this.#connections.delete(socket)) {
+    const connection = this.#connections.get(socket);
+    if (!connection) {
       return;
     }
+    this.#connections.delete(socket);
+    this.#waiting.delete(connection);
     const left = (this.#countByAddress.get(address) ?? 1) - 1;
     if (left > 0) {
       this.#countByAddress.set(address, left);
--- a/packages/settings/src/gateway-schema.ts
+++ b/packages/settings/src/gateway-schema.ts
@@ -133,12 +133,12 @@
     .default(32)
     .describe('connections at the address of the metrics'),
   pipelined_requests: count
-    .default(8)
+    .default(32)
     .describe(
       'requests of one connection that are served at once; later ones are read when a response has been sent',
     ),
   pipelined_total: count
-    .default(64)
+    .default(128)
     .describe(
       'requests of all connections that are served beside an earlier one of their connection',
     ),
