--- a/packages/gateway/src/callers/bounded-connection.ts
+++ b/packages/gateway/src/callers/bounded-connection.ts
@@ -62,6 +62,8 @@
   constructor(options: BoundedConnectionOptions) {
     this.#options = options;
     const { socket } = options;
+    // Each request that is served at once adds listeners.
+    socket.setMaxListeners(socket.getMaxListeners() + options.maxRequests);
     const parsers = socket.listeners('data') as ((bytes: Buffer) => void)[];
     socket.removeAllListeners('data');
     this.#parse = bytes => {
