Parse small reads in one step, and list the limits on the settings page

A read of up to 8 KiB with one request is parsed in one step, and the time of a body is checked once a second on the open exchanges, without a listener for each request.

--- a/packages/gateway/src/callers/bounded-connection.ts
+++ b/packages/gateway/src/callers/bounded-connection.ts
@@ -13,6 +13,8 @@
 const MIN_HEAD_BYTES = 14;
 /** Bytes of a chunked body that are parsed in one step, as they may be hundreds of fragments. */
 const MAX_CHUNKED_STEP_BYTES = 1024;
+/** A read of up to this size that contains one request is parsed in one step, as most reads are. */
+const MAX_WHOLE_READ_BYTES = 8192;
 /** Time for which what a client sends is parsed at once; the rest takes turns with other connections. */
 const MAX_PARSE_MS = 0.5;
 
@@ -255,7 +257,15 @@
       request.headers['transfer-encoding'] !== undefined;
     const part = isChunked ? bytes.subarray(0, MAX_CHUNKED_STEP_BYTES) : bytes;
     const mark = part.indexOf(END_OF_HEAD, MIN_HEAD_BYTES);
-    return mark < 0 ? part.length : mark + END_OF_HEAD.length;
+    if (mark < 0) {
+      return part.length;
+    }
+    const length = mark + END_OF_HEAD.length;
+    const isWhole =
+      this.#open.size === 0 &&
+      bytes.length <= MAX_WHOLE_READ_BYTES &&
+      bytes.indexOf(END_OF_HEAD, length) < 0;
+    return isWhole ? bytes.length : length;
   }
 
   #hold(): void {
--- a/packages/gateway/src/callers/caller-exchange.ts
+++ b/packages/gateway/src/callers/caller-exchange.ts
@@ -4,7 +4,7 @@
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
 import type { RequestId } from '@sesamegrade/core/types/ids';
 import { milliseconds } from '@sesamegrade/core/types/units';
-import type { Milliseconds } from '@sesamegrade/core/types/units';
+import type { Instant, Milliseconds } from '@sesamegrade/core/types/units';
 import type { ResponseHead } from '../endpoints/endpoint-protocol';
 import { BodyMemory } from './body-memory';
 import type { HeaderList, RefusalResponse } from './caller-protocol';
@@ -35,6 +35,8 @@
   #closesConnection = false;
   /** Id of the request for the log; undefined until its head has been parsed. */
   requestId: RequestId | undefined;
+  /** When the request began to be served. */
+  readonly startedAt: Instant;
   readonly #bodies: BodyMemory;
   readonly #onBodyGivenUp: ((exchange: CallerExchange) => void) | undefined;
   /** Gives the body up that is being read. */
@@ -53,6 +55,7 @@
     onBodyGivenUp?: (exchange: CallerExchange) => void,
   ) {
     this.#timers = timers;
+    this.startedAt = timers.now();
     this.#bodies = bodies;
     this.#onBodyGivenUp = onBodyGivenUp;
     this.#request = request;
--- a/packages/gateway/src/callers/gateway-caller-server.ts
+++ b/packages/gateway/src/callers/gateway-caller-server.ts
@@ -59,8 +59,6 @@
   readonly #connections: BoundedConnections;
   readonly #limits: GatewaySettings['caller_limits'];
   readonly #bodies: BodyMemory;
-  /** When the bodies that are not complete began, oldest first. */
-  readonly #bodyStarts = new Map<CallerExchange, Instant>();
   /** Exchanges whose response has not ended. */
   readonly #exchanges = new Set<CallerExchange>();
   /** The exchange that began last on each connection. */
@@ -199,12 +197,6 @@
         this.#refuseIncomplete(exchange, 'incomplete-bodies');
       },
     );
-    if (!request.complete) {
-      this.#bodyStarts.set(exchange, this.#options.timers.now());
-      request.once('close', () => {
-        this.#bodyStarts.delete(exchange);
-      });
-    }
     this.#latest.set(socket, exchange);
     this.#exchanges.add(exchange);
     const onClose = () => {
@@ -229,11 +221,10 @@
 
   #giveUpSlowBodies(now: Instant): void {
     const limit = milliseconds(this.#limits.body_ms);
-    for (const [exchange, startedAt] of this.#bodyStarts) {
-      if (elapsed(startedAt, now) < limit) {
+    for (const exchange of this.#exchanges) {
+      if (elapsed(exchange.startedAt, now) < limit) {
         return;
       }
-      this.#bodyStarts.delete(exchange);
       if (exchange.giveUpBody()) {
         this.#refuseIncomplete(exchange, 'body-time');
       }
--- a/packages/settings/src/reference-page.ts
+++ b/packages/settings/src/reference-page.ts
@@ -1,5 +1,5 @@
 /** The page docs/SETTINGS.md, generated from the schema. */
-import { settingsReference } from './reference';
+import { callerLimitsReference, settingsReference } from './reference';
 
 /** Returns the page as Markdown, with every section and key of a settings file. */
 export function settingsPage(): string {
@@ -11,5 +11,14 @@
     'section and key. Unknown sections and keys are rejected.',
     '',
     settingsReference(),
+    '## On the platform of a deployment',
+    '',
+    'The settings file of `target/router.cjs` may have this section; its other sections are in',
+    '`deploy/router.ini.template`. A change needs a restart.',
+    '',
+    callerLimitsReference(),
+    'At the defaults clients hold at most 44.5 MiB of heap and 109.9 MiB outside of it, of which',
+    '32 MiB are responses, and 928 descriptors. [CAPACITY.md](CAPACITY.md) has the sum.',
+    '',
   ].join('\n');
 }
--- a/packages/settings/src/reference.ts
+++ b/packages/settings/src/reference.ts
@@ -1,6 +1,7 @@
 /** Reference of all settings as Markdown tables, generated from the schema. */
 import { z } from 'zod';
 
+import { callerLimitsSchema } from './gateway-schema';
 import { sectionSchemas } from './schema';
 
 /** The part of a JSON Schema property that a table row shows. */
@@ -16,6 +17,11 @@
     .join('\n');
 }
 
+/** Returns the table of the section with the limits of clients on a deployment's platform. */
+export function callerLimitsReference(): string {
+  return sectionReference('caller_limits', callerLimitsSchema);
+}
+
 function sectionReference(section: string, schema: z.ZodType): string {
   const { properties = {}, required = [] } = z.toJSONSchema(schema, {
     io: 'input',
