--- a/packages/settings/src/reference-page.ts
+++ b/packages/settings/src/reference-page.ts
@@ -17,8 +17,9 @@
     '`deploy/router.ini.template`. A change needs a restart.',
     '',
     callerLimitsReference(),
-    'At the defaults clients hold at most 44.5 MiB of heap and 109.9 MiB outside of it, of which',
-    '32 MiB are responses, and 928 descriptors. [CAPACITY.md](CAPACITY.md) has the sum.',
+    'At the defaults clients hold at most 928 descriptors, some 43 MiB of heap and 110 MiB of buffers',
+    'outside of it: 928 connections x 64 KiB read and not parsed, 20 MiB of incomplete bodies and 32 MiB',
+    'of responses. [CAPACITY.md](CAPACITY.md) has the sum.',
     '',
   ].join('\n');
 }
