--- a/packages/settings/src/gateway-schema.ts
+++ b/packages/settings/src/gateway-schema.ts
@@ -123,7 +123,7 @@
 const admission = z.strictObject({
   enabled: z
     .union([z.boolean(), z.stringbool()])
-    .default(true)
+    .default(false)
     .describe(
       'whether requests wait or are refused while all slots of a service are taken',
     ),
@@ -140,6 +140,51 @@
     .describe('requests that may wait at this router for one service'),
 });
 
+const count = z.coerce.number().int().positive();
+
+/** Bounds of what clients may cost; the reasons of the defaults are in docs/design/caller-limits.md. */
+export const callerLimitsSchema = z.strictObject({
+  connections: count
+    .default(768)
+    .describe(
+      'connections of callers; one more closes one on which no request runs',
+    ),
+  connections_per_address: count
+    .optional()
+    .describe(
+      'connections from one address; as many as `connections` unless set',
+    ),
+  ready_connections: count
+    .default(128)
+    .describe('connections at the address of the readiness check'),
+  metrics_connections: count
+    .default(32)
+    .describe('connections at the address of the metrics'),
+  pipelined_requests: count
+    .default(32)
+    .describe(
+      'requests of one connection that are served at once; later ones are read when a response has been sent',
+    ),
+  pipelined_total: count
+    .default(128)
+    .describe(
+      'requests of all connections that are served beside an earlier one of their connection',
+    ),
+  unread_bytes: count
+    .default(65_536)
+    .describe(
+      'response bytes not sent yet above which a connection gets no further request served, in bytes',
+    ),
+  incomplete_body_bytes: count
+    .default(16_777_216)
+    .describe(
+      'memory of all request bodies that are not complete, in bytes; beyond that those that have not grown for longest are refused',
+    ),
+  body_ms: durationMs
+    .prefault(30_000)
+    .describe('time within which a request body must arrive, in milliseconds'),
+});
+
 const log = z.strictObject({
   level: z.enum(['error', 'warn', 'info']).default('info'),
 });
@@ -152,6 +197,7 @@
   stop,
   retries,
   admission: admission.prefault({}),
+  caller_limits: callerLimitsSchema.prefault({}),
   log: log.prefault({}),
 });
 
--- a/packages/settings/src/reference-page.ts
+++ b/packages/settings/src/reference-page.ts
@@ -1,5 +1,5 @@
 /** The page docs/SETTINGS.md, generated from the schema. */
-import { settingsReference } from './reference';
+import { callerLimitsReference, settingsReference } from './reference';
 
 /** Returns the page as Markdown, with every section and key of a settings file. */
 export function settingsPage(): string {
@@ -11,5 +11,15 @@
     'section and key. Unknown sections and keys are rejected.',
     '',
     settingsReference(),
+    '## On the platform of a deployment',
+    '',
+    'The settings file of `target/router.cjs` may have this section; its other sections are in',
+    '`deploy/router.ini.template`. A change needs a restart.',
+    '',
+    callerLimitsReference(),
+    'At the defaults clients hold at most 928 descriptors, some 43 MiB of heap and 110 MiB of buffers',
+    'outside of it: 928 connections x 64 KiB read and not parsed, 20 MiB of incomplete bodies and 32 MiB',
+    'of responses. [CAPACITY.md](CAPACITY.md) has the sum.',
+    '',
   ].join('\n');
 }
