--- a/packages/core/src/admission/overload-model.test.ts
+++ b/packages/measure/src/admission/overload-model.test.ts
@@ -8,7 +8,7 @@
   TrafficClass,
 } from './overload-model';
 import { OVERLOAD_SCENARIOS } from './overload-scenarios';
-import { seconds } from '../types/units';
+import { seconds } from '@sesamegrade/core/types/units';
 
 function sumOf(
   { byClass }: OverloadResult,
--- a/packages/core/src/admission/overload-model.ts
+++ b/packages/measure/src/admission/overload-model.ts
@@ -2,14 +2,22 @@
  * Model of a fleet in time steps, for measuring admission control: routers with late views send
  * requests to endpoints with slots; callers retry what is refused until their time is over.
  */
-import { chooseServiceEndpoint } from '../endpoints/service-placement';
-import { estimateUnseen } from '../loads/unseen-requests';
-import { Random } from '../random/random';
-import { endpointId, requestId, routeId, teamId } from '../types/ids';
-import { instant, milliseconds } from '../types/units';
-import type { Milliseconds } from '../types/units';
-import { ServiceAdmission } from './service-admission';
-import type { ServiceDecision, ServiceView } from './service-admission';
+import { chooseServiceEndpoint } from '@sesamegrade/core/endpoints/service-placement';
+import { estimateUnseen } from '@sesamegrade/core/loads/unseen-requests';
+import { Random } from '@sesamegrade/core/random/random';
+import {
+  endpointId,
+  requestId,
+  routeId,
+  teamId,
+} from '@sesamegrade/core/types/ids';
+import { instant, milliseconds } from '@sesamegrade/core/types/units';
+import type { Milliseconds } from '@sesamegrade/core/types/units';
+import { ServiceAdmission } from '@sesamegrade/core/admission/service-admission';
+import type {
+  ServiceDecision,
+  ServiceView,
+} from '@sesamegrade/core/admission/service-admission';
 
 const STEP_MS = 10;
 /** Time between snapshots of the loads that other routers see. */
--- a/packages/measure/src/admission/overload-report.ts
+++ b/packages/measure/src/admission/overload-report.ts
@@ -1,10 +1,7 @@
 /** Prints what callers get in the scenarios of overload, without and with admission control. */
-import { OverloadModel } from '@sesamegrade/core/admission/overload-model';
-import type {
-  ClassResult,
-  OverloadScenario,
-} from '@sesamegrade/core/admission/overload-model';
-import { OVERLOAD_SCENARIOS } from '@sesamegrade/core/admission/overload-scenarios';
+import { OverloadModel } from './overload-model';
+import type { ClassResult, OverloadScenario } from './overload-model';
+import { OVERLOAD_SCENARIOS } from './overload-scenarios';
 
 const percent = (part: number, whole: number) =>
   ((100 * part) / Math.max(1, whole)).toFixed(1).padStart(5);
