Show that a long answer with status 503 is passed on though the request ran

The case has one server of three fail requests that may run once with 503, a body of 1,200,000 bytes and no header that promises that they did not run. The client gets that status.

--- a/review/lib-2/server.mjs
+++ b/review/lib-2/server.mjs
@@ -36,7 +36,10 @@
 }
 
 function answerWhole(request, response, size) {
-  response.writeHead(200, { ...stampOf(request), 'Content-Length': size });
+  response.writeHead(options.status ?? 200, {
+    ...stampOf(request),
+    'Content-Length': size,
+  });
   response.end(Buffer.alloc(size, 'x'));
 }
 
