Show that streams of an outage soon after a release are not taken up again

The case replaces all servers, silences the store for 4.5 s, begins 24 streams, kills all routers, and takes the streams up when all are in touch.

--- a/review/lib-2/world.mjs
+++ b/review/lib-2/world.mjs
@@ -72,6 +72,8 @@
     request.on('data', part => parts.push(part));
     request.on('end', () => this.#serve(request, response, parts));
   });
+  /** Set while the store answers no call. */
+  isSilent = false;
 
   get address() {
     return `127.0.0.1:${this.#server.address().port}`;
@@ -113,6 +115,9 @@
   }
 
   #serve(request, response, parts) {
+    if (this.isSilent) {
+      return;
+    }
     const url = new URL(request.url, 'http://store');
     const query = name => url.searchParams.get(name) ?? '';
     const respond = (status, document) => {
@@ -158,7 +163,7 @@
     const changes = () =>
       this.#history.filter(row => row.table === table && row.ver > since);
     const answer = (isLast = false) => {
-      if (!isLast && changes().length === 0) {
+      if (this.isSilent || (!isLast && changes().length === 0)) {
         return;
       }
       this.#waiting.delete(answer);
@@ -401,6 +406,7 @@
   #options;
   #child;
   #port;
+  #born;
   #listeners = [];
 
   /** `options` are passed to `server.mjs`, beside `id`, `service` and `port`. */
@@ -433,6 +439,7 @@
   async start() {
     this.#port ??= (await freePorts(1))[0];
     const born = Date.now();
+    this.#born = born;
     const options = { ...this.#options, port: this.#port, born };
     this.#child = this.#world.spawn(process.execPath, [
       SERVER_PROGRAM,
@@ -466,13 +473,23 @@
     });
   }
 
+  /** Leaves as planned: serves on for `drainMs` and a little longer, and ends. */
+  async leave(drainMs) {
+    this.#world.record.write(`${this.id} leaves`);
+    const entry = this.#entry(this.#born);
+    this.#world.store.put('servers', this.id, { ...entry, state: 'draining' });
+    await pause(drainMs + 500);
+    this.#child.kill('SIGKILL');
+    this.#world.store.drop('servers', this.id);
+  }
+
   #entry(born) {
-    const { service, slots = 64 } = this.#options;
+    const { service, slots = 64, version = 'v1' } = this.#options;
     return {
       service,
       address: this.address,
       zone: 'a',
-      version: 'v1',
+      version,
       slots,
       state: 'ready',
       warmupMs: 0,
