--- a/review/lib-2/server.mjs
+++ b/review/lib-2/server.mjs
@@ -36,7 +36,7 @@
 }
 
 function answerWhole(request, response, size) {
-  response.writeHead(options.status ?? 200, {
+  response.writeHead(200, {
     ...stampOf(request),
     'Content-Length': size,
   });
--- a/review/lib-2/slow-client.pl
+++ b/review/lib-2/slow-client.pl
@@ -1,8 +1,8 @@
 #!/usr/bin/perl
 # A client behind a slow link with small windows and the segment size of Ethernet: on a loopback link
 # the kernel would take a megabyte at once. Arguments: host, port, request head, bytes of each read,
-# milliseconds between reads. Prints as JSON the head of the answer, the number of bytes of its body
-# and how the channel ended.
+# milliseconds between reads. Prints as JSON lines the number of bytes of the first read, and at the end
+# the head of the answer, the number of bytes of its body and how the channel ended.
 use strict;
 use warnings;
 use Socket qw(:all);
@@ -20,6 +20,7 @@
     my $count = sysread($socket, $answer, $bytes, length($answer));
     if (!defined $count) { $end = 'reset'; last; }
     last if $count == 0;
+    print qq({"first":$count}\n) if $count == length($answer);
     select(undef, undef, undef, $period_ms / 1000);
 }
 my $mark = index($answer, "\r\n\r\n");
