Bound the memory of whole request bodies by that of the VM

Cause: BodyMemory bounded incomplete bodies only. RequestRun and undici held a whole one until its response had ended.

Change: whole bodies count until no attempt needs them; the limit follows from the VM's memory. Large bodies are written piece by piece, so that they can be released while the request runs, and read only when their length is reserved; one that gets no memory in time is refused with 503. Responses count until their caller has read them.

--- a/packages/gateway/src/callers/caller-exchange.ts
+++ b/packages/gateway/src/callers/caller-exchange.ts
@@ -7,10 +7,14 @@
 import type { Instant, Milliseconds } from '@sesamegrade/core/types/units';
 import type { ResponseHead } from '../endpoints/endpoint-protocol';
 import { BodyMemory } from './body-memory';
+import type { IncompleteBody } from './body-memory';
 import type { HeaderList, RefusalResponse } from './caller-protocol';
 import { lingerAtClose } from './lingering-close';
+import { BODY_PIECE_BYTES } from './request-body';
+import type { RequestBody } from './request-body';
 
 const EMPTY_BODY = Buffer.alloc(0);
+const UNLIMITED = { total: Infinity, incomplete: Infinity };
 const LINE_END = Buffer.from('\r\n', 'latin1');
 const LAST_CHUNK = Buffer.from('0\r\n\r\n', 'latin1');
 /** Time between the last bytes of a broken response and the reset of its connection. */
@@ -18,8 +22,10 @@
 
 /** Result of reading a request body. */
 export type BodyResult =
-  | { readonly kind: 'complete'; readonly body: Buffer }
+  | { readonly kind: 'complete'; readonly body: RequestBody }
   | { readonly kind: 'too-large' }
+  /** No memory became free for it in time. */
+  | { readonly kind: 'no-memory' }
   /** The caller disconnected or aborted before the end of the body. */
   | { readonly kind: 'truncated' };
 
@@ -55,7 +61,7 @@
     response: ServerResponse,
     isClosing: () => boolean,
     timers: TimerService,
-    bodies: BodyMemory = new BodyMemory(Infinity),
+    bodies: BodyMemory = new BodyMemory(UNLIMITED),
     onBodyGivenUp?: (exchange: CallerExchange) => void,
   ) {
     this.#timers = timers;
@@ -115,6 +121,23 @@
     return this.#response.writableLength;
   }
 
+  /** Calls the listener once no byte of the response waits to be sent, or none can be any more. */
+  onSent(listener: () => void): void {
+    if (this.unsentBytes === 0 || this.#response.closed) {
+      listener();
+      return;
+    }
+    const { socket } = this.#request;
+    const onClose = () => {
+      this.#response.off('close', onClose);
+      socket.off('close', onClose);
+      listener();
+    };
+    this.#response.once('close', onClose);
+    // A response that waits for that of an earlier request does not close with its connection.
+    socket.once('close', onClose);
+  }
+
   /** Whether the head of a response has been written. */
   get hasResponseStarted(): boolean {
     return this.#responseStarted;
@@ -130,10 +153,11 @@
   }
 
   /**
-   * Buffers the request body up to `limit` bytes; a larger one pauses the request. A body
-   * that is given up counts as truncated, and its request has been refused.
+   * Buffers the request body up to `limit` bytes; a larger one pauses the request. A large body is
+   * not read before there is room for it, for up to `maxWait`. A body that is given up counts as
+   * truncated, and its request has been refused.
    */
-  readBody(limit: number): Promise<BodyResult> {
+  readBody(limit: number, maxWait: Milliseconds): Promise<BodyResult> {
     const request = this.#request;
     const body = this.#bodies.open(() => {
       this.#giveUpBody?.();
@@ -143,37 +167,87 @@
     const maxLength = length <= limit ? length : limit;
     let whole: Buffer | undefined;
     return new Promise(resolve => {
-      const finish = (result: BodyResult) => {
+      let isFinished = false;
+      const finish = (result: () => BodyResult) => {
+        if (isFinished) {
+          return;
+        }
+        isFinished = true;
         this.#giveUpBody = undefined;
         request.off('data', onData);
+        resolve(result());
         body.release();
-        resolve(result);
+      };
+      const reserve = (bytes: number, read: () => void) => {
+        this.#afterReservation(body, { length: bytes, maxWait }, read, () => {
+          finish(() => ({ kind: 'no-memory' }));
+        });
       };
       const onData = (fragment: Buffer) => {
-        if (body.size + fragment.length > limit) {
+        const size = body.size + fragment.length;
+        if (size > limit) {
           request.pause();
-          finish({ kind: 'too-large' });
+          finish(() => ({ kind: 'too-large' }));
         } else if (fragment.length === length) {
           // A body that arrives at once is used as it is.
           whole = fragment;
+        } else if (size > BODY_PIECE_BYTES && body.reservation === 0) {
+          // Any length may follow, and bodies that wait for each other's memory would never end.
+          request.pause();
+          reserve(limit, () => {
+            body.append(fragment, limit);
+            request.resume();
+          });
         } else {
           body.append(fragment, maxLength);
         }
       };
+      const truncate = () => {
+        finish(() => ({ kind: 'truncated' }));
+      };
       this.#giveUpBody = () => {
-        finish({ kind: 'truncated' });
+        truncate();
         request.resume();
       };
-      request.on('data', onData);
       request.on('end', () => {
-        finish({ kind: 'complete', body: whole ?? body.take() });
-      });
-      request.on('close', () => {
-        finish({ kind: 'truncated' });
-      });
-      request.on('error', () => {
-        finish({ kind: 'truncated' });
+        finish(() => ({
+          kind: 'complete',
+          body: whole ? body.takeWhole(whole) : body.take(),
+        }));
       });
+      request.on('close', truncate);
+      request.on('error', truncate);
+      const read = () => {
+        request.on('data', onData);
+      };
+      if (length <= limit && length > BODY_PIECE_BYTES) {
+        reserve(length, read);
+      } else {
+        read();
+      }
+    });
+  }
+
+  /** Calls `read` once the memory is reserved, or `refuse` if it is not in time. */
+  #afterReservation(
+    body: IncompleteBody,
+    wanted: { readonly length: number; readonly maxWait: Milliseconds },
+    read: () => void,
+    refuse: () => void,
+  ): void {
+    let isWaiting = true;
+    const hasRoom = this.#bodies.reserve(body, wanted.length, () => {
+      isWaiting = false;
+      read();
+    });
+    if (hasRoom) {
+      read();
+      return;
+    }
+    this.#timers.after(wanted.maxWait, () => {
+      if (isWaiting && !this.#bodies.stopWaiting(body)) {
+        refuse();
+      }
     });
   }
 
--- a/packages/gateway/src/callers/gateway-caller-server.ts
+++ b/packages/gateway/src/callers/gateway-caller-server.ts
@@ -51,6 +51,8 @@
   /** The limits of callers; the defaults if absent. */
   readonly settings?: Pick<GatewaySettings, 'caller_limits'>;
   readonly gatewayMetrics?: Pick<GatewayMetrics, 'recordLimit'>;
+  /** Memory of all bodies; only the limit of incomplete ones holds without it. */
+  readonly bodyMemory?: BodyMemory;
 }
 
 export class GatewayCallerServer {
@@ -69,7 +71,12 @@
     this.#options = options;
     this.#limits =
       options.settings?.caller_limits ?? callerLimitsSchema.parse({});
-    this.#bodies = new BodyMemory(this.#limits.incomplete_body_bytes);
+    this.#bodies =
+      options.bodyMemory ??
+      new BodyMemory({
+        total: Infinity,
+        incomplete: this.#limits.incomplete_body_bytes,
+      });
     const app = new Koa();
     app.use(async context => {
       // The exchange writes the response itself, so that it passes byte for byte.
--- a/packages/gateway/src/callers/incomplete-bodies.test.ts
+++ b/packages/gateway/src/callers/incomplete-bodies.test.ts
@@ -37,7 +37,7 @@
     timers = new ManualTimerService();
     const forwarder: Pick<Forwarder, 'serve'> = {
       serve: async exchange => {
-        const result = await exchange.readBody(MAX_BODY_BYTES);
+        const result = await exchange.readBody(MAX_BODY_BYTES, seconds(1));
         results.push(result);
         if (result.kind === 'complete') {
           exchange.refuse({ status: 404, headers: [], body: 'read' });
@@ -110,7 +110,7 @@
     await until(() => results.length === 3);
     expect(
       results.map(result =>
-        result.kind === 'complete' ? result.body.toString() : result.kind,
+        result.kind === 'complete' ? result.body.bytes.toString() : result.kind,
       ),
     ).to.deep.equal(bodies);
     await until(() => text().match(/404 Not Found/gu)?.length === 3);
--- a/packages/gateway/src/callers/refused-upload.test.ts
+++ b/packages/gateway/src/callers/refused-upload.test.ts
@@ -28,7 +28,7 @@
     timers = new ManualTimerService();
     const forwarder: Pick<Forwarder, 'serve'> = {
       serve: async exchange => {
-        await exchange.readBody(MAX_BODY_BYTES);
+        await exchange.readBody(MAX_BODY_BYTES, seconds(1));
         exchange.refuse({ status: 413, headers: [], body: 'too large' }, true);
       },
     };
--- a/packages/gateway/src/composition/gateway-container.ts
+++ b/packages/gateway/src/composition/gateway-container.ts
@@ -53,6 +53,7 @@
 import { openOutput } from '@sesamegrade/router/logs/open-output';
 import { SystemTimerService } from '@sesamegrade/router/process/system-timer-service';
 import type { GatewaySettings } from '@sesamegrade/settings/gateway-schema';
+import { BodyMemory } from '../callers/body-memory';
 import { GatewayCallerServer } from '../callers/gateway-caller-server';
 import type { CallerProtocol } from '../callers/caller-protocol';
 import { CacheSurvey } from '../endpoints/cache-survey';
@@ -73,6 +74,7 @@
 import { PeerMesh } from '../peers/peer-mesh';
 import { FleetPermits } from '../permits/fleet-permits';
 import { GatewayProcess } from '../process/gateway-process';
+import { memoryShares } from '../process/memory-shares';
 import { SettingsReloader } from '../process/settings-reloader';
 import { ShutdownSequence } from '../process/shutdown-sequence';
 import type { DeploymentCodec } from '../store/deployment-codec';
@@ -162,6 +164,7 @@
   readonly connectionPool: ConnectionPool;
   readonly connectionEnd: ConnectionEnd;
   readonly processVerification: ProcessVerification;
+  readonly bodyMemory: BodyMemory;
   readonly responseMemory: ResponseMemory;
   readonly refusals: Refusals;
   readonly forwarder: Forwarder;
@@ -314,7 +317,17 @@
         new ShutdownSequence(() => settingsReloader.current.stop.grace_seconds),
     ).singleton(),
     settingsReloader: asClass(SettingsReloader).singleton(),
-    responseMemory: asFunction(() => new ResponseMemory()).singleton(),
+    bodyMemory: asFunction(
+      ({ settings }: GatewayCradle) =>
+        new BodyMemory({
+          total: memoryShares(settings.router.memory_mb).requests,
+          incomplete: settings.caller_limits.incomplete_body_bytes,
+        }),
+    ).singleton(),
+    responseMemory: asFunction(
+      ({ settings }: GatewayCradle) =>
+        new ResponseMemory(memoryShares(settings.router.memory_mb).responses),
+    ).singleton(),
     refusals: asClass(Refusals).singleton(),
     forwarder: asClass(Forwarder).singleton(),
     callerServer: asClass(GatewayCallerServer).singleton(),
--- a/packages/gateway/src/endpoints/attempt.ts
+++ b/packages/gateway/src/endpoints/attempt.ts
@@ -51,6 +51,10 @@
   readonly now: () => Instant;
   /** Called whenever bytes of the response arrive. */
   readonly onActivity: () => void;
+  /** Called when the body of the request was written, unless that was done at once. */
+  readonly onBodyWritten: () => void;
+  /** Called when a response shows that the endpoint did not reject the request. */
+  readonly onAccepted: () => void;
   /** Called with the head of each response on the connection, also one that belongs to another request. */
   readonly onResponseHead: (head: ResponseHead) => void;
 }
@@ -76,6 +80,8 @@
   /** Whether another attempt may use the connection, while the result waits for a decision. */
   #isReleased = false;
   #wasSent = false;
+  #isBodyWritten = false;
+  #isAccepted = false;
   #head: ResponseHead | undefined;
   #respondedAt: Instant | undefined;
   #isSinkOpen = false;
@@ -99,6 +105,10 @@
       onSent: () => {
         this.#wasSent = true;
       },
+      onBodyWritten: () => {
+        this.#isBodyWritten = true;
+        options.onBodyWritten();
+      },
       onHead: (status, headers) => {
         this.#onHead(options.protocol.readResponse(status, headers));
       },
@@ -125,6 +135,16 @@
     return this.#wasSent;
   }
 
+  /** Whether a body that is written piece by piece was written. */
+  get isBodyWritten(): boolean {
+    return this.#isBodyWritten;
+  }
+
+  /** Whether a response has shown that the endpoint did not reject the request. */
+  get isAccepted(): boolean {
+    return this.#isAccepted;
+  }
+
   /** Whether the response is paused until `resume`. */
   get isPaused(): boolean {
     return this.#isPaused;
@@ -196,7 +216,9 @@
     this.#head = head;
     this.#respondedAt = this.#options.now();
     if (!rejectionOf(head)) {
+      this.#isAccepted = true;
       this.#isSinkOpen = true;
+      this.#options.onAccepted();
       this.#options.sink.onHead(head);
     }
   }
--- a/packages/gateway/src/endpoints/endpoint-connection.ts
+++ b/packages/gateway/src/endpoints/endpoint-connection.ts
@@ -1,4 +1,6 @@
 /** One HTTP connection to an endpoint, which carries one request at a time. */
+import type { Readable } from 'node:stream';
+
 import { Client } from 'undici';
 import type { Dispatcher } from 'undici';
 
@@ -8,6 +10,8 @@
 import { elapsed, milliseconds } from '@sesamegrade/core/types/units';
 import type { Instant, Milliseconds } from '@sesamegrade/core/types/units';
 import type { HeaderList } from '../callers/caller-protocol';
+import { BODY_PIECE_BYTES } from '../callers/request-body';
+import type { RequestBody } from '../callers/request-body';
 import type { BoundedSocket } from '../http/bounded-socket';
 import type { Dialing, EndpointDialer } from './endpoint-dialer';
 
@@ -49,13 +53,15 @@
   readonly method: string;
   readonly target: string;
   readonly headers: HeaderList;
-  readonly body: Buffer | undefined;
+  readonly body: RequestBody | undefined;
 }
 
 /** Receives the events of one request and its response; `onEnd` comes last and exactly once. */
 export interface ExchangeListener {
   /** The first bytes of the request are about to be sent. */
   onSent(): void;
+  /** The body of the request was handed to the operating system; not called for one that is written at once. */
+  onBodyWritten?(): void;
   onHead(status: number, headers: HeaderList): void;
   /** Returns false to pause the response until `resume`. */
   onData(chunk: Buffer): boolean;
@@ -161,12 +167,21 @@
   send(request: EndpointRequest, listener: ExchangeListener): void {
     this.#exchangeCount += 1;
     let isSent = false;
+    const { body } = request;
+    const headers = [...request.headers];
+    if (body?.hasPieces) {
+      headers.push('content-length', String(body.length));
+    }
     this.#client.dispatch(
       {
         method: request.method,
         path: request.target,
-        headers: [...request.headers],
-        body: request.body ?? null,
+        headers,
+        body: body?.hasPieces
+          ? new BodyPieces(body, () =>
+              listener.onBodyWritten?.(),
+            ).asRequestBody()
+          : (body?.bytes ?? null),
       },
       {
         onRequestStart: controller => {
@@ -269,6 +284,44 @@
   }
 }
 
+/**
+ * Writes a body piece by piece. undici keeps the body of a request until its response has ended;
+ * this one keeps nothing of a body that was released.
+ */
+class BodyPieces implements IterableIterator<Buffer> {
+  readonly #body: RequestBody;
+  readonly #onWritten: () => void;
+  #offset = 0;
+
+  constructor(body: RequestBody, onWritten: () => void) {
+    this.#body = body;
+    this.#onWritten = onWritten;
+  }
+
+  [Symbol.iterator](): this {
+    return this;
+  }
+
+  /** The types of undici lack the iterables that its documentation allows. */
+  asRequestBody(): Readable {
+    return this as unknown as Readable;
+  }
+
+  next(): IteratorResult<Buffer> {
+    const begin = this.#offset;
+    // undici asks for the next piece when the socket has taken the one before.
+    if (begin >= this.#body.length) {
+      this.#onWritten();
+      return { done: true, value: undefined };
+    }
+    this.#offset += BODY_PIECE_BYTES;
+    return {
+      done: false,
+      value: this.#body.bytes.subarray(begin, this.#offset),
+    };
+  }
+}
+
 class JoinedHeadsError extends Error {
   readonly code = JOINED_HEADS;
 }
--- a/packages/gateway/src/forwarding/crash-guard.ts
+++ b/packages/gateway/src/forwarding/crash-guard.ts
@@ -82,6 +82,11 @@
     }
   }
 
+  /** Determines the fingerprints, as the body will not be there later. */
+  onBodyReleased(): void {
+    this.#fingerprints ??= requestContents(this.#content);
+  }
+
   get #contents(): readonly Fingerprint[] {
     this.#fingerprints ??= requestContents(this.#content);
     return this.#fingerprints;
--- a/packages/gateway/src/forwarding/event-stream-sink.test.ts
+++ b/packages/gateway/src/forwarding/event-stream-sink.test.ts
@@ -118,7 +118,7 @@
 
   beforeEach(() => {
     isProvider = true;
-    responseMemory = new ResponseMemory();
+    responseMemory = new ResponseMemory(33_554_432);
     unsentBytes = 0;
     rejections = watchRejections();
     received = [];
--- a/packages/gateway/src/forwarding/forwarder.ts
+++ b/packages/gateway/src/forwarding/forwarder.ts
@@ -16,10 +16,11 @@
   streamServices,
 } from '@sesamegrade/core/routes/stream-target';
 import { addTime, elapsed, milliseconds } from '@sesamegrade/core/types/units';
-import type { Milliseconds } from '@sesamegrade/core/types/units';
+import type { Instant, Milliseconds } from '@sesamegrade/core/types/units';
 import type { SoftwareVersion } from '@sesamegrade/core/types/ids';
 import type { Random } from '@sesamegrade/core/random/random';
 import type { CallerExchange } from '../callers/caller-exchange';
+import type { RequestBody } from '../callers/request-body';
 import type {
   RequestHead,
   CallerProtocol,
@@ -51,6 +52,10 @@
 const MAX_START_WAIT = milliseconds(600);
 const START_WAIT_SHARE = 0.25;
 
+/** Longest wait of a large body for memory, also limited to a share of the caller's timeout. */
+const MAX_BODY_WAIT = milliseconds(600);
+const BODY_WAIT_SHARE = 0.25;
+
 export interface ForwarderOptions extends RequestRunOptions {
   readonly routes: RouteTable;
   readonly routeHistory: RouteHistory;
@@ -125,8 +130,7 @@
 
   async #serve(running: RunningRequest): Promise<void> {
     const { exchange } = running;
-    const { callerProtocol, timers, routes, refusals, shutdownSequence } =
-      this.#options;
+    const { callerProtocol, timers, routes, refusals } = this.#options;
     const arrivedAt = timers.now();
     const parsed = callerProtocol.readHead(
       exchange.method,
@@ -143,14 +147,42 @@
     const head = parsed.value;
     running.head = head;
     exchange.requestId = head.requestId;
-    const body = await exchange.readBody(bodyLimit(routes.limits));
+    const callerTimeout = head.callerTimeout ?? MAX_BODY_WAIT;
+    const body = await exchange.readBody(
+      bodyLimit(routes.limits),
+      milliseconds(Math.min(MAX_BODY_WAIT, callerTimeout * BODY_WAIT_SHARE)),
+    );
     if (body.kind === 'truncated') {
       return;
     }
+    if (body.kind === 'no-memory') {
+      refusals.send(
+        exchange,
+        head,
+        refusals.notRun('body-memory', callerTimeout),
+        true,
+      );
+      return;
+    }
     if (body.kind === 'too-large') {
       refusals.send(exchange, head, { kind: 'body-too-large' }, true);
       return;
     }
+    try {
+      await this.#serveWithBody(running, head, body.body, arrivedAt);
+    } finally {
+      body.body.release();
+    }
+  }
+
+  async #serveWithBody(
+    running: RunningRequest,
+    head: RequestHead,
+    body: RequestBody,
+    arrivedAt: Instant,
+  ): Promise<void> {
+    const { exchange } = running;
+    const { timers, routes, refusals, shutdownSequence } = this.#options;
     await this.#waitForFirstConfiguration(head);
     await exchange.settle();
     if (exchange.isOver) {
@@ -177,7 +209,7 @@
       refusals.sendStopping(exchange, head);
       return;
     }
-    await this.#forward(running, head, decision, body.body, {
+    await this.#forward(running, head, decision, body, {
       arrivedAt,
       expiresAt,
     });
@@ -214,7 +246,7 @@
     running: RunningRequest,
     head: RequestHead,
     decision: ForwardDecision,
-    body: Buffer,
+    body: RequestBody,
     times: Pick<RoutedRequest, 'arrivedAt' | 'expiresAt'>,
   ): Promise<void> {
     const { exchange } = running;
--- a/packages/gateway/src/forwarding/request-contents.ts
+++ b/packages/gateway/src/forwarding/request-contents.ts
@@ -22,7 +22,8 @@
   /** Path and query. */
   readonly target: string;
   readonly team: TeamId | undefined;
-  readonly body: Buffer;
+  /** In full when the fingerprints are determined. */
+  readonly body: { readonly bytes: Buffer };
   readonly prompt: Prompt | undefined;
 }
 
@@ -47,7 +48,7 @@
 }: RequestContent): Fingerprint {
   const hash = createHash('sha256')
     .update(JSON.stringify([route, method, target, team ?? null]))
-    .update(body)
+    .update(body.bytes)
     .digest();
   return fingerprint(hash.subarray(0, FINGERPRINT_BYTES).toString('base64url'));
 }
--- a/packages/gateway/src/forwarding/request-run.ts
+++ b/packages/gateway/src/forwarding/request-run.ts
@@ -33,6 +33,7 @@
 import type { EndpointId, ServiceId } from '@sesamegrade/core/types/ids';
 import type { CallerExchange } from '../callers/caller-exchange';
 import type { CallerRefusal, RequestHead } from '../callers/caller-protocol';
+import type { RequestBody } from '../callers/request-body';
 import { Attempt } from '../endpoints/attempt';
 import type { ResponseSink } from '../endpoints/attempt';
 import type { ConnectionEnd } from '../endpoints/connection-end';
@@ -110,7 +111,7 @@
   readonly head: RequestHead;
   readonly decision: ForwardDecision;
   readonly service: ServiceId;
-  readonly body: Buffer;
+  readonly body: RequestBody;
   readonly arrivedAt: Instant;
   readonly expiresAt: Instant;
   readonly streamGuard: StreamGuard;
@@ -184,6 +185,9 @@
       body,
       prompt: head.prompt,
     });
+    body.onRelease(() => {
+      this.#crashGuard.onBodyReleased();
+    });
     this.#memory = options.responseMemory.open();
     this.#relay = new ResponseRelay({
       exchange,
@@ -216,10 +220,19 @@
     } finally {
       // Nothing runs any more unless the request failed.
       this.#abortAll(() => ({ kind: 'caller-left' }));
-      this.#memory.release();
+      this.#releaseMemory();
     }
   }
 
+  /** What the caller has not read yet counts until it is sent. */
+  #releaseMemory(): void {
+    const { exchange } = this.#request;
+    this.#memory.set(exchange.unsentBytes);
+    exchange.onSent(() => {
+      this.#memory.release();
+    });
+  }
+
   /** Answers the request before the process exits. */
   endAsStopping(): void {
     const isRunning = this.#attempts.running.some(
@@ -311,6 +324,7 @@
       return;
     }
     const isTrial = verdict.kind === 'trial';
+    this.#request.body.markNeeded();
     this.#attempts.startPlacing();
     this.#place().then(
       placement => {
@@ -448,6 +462,12 @@
         }),
         body: body.length > 0 ? body : undefined,
       },
+      onBodyWritten: () => {
+        this.#updateBodyNeed();
+      },
+      onAccepted: () => {
+        this.#updateBodyNeed();
+      },
       repeatable: route.repeatable,
       connectTimeout: connectTimeout(route.latencyGoal, this.#untried()),
       connectionPool,
@@ -585,6 +605,25 @@
     });
   }
 
+  /** Gives the body back, or allows that, as far as no further attempt can need it. */
+  #updateBodyNeed(): void {
+    const { body, decision } = this.#request;
+    const { repeatable, maxAttempts } = decision.route;
+    const { running, isPlacing, isFinished } = this.#attempts;
+    const isWritten = running.every(({ attempt }) => attempt.isBodyWritten);
+    if (isPlacing || !isWritten) {
+      return;
+    }
+    const isLast =
+      !repeatable || this.#possibleRuns + running.length >= maxAttempts;
+    const isAccepted = running.some(({ attempt }) => attempt.isAccepted);
+    if (isFinished || (isLast && isAccepted)) {
+      body.release();
+    } else {
+      body.markReleasable(isLast ? 'unlikely-retry' : 'possible-retry');
+    }
+  }
+
   /** Begins another attempt beside a silent one. */
   #onSilence(run: RunningAttempt): void {
     const { chooser, log, timers } = this.#options;
@@ -840,7 +879,7 @@
       exchange.abort();
       return;
     }
-    if (reason === 'not-run' && !this.#mayAttempt()) {
+    if (reason === 'not-run' && !this.#isInTime()) {
       refusals.sendStopping(exchange, head);
       return;
     }
@@ -893,8 +932,13 @@
     );
   }
 
-  /** Whether a router that is stopping has the time for another attempt. */
+  /** Whether another attempt may begin: there is time for it, and the body was not released. */
   #mayAttempt(): boolean {
+    return this.#request.body.isHeld && this.#isInTime();
+  }
+
+  /** Whether a router that is stopping has the time for another attempt. */
+  #isInTime(): boolean {
     const { shutdownSequence, timers } = this.#options;
     const { decision, expiresAt } = this.#request;
     const { answer, repeatable, latencyGoal } = decision.route;
--- a/packages/gateway/src/forwarding/response-memory.test.ts
+++ b/packages/gateway/src/forwarding/response-memory.test.ts
@@ -6,7 +6,7 @@
 
 describe('ResponseMemory', () => {
   it('lets responses hold 32 MiB together, and a little each beyond that', () => {
-    const memory = new ResponseMemory();
+    const memory = new ResponseMemory(33_554_432);
     const first = memory.open();
     expect(first.set(32 * MEBIBYTE)).to.equal(true);
     const second = memory.open();
@@ -19,7 +19,7 @@
 
   // Guards against memory that is never given back, as bytes arrive after the end of a request.
   it('counts nothing of a request that has ended', () => {
-    const memory = new ResponseMemory();
+    const memory = new ResponseMemory(33_554_432);
     const held = memory.open();
     held.set(MEBIBYTE);
     held.release();
--- a/packages/gateway/src/forwarding/response-memory.ts
+++ b/packages/gateway/src/forwarding/response-memory.ts
@@ -3,14 +3,18 @@
  * the router, so that many large responses at once do not use up the memory of its VM.
  */
 
-/** Bytes that all responses may hold together. */
-const MAX_TOTAL_BYTES = 33_554_432;
 /** Bytes that a response may hold in any case. */
 export const MIN_RESPONSE_BYTES = 65_536;
 
 export class ResponseMemory {
+  readonly #limit: number;
   #total = 0;
 
+  /** `limit` is the number of bytes that all responses may hold together. */
+  constructor(limit: number) {
+    this.#limit = limit;
+  }
+
   /** Bytes held by all responses. */
   get total(): number {
     return this.#total;
@@ -20,7 +24,7 @@
   open(): HeldBytes {
     return new HeldBytes(change => {
       this.#total += change;
-      return this.#total <= MAX_TOTAL_BYTES;
+      return this.#total <= this.#limit;
     });
   }
 }
--- a/packages/gateway/src/process/gateway-process.ts
+++ b/packages/gateway/src/process/gateway-process.ts
@@ -31,11 +31,13 @@
 import type { Milliseconds } from '@sesamegrade/core/types/units';
 import type { GatewaySettings } from '@sesamegrade/settings/gateway-schema';
 import type { LimitListener } from '../callers/connection-bounds';
+import type { BodyMemory } from '../callers/body-memory';
 import type { GatewayCallerServer } from '../callers/gateway-caller-server';
 import type { CacheSurvey } from '../endpoints/cache-survey';
 import type { ConnectionPool } from '../endpoints/connection-pool';
 import type { CrashDetector } from '../endpoints/crash-detector';
 import type { Forwarder } from '../forwarding/forwarder';
+import type { ResponseMemory } from '../forwarding/response-memory';
 import type { DecisionLog } from '../logs/decision-log';
 import type { GatewayMetrics } from '../metrics/gateway-metrics';
 import type { PeerMesh } from '../peers/peer-mesh';
@@ -72,6 +74,8 @@
   readonly fleetState: FleetState;
   readonly forwarder: Forwarder;
   readonly shutdownSequence: ShutdownSequence;
+  readonly bodyMemory: BodyMemory;
+  readonly responseMemory: ResponseMemory;
   readonly callerServer: GatewayCallerServer;
   readonly fleetReplica: FleetReplica;
   readonly fleetReadiness: FleetReadiness;
@@ -470,6 +474,16 @@
       'Connections of callers.',
       () => callerServer.connectionCount,
     );
+    gatewayMetrics.registerGauge(
+      'request_body_bytes',
+      'Bytes that request bodies hold.',
+      () => this.#options.bodyMemory.total,
+    );
+    gatewayMetrics.registerGauge(
+      'response_bytes',
+      'Bytes of responses that callers have not got.',
+      () => this.#options.responseMemory.total,
+    );
     gatewayMetrics.registerGauge(
       'configuration_version',
       'Version in force.',
--- a/packages/settings/src/gateway-schema.ts
+++ b/packages/settings/src/gateway-schema.ts
@@ -62,6 +62,12 @@
   cpu_speed: positive
     .default(1)
     .describe('processor speed relative to that of the smallest VMs'),
+  memory_mb: z
+    .union([z.literal('').transform(() => undefined), positive])
+    .optional()
+    .describe(
+      'memory of the VM in MiB, by which the memory of requests and responses is limited; 240 is assumed unless set',
+    ),
   metrics_port: z.coerce.number().int().min(0).max(MAX_PORT).default(9464),
 });
 
--- a/packages/settings/src/reference-page.ts
+++ b/packages/settings/src/reference-page.ts
@@ -17,9 +17,9 @@
     '`deploy/router.ini.template`. A change needs a restart.',
     '',
     callerLimitsReference(),
-    'At the defaults clients hold at most 928 descriptors, some 43 MiB of heap and 110 MiB of buffers',
-    'outside of it: 928 connections x 64 KiB read and not parsed, 20 MiB of incomplete bodies and 32 MiB',
-    'of responses. [CAPACITY.md](CAPACITY.md) has the sum.',
+    'At the defaults and a `memory_mb` of 202 in section `router` clients hold at most 928 descriptors,',
+    'some 43 MiB of heap and 112 MiB of buffers outside of it: 928 connections x 64 KiB read and not',
+    'parsed, 36 MiB of bodies and 18 MiB of responses. [CAPACITY.md](CAPACITY.md) has the sum.',
     '',
   ].join('\n');
 }
--- a/packages/stand-ins/src/deployment/router-process.ts
+++ b/packages/stand-ins/src/deployment/router-process.ts
@@ -45,6 +45,8 @@
   /** Whether the first start of the process is the fleet's first one. */
   readonly isFirstStart?: boolean;
   readonly graceSeconds?: number;
+  /** Memory of the VM in the settings, in MiB. */
+  readonly memoryMb?: number;
   /** The processor core on which the process runs; any if undefined. */
   readonly core?: number;
   readonly onEvent?: (event: ProcessEvent) => void;
@@ -237,7 +239,8 @@
 
   #settings(): string {
     const [callers, ready, peers, metrics] = this.#ports;
-    const { name, store, seeds, cpuShare, isFirstStart } = this.#options;
+    const { name, store, seeds, cpuShare, isFirstStart, memoryMb } =
+      this.#options;
     return `[router]
 id = ${name}
 zone = zone-a
@@ -247,6 +250,7 @@
 metrics_port = ${metrics}
 cpu_share = ${cpuShare ?? 1}
 first_start = ${isFirstStart === true && !this.#process}
+memory_mb = ${memoryMb ?? ''}
 [peers]
 seeds = ${seeds().join(',')}
 [store]
