Prove the version of streams that began in an outage soon after a release

Cause: while the default version has no endpoints and the store takes no records, others begin streams without one, and a missing record proves no version for over a minute.

Change: the list names the successor of an unused default version, and since when every router goes by that. Only the successor begins streams without a record then. The time that a caller has left shows the earliest begin of its stream; if that is after the agreement by two clocks, the stream is the successor's. The rest is refused as before.

--- a/packages/core/src/software-versions/default-plan.ts
+++ b/packages/core/src/software-versions/default-plan.ts
@@ -7,7 +7,11 @@
 import { milliseconds, seconds } from '../types/units';
 import type { Instant, Milliseconds } from '../types/units';
 import { MAX_UNUSED_LIST_AGE } from './default-versions';
-import type { DefaultVersion, DefaultVersionList } from './default-versions';
+import type {
+  DefaultVersion,
+  DefaultVersionList,
+  SuccessorVersion,
+} from './default-versions';
 import type { VersionPresence } from './version-presence';
 
 /** Time beyond the life of a stream for which a default version without endpoints is kept. */
@@ -72,7 +76,12 @@
     // Streams that could not be recorded may have begun elsewhere meanwhile.
     return unusedSince === undefined
       ? current
-      : { ...current, since: endOfUnrecorded(query), unusedSince: undefined };
+      : {
+          service,
+          version: known.version,
+          since: endOfUnrecorded(query),
+          unusedSince: undefined,
+        };
   }
   const isBrief = presence.isSeenWithin(
     service,
@@ -94,7 +103,36 @@
         since: endOfUnrecorded(query),
         unusedSince: undefined,
       }
-    : { ...current, unusedSince: unusedSince ?? storeTime };
+    : unused(current, query);
+}
+
+/** The entry of a version without endpoints, while others have some. */
+function unused(
+  { service, version, since, unusedSince, successor }: DefaultVersion,
+  { presence, storeTime }: DefaultPlanQuery,
+): DefaultVersion {
+  const next = successorOf(successor, presence.present(service));
+  return {
+    service,
+    version,
+    since,
+    unusedSince: unusedSince ?? storeTime,
+    ...(next && { successor: next }),
+  };
+}
+
+/** The successor that the entry names, as long as it has endpoints, or the only version that has some. */
+function successorOf(
+  successor: SuccessorVersion | undefined,
+  present: ReadonlySet<SoftwareVersion | undefined>,
+): SuccessorVersion | undefined {
+  if (successor && present.has(successor.version)) {
+    return successor;
+  }
+  const [version, ...others] = present;
+  return version !== undefined && others.length === 0
+    ? { version, agreedAt: undefined }
+    : undefined;
 }
 
 /**
@@ -155,7 +193,7 @@
     known.since,
     isOnly ? storeTime : endOfUnrecorded(query),
   );
-  return { ...known, since, unusedSince: undefined };
+  return { service, version, since, unusedSince: undefined };
 }
 
 function inherited(
--- a/packages/core/src/software-versions/default-versions.test.ts
+++ b/packages/core/src/software-versions/default-versions.test.ts
@@ -249,4 +249,113 @@
     );
     expect(certain()).to.equal(undefined);
   });
+
+  describe('with a successor that all routers go by', () => {
+    const LIFETIME = milliseconds(30_000);
+    const AGREED_AT_MS = 100_000;
+    /** Unix time minus the router's. */
+    const WALL_OFFSET_MS = 7_000_000;
+    const agreed = {
+      unusedSince: AGREED_AT_MS - 2000 + CLOCK_OFFSET_MS,
+      successor: {
+        version: v2,
+        agreedAt: {
+          storeTime: AGREED_AT_MS + CLOCK_OFFSET_MS,
+          wallTime: AGREED_AT_MS + WALL_OFFSET_MS,
+        },
+      },
+    };
+    const apply = (
+      fields: Partial<DefaultVersion>,
+      {
+        lifetime,
+        storeOffset = CLOCK_OFFSET_MS,
+      }: { lifetime: number | undefined; storeOffset?: number } = {
+        lifetime: LIFETIME,
+      },
+    ) => {
+      const at = instant(AGREED_AT_MS);
+      versions = new DefaultVersions();
+      versions.apply(
+        {
+          defaults: [{ service, version: v1, since: 0, ...agreed, ...fields }],
+          writtenIn: FIRST_ERA,
+          lifetime: lifetime === undefined ? undefined : milliseconds(lifetime),
+        },
+        {
+          era: FIRST_ERA,
+          storeTime: at + storeOffset,
+          sentAt: at,
+          receivedAt: at,
+        },
+      );
+    };
+    /** The version of a stream whose caller has `remaining` ms left, some time after the agreement. */
+    const resumed = (
+      after: number,
+      remaining: number,
+      { lifetime = LIFETIME, wallStep = 0 } = {},
+    ) => {
+      const now = instant(AGREED_AT_MS + after);
+      return versions.versionOfResumed(service, now, {
+        remaining: milliseconds(remaining),
+        lifetime,
+        wallTime: now + WALL_OFFSET_MS + wallStep,
+      });
+    };
+
+    it('takes a stream for one of the successor that began after the agreement', () => {
+      apply({});
+      // A caller of a route with 15 s has waited for 7 s, and the begin may be 1 s earlier.
+      expect(resumed(8000, 8000)).to.equal(v2);
+      expect(resumed(7999, 8000)).to.equal(undefined);
+      expect(versions.versionOfUnrecorded(service, NOW)).to.equal(undefined);
+    });
+
+    // Guards against a caller that waits for longer than routes allow for, whose stream is older than its time shows.
+    it('takes none of a caller that has more time than streams live', () => {
+      apply({});
+      expect(resumed(60_000, 15_000)).to.equal(v2);
+      expect(resumed(60_000, 15_001)).to.equal(undefined);
+    });
+
+    // Guards against timeouts that were shortened since, or that a router has not heard of.
+    it('goes by the longest life of the list and the router', () => {
+      apply({}, { lifetime: 60_000 });
+      expect(resumed(8000, 8000)).to.equal(undefined);
+      expect(resumed(23_000, 8000)).to.equal(v2);
+      apply({}, { lifetime: undefined });
+      expect(resumed(60_000, 8000)).to.equal(undefined);
+      apply({});
+      const lifetime = milliseconds(60_000);
+      expect(resumed(8000, 8000, { lifetime })).to.equal(undefined);
+    });
+
+    // Guards against a step of either clock, which makes a stream look younger than the agreement.
+    it('needs both clocks to show that it began later', () => {
+      apply({}, { lifetime: LIFETIME, storeOffset: CLOCK_OFFSET_MS + 60_000 });
+      expect(resumed(5000, 8000)).to.equal(undefined);
+      apply({});
+      expect(resumed(5000, 8000, { wallStep: 60_000 })).to.equal(undefined);
+    });
+
+    it('takes none without the agreement, and none of another service before its end', () => {
+      apply({ successor: { version: v2, agreedAt: undefined } });
+      expect(resumed(60_000, 8000)).to.equal(undefined);
+      apply({ since: AGREED_AT_MS + 60_000 + CLOCK_OFFSET_MS });
+      expect(resumed(59_999, 8000)).to.equal(undefined);
+      expect(resumed(60_000, 8000)).to.equal(v2);
+    });
+
+    // Guards against streams of a third version that lack a record as well.
+    it('lets only the successor lack a record', () => {
+      apply({});
+      const now = instant(AGREED_AT_MS);
+      const v3 = softwareVersion('v3');
+      const mayLackRecord = [v1, v2, v3, undefined].filter(version =>
+        versions.mayLackRecord(service, version, now),
+      );
+      expect(mayLackRecord).to.deep.equal([v2]);
+    });
+  });
 });
--- a/packages/core/src/software-versions/default-versions.ts
+++ b/packages/core/src/software-versions/default-versions.ts
@@ -6,15 +6,44 @@
 import type { EndpointEntry } from '../endpoints/endpoint-entry';
 import type { StoreEra } from '../store/feed-position';
 import type { ServiceId, SoftwareVersion } from '../types/ids';
-import { elapsed, seconds } from '../types/units';
+import { elapsed, milliseconds, seconds } from '../types/units';
 import type { Instant, Milliseconds } from '../types/units';
+import { longestCallerTime } from './stream-lifetime';
 
 /** Age up to which a list that names a default version as unused lets streams lack a record. */
 export const MAX_UNUSED_LIST_AGE: Milliseconds = seconds(30);
 
+/** Time by which the begin of a stream that the caller's time shows may be too late. */
+const BEGIN_TOLERANCE: Milliseconds = seconds(1);
+
 /** Time after which the answer to a read counts as late. */
 const MAX_READ_TIME: Milliseconds = seconds(2);
 
+/** The only other version that begins streams without a record while the default one is unused. */
+export interface SuccessorVersion {
+  readonly version: SoftwareVersion;
+  /** Since when every router goes by the entry; undefined as long as that is not certain. */
+  readonly agreedAt: AgreementTime | undefined;
+}
+
+/** A moment by two clocks, either of which may step. */
+export interface AgreementTime {
+  /** In ms on the store's clock. */
+  readonly storeTime: number;
+  /** In ms of Unix time, by the clock of the router that wrote the entry. */
+  readonly wallTime: number;
+}
+
+/** What a caller that resumes a stream shows about the begin of that. */
+export interface BeginEvidence {
+  /** Time for which the caller will still wait. */
+  readonly remaining: Milliseconds;
+  /** Longest life of streams on the routes that the router knows. */
+  readonly lifetime: Milliseconds;
+  /** Unix time in ms. */
+  readonly wallTime: number;
+}
+
 export interface DefaultVersion {
   readonly service: ServiceId;
   readonly version: SoftwareVersion;
@@ -28,6 +57,8 @@
    * undefined while it is in use.
    */
   readonly unusedSince: number | undefined;
+  /** Undefined while it is in use, or if several other versions have endpoints. */
+  readonly successor?: SuccessorVersion | undefined;
 }
 
 /** The list of default versions, as a read of the store shows it. */
@@ -37,6 +68,8 @@
   readonly writtenIn: StoreEra | undefined;
   /** Name of the routing whose moves of routes it covers; older builds name none. */
   readonly routing?: string | undefined;
+  /** Longest life of the streams that began before it was written; older builds name none. */
+  readonly lifetime?: Milliseconds | undefined;
 }
 
 /** A read of the store. */
@@ -55,6 +88,7 @@
     new Map();
   #isCurrent = false;
   #routing: string | undefined;
+  #lifetime: Milliseconds | undefined;
   /** When the last read of the list was sent. */
   #readSentAt: Instant | undefined;
   /** Era of the store that it showed. */
@@ -90,7 +124,7 @@
 
   /** Applies a read of the list; one of an earlier era of the store counts for nothing. */
   apply(list: DefaultVersionList, read: StoreRead): void {
-    const { defaults, writtenIn, routing } = list;
+    const { defaults, writtenIn, routing, lifetime } = list;
     const isLate =
       this.#readSentAt !== undefined &&
       elapsed(this.#readSentAt, read.sentAt) < 0;
@@ -100,6 +134,7 @@
     }
     this.#isCurrent = writtenIn === read.era;
     this.#routing = routing;
+    this.#lifetime = lifetime;
     this.#readSentAt = read.sentAt;
     this.#era = read.era;
     this.#applyClock(read);
@@ -155,6 +190,72 @@
     return isProven ? entry.version : undefined;
   }
 
+  /**
+   * The version of a stream without a record that a caller resumes. While the default version is
+   * unused, one that began after all routers knew that can only have begun at the successor.
+   */
+  versionOfResumed(
+    service: ServiceId,
+    now: Instant,
+    evidence: BeginEvidence | undefined,
+  ): SoftwareVersion | undefined {
+    return (
+      this.versionOfUnrecorded(service, now) ??
+      (evidence && this.#successorSince(service, now, evidence))
+    );
+  }
+
+  #successorSince(
+    service: ServiceId,
+    now: Instant,
+    { remaining, lifetime, wallTime }: BeginEvidence,
+  ): SoftwareVersion | undefined {
+    const entry = this.#byService.get(service);
+    const successor = entry?.successor;
+    const agreedAt = successor?.agreedAt;
+    const known = this.#lifetime;
+    if (
+      !entry ||
+      !agreedAt ||
+      !this.#isCurrent ||
+      known === undefined ||
+      this.#clockOffset === undefined
+    ) {
+      return undefined;
+    }
+    const storeTime = now + this.#clockOffset;
+    const longestTime = longestCallerTime(
+      milliseconds(Math.max(known, lifetime)),
+    );
+    // A caller with more time than that has waited for longer than the difference.
+    const age = Math.max(0, longestTime - remaining) + BEGIN_TOLERANCE;
+    const sinceAgreement = Math.min(
+      storeTime - agreedAt.storeTime,
+      wallTime - agreedAt.wallTime,
+    );
+    const isProven =
+      remaining <= longestTime &&
+      storeTime >= entry.since &&
+      sinceAgreement >= age;
+    return isProven ? successor.version : undefined;
+  }
+
+  /** Whether the version is the only one that begins streams without a record, beside an unused default version. */
+  isSuccessor(
+    service: ServiceId,
+    version: SoftwareVersion | undefined,
+  ): boolean {
+    const successor = this.#byService.get(service)?.successor;
+    return successor !== undefined && successor.version === version;
+  }
+
+  /** The entries of unused default versions with a successor, as they were read last. */
+  get succeeded(): DefaultVersion[] {
+    return this.#isCurrent
+      ? [...this.#byService.values()].filter(({ successor }) => successor)
+      : [];
+  }
+
   /**
    * Whether a stream may begin at a version without a record: the list names it as the
    * default version, as of a read since it has had endpoints.
@@ -173,8 +274,9 @@
 
   /**
    * Whether a stream may lack a record that cannot be stored, as it will be refused rather
-   * than taken for one of another version. At the default version it may; at others while
-   * that is unused, as of a read that is no older than the plan of the list allows for.
+   * than taken for one of another version. At the default version it may; at its successor, or
+   * at any if there is none, while that is unused, as of a read that is no older than the
+   * plan of the list allows for.
    */
   mayLackRecord(
     service: ServiceId,
@@ -185,10 +287,14 @@
     if (!entry || !this.#isCurrent || this.#readSentAt === undefined) {
       return false;
     }
-    return entry.unusedSince === undefined
-      ? version === entry.version &&
-          this.#presence(service, version) === 'before-read'
-      : elapsed(this.#readSentAt, now) <= MAX_UNUSED_LIST_AGE;
+    if (entry.unusedSince === undefined) {
+      return (
+        version === entry.version &&
+        this.#presence(service, version) === 'before-read'
+      );
+    }
+    const isAllowed = !entry.successor || entry.successor.version === version;
+    return isAllowed && elapsed(this.#readSentAt, now) <= MAX_UNUSED_LIST_AGE;
   }
 
   /** Whether the service has a default version, also one that is not certain at present. */
--- a/packages/core/src/software-versions/stream-lifetime.ts
+++ b/packages/core/src/software-versions/stream-lifetime.ts
@@ -19,6 +19,11 @@
   );
 }
 
+/** Longest time that a caller whose stream has this life may wait in all. */
+export function longestCallerTime(lifetime: Milliseconds): Milliseconds {
+  return milliseconds(lifetime / 2);
+}
+
 /** A longer life on routes that others have replaced. */
 interface EarlierLifetime {
   readonly lifetime: Milliseconds;
--- a/packages/gateway/src/composition/gateway-container.ts
+++ b/packages/gateway/src/composition/gateway-container.ts
@@ -92,6 +92,7 @@
 import { routingName } from '../streams/routing-name';
 import { StreamLedger } from '../streams/stream-ledger';
 import { StreamResumption } from '../streams/stream-resumption';
+import { SuccessorAgreement } from '../streams/successor-agreement';
 import { PathDialer } from '../tunnels/path-dialer';
 import { PathMonitor } from '../tunnels/path-monitor';
 import { TunnelClient } from '../tunnels/tunnel-client';
@@ -147,6 +148,7 @@
   readonly streamOrigins: StreamOrigins;
   readonly originTable: OriginTable;
   readonly originWriter: OriginWriter;
+  readonly successorAgreement: SuccessorAgreement;
   readonly streamLedger: StreamLedger;
   readonly originSharing: OriginSharing;
   readonly streamResumption: StreamResumption;
@@ -283,6 +285,7 @@
     ).singleton(),
     originTable: asClass(OriginTable).singleton(),
     originWriter: asClass(OriginWriter).singleton(),
+    successorAgreement: asClass(SuccessorAgreement).singleton(),
     streamLedger: asClass(StreamLedger).singleton(),
     originSharing: asClass(OriginSharing).singleton(),
     streamResumption: asClass(StreamResumption).singleton(),
--- a/packages/gateway/src/forwarding/forwarder.ts
+++ b/packages/gateway/src/forwarding/forwarder.ts
@@ -254,7 +254,7 @@
     const { refusals, chooser, timers } = this.#options;
     const isResumed = isResumable(route) && isResumption(head);
     const resumed = isResumed
-      ? await this.#resumedTarget(head, decision)
+      ? await this.#resumedTarget(head, decision, times.arrivedAt)
       : undefined;
     const target = isResumed
       ? resumed?.target
@@ -316,12 +316,14 @@
   async #resumedTarget(
     head: RequestHead,
     { route }: ForwardDecision,
+    arrivedAt: Instant,
   ): Promise<ResumedTarget | undefined> {
     const { streamResumption, routeHistory, timers, log } = this.#options;
     const begin = timers.now();
     const finding = await streamResumption.originOf(
       () => routeHistory.servicesOf(head, head.begunBy, timers.now()),
       head.begunBy,
+      head.callerTimeout && addTime(arrivedAt, head.callerTimeout),
     );
     log.write('stream-resumed', {
       request: head.requestId,
--- a/packages/gateway/src/forwarding/stream-guard.ts
+++ b/packages/gateway/src/forwarding/stream-guard.ts
@@ -6,11 +6,14 @@
 import type { EndpointDirectory } from '@sesamegrade/core/endpoints/endpoint-directory';
 import type { EndpointEntry } from '@sesamegrade/core/endpoints/endpoint-entry';
 import { StreamBinding } from '@sesamegrade/core/software-versions/stream-binding';
+import { longestCallerTime } from '@sesamegrade/core/software-versions/stream-lifetime';
 import type {
   RequestId,
   ServiceId,
   SoftwareVersion,
 } from '@sesamegrade/core/types/ids';
+import { milliseconds } from '@sesamegrade/core/types/units';
+import type { Milliseconds } from '@sesamegrade/core/types/units';
 import type { RequestHead } from '../callers/caller-protocol';
 import type { Attempt } from '../endpoints/attempt';
 import { StreamRecording } from '../streams/stream-recording';
@@ -19,10 +22,15 @@
 import { StreamProcessCheck } from './stream-process-check';
 import type { StreamProcessCheckOptions } from './stream-process-check';
 
+/** Time by which a caller may wait for longer than the routes allow for. */
+const CALLER_TIME_TOLERANCE: Milliseconds = milliseconds(500);
+
 export interface StreamGuardOptions
   extends StreamRecordingOptions, StreamProcessCheckOptions {
   readonly endpointDirectory: EndpointDirectory;
   readonly streamResumption: StreamResumption;
+  /** Longest time from the begin of a stream to its last resumption. */
+  readonly streamLifetime: () => Milliseconds;
 }
 
 export interface GuardedRequest {
@@ -56,6 +64,10 @@
           request: head.requestId,
           service,
           isResumption: origin !== undefined,
+          hasLongCaller: exceeds(
+            head.callerTimeout,
+            longestCallerTime(options.streamLifetime()),
+          ),
         })
       : undefined;
   }
@@ -158,7 +170,13 @@
     attempt: Attempt,
   ): Promise<boolean> {
     const version = this.#versionOf(entry);
-    const isAdmitted = await recording.admit(version);
+    const isAdmitted =
+      (await recording.admit(version)) &&
+      (!recording.isTakenForSuccessor ||
+        (await this.#processCheck.isSame({
+          entry,
+          establishedAt: attempt.establishedAt,
+        })));
     if (attempt.hasEnded) {
       return false;
     }
@@ -215,6 +233,10 @@
   }
 }
 
+function exceeds(time: Milliseconds | undefined, limit: Milliseconds): boolean {
+  return time !== undefined && time > limit + CALLER_TIME_TOLERANCE;
+}
+
 /** Whether the caller has events of the stream already. */
 export function isResumption({ lastEventId }: RequestHead): boolean {
   return lastEventId !== undefined && lastEventId > 0;
--- a/packages/gateway/src/forwarding/stream-process-check.ts
+++ b/packages/gateway/src/forwarding/stream-process-check.ts
@@ -48,6 +48,11 @@
     );
   }
 
+  /** Whether the process of the entry has provably sent the events. */
+  async isSame(connection: AttemptConnection): Promise<boolean> {
+    return (await this.#verdict('begin', connection)) === 'same';
+  }
+
   /** Whether events that continue a stream may be passed on. */
   mayContinue(connection: AttemptConnection): true | Promise<boolean> {
     const earlier = this.#earlierEvents;
--- a/packages/gateway/src/streams/default-version-keeper.test.ts
+++ b/packages/gateway/src/streams/default-version-keeper.test.ts
@@ -67,6 +67,7 @@
         confirm: () => undefined,
         follows: () => true,
       },
+      successorAgreement: { tick: () => undefined, includesAll: () => false },
       fleetReplica: { isReader: true },
       peerUpdates: { isRelay: true },
       streamLifetime: () => STREAM_LIFETIME,
--- a/packages/gateway/src/streams/default-version-keeper.ts
+++ b/packages/gateway/src/streams/default-version-keeper.ts
@@ -5,6 +5,7 @@
 import type { EndpointDirectory } from '@sesamegrade/core/endpoints/endpoint-directory';
 import type { FeedTable } from '@sesamegrade/core/peers/feed-updates';
 import type { PeerUpdates } from '@sesamegrade/core/peers/peer-updates';
+import { MAX_CONFIGURATION_DELAY } from '@sesamegrade/core/routes/route-history';
 import type { RouteHistory } from '@sesamegrade/core/routes/route-history';
 import type { RouteTable } from '@sesamegrade/core/routes/route-table';
 import { planDefaults } from '@sesamegrade/core/software-versions/default-plan';
@@ -31,6 +32,7 @@
 import type { RowTable } from '../store/row-table';
 import { DEFAULTS_KEY, encodeDefaults } from './origin-row';
 import type { OriginTable } from './origin-table';
+import type { SuccessorAgreement } from './successor-agreement';
 
 /** Time after the start before the list is written: until then several routers may read for the fleet. */
 const FIRST_WRITE_DELAY: Milliseconds = seconds(1);
@@ -67,6 +69,7 @@
   >;
   readonly routes: Pick<RouteTable, 'version'>;
   readonly routeHistory: Pick<RouteHistory, 'routing' | 'confirm' | 'follows'>;
+  readonly successorAgreement: Pick<SuccessorAgreement, 'tick' | 'includesAll'>;
   readonly fleetReplica: Pick<FleetReplica, 'isReader'>;
   readonly peerUpdates: Pick<PeerUpdates, 'isRelay'>;
   /** Longest time from the begin of a stream to its last resumption. */
@@ -125,6 +128,7 @@
     defaultVersions.observe(entries, now);
     this.#presence.observe(entries, now);
     this.#presence.removeOlder(MEMORY, now);
+    this.#options.successorAgreement.tick(now);
     const isEarly = elapsed(this.#startedAt, now) < FIRST_WRITE_DELAY;
     const isDue = !this.#writableFrom || elapsed(this.#writableFrom, now) >= 0;
     if (isEarly || !isDue || this.#isBusy || !this.#isInTouch(now)) {
@@ -189,7 +193,7 @@
   /** What the list should be; undefined if it is so. */
   #planned(
     now: Instant,
-  ): Pick<DefaultVersionList, 'defaults' | 'routing'> | undefined {
+  ): Pick<DefaultVersionList, 'defaults' | 'routing' | 'lifetime'> | undefined {
     const { originTable, settings, streamLifetime } = this.#options;
     const { list, position } = originTable;
     const isCurrent = list.writtenIn === position?.era;
@@ -210,7 +214,8 @@
       ),
       storeTime,
       now,
-    });
+    }).map(entry => this.#withAgreement(entry, storeTime));
+    const lifetime = this.#lifetime(now);
     const routing = this.#routing(isFirstStart, now);
     const isNamed =
       routing === list.routing ||
@@ -218,8 +223,37 @@
         elapsed(this.#namedAt, now) < NAMING_PERIOD);
     const isSame =
       ((isCurrent && isNamed) || defaults.length === 0) &&
-      JSON.stringify(defaults) === JSON.stringify(sorted(list.defaults));
-    return isSame ? undefined : { defaults, routing };
+      JSON.stringify(defaults) === JSON.stringify(sorted(list.defaults)) &&
+      (lifetime === list.lifetime || defaults.length === 0);
+    return isSame ? undefined : { defaults, routing, lifetime };
+  }
+
+  /** Adds to an entry that the store has that all routers go by it. */
+  #withAgreement(entry: DefaultVersion, storeTime: number): DefaultVersion {
+    const { successorAgreement, timers } = this.#options;
+    const { successor } = entry;
+    if (
+      !successor ||
+      successor.agreedAt ||
+      !successorAgreement.includesAll(entry)
+    ) {
+      return entry;
+    }
+    const agreedAt = { storeTime, wallTime: timers.wallTime() };
+    return { ...entry, successor: { ...successor, agreedAt } };
+  }
+
+  /** The longest life of streams so far; undefined if earlier routes are neither known nor in the list. */
+  #lifetime(now: Instant): Milliseconds | undefined {
+    const { settings, streamLifetime, originTable } = this.#options;
+    const known = streamLifetime();
+    const knowsRoutes =
+      settings.router.first_start ||
+      elapsed(this.#startedAt, now) >= known + MAX_CONFIGURATION_DELAY;
+    const { lifetime } = originTable.list;
+    return knowsRoutes
+      ? known
+      : lifetime && milliseconds(Math.max(known, lifetime));
   }
 
   /**
--- a/packages/gateway/src/streams/late-record.test.ts
+++ b/packages/gateway/src/streams/late-record.test.ts
@@ -56,6 +56,7 @@
     routes: { version: configurationVersion(1) },
     settings: { router: { id: SELF } },
     originTable: { reset: () => undefined },
+    successorAgreement: { record: () => undefined },
     originConfirmation: { refresh: () => Promise.resolve() },
     originWriter,
     streamOrigins,
--- a/packages/gateway/src/streams/origin-confirmation.ts
+++ b/packages/gateway/src/streams/origin-confirmation.ts
@@ -75,6 +75,8 @@
   readonly key: StreamKey | undefined;
   /** The service at which it began unless it is recorded; undefined if that is not certain. */
   readonly service: ServiceId | undefined;
+  /** Time for which its caller will still wait; undefined if the caller does not say. */
+  readonly remaining?: Milliseconds | undefined;
 }
 
 export interface ConfirmedOrigin {
@@ -85,6 +87,8 @@
 const querySchema = z.object({
   key: nameSchema.nullable(),
   service: nameSchema.nullable(),
+  /** In ms; older builds name none. */
+  remaining: z.number().min(0).optional(),
 });
 
 const reportSchema = z.object({
@@ -126,6 +130,8 @@
     Pick<Record<FeedTable, Pick<FeedCoverage, 'position'>>, 'endpoints'>
   >;
   readonly peerMesh: Pick<PeerMesh, 'relays' | 'requestOrigin'>;
+  /** Longest time from the begin of a stream to its last resumption. */
+  readonly streamLifetime: () => Milliseconds;
   readonly timers: TimerService;
 }
 
@@ -195,7 +201,7 @@
     if (!parsed.success) {
       return undefined;
     }
-    const { key, service } = parsed.data;
+    const { key, service, remaining } = parsed.data;
     const read = this.#read();
     if (!(await withTimeout(read, this.#options.timers, RELAY_READ_TIME))) {
       const report =
@@ -207,6 +213,7 @@
     const origin = this.#known({
       key: key === null ? undefined : streamKey(key),
       service: service === null ? undefined : serviceId(service),
+      remaining: remaining === undefined ? undefined : milliseconds(remaining),
     });
     const { originTable, configurationConfirmation, timers } = this.#options;
     const source: StreamSource =
@@ -274,15 +281,25 @@
   }
 
   /** What is known of a stream after a read of the store, whatever the routes are. */
-  #known({ key, service }: OriginQuery): FoundOrigin {
-    const { streamOrigins, defaultVersions, timers } = this.#options;
+  #known({ key, service, remaining }: OriginQuery): FoundOrigin {
+    const { streamOrigins, defaultVersions, streamLifetime, timers } =
+      this.#options;
     const now = timers.now();
     const source = key && streamOrigins.sourceOf(key);
     if (source) {
       return { kind: 'recorded', source };
     }
+    // Only a caller that names the stream shows that it has no record.
+    const evidence =
+      key === undefined || remaining === undefined
+        ? undefined
+        : {
+            remaining,
+            lifetime: streamLifetime(),
+            wallTime: timers.wallTime(),
+          };
     const version =
-      service && defaultVersions.versionOfUnrecorded(service, now);
+      service && defaultVersions.versionOfResumed(service, now, evidence);
     const isAmbiguous =
       service === undefined ||
       (key === undefined && streamOrigins.hasStored(service, version, now));
@@ -297,7 +314,7 @@
 
   async #ask(
     relay: RouterId,
-    { key, service }: OriginQuery,
+    { key, service, remaining }: OriginQuery,
   ): Promise<ConfirmedOrigin | undefined> {
     const { peerMesh, configurationConfirmation, coverage, timers } =
       this.#options;
@@ -306,6 +323,7 @@
     const query: z.input<typeof querySchema> = {
       key: key ?? null,
       service: service ?? null,
+      ...(remaining === undefined ? {} : { remaining }),
     };
     const answer = await peerMesh.requestOrigin(relay, query);
     const report = reportSchema.safeParse(answer);
--- a/packages/gateway/src/streams/origin-row.ts
+++ b/packages/gateway/src/streams/origin-row.ts
@@ -60,12 +60,24 @@
   era: z.int().min(0),
   /** Name of the routing whose moves of routes the list covers; older builds write none. */
   routing: nameSchema.optional(),
+  /** Longest life in ms of the streams that began before; older builds write none. */
+  lifetime: z.number().min(0).optional(),
   defaults: z.array(
     z.object({
       service: nameSchema,
       version: nameSchema,
       since: z.number(),
       unusedSince: z.number().nullable(),
+      /** The only version that begins streams without a record while the default one is unused. */
+      successor: z
+        .object({
+          version: nameSchema,
+          /** Since when all routers go by the entry: in ms on the store's clock, and of Unix time. */
+          agreedAt: z
+            .object({ storeTime: z.number(), wallTime: z.number() })
+            .optional(),
+        })
+        .optional(),
     }),
   ),
 });
@@ -165,15 +177,23 @@
   defaults,
   writtenIn,
   routing,
+  lifetime,
 }: DefaultVersionList): DefaultsDocument | undefined {
   return writtenIn === undefined
     ? undefined
     : {
         era: writtenIn,
         ...(routing === undefined ? {} : { routing }),
-        defaults: defaults.map(({ unusedSince, ...entry }) => ({
+        ...(lifetime === undefined ? {} : { lifetime }),
+        defaults: defaults.map(({ unusedSince, successor, ...entry }) => ({
           ...entry,
           unusedSince: unusedSince ?? null,
+          ...(successor && {
+            successor: {
+              version: successor.version,
+              ...(successor.agreedAt && { agreedAt: successor.agreedAt }),
+            },
+          }),
         })),
       };
 }
@@ -181,17 +201,25 @@
 export function listOf({
   era,
   routing,
+  lifetime,
   defaults,
 }: DefaultsDocument): DefaultVersionList {
   return {
     writtenIn: storeEra(era),
     ...(routing === undefined ? {} : { routing }),
-    defaults: defaults.map(({ service, version, since, unusedSince }) => ({
-      service: serviceId(service),
-      version: softwareVersion(version),
-      since,
-      unusedSince: unusedSince ?? undefined,
-    })),
+    ...(lifetime === undefined ? {} : { lifetime: milliseconds(lifetime) }),
+    defaults: defaults.map(
+      ({ service, version, since, unusedSince, successor }) => ({
+        service: serviceId(service),
+        version: softwareVersion(version),
+        since,
+        unusedSince: unusedSince ?? undefined,
+        successor: successor && {
+          version: softwareVersion(successor.version),
+          agreedAt: successor.agreedAt,
+        },
+      }),
+    ),
   };
 }
 
--- a/packages/gateway/src/streams/stream-ledger-relay.test.ts
+++ b/packages/gateway/src/streams/stream-ledger-relay.test.ts
@@ -63,6 +63,7 @@
       },
       settings: { router: { id: SELF } },
       originTable: { reset: () => undefined },
+      successorAgreement: { record: () => undefined },
       originConfirmation: { refresh: () => Promise.resolve() },
       originWriter: store.originWriter(new Random(1)),
       streamOrigins: store.streamOrigins,
--- a/packages/gateway/src/streams/stream-ledger.test.ts
+++ b/packages/gateway/src/streams/stream-ledger.test.ts
@@ -63,6 +63,7 @@
       routes: { version: configurationVersion(1) },
       settings: { router: { id: SELF } },
       originTable: { reset: () => resets.push('table') },
+      successorAgreement: { record: () => undefined },
       originConfirmation: {
         refresh: () => {
           refreshes.push(store.timers.now());
--- a/packages/gateway/src/streams/stream-ledger.ts
+++ b/packages/gateway/src/streams/stream-ledger.ts
@@ -30,6 +30,8 @@
 import { decodeGroups, encodeGroups, originsSchema } from './origin-message';
 import type { OriginTable } from './origin-table';
 import type { OriginWriter } from './origin-writer';
+import { statementSchema } from './successor-agreement';
+import type { SuccessorAgreement } from './successor-agreement';
 
 /** Time in which origins are collected before they are sent to a relay. */
 const SEND_DELAY: Milliseconds = milliseconds(10);
@@ -49,7 +51,11 @@
 /** Largest number of origins in a message between routers. */
 const MAX_SENT = 1000;
 
-const messageSchema = z.object({ origins: originsSchema(MAX_SENT) });
+const messageSchema = z.object({
+  origins: originsSchema(MAX_SENT),
+  /** Which entries of the list the router goes by; most messages have none. */
+  statement: statementSchema.optional(),
+});
 
 interface RouterSettings {
   readonly router: Pick<GatewaySettings['router'], 'id'>;
@@ -60,6 +66,7 @@
   readonly originTable: Pick<OriginTable, 'reset'>;
   readonly originConfirmation: Pick<OriginConfirmation, 'refresh'>;
   readonly originWriter: Pick<OriginWriter, 'write' | 'reset'>;
+  readonly successorAgreement: Pick<SuccessorAgreement, 'record'>;
   readonly streamOrigins: StreamOrigins;
   readonly routes: Pick<RouteTable, 'version'>;
   readonly defaultVersions: Pick<DefaultVersions, 'isOutdated' | 'isUnused'>;
@@ -122,6 +129,10 @@
   async recordForPeer(message: unknown): Promise<boolean> {
     const parsed = messageSchema.safeParse(message);
     const { originWriter, streamOrigins, routes, timers } = this.#options;
+    if (parsed.data?.statement) {
+      this.#options.successorAgreement.record(parsed.data.statement);
+      return true;
+    }
     // Without the routes this router does not know how long the streams live.
     if (!parsed.success || routes.version === undefined) {
       return false;
--- a/packages/gateway/src/streams/stream-recording.ts
+++ b/packages/gateway/src/streams/stream-recording.ts
@@ -18,7 +18,7 @@
   readonly streamLedger: Pick<StreamLedger, 'record'>;
   readonly defaultVersions: Pick<
     DefaultVersions,
-    'needsNoRecord' | 'mayLackRecord' | 'has'
+    'needsNoRecord' | 'mayLackRecord' | 'has' | 'isSuccessor'
   >;
   readonly routeHistory: Pick<RouteHistory, 'isShared'>;
   readonly timers: TimerService;
@@ -30,6 +30,8 @@
   readonly service: ServiceId;
   /** Whether the origin of its stream is known, so that its events are passed on also without a record. */
   readonly isResumption: boolean;
+  /** Whether its caller waits for longer than any route lets a stream run. */
+  readonly hasLongCaller?: boolean;
 }
 
 const NOT_STORED = Promise.resolve(false);
@@ -100,6 +102,18 @@
     );
   }
 
+  /** Whether the stream that was admitted last may be taken for one of the version, as it has no record. */
+  get isTakenForSuccessor(): boolean {
+    const { service } = this.#recorded;
+    return (
+      this.#record === 'missing' &&
+      this.#options.defaultVersions.isSuccessor(
+        service,
+        this.#announcement?.version,
+      )
+    );
+  }
+
   /** Whether the stream may begin at once. */
   isAdmitted(version: SoftwareVersion | undefined): boolean {
     return (
@@ -128,7 +142,11 @@
     const { defaultVersions, routeHistory, timers } = this.#options;
     const { service } = this.#recorded;
     const now = timers.now();
-    if (this.#announced.size > 0 || routeHistory.isShared(service, now)) {
+    if (
+      this.#announced.size > 0 ||
+      this.#recorded.hasLongCaller === true ||
+      routeHistory.isShared(service, now)
+    ) {
       return true;
     }
     return version === undefined
--- a/packages/gateway/src/streams/stream-resumption.test.ts
+++ b/packages/gateway/src/streams/stream-resumption.test.ts
@@ -43,6 +43,25 @@
   'clock-step',
   'clock-drift',
 ] as const;
+/** Releases, outages of the store and losses of all memory, beside cuts and steps of the store's clock. */
+const EVENTS_OF_OUTAGES = [
+  'release',
+  'release',
+  'newer',
+  'newer-leave',
+  'taken-back',
+  'store',
+  'store',
+  'kill-all',
+  'kill-all',
+  'cut',
+  'heal',
+  'clock-step',
+  'calm',
+  'calm',
+  'calm',
+  'calm',
+] as const;
 type EventName =
   | (typeof EVENTS_WITH_RESTARTS)[number]
   | (typeof EVENTS_WITH_CLOCK_STEPS)[number];
@@ -464,6 +483,20 @@
     }
   });
 
+  // Guards against streams of an outage that are taken for ones of the successor of an unused default version, and are not.
+  it('never joins versions in outages soon after releases, after all routers were killed', async () => {
+    let resumedAfterAll = 0;
+    for (let seed = 1; seed <= 25; seed += 1) {
+      const { afterAll } = await play(
+        new Random(seed),
+        seed,
+        EVENTS_OF_OUTAGES,
+      );
+      resumedAfterAll += afterAll;
+    }
+    expect(resumedAfterAll).to.be.greaterThan(0);
+  });
+
   /** Plays random events; clients resume at once what their router cut off. */
   async function play(
     random: Random,
--- a/packages/gateway/src/streams/stream-resumption.ts
+++ b/packages/gateway/src/streams/stream-resumption.ts
@@ -10,8 +10,8 @@
 } from '@sesamegrade/core/software-versions/stream-origins';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
 import { withTimeout } from '@sesamegrade/core/time/with-timeout';
-import { milliseconds } from '@sesamegrade/core/types/units';
-import type { Milliseconds } from '@sesamegrade/core/types/units';
+import { elapsed, milliseconds } from '@sesamegrade/core/types/units';
+import type { Instant, Milliseconds } from '@sesamegrade/core/types/units';
 import type {
   RequestId,
   ServiceId,
@@ -79,11 +79,12 @@
   /**
    * Finds out where a stream began. `servicesNow` returns the services at which it can have
    * begun as far as this router knows by then; `begunBy` is the request that began it, if
-   * the caller names it.
+   * the caller names it, and `expiresAt` the end of the caller's time, if it says.
    */
   async originOf(
     servicesNow: () => StreamServices,
     begunBy: RequestId | undefined,
+    expiresAt?: Instant,
   ): Promise<OriginFinding> {
     const { streamOrigins, originConfirmation, timers } = this.#options;
     const key = begunBy && keyOfStream(begunBy);
@@ -97,7 +98,7 @@
     const confirmed = await withTimeout(
       originConfirmation.confirm(() => {
         service = servicesNow().only;
-        return { key, service };
+        return { key, service, remaining: remainingUntil(expiresAt, timers) };
       }),
       timers,
       MAX_CONFIRMATION_TIME,
@@ -117,6 +118,15 @@
   }
 }
 
+function remainingUntil(
+  end: Instant | undefined,
+  timers: TimerService,
+): Milliseconds | undefined {
+  return end === undefined
+    ? undefined
+    : milliseconds(Math.max(0, elapsed(timers.now(), end)));
+}
+
 /** An origin without a service tells enough only if its route leads to one service. */
 function completed(
   { service, version }: StreamSource,
--- a/packages/gateway/src/streams/testing/simulated-fleet.ts
+++ b/packages/gateway/src/streams/testing/simulated-fleet.ts
@@ -19,7 +19,12 @@
   ServiceId,
   SoftwareVersion,
 } from '@sesamegrade/core/types/ids';
-import { instant, milliseconds, seconds } from '@sesamegrade/core/types/units';
+import {
+  addTime,
+  instant,
+  milliseconds,
+  seconds,
+} from '@sesamegrade/core/types/units';
 import type { Milliseconds } from '@sesamegrade/core/types/units';
 import type { FeedRow } from '../../store/feed-source';
 import { decodeDefaults, DEFAULTS_KEY, encodeDefaults } from '../origin-row';
@@ -91,6 +96,8 @@
     endpoints: this.#endpoints,
     streamRows: new MemoryTable(this.#counter),
   };
+  /** When each stream was asked for: its caller waits for the longest timeout from then on. */
+  readonly #sentAt = new Map<string, number>();
   #endpointCount = 0;
   #isFirstStart = true;
   #answeredAt = 0;
@@ -276,6 +283,7 @@
     router: SimulatedRouter,
     id: string,
   ): Promise<Stream | undefined> {
+    this.#sentAt.set(id, this.now);
     const recording = new StreamRecording(
       {
         streamLedger: router.ledger,
@@ -343,9 +351,18 @@
   ): Promise<OriginFinding> {
     const path = { host: HOST, path: prefix };
     const begunBy = requestId(id);
+    const sentAt = this.#sentAt.get(id);
+    const expiresAt =
+      sentAt === undefined
+        ? undefined
+        : addTime(
+            router.timers.now(),
+            milliseconds(sentAt + this.longestTimeout - this.now),
+          );
     return router.resumption.originOf(
       () => router.routeHistory.servicesOf(path, begunBy, router.timers.now()),
       begunBy,
+      expiresAt,
     );
   }
 
@@ -403,6 +420,10 @@
       storeClock: () => this.now + this.#storeOffset,
       reach: each => this.#reach(each),
       isInTouch: () => this.now - this.#answeredAt <= IN_TOUCH_TIME,
+      others: () =>
+        this.routers
+          .map(({ id }) => id)
+          .filter(id => id !== routerId(`r-${index}`)),
       relays: each =>
         RELAYS.filter(id => id === each.id || this.#peer(each, id)),
       connectedAt: (from, id) => {
--- a/packages/gateway/src/streams/testing/simulated-router.ts
+++ b/packages/gateway/src/streams/testing/simulated-router.ts
@@ -19,7 +19,12 @@
 import { ManualTimerService } from '@sesamegrade/core/time/manual-timer-service';
 import { configurationVersion, routerId } from '@sesamegrade/core/types/ids';
 import type { RouterId } from '@sesamegrade/core/types/ids';
-import { addTime, milliseconds, seconds } from '@sesamegrade/core/types/units';
+import {
+  addTime,
+  instant,
+  milliseconds,
+  seconds,
+} from '@sesamegrade/core/types/units';
 import type { Instant, Milliseconds } from '@sesamegrade/core/types/units';
 import type { DecisionLog } from '../../logs/decision-log';
 import { DefaultVersionKeeper } from '../default-version-keeper';
@@ -30,6 +35,7 @@
 import { routingName } from '../routing-name';
 import { StreamLedger } from '../stream-ledger';
 import { StreamResumption } from '../stream-resumption';
+import { SuccessorAgreement } from '../successor-agreement';
 import type { EndpointTable } from './endpoint-table';
 import { ReachedFeed, ReachedTable } from './memory-table';
 import type {
@@ -80,6 +86,8 @@
   readonly reach: (router: SimulatedRouter) => StoreReach;
   /** Whether the store has lately answered any router. */
   readonly isInTouch: () => boolean;
+  /** The other routers of the fleet, also those that are cut off. */
+  readonly others: () => RouterId[];
   /** The relays that a router is connected to, itself included. */
   readonly relays: (router: SimulatedRouter) => readonly RouterId[];
   /** When a router was connected to another one; undefined if it is not. */
@@ -98,7 +106,7 @@
 
 export class SimulatedRouter {
   readonly id: RouterId;
-  readonly timers = new ManualTimerService();
+  readonly timers: ManualTimerService;
   readonly directory = new EndpointDirectory();
   readonly defaults = new DefaultVersions();
   readonly admission: StreamAdmission;
@@ -133,6 +141,7 @@
     const relays = () => options.relays(this);
     const { isInTouch } = options;
     this.#options = options;
+    this.timers = new ManualTimerService(instant(0), options.clock());
     this.id = id;
     this.lag = random.pick([0, MAX_LAG / 2, MAX_LAG]);
     this.#coverage = new FeedCoverage({ bound: DEPARTURE_BOUND, random });
@@ -158,6 +167,12 @@
       fleetReplica: { isReader: id === READER },
       peerUpdates: { isRelay: RELAYS.includes(id) },
       routes,
+      routerDirectory: {
+        isListRead: true,
+        get ids() {
+          return options.others();
+        },
+      },
       settings: { router: { id, first_start: isFirstStart } },
       coverage: {
         endpoints: this.#coverage,
@@ -193,14 +208,20 @@
       backgroundTasks: this.#backgroundTasks,
       log: { write: () => undefined } as unknown as DecisionLog,
     };
+    const successorAgreement = new SuccessorAgreement(shared);
     const originTable = new OriginTable(shared);
     const originWriter = new OriginWriter({ ...shared, originTable });
-    this.#keeper = new DefaultVersionKeeper({ ...shared, originTable });
+    this.#keeper = new DefaultVersionKeeper({
+      ...shared,
+      originTable,
+      successorAgreement,
+    });
     this.confirmation = new OriginConfirmation({ ...shared, originTable });
     this.ledger = new StreamLedger({
       ...shared,
       originTable,
       originWriter,
+      successorAgreement,
       originConfirmation: this.confirmation,
     });
     this.sharing = new OriginSharing({
--- a/packages/gateway/src/streams/unused-default.test.ts
+++ b/packages/gateway/src/streams/unused-default.test.ts
@@ -44,4 +44,90 @@
     const continued = resumed.filter(({ version, found }) => version === found);
     expect(continued.length).to.be.at.least(resumed.length / 2);
   });
+
+  describe('joins no versions', () => {
+    const [first, cutOff] = [0, 3];
+    let fleet: SimulatedFleet;
+
+    beforeEach(async () => {
+      fleet = new SimulatedFleet(new Random(1));
+      fleet.addEndpoint('v1');
+      fleet.start(ROUTERS);
+      await fleet.pass(4000);
+    });
+
+    /** Kills all routers in an outage, and returns the version at which a stream is resumed after that. */
+    async function versionAfterLoss(id: string): Promise<string | undefined> {
+      fleet.store = 'silent';
+      await fleet.pass(1000);
+      fleet.restart([0, 1, 2, 3]);
+      await fleet.pass(1500);
+      fleet.store = 'answers';
+      await fleet.pass(4000);
+      const { origin } = await fleet.resume(fleet.routers[2]!, id);
+      return origin?.version;
+    }
+
+    // Guards against a router that was cut off before the last endpoint left, and goes on with its version.
+    it('if a router that was cut off begins streams at the default one', async () => {
+      fleet.addEndpoint('v2');
+      await fleet.pass(2000);
+      fleet.cut(cutOff);
+      // Its endpoint still serves, though its entry is gone for the others.
+      fleet.removeEndpoints('v1', 1);
+      await fleet.pass(10_000);
+      fleet.startEndpoint(1, 'v1');
+      const stream = await fleet.begin(fleet.routers[cutOff]!, 'behind-cut');
+      fleet.removeEndpoints('v1', 1);
+      expect(stream?.version).to.equal('v1');
+      expect(await versionAfterLoss('behind-cut')).to.equal(undefined);
+    });
+
+    // Guards against a stream that a caller resumes late, when all routers have forgotten the version that began it.
+    it('if a stream of the default one is resumed after the agreement', async () => {
+      const stream = await fleet.begin(fleet.routers[first]!, 'early');
+      expect(stream?.version).to.equal('v1');
+      fleet.addEndpoint('v2');
+      await fleet.pass(1000);
+      fleet.removeEndpoints('v1', 1);
+      await fleet.pass(7000);
+      expect(await versionAfterLoss('early')).to.equal(undefined);
+    });
+
+    // Guards against a time of the store that is not the time that has passed.
+    it('if the clock of the store steps forward by 20 s meanwhile', async () => {
+      const stream = await fleet.begin(fleet.routers[first]!, 'early');
+      expect(stream?.version).to.equal('v1');
+      fleet.addEndpoint('v2');
+      await fleet.pass(1000);
+      fleet.removeEndpoints('v1', 1);
+      await fleet.pass(7000);
+      fleet.stepStoreClock(20_000);
+      expect(await versionAfterLoss('early')).to.equal(undefined);
+    });
+
+    // Guards against streams of a version that joined in an outage, which lack a record as those of the successor do.
+    it('if a third version joins before the outage', async () => {
+      fleet.addEndpoint('v2');
+      await fleet.pass(1000);
+      fleet.removeEndpoints('v1', 1);
+      await fleet.pass(8000);
+      fleet.addEndpoint('v3');
+      fleet.addEndpoint('v3');
+      fleet.addEndpoint('v3');
+      await fleet.pass(500);
+      fleet.store = 'silent';
+      await fleet.pass(1000);
+      const begun = await Promise.all(
+        Array.from({ length: 8 }, (_value, at) =>
+          fleet.begin(fleet.routers[at % ROUTERS]!, `outage-${at}`),
+        ),
+      );
+      const streams = begun.filter(stream => stream !== undefined);
+      expect(streams.map(({ version }) => version)).to.include('v2');
+      expect(streams.map(({ version }) => version)).not.to.include('v3');
+      const [last] = streams.slice(-1);
+      expect(await versionAfterLoss(last?.id ?? '')).to.equal('v2');
+    });
+  });
 });
