Refuse streams that crash endpoints after their second event

Cause: two events counted as proof that the content is sound, at the break as well, and cleared earlier crashes. Content that crashes endpoints before that was refused, so that probes and the exchange of suspects are ruled out.

Change: any break is examined. A run clears its content only of crashes that ended runs with fewer events, which routers exchange; a complete response clears it of all.

--- a/packages/core/src/peers/peer-updates.ts
+++ b/packages/core/src/peers/peer-updates.ts
@@ -47,6 +47,7 @@
   surveyed: 's',
   suspects: 'x',
   trials: 'y',
+  reaches: 'h',
   requestLimits: 'r',
   rejectionLimits: 'k',
 } as const;
@@ -191,6 +192,7 @@
     if (suspects.hasChanges) {
       topics[UpdateTopic.suspects] = suspects.takeChanges(now);
       topics[UpdateTopic.trials] = suspects.takeTrials(now);
+      topics[UpdateTopic.reaches] = suspects.takeReaches();
     }
     if (endpointLimits.hasChanges) {
       topics[UpdateTopic.requestLimits] = endpointLimits.requests.takeChanges();
@@ -230,6 +232,7 @@
       [UpdateTopic.parts]: takeFirst(locations.pairs(), MAX_SENT_PARTS),
       [UpdateTopic.surveyed]: surveyed.map(id => [id]),
       [UpdateTopic.suspects]: suspects.fullState(now),
+      [UpdateTopic.reaches]: suspects.fullReaches(now),
       [UpdateTopic.requestLimits]: endpointLimits.requests.fullState(),
       [UpdateTopic.rejectionLimits]: endpointLimits.rejections.fullState(),
       ...(this.#version
@@ -247,6 +250,7 @@
       feedUpdates.receive(topics, now) +
       suspects.receive(topics[UpdateTopic.suspects], this.#isRelay, now) +
       suspects.receiveTrials(topics[UpdateTopic.trials], this.#isRelay, now) +
+      suspects.receiveReaches(topics[UpdateTopic.reaches], this.#isRelay) +
       endpointLimits.requests.receive(
         topics[UpdateTopic.requestLimits],
         this.#isRelay,
--- a/packages/core/src/poison/attempt-evidence.ts
+++ b/packages/core/src/poison/attempt-evidence.ts
@@ -11,11 +11,6 @@
   | 'broken-off'
   | 'none';
 
-/**
- * Complete events after which a stream has passed the point at which content that
- * crashes endpoints does so.
- */
-export const MIN_SOUND_EVENTS = 2;
 const MIN_SERVER_ERROR_STATUS = 500;
 
 const BROKEN_OFF: ReadonlySet<AttemptFailure> = new Set<AttemptFailure>([
@@ -28,20 +23,14 @@
 
 export interface EndedRun {
   readonly result: AttemptResult;
-  /** Number of complete events that arrived in this attempt. */
-  readonly events: number;
   /** Whether the end of the response was marked other than by the end of its connection. */
   readonly isFramed: boolean;
 }
 
 export function attemptEvidence({
   result,
-  events,
   isFramed,
 }: EndedRun): AttemptEvidence {
-  if (events >= MIN_SOUND_EVENTS) {
-    return 'sound';
-  }
   switch (result.kind) {
     case 'answered':
     case 'delivered':
--- a/packages/core/src/poison/broken-attempts.ts
+++ b/packages/core/src/poison/broken-attempts.ts
@@ -11,6 +11,8 @@
 
 interface Break {
   readonly id: Fingerprint;
+  /** Number of events that had arrived. */
+  readonly events: number;
   readonly brokenAt: Instant;
 }
 
@@ -23,6 +25,8 @@
 export interface Crash {
   readonly crash: CrashId;
   readonly ids: readonly Fingerprint[];
+  /** The largest number of events that a run of each content had sent. */
+  readonly reaches: ReadonlyMap<Fingerprint, number>;
 }
 
 export class BrokenAttempts {
@@ -34,10 +38,11 @@
     crash: CrashId,
     ids: readonly Fingerprint[],
     now: Instant,
+    events = 0,
   ): void {
     const known = this.#byEndpoint.get(endpoint);
     const breaks = known?.crash === crash ? known.breaks : [];
-    breaks.push(...ids.map(id => ({ id, brokenAt: now })));
+    breaks.push(...ids.map(id => ({ id, events, brokenAt: now })));
     breaks.splice(0, breaks.length - MAX_BREAKS_PER_ENDPOINT);
     this.#byEndpoint.set(endpoint, { crash, breaks });
   }
@@ -46,11 +51,14 @@
   take(endpoint: EndpointId, now: Instant): Crash | undefined {
     const known = this.#byEndpoint.get(endpoint);
     this.#byEndpoint.delete(endpoint);
-    const ids = (known?.breaks ?? [])
-      .filter(({ brokenAt }) => elapsed(brokenAt, now) <= MAX_BREAK_AGE)
-      .map(({ id }) => id);
-    return known && ids.length > 0
-      ? { crash: known.crash, ids: [...new Set(ids)] }
+    const reaches = new Map<Fingerprint, number>();
+    for (const { id, events, brokenAt } of known?.breaks ?? []) {
+      if (elapsed(brokenAt, now) <= MAX_BREAK_AGE) {
+        reaches.set(id, Math.max(events, reaches.get(id) ?? 0));
+      }
+    }
+    return known && reaches.size > 0
+      ? { crash: known.crash, ids: [...reaches.keys()], reaches }
       : undefined;
   }
 
--- a/packages/core/src/poison/relayed-suspects.test.ts
+++ b/packages/core/src/poison/relayed-suspects.test.ts
@@ -32,8 +32,10 @@
 function exchange(routers: readonly RelayedSuspects[], now: Instant): void {
   for (const router of routers) {
     const changes = router.takeChanges(now);
+    const reaches = router.takeReaches();
     for (const other of routers) {
       expect(other.receive(changes, false, now)).to.equal(0);
+      expect(other.receiveReaches(reaches, false)).to.equal(0);
     }
   }
 }
@@ -63,6 +65,65 @@
     expect(kinds(routers, start)).to.deep.equal(['run', 'run', 'run']);
   });
 
+  describe('of a stream', () => {
+    const progressAt = (
+      routers: readonly RelayedSuspects[],
+      events: number,
+    ) => {
+      routers[2]?.recordProgress([content], events, start);
+      exchange(routers, start);
+      return new Set(kinds(routers, start));
+    };
+
+    // Guards against content that crashes endpoints after some events, and whose runs clear it by these (review/7).
+    it('is cleared by a run at any router only after more events than before its crashes', () => {
+      const routers = fleet(3);
+      routers[0]?.recordCrash(content, crashId('a'), start, 3);
+      routers[0]?.recordCrash(content, crashId('b'), start, 2);
+      exchange(routers, start);
+      expect(progressAt(routers, 2)).to.deep.equal(new Set(['refuse']));
+      expect(progressAt(routers, 3)).to.deep.equal(new Set(['run']));
+      expect(routers[0]?.suspicion(content)).to.equal('suspect');
+      progressAt(routers, 4);
+      expect(routers[0]?.suspicion(content)).to.equal('none');
+    });
+
+    it('is cleared by two events at least', () => {
+      const routers = fleet(3);
+      routers[0]?.recordCrash(content, crashId('a'), start);
+      exchange(routers, start);
+      progressAt(routers, 1);
+      expect(routers[0]?.suspicion(content)).to.equal('suspect');
+      progressAt(routers, 2);
+      expect(routers[0]?.suspicion(content)).to.equal('none');
+    });
+
+    // Guards against a router of an older build, or a store, that does not tell how far the runs had come.
+    it('is cleared by a complete response only if it is not known when the endpoint crashed', () => {
+      const [known, router] = fleet(2);
+      known?.recordCrash(content, crashId('a'), start, 3);
+      router?.receive(known?.takeChanges(start), false, start);
+      router?.recordProgress([content], 1000, start);
+      expect(router?.suspicion(content)).to.equal('suspect');
+      router?.clearAll([content], start);
+      expect(router?.suspicion(content)).to.equal('none');
+    });
+
+    it('is told to a new peer with the events before its crashes, and passed on once', () => {
+      const [known, joining] = fleet(2);
+      known?.recordCrash(content, crashId('a'), start, 3);
+      joining?.receive(known?.fullState(start), true, start);
+      const reaches = known?.fullReaches(start);
+      expect(joining?.receiveReaches(reaches, true)).to.equal(0);
+      expect(joining?.takeReaches()).to.deep.equal([
+        [content, crashId('a'), 3],
+      ]);
+      joining?.receiveReaches(reaches, true);
+      expect(joining?.takeReaches()).to.deep.equal([]);
+      expect(joining?.receiveReaches([['x', 'a', -1], 7], true)).to.equal(2);
+    });
+  });
+
   it('tells a new peer all rows, and does not pass on what it knows', () => {
     const [known, joining] = fleet(2);
     known?.recordCrash(content, crashId('a'), start);
@@ -220,10 +281,19 @@
     expect(broken.take(endpoint, late)).to.deep.equal({
       crash: crashId('e#1'),
       ids: [content],
+      reaches: new Map([[content, 0]]),
     });
     expect(broken.take(endpoint, late)).to.equal(undefined);
   });
 
+  it('tells the largest number of events that a run of a content had sent', () => {
+    const broken = new BrokenAttempts();
+    for (const events of [3, 7, 5]) {
+      broken.add(endpoint, crashId('e#1'), [content], start, events);
+    }
+    expect(broken.take(endpoint, start)?.reaches.get(content)).to.equal(7);
+  });
+
   it('forgets what broke at an endpoint that lives on', () => {
     const broken = new BrokenAttempts();
     broken.add(endpoint, crashId('e#1'), [content], start);
@@ -233,8 +303,9 @@
 });
 
 describe('attemptEvidence', () => {
-  it('takes only complete responses and the progress of a stream for a sign of sound content', () => {
-    const ended = { events: 0, isFramed: true };
+  // Guards against content that crashes endpoints after some events, and passes for sound by these.
+  it('takes only complete responses for a sign of sound content, and any broken-off one for a possible crash', () => {
+    const ended = { isFramed: true };
     const reset = { kind: 'broken', breakage: 'reset' } as const;
     const foreign = { kind: 'broken', breakage: 'foreign-answer' } as const;
     const failed = { kind: 'answered', status: 500 } as const;
@@ -245,8 +316,7 @@
         { ...ended, result: whole, isFramed: false },
         { ...ended, result: failed },
         { ...ended, result: reset },
-        { ...ended, result: reset, events: 1 },
-        { ...ended, result: reset, events: 2 },
+        { ...ended, result: reset, isFramed: false },
         { ...ended, result: foreign },
         { ...ended, result: { kind: 'silent' } as const },
       ].map(attemptEvidence),
@@ -256,7 +326,6 @@
       'none',
       'broken-off',
       'broken-off',
-      'sound',
       'none',
       'none',
     ]);
--- a/packages/core/src/poison/relayed-suspects.ts
+++ b/packages/core/src/poison/relayed-suspects.ts
@@ -1,8 +1,9 @@
 /**
  * Decides whether content that may crash endpoints is run, in a fleet whose routers
  * exchange updates through relays. Content that was running when an endpoint crashed
- * is a suspect at every router and still runs; a second crash condemns it, a complete
- * response clears it. Condemned content is refused until a trial is due.
+ * is a suspect at every router and still runs; a second crash condemns it. A complete
+ * response clears it, and a run that sends more events than those that crashes ended clears it
+ * of these. Condemned content is refused until a trial is due.
  */
 import { z } from 'zod';
 
@@ -11,6 +12,8 @@
 import type { Fingerprint, RouterId } from '../types/ids';
 import { elapsed, milliseconds, seconds } from '../types/units';
 import type { Instant, Milliseconds } from '../types/units';
+import { CrashReaches } from './crash-reaches';
+import type { CrashReach } from './crash-reaches';
 import { ScheduledTrials } from './scheduled-trials';
 import { crashId, suspicion } from './suspect';
 import type { CrashId, Suspect, SuspicionKind } from './suspect';
@@ -57,10 +60,19 @@
 /** A trial as peers receive it: content and milliseconds since it was sent. */
 export type TrialEntry = readonly [string, number];
 
+/** Content, crash, and the number of events before it. */
+const reachSchema = z.tuple([
+  z.string().min(1).max(128),
+  z.string().min(1).max(192),
+  z.int().min(0),
+]);
+
 const trialSchema = z.tuple([z.string().min(1).max(128), z.number().min(0)]);
 
 /** Rows that are sent to a new peer, the most severe first. */
 const MAX_SENT_ROWS = 1000;
+/** Reaches that are sent in a message; receivers reject more than 2,000 entries of a kind. */
+const MAX_SENT_REACHES = 2000;
 const EXPIRY_PERIOD: Milliseconds = seconds(60);
 
 export interface RelayedSuspectsOptions {
@@ -74,6 +86,9 @@
   readonly #trials: ScheduledTrials;
   readonly #changed = new Set<Fingerprint>();
   readonly #newTrials = new Set<Fingerprint>();
+  readonly #reaches = new CrashReaches();
+  /** Contents whose reaches peers have not got. */
+  readonly #newReaches = new Set<Fingerprint>();
   #listener: (change: SuspectChange) => void = () => undefined;
   #expiredAt: Instant | undefined;
 
@@ -88,7 +103,11 @@
 
   /** Whether there are changes to send to peers. */
   get hasChanges(): boolean {
-    return this.#changed.size > 0 || this.#newTrials.size > 0;
+    return (
+      this.#changed.size > 0 ||
+      this.#newTrials.size > 0 ||
+      this.#newReaches.size > 0
+    );
   }
 
   /** Registers a function that is called when this router observes a change. */
@@ -142,8 +161,11 @@
     }
   }
 
-  /** Records that an endpoint crashed while the content was running on it. */
-  recordCrash(id: Fingerprint, crash: CrashId, now: Instant): void {
+  /** Records that an endpoint crashed while a run of the content had sent a number of events. */
+  recordCrash(id: Fingerprint, crash: CrashId, now: Instant, events = 0): void {
+    if (this.#reaches.record([id, crash, events])) {
+      this.#newReaches.add(id);
+    }
     const wasCondemned = this.suspicion(id) === 'condemned';
     if (this.#table.recordCrash(id, crash, now)) {
       this.#onRowChanged(id, now);
@@ -159,10 +181,31 @@
     }
   }
 
+  /** Clears every content of a run of the crashes before which fewer events had been sent. */
+  recordProgress(
+    ids: readonly Fingerprint[],
+    events: number,
+    now: Instant,
+  ): void {
+    for (const id of ids) {
+      this.#clear(id, now, crash =>
+        this.#reaches.isExceeded(id, crash, events),
+      );
+    }
+  }
+
   /** Clears content of the crashes so far; returns true if it was a suspect. */
   clear(id: Fingerprint, now: Instant): boolean {
+    return this.#clear(id, now, () => true);
+  }
+
+  #clear(
+    id: Fingerprint,
+    now: Instant,
+    isDisproved: (crash: CrashId) => boolean,
+  ): boolean {
     const wasCondemned = this.suspicion(id) === 'condemned';
-    const isCleared = this.#table.clear(id, now);
+    const isCleared = this.#table.clearOf(id, isDisproved, now);
     if (isCleared) {
       this.#changed.add(id);
       this.#listener({ kind: 'row', id, wasCondemned });
@@ -180,7 +223,9 @@
     }
     this.#expiredAt = now;
     this.#table.expire(now);
-    this.#trials.retain(id => this.#table.get(id) !== undefined);
+    const isKnown = (id: Fingerprint) => this.#table.get(id) !== undefined;
+    this.#trials.retain(isKnown);
+    this.#reaches.retain(isKnown);
   }
 
   /** Returns and clears the rows that changed since the last call. */
@@ -202,6 +247,41 @@
     return entries;
   }
 
+  /** Returns and clears the reaches that were recorded since the last call. */
+  takeReaches(): CrashReach[] {
+    const ids = [...this.#newReaches];
+    this.#newReaches.clear();
+    return this.#sentReaches(ids);
+  }
+
+  /** Returns the reaches of the rows for a new peer. */
+  fullReaches(now: Instant): CrashReach[] {
+    return this.#sentReaches(
+      this.fullState(now).map(([key]) => fingerprint(key)),
+    );
+  }
+
+  #sentReaches(ids: readonly Fingerprint[]): CrashReach[] {
+    return [...this.#reaches.of(ids)].slice(0, MAX_SENT_REACHES);
+  }
+
+  /** Records reaches of other routers and returns how many entries were malformed. */
+  receiveReaches(
+    entries: readonly unknown[] | undefined,
+    isRelay: boolean,
+  ): number {
+    return forEachValidEntry(entries, reachSchema, ([key, crash, events]) => {
+      const id = fingerprint(key);
+      // Without its row nothing would remove the reach again.
+      const isNew =
+        this.#table.get(id) !== undefined &&
+        this.#reaches.record([id, crashId(crash), events]);
+      if (isNew && isRelay) {
+        this.#newReaches.add(id);
+      }
+    });
+  }
+
   /** Records trials of other routers and returns how many entries were malformed. */
   receiveTrials(
     entries: readonly unknown[] | undefined,
--- a/packages/core/src/poison/suspect-table.ts
+++ b/packages/core/src/poison/suspect-table.ts
@@ -75,11 +75,20 @@
 
   /** Clears the content of all crashes so far; returns true when it changed. */
   clear(id: Fingerprint, now: Instant): boolean {
+    return this.clearOf(id, () => true, now);
+  }
+
+  /** Clears the content of some of its crashes; returns true when it changed. */
+  clearOf(
+    id: Fingerprint,
+    isDisproved: (crash: CrashId) => boolean,
+    now: Instant,
+  ): boolean {
     const row = this.#rows.get(id);
-    if (!row || unclearedCrashes(row).length === 0) {
-      return false;
-    }
-    return this.merge({ ...row, cleared: row.crashes, seenAt: now });
+    const cleared = row ? unclearedCrashes(row).filter(isDisproved) : [];
+    return row !== undefined && cleared.length > 0
+      ? this.merge({ ...row, cleared: new Set(cleared), seenAt: now })
+      : false;
   }
 
   /** Extends the retention of a row because its content was requested again. */
--- a/packages/gateway/src/endpoints/crash-detector.ts
+++ b/packages/gateway/src/endpoints/crash-detector.ts
@@ -50,19 +50,21 @@
   }
 
   /**
-   * Records that an attempt was broken off. Resolves once the endpoint has answered a
+   * Records that an attempt was broken off after a number of events. Resolves once the endpoint has answered a
    * probe, or the time for that is over.
    */
   async onBroken(
     entry: EndpointEntry,
     ids: readonly Fingerprint[],
+    events = 0,
   ): Promise<void> {
     const { id, startedAt } = entry;
     if (this.#isLeaving(entry)) {
       return;
     }
     const crash = crashIdOf(id, incarnation(startedAt ?? 0));
-    this.#brokenAttempts.add(id, crash, ids, this.#options.timers.now());
+    const now = this.#options.timers.now();
+    this.#brokenAttempts.add(id, crash, ids, now, events);
     const running = this.#probes.get(id);
     if (running) {
       await running;
@@ -134,7 +136,7 @@
     }
     this.#crashCount += 1;
     for (const id of crash.ids) {
-      suspects.recordCrash(id, crash.crash, now);
+      suspects.recordCrash(id, crash.crash, now, crash.reaches.get(id));
     }
     log.write('endpoint-crash', {
       endpoint,
--- a/packages/gateway/src/forwarding/crash-guard.ts
+++ b/packages/gateway/src/forwarding/crash-guard.ts
@@ -47,27 +47,31 @@
     suspects.onTrialSent(this.#contents, timers.now());
   }
 
-  /** Records that a stream has made the progress that shows its content as sound. */
-  recordSound(): void {
+  /** Records the number of events that an attempt has sent so far. */
+  recordProgress(events: number): void {
     const { suspects, timers } = this.#options;
     if (suspects.size > 0) {
-      suspects.clearAll(this.#contents, timers.now());
+      suspects.recordProgress(this.#contents, events, timers.now());
     }
   }
 
   /**
-   * Records the end of an attempt. Resolves after a second break only when the endpoint
+   * Records the end of an attempt that sent a number of events. Resolves after a second break only when the endpoint
    * was probed, as the next attempt may crash another one.
    */
-  async recordEnd(entry: EndpointEntry, run: EndedRun): Promise<void> {
-    const { suspects, crashDetector } = this.#options;
+  async recordEnd(
+    entry: EndpointEntry,
+    run: EndedRun,
+    events: number,
+  ): Promise<void> {
+    const { suspects, crashDetector, timers } = this.#options;
     const { result } = run;
     if (result.kind === 'declined' && result.decline === 'other-instance') {
       crashDetector.onReplaced(entry.id);
     }
     const evidence = attemptEvidence(run);
-    if (evidence === 'sound') {
-      this.recordSound();
+    if (evidence === 'sound' && suspects.size > 0) {
+      suspects.clearAll(this.#contents, timers.now());
     }
     if (evidence !== 'broken-off') {
       return;
@@ -76,7 +80,7 @@
     const isSuspect = this.#contents.some(
       id => suspects.suspicion(id) !== 'none',
     );
-    const verdict = crashDetector.onBroken(entry, this.#contents);
+    const verdict = crashDetector.onBroken(entry, this.#contents, events);
     if (isSuspect || this.#breaks > 1) {
       await verdict;
     }
--- a/packages/gateway/src/forwarding/event-stream-sink.test.ts
+++ b/packages/gateway/src/forwarding/event-stream-sink.test.ts
@@ -91,7 +91,6 @@
     relay = new ResponseRelay({
       exchange,
       memory: responseMemory.open(),
-      onSoundProgress: () => undefined,
       isStream: true,
       lastEventId: undefined,
       isResumption: false,
--- a/packages/gateway/src/forwarding/event-stream-sink.ts
+++ b/packages/gateway/src/forwarding/event-stream-sink.ts
@@ -4,7 +4,6 @@
   AttemptFailure,
   AttemptResult,
 } from '@sesamegrade/core/forwarding/attempt-result';
-import { MIN_SOUND_EVENTS } from '@sesamegrade/core/poison/attempt-evidence';
 import { ResponseSink } from '../endpoints/attempt';
 import type { ResponseHead } from '../endpoints/endpoint-protocol';
 import { MIN_RESPONSE_BYTES } from './response-memory';
@@ -139,11 +138,7 @@
     if (this.#eventCount === 0) {
       this.#attempt.onFirstAttemptEvent();
     }
-    const wasSound = this.#eventCount >= MIN_SOUND_EVENTS;
     this.#eventCount += count;
-    if (!wasSound && this.#eventCount >= MIN_SOUND_EVENTS) {
-      this.#options.onSoundProgress();
-    }
     if (!exchange.hasResponseStarted && this.#head) {
       exchange.startResponse(this.#head);
     }
--- a/packages/gateway/src/forwarding/request-run.ts
+++ b/packages/gateway/src/forwarding/request-run.ts
@@ -192,9 +192,6 @@
     this.#relay = new ResponseRelay({
       exchange,
       memory: this.#memory,
-      onSoundProgress: () => {
-        this.#crashGuard.recordSound();
-      },
       isStream: route.answer.kind === 'stream',
       lastEventId: head.lastEventId,
       isResumption: request.isResumption,
@@ -514,7 +511,9 @@
         }
       },
       onEvents: count => {
-        self().events += count;
+        const run = self();
+        run.events += count;
+        this.#crashGuard.recordProgress(run.events);
       },
       onFirstEvent: () => {
         streamGuard.onBegun(entry);
@@ -667,11 +666,12 @@
     if (run.events > 0) {
       this.#request.streamGuard.onAttemptEnd(choice.entry, attempt, result);
     }
-    await this.#crashGuard.recordEnd(choice.entry, {
-      result,
-      events: run.events,
-      isFramed: attempt.responseHead?.framing !== 'connection',
-    });
+    const isFramed = attempt.responseHead?.framing !== 'connection';
+    await this.#crashGuard.recordEnd(
+      choice.entry,
+      { result, isFramed },
+      run.events,
+    );
     return result;
   }
 
--- a/packages/gateway/src/forwarding/response-relay.ts
+++ b/packages/gateway/src/forwarding/response-relay.ts
@@ -48,8 +48,6 @@
 export interface ResponseRelayOptions {
   readonly exchange: CallerExchange;
   readonly memory: HeldBytes;
-  /** Called once an attempt has sent as many events as show that its content is sound. */
-  readonly onSoundProgress: () => void;
   readonly isStream: boolean;
   /** Id of the last event that the caller received of an earlier response. */
   readonly lastEventId: number | undefined;
--- a/packages/measure/src/poison/crash-storm.ts
+++ b/packages/measure/src/poison/crash-storm.ts
@@ -20,7 +20,7 @@
   readonly contents: (number: number) => readonly Fingerprint[];
   /** Milliseconds from its arrival at an endpoint to the end of its run, or to the crash. */
   readonly runTime: number;
-  /** Milliseconds from its arrival to the progress that shows it as sound; its end by default. */
+  /** Milliseconds in which a run sends two events; it sends none before its end by default. */
   readonly progressTime?: number;
   readonly crashesEndpoints: boolean;
   readonly repeatable: boolean;
@@ -95,7 +95,7 @@
 interface Run {
   readonly request: Request;
   isOver: boolean;
-  isSound: boolean;
+  readonly startedAt: number;
 }
 
 /** Time from a crash to the routers' proof of it. */
@@ -268,7 +268,7 @@
       router.suspects.onTrialSent(contents, instant(this.#now));
     }
     const endpoint = this.#random.pick(open);
-    const run: Run = { request, isOver: false, isSound: false };
+    const run: Run = { request, isOver: false, startedAt: this.#now };
     tried.add(endpoint);
     request.runs += 1;
     endpoint.running.add(run);
@@ -284,13 +284,30 @@
         this.#onRunEnd(endpoint, run);
       }
     });
-    if (kind.progressTime !== undefined) {
-      this.#queue.add(this.#now + kind.progressTime, () => {
-        if (!run.isOver) {
-          this.#onSound(run);
-        }
-      });
+    this.#awaitProgress(run);
+  }
+
+  /** Records each event of a run. */
+  #awaitProgress(run: Run): void {
+    const { progressTime } = run.request.kind;
+    if (progressTime === undefined) {
+      return;
     }
+    this.#queue.add(this.#now + progressTime / 2, () => {
+      if (!run.isOver) {
+        const { contents, router } = run.request;
+        const now = instant(this.#now);
+        router.suspects.recordProgress(contents, this.#eventsOf(run), now);
+        this.#awaitProgress(run);
+      }
+    });
+  }
+
+  #eventsOf({ request, startedAt }: Run): number {
+    const { progressTime } = request.kind;
+    return progressTime === undefined
+      ? 0
+      : Math.floor((2 * (this.#now - startedAt)) / progressTime);
   }
 
   #onRunEnd(endpoint: SimulatedEndpoint, run: Run): void {
@@ -303,12 +320,7 @@
     endpoint.running.delete(run);
     report.served += 1;
     report.laterServed += isLater ? 1 : 0;
-    this.#onSound(run);
-  }
-
-  #onSound(run: Run): void {
     const { contents, router } = run.request;
-    run.isSound = true;
     router.suspects.clearAll(contents, instant(this.#now));
   }
 
@@ -330,17 +342,20 @@
     });
     for (const run of interrupted) {
       run.isOver = true;
-      if (run.isSound) {
-        continue;
-      }
       const { contents, router } = run.request;
-      router.broken.add(id, crash, contents, instant(this.#now));
+      const events = this.#eventsOf(run);
+      router.broken.add(id, crash, contents, instant(this.#now), events);
     }
     this.#queue.add(this.#now + PROOF_TIME, () => {
       for (const router of this.#routers) {
         const found = router.broken.take(id, instant(this.#now));
         for (const content of found?.ids ?? []) {
-          router.suspects.recordCrash(content, crash, instant(this.#now));
+          router.suspects.recordCrash(
+            content,
+            crash,
+            instant(this.#now),
+            found?.reaches.get(content),
+          );
         }
       }
     });
@@ -380,6 +395,7 @@
       router.isFlushPending = false;
       const rows = router.suspects.takeChanges(instant(this.#now));
       const trials = router.suspects.takeTrials(instant(this.#now));
+      const reaches = router.suspects.takeReaches();
       const index = this.#routers.indexOf(router);
       const isRelay = index < RELAYS;
       if (isRelay && this.#isDead(index)) {
@@ -389,7 +405,7 @@
         ? this.#routers.filter(other => other !== router)
         : this.#routers.slice(0, RELAYS);
       for (const receiver of receivers) {
-        this.#receive(receiver, rows, trials);
+        this.#receive(receiver, rows, trials, reaches);
       }
     });
   }
@@ -398,19 +414,21 @@
     router: SimulatedRouter,
     rows: readonly unknown[],
     trials: readonly unknown[],
+    reaches: readonly unknown[],
   ): void {
     const index = this.#routers.indexOf(router);
     if (index < RELAYS && this.#isDead(index)) {
       return;
     }
     const second = Math.floor(this.#now / SECOND);
-    const bytes = JSON.stringify([rows, trials]).length;
+    const bytes = JSON.stringify([rows, trials, reaches]).length;
     router.bytesBySecond.set(
       second,
       (router.bytesBySecond.get(second) ?? 0) + bytes,
     );
     router.suspects.receive(rows, index < RELAYS, instant(this.#now));
     router.suspects.receiveTrials(trials, index < RELAYS, instant(this.#now));
+    router.suspects.receiveReaches(reaches, index < RELAYS);
     if (router.suspects.hasChanges) {
       this.#flushSoon(router);
     }
