Keep Retry-After within a third of the caller's time after rounding

Cause: a request that is refused within its first millisecond has all of its time left, and the adapter rounds 666.67 ms up. The share is cut to whole milliseconds now. Not reproduced by a test of its own: the check of admission.test.ts is the one that failed.

--- a/packages/gateway/src/forwarding/refusals.ts
+++ b/packages/gateway/src/forwarding/refusals.ts
@@ -73,7 +73,8 @@
       retryAfter: milliseconds(
         Math.min(
           Math.max(MIN_RETRY_AFTER, retryAfter),
-          remaining * RETRY_AFTER_SHARE,
+          // `Retry-After` has whole milliseconds, and rounding it up would exceed the share.
+          Math.floor(remaining * RETRY_AFTER_SHARE),
         ),
       ),
     };
