Compute no fingerprints when a request ends

The listener that determines them before a body is released also ran at the end of each request, where nothing needs them: a hash of the whole body. Found by reading the diff; not measured. The run takes its listener back at its end.

--- a/packages/gateway/src/callers/body-memory.ts
+++ b/packages/gateway/src/callers/body-memory.ts
@@ -57,8 +57,8 @@
   }
 
   /**
-   * Reserves the announced or largest length of a body. Returns true if there is room now; otherwise `grant`
-   * is called once there is, unless the wait ends before.
+   * Reserves the announced or largest length of a body. Returns true if there is room now;
+   * otherwise `grant` is called once there is, unless the wait ends before.
    */
   reserve(body: IncompleteBody, length: number, grant: () => void): boolean {
     if (this.#waiting.size === 0 && this.#tryReserve(body, length)) {
--- a/packages/gateway/src/callers/request-body.ts
+++ b/packages/gateway/src/callers/request-body.ts
@@ -44,8 +44,8 @@
     return this.length > BODY_PIECE_BYTES;
   }
 
-  /** Calls the listener before the bytes are released. */
-  onRelease(listener: () => void): void {
+  /** Calls the listener before the bytes are released, in place of an earlier one. */
+  onRelease(listener: (() => void) | undefined): void {
     this.#onRelease = listener;
   }
 
--- a/packages/gateway/src/forwarding/crash-guard.ts
+++ b/packages/gateway/src/forwarding/crash-guard.ts
@@ -56,8 +56,8 @@
   }
 
   /**
-   * Records the end of an attempt that sent a number of events. Resolves after a second break only when the endpoint
-   * was probed, as the next attempt may crash another one.
+   * Records the end of an attempt that sent a number of events. Resolves after a second break
+   * only when the endpoint was probed, as the next attempt may crash another one.
    */
   async recordEnd(
     entry: EndpointEntry,
--- a/packages/gateway/src/forwarding/request-run.ts
+++ b/packages/gateway/src/forwarding/request-run.ts
@@ -218,6 +218,8 @@
       // Nothing runs any more unless the request failed.
       this.#abortAll(() => ({ kind: 'caller-left' }));
       this.#releaseMemory();
+      // No attempt is left whose content could matter.
+      this.#request.body.onRelease(undefined);
     }
   }
 
