--- a/packages/core/src/software-versions/default-versions.ts
+++ b/packages/core/src/software-versions/default-versions.ts
@@ -227,7 +227,7 @@
     const longestTime = longestCallerTime(
       milliseconds(Math.max(known, lifetime)),
     );
-    // A caller with more time than that has waited for longer than the difference.
+    // A caller that had less time at first has waited for less than the difference.
     const age = Math.max(0, longestTime - remaining) + BEGIN_TOLERANCE;
     const sinceAgreement = Math.min(
       storeTime - agreedAt.storeTime,
