Log when and after what hold-up a stop breaks a response off

The hypotheses H1 and H3 differ in when a response is broken off after the signal, in what the last attempt did and in what had not been sent; the log had only the reason and the number of events. `cut` now has the age of the request, the time that it had left, the bytes not sent, the end of the last attempt also in a stop, the time since the signal was handled and the hold-up before it. `stop-begun` says when the answers are due, `stop-repeated` that a further signal came (H7). The shutdown sequence keeps both bounds of the time of the signal, and uses the earlier one as before: no logic changes.

--- a/packages/gateway/src/forwarding/request-run.ts
+++ b/packages/gateway/src/forwarding/request-run.ts
@@ -784,7 +784,7 @@
     const { timers, gatewayMetrics } = this.#options;
     const { exchange, decision, arrivedAt } = this.#request;
     if (result.kind === 'stopping') {
-      this.#giveUpAsStopping();
+      this.#giveUpAsStopping(result);
     } else if (step.kind === 'pass-on' && !exchange.isOver) {
       this.#passResponseOn();
     } else if (step.kind === 'give-up' && !exchange.isOver) {
@@ -850,7 +850,7 @@
   }
 
   /** Answers a request for which a router that is stopping has no time left. */
-  #giveUpAsStopping(): void {
+  #giveUpAsStopping(result?: AttemptResult): void {
     this.#attempts.finish();
     const { exchange, head } = this.#request;
     if (exchange.isOver) {
@@ -858,7 +858,7 @@
     }
     if (exchange.hasResponseStarted) {
       this.#onEndedByStop('cut');
-      this.#giveUp('stopping');
+      this.#giveUp('stopping', result);
     } else if (this.#mayHaveRun) {
       this.#onEndedByStop('mayHaveRun');
       this.#refuse({ kind: 'may-have-run', cause: 'stopping' });
@@ -869,15 +869,10 @@
   }
 
   #giveUp(reason: string, result?: AttemptResult): void {
-    const { timers, log, chooser, refusals } = this.#options;
+    const { timers, chooser, refusals } = this.#options;
     const { exchange, head, service, expiresAt } = this.#request;
     if (exchange.hasResponseStarted) {
-      log.write('cut', {
-        request: head.requestId,
-        reason,
-        end: result,
-        events: this.#relay.events,
-      });
+      this.#logCut(reason, result);
       exchange.abort();
       return;
     }
@@ -891,6 +886,25 @@
     this.#refuse(this.#refusalFor(reason, remaining, result, holdTime));
   }
 
+  /** Logs how far a response came that is broken off, and when. */
+  #logCut(reason: string, result: AttemptResult | undefined): void {
+    const { timers, log, shutdownSequence } = this.#options;
+    const { exchange, head, arrivedAt, expiresAt } = this.#request;
+    const now = timers.now();
+    const { signal } = shutdownSequence;
+    log.write('cut', {
+      request: head.requestId,
+      reason,
+      end: result,
+      events: this.#relay.events,
+      unsent: exchange.unsentBytes || undefined,
+      age: Math.round(elapsed(arrivedAt, now)),
+      timeLeft: Math.round(elapsed(now, expiresAt)),
+      sinceSignal: signal && Math.round(elapsed(signal.latest, now)),
+      heldUp: signal && Math.round(elapsed(signal.earliest, signal.latest)),
+    });
+  }
+
   #refusalFor(
     reason: string,
     remaining: Milliseconds,
--- a/packages/gateway/src/logs/request-trace.ts
+++ b/packages/gateway/src/logs/request-trace.ts
@@ -36,6 +36,7 @@
   'start',
   'stop',
   'stop-begun',
+  'stop-repeated',
   'lines-dropped',
 ]);
 
--- a/packages/gateway/src/process/gateway-process.ts
+++ b/packages/gateway/src/process/gateway-process.ts
@@ -177,6 +177,9 @@
    * period is nearly over, also when it is called again.
    */
   stop(): Promise<void> {
+    if (this.#stopped) {
+      this.#options.log.write('stop-repeated');
+    }
     this.#stopped ??= this.#stop();
     return this.#stopped;
   }
@@ -193,11 +196,13 @@
     const now = timers.now();
     // The kill is timed at the signal, which may have come at any time since.
     const startedAt = timers.heldUpSince ?? now;
+    shutdownSequence.start(startedAt, now);
+    const { answersBy = now } = shutdownSequence;
     log.write('stop-begun', {
       running: forwarder.running,
       heldUp: Math.round(elapsed(startedAt, now)),
+      answersIn: Math.round(elapsed(now, answersBy)),
     });
-    shutdownSequence.start(startedAt);
     callerServer.startDraining();
     await shutdownSequence.waitUntilDrained(timers, {
       running: () =>
--- a/packages/gateway/src/process/shutdown-sequence.ts
+++ b/packages/gateway/src/process/shutdown-sequence.ts
@@ -30,6 +30,14 @@
   readonly expiresAt: Instant;
 }
 
+/** The time at which the process was told to stop, as far as it can know it. */
+export interface SignalTime {
+  /** The signal was not sent before this. */
+  readonly earliest: Instant;
+  /** When the signal was handled. */
+  readonly latest: Instant;
+}
+
 /** What a draining router waits for, and how it ends it. */
 export interface DrainedWork {
   /** Number of requests that run or whose response is not written yet. */
@@ -42,7 +50,7 @@
 
 export class ShutdownSequence {
   readonly #grace: () => Milliseconds;
-  #startedAt: Instant | undefined;
+  #signal: SignalTime | undefined;
   #shortestGrace: Milliseconds | undefined;
 
   /**
@@ -55,22 +63,26 @@
   }
 
   get hasStarted(): boolean {
-    return this.#startedAt !== undefined;
+    return this.#signal !== undefined;
+  }
+
+  /** Undefined if the router is not stopping. */
+  get signal(): SignalTime | undefined {
+    return this.#signal;
   }
 
   /** Time by which every request is answered; undefined if the router is not stopping. */
   get answersBy(): Instant | undefined {
-    return this.#startedAt === undefined
+    return this.#signal === undefined
       ? undefined
       : addTime(
-          this.#startedAt,
+          this.#signal.earliest,
           milliseconds(Math.max(0, this.#timeToExit - LAST_RESPONSE_TIME)),
         );
   }
 
-  /** `startedAt` is the earliest time at which the signal may have been sent. */
-  start(startedAt: Instant): void {
-    this.#startedAt ??= startedAt;
+  start(earliest: Instant, latest = earliest): void {
+    this.#signal ??= { earliest, latest };
   }
 
   /**
@@ -83,7 +95,7 @@
     now: Instant,
   ): boolean {
     const { answersBy } = this;
-    if (this.#startedAt === undefined || answersBy === undefined) {
+    if (this.#signal === undefined || answersBy === undefined) {
       return true;
     }
     if (now >= answersBy) {
@@ -92,7 +104,7 @@
     const mayBeBrokenOff = repeatable || answer.kind === 'stream';
     return (
       expiresAt <= answersBy ||
-      (mayBeBrokenOff && elapsed(this.#startedAt, now) < BALANCER_DELAY)
+      (mayBeBrokenOff && elapsed(this.#signal.earliest, now) < BALANCER_DELAY)
     );
   }
 
@@ -115,8 +127,9 @@
     timers: TimerService,
     { running, closeIdle, endRunning }: DrainedWork,
   ): Promise<void> {
-    const startedAt = this.#startedAt ?? timers.now();
-    this.#startedAt = startedAt;
+    const now = timers.now();
+    this.start(now);
+    const startedAt = this.#signal?.earliest ?? now;
     let quietSince = timers.now();
     let wasQuiet = false;
     let hasEnded = false;
@@ -154,7 +167,7 @@
       this.#shortestGrace ?? Number.POSITIVE_INFINITY,
       this.#grace(),
     );
-    if (this.#startedAt !== undefined) {
+    if (this.#signal !== undefined) {
       this.#shortestGrace = milliseconds(grace);
     }
     return milliseconds(Math.max(0, grace - EXIT_MARGIN));
