Have Node.js track the connections of the early listener

Cause: the program's HTTP server gets its connections from a listener that was opened earlier and never listens itself, so that Node.js keeps no list of them. closeIdleConnections and closeAllConnections did nothing, and the limits of heads and requests were not checked. A request that arrived between the last look at the running requests and the end of the process was passed on and cut.

In one process, where the server listens itself, such a request is closed and not passed on.

The adoption now emits the event on which Node.js sets up its list and checks. Ruled out: the decision to exit, which running requests prevent.

--- a/packages/gateway/src/callers/early-listener.ts
+++ b/packages/gateway/src/callers/early-listener.ts
@@ -40,6 +40,9 @@
   listener.server.removeAllListeners('connection');
   listener.server.removeAllListeners('error');
   listener.server.on('error', onAcceptFailure);
+  // Without this event Node.js keeps no list of the connections: it closes none of them, and
+  // limits no request's time.
+  server.emit('listening');
   listener.server.on('connection', (socket: Socket) => {
     server.emit('connection', socket);
   });
