Let responses that have begun go on until shortly before the kill of a stop

Cause: a process that was held up knows the time of the signal only within bounds. The stop counted everything from the earlier one, which is right for what has to be over before the kill; for what could go on it takes the whole hold-up away, up to 1.1 s at a router that has just started. The margins of 0.8 s did not depend on the grace period, so that one below 4.8 s ended its streams before its last sixth.

Both bounds are used now, each where it is safe. Responses that have begun run on until 0.5 s before the later kill, as their callers see the break in either case; requests without a response, and responses that only the end of the connection marks, are ended by the earlier one as before. Ruled out: a stop that takes streams too late, as the balancer's delay counts from the earlier bound. The test of an examined end names the scope that it had; it asserts the same.

--- a/packages/gateway/src/callers/caller-exchange.ts
+++ b/packages/gateway/src/callers/caller-exchange.ts
@@ -143,6 +143,11 @@
     return this.#responseStarted;
   }
 
+  /** Whether a response has begun whose caller can tell that it breaks off, however that comes. */
+  get showsItsBreak(): boolean {
+    return this.#responseStarted && !this.#isUnframed;
+  }
+
   /** Calls the listener when the caller disconnects; at once if it has done so. */
   onDisconnect(listener: () => void): void {
     if (this.#disconnected) {
--- a/packages/gateway/src/forwarding/forwarder.ts
+++ b/packages/gateway/src/forwarding/forwarder.ts
@@ -26,6 +26,7 @@
   CallerProtocol,
   CallerRefusal,
 } from '../callers/caller-protocol';
+import type { EndScope } from '../process/shutdown-sequence';
 import type { FleetReadiness } from '../store/fleet-readiness';
 import { MAX_RETRY_AFTER } from './refusals';
 import { RequestRun } from './request-run';
@@ -101,10 +102,11 @@
     return this.#endedByStop;
   }
 
-  /** Answers all requests that still run, as the process is about to exit. */
-  endRunning(): void {
+  /** Answers requests that still run, or breaks their responses off, as the process is about to exit. */
+  endRunning(scope: EndScope): void {
     for (const { exchange, end } of this.#running) {
-      if (!exchange.isOver) {
+      const isEnded = scope === 'all' || !exchange.showsItsBreak;
+      if (!exchange.isOver && isEnded) {
         end();
       }
     }
--- a/packages/gateway/src/forwarding/request-run.ts
+++ b/packages/gateway/src/forwarding/request-run.ts
@@ -453,7 +453,7 @@
         target: head.target,
         headers: endpointProtocol.requestHeaders(head, {
           endpoint: entry.id,
-          remaining: milliseconds(Math.max(1, this.#remaining)),
+          remaining: milliseconds(Math.max(1, this.#timeToRun)),
           team: team?.id,
           lastEventId: this.#relay.lastEventId,
           fetchFrom: choice.fetchFrom?.address,
@@ -973,6 +973,18 @@
     return milliseconds(Math.max(0, elapsed(timers.now(), end)));
   }
 
+  /** Time for which an endpoint may work on the request. */
+  get #timeToRun(): Milliseconds {
+    const { shutdownSequence, timers } = this.#options;
+    const { decision, expiresAt } = this.#request;
+    const { breaksOffAt } = shutdownSequence;
+    if (decision.route.answer.kind !== 'stream' || breaksOffAt === undefined) {
+      return this.#remaining;
+    }
+    const end = breaksOffAt < expiresAt ? breaksOffAt : expiresAt;
+    return milliseconds(Math.max(0, elapsed(timers.now(), end)));
+  }
+
   get #silenceLimit(): Milliseconds {
     const { route } = this.#request.decision;
     if (route.answer.kind === 'whole') {
--- a/packages/gateway/src/process/gateway-process.ts
+++ b/packages/gateway/src/process/gateway-process.ts
@@ -212,12 +212,12 @@
       closeIdle: () => {
         callerServer.closeIdleConnections();
       },
-      endRunning: () => {
-        forwarder.endRunning();
+      endRunning: scope => {
+        forwarder.endRunning(scope);
       },
     });
     // Requests may have been read since the last poll.
-    forwarder.endRunning();
+    forwarder.endRunning('all');
     await nextLoopTurn();
     callerServer.logUnfinished();
     log.write('stop', {
--- a/packages/gateway/src/process/shutdown-sequence.test.ts
+++ b/packages/gateway/src/process/shutdown-sequence.test.ts
@@ -17,6 +17,8 @@
   stoppedAt: number | undefined;
   closedIdleAt: number | undefined;
   endedAt: number | undefined;
+  /** When responses that had begun were broken off. */
+  brokenOffAt: number | undefined;
 }
 
 const STREAM = { kind: 'stream', pauseLimit: undefined } as const;
@@ -30,23 +32,28 @@
   running: (sinceStart: number, areEnded: boolean) => number,
   grace: (sinceStart: number) => Milliseconds = () => GRACE,
   step: Milliseconds = milliseconds(50),
+  heldUp: Milliseconds = milliseconds(0),
 ): Promise<Observed> {
   const timers = new ManualTimerService();
   const observed: Observed = {
     stoppedAt: undefined,
     closedIdleAt: undefined,
     endedAt: undefined,
+    brokenOffAt: undefined,
   };
   const sequence = new ShutdownSequence(() => grace(timers.now()));
-  sequence.start(timers.now());
+  sequence.start(addTime(timers.now(), milliseconds(0 - heldUp)), timers.now());
   sequence
     .waitUntilDrained(timers, {
       running: () => running(timers.now(), observed.endedAt !== undefined),
       closeIdle: () => {
         observed.closedIdleAt ??= timers.now();
       },
-      endRunning: () => {
+      endRunning: scope => {
         observed.endedAt ??= timers.now();
+        if (scope === 'all') {
+          observed.brokenOffAt ??= timers.now();
+        }
       },
     })
     .then(() => {
@@ -183,6 +190,56 @@
     expect(longer.stoppedAt).to.be.within(7300, 7700);
   });
 
+  // Guards against streams that are broken off although they could go on, as the process was held up before the signal.
+  it('counts the time of what has begun to respond from when it handled the signal', async () => {
+    for (const heldUp of [0, 530, 700, 1100, 3000]) {
+      const { brokenOffAt, stoppedAt } = await shutDown(
+        () => 1,
+        () => GRACE,
+        milliseconds(50),
+        milliseconds(heldUp),
+      );
+      expect(brokenOffAt).to.be.within(7300, 7700);
+      expect(stoppedAt).to.be.within(7300, 7700);
+    }
+  });
+
+  // Guards against requests without a response that the kill cuts, as its time counts from an earlier signal.
+  it('counts the time of what has not begun to respond from the earliest time of the signal', async () => {
+    const { endedAt } = await shutDown(
+      () => 1,
+      () => GRACE,
+      milliseconds(50),
+      milliseconds(1100),
+    );
+    expect(endedAt).to.be.within(5900, 6400);
+  });
+
+  // Guards against margins that take more of a short grace period than its last sixth.
+  it('breaks nothing off before the last sixth of the grace period', async () => {
+    for (const grace of [1, 2, 3, 4, 6, 30]) {
+      const { brokenOffAt, stoppedAt } = await shutDown(
+        () => 1,
+        () => seconds(grace),
+        milliseconds(10 * grace),
+      );
+      expect(brokenOffAt).to.be.at.least((grace * 1000 * 5) / 6);
+      expect(stoppedAt).to.be.below(grace * 1000);
+    }
+  });
+
+  // Guards against a balancer that still sends connections to a router which was held up and has exited.
+  it('listens for the balancer delay after it handled the signal', async () => {
+    const { stoppedAt, closedIdleAt } = await shutDown(
+      () => 0,
+      () => GRACE,
+      milliseconds(50),
+      milliseconds(1500),
+    );
+    expect(closedIdleAt).to.be.at.least(2600);
+    expect(stoppedAt).to.be.at.least(3000);
+  });
+
   // Guards against answers that are cut off in the moment in which they are written.
   it('leaves time to write the last responses after the process was held up', async () => {
     const { endedAt, stoppedAt } = await shutDown(
--- a/packages/gateway/src/process/shutdown-sequence.ts
+++ b/packages/gateway/src/process/shutdown-sequence.ts
@@ -1,6 +1,6 @@
 /**
  * Graceful shutdown: decides which requests a draining router still accepts, by when
- * it has answered all of them, and when the process may exit. It does not exit before
+ * it has answered them, and when the process may exit. It does not exit before
  * the load balancer and the callers had time to switch to other routers.
  */
 import type { ResponseMode } from '@sesamegrade/core/routes/fleet-configuration';
@@ -13,9 +13,12 @@
  * until two checks have failed.
  */
 const BALANCER_DELAY: Milliseconds = milliseconds(2600);
-/** The process exits this long before the end of the grace period, whatever still runs. */
+/** The process begins to exit this long before the end of the grace period, whatever still runs. */
 const EXIT_MARGIN: Milliseconds = milliseconds(500);
-/** Time before the exit in which the last responses are written. */
+/** Largest share of the grace period that the margin takes, and its smallest length. */
+const EXIT_MARGIN_SHARE = 1 / 8;
+const MIN_EXIT_MARGIN: Milliseconds = milliseconds(100);
+/** Time before the exit in which the responses of requests without one are written. */
 const LAST_RESPONSE_TIME: Milliseconds = milliseconds(300);
 /** Time without a running request after which no further one is expected. */
 const QUIET_TIME: Milliseconds = milliseconds(400);
@@ -38,14 +41,17 @@
   readonly latest: Instant;
 }
 
+/** Which requests are ended: those whose callers cannot see by the end of the process that they failed, or all. */
+export type EndScope = 'unanswered' | 'all';
+
 /** What a draining router waits for, and how it ends it. */
 export interface DrainedWork {
   /** Number of requests that run or whose response is not written yet. */
   readonly running: () => number;
   /** Called in every poll after the balancer's delay. */
   readonly closeIdle: () => void;
-  /** Answers what still runs; called in every poll once the time for it has come. */
-  readonly endRunning: () => void;
+  /** Ends requests that still run; called in every poll once the time for it has come. */
+  readonly endRunning: (scope: EndScope) => void;
 }
 
 export class ShutdownSequence {
@@ -71,7 +77,10 @@
     return this.#signal;
   }
 
-  /** Time by which every request is answered; undefined if the router is not stopping. */
+  /**
+   * Time by which every request has a response or the begin of one; undefined if the router is
+   * not stopping. The process may be killed a grace period after the earliest time of the signal.
+   */
   get answersBy(): Instant | undefined {
     return this.#signal === undefined
       ? undefined
@@ -81,6 +90,17 @@
         );
   }
 
+  /**
+   * Time at which responses that have begun are broken off; undefined if the router is not
+   * stopping. Their callers see no difference between that and the kill, so that it counts from
+   * the latest time of the signal.
+   */
+  get breaksOffAt(): Instant | undefined {
+    return this.#signal === undefined
+      ? undefined
+      : addTime(this.#signal.latest, this.#timeToExit);
+  }
+
   start(earliest: Instant, latest = earliest): void {
     this.#signal ??= { earliest, latest };
   }
@@ -121,39 +141,48 @@
 
   /**
    * Resolves when nothing has run for `QUIET_TIME` after the balancer's delay, or
-   * everything has been answered at the end, or shortly before the grace period ends.
+   * everything has ended, or shortly before the grace period ends.
    */
   waitUntilDrained(
     timers: TimerService,
     { running, closeIdle, endRunning }: DrainedWork,
   ): Promise<void> {
-    const now = timers.now();
-    this.start(now);
-    const startedAt = this.#signal?.earliest ?? now;
-    let quietSince = timers.now();
+    const begin = timers.now();
+    this.start(begin);
+    // The balancer sees that the router is not ready once the signal is handled.
+    const handledAt = this.#signal?.latest ?? begin;
+    let quietSince = begin;
     let wasQuiet = false;
+    let hasAnswered = false;
     let hasEnded = false;
     return new Promise(resolve => {
       const cancel = timers.every(POLL_PERIOD, now => {
-        const sinceStart = elapsed(startedAt, now);
+        const sinceHandled = elapsed(handledAt, now);
         if (running() > 0) {
           quietSince = now;
         }
-        if (sinceStart >= BALANCER_DELAY) {
+        if (sinceHandled >= BALANCER_DELAY) {
           closeIdle();
         }
         const isQuiet =
-          sinceStart >= BALANCER_DELAY + QUIET_TIME &&
+          sinceHandled >= BALANCER_DELAY + QUIET_TIME &&
           elapsed(quietSince, now) >= QUIET_TIME;
-        const isAnswered =
-          hasEnded && (running() === 0 || sinceStart >= this.#timeToExit);
-        if ((isQuiet && wasQuiet) || isAnswered) {
+        if (
+          hasEnded ||
+          (hasAnswered && running() === 0) ||
+          (isQuiet && wasQuiet)
+        ) {
           cancel();
           resolve();
-        } else if (now >= (this.answersBy ?? now)) {
-          // What is written now reaches the callers before the next poll, also if that is late.
+          return;
+        }
+        // What is written now reaches the callers before the next poll, also if that is late.
+        if (now >= (this.breaksOffAt ?? now)) {
           hasEnded = true;
-          endRunning();
+          endRunning('all');
+        } else if (now >= (this.answersBy ?? now)) {
+          hasAnswered = true;
+          endRunning('unanswered');
         }
         // After a late poll, requests that arrived before it are read before the next one.
         wasQuiet = isQuiet;
@@ -161,7 +190,7 @@
     });
   }
 
-  /** Time from the start of the shutdown to the exit at the latest. */
+  /** Time from the signal to the exit at the latest. */
   get #timeToExit(): Milliseconds {
     const grace = Math.min(
       this.#shortestGrace ?? Number.POSITIVE_INFINITY,
@@ -170,6 +199,10 @@
     if (this.#signal !== undefined) {
       this.#shortestGrace = milliseconds(grace);
     }
-    return milliseconds(Math.max(0, grace - EXIT_MARGIN));
+    const margin = Math.max(
+      MIN_EXIT_MARGIN,
+      Math.min(EXIT_MARGIN, grace * EXIT_MARGIN_SHARE),
+    );
+    return milliseconds(Math.max(0, grace - margin));
   }
 }
