Refuse requests that are read while a stop writes its last responses

A request that was read in the turn of the event loop between the last look at the running requests and the close of all connections was closed without a response. Its caller knows then that the router has read it, and does not repeat an order.

The requests of that turn are refused now, and nothing is read between the refusals and the close, which follow in the same turn.

--- a/packages/gateway/src/process/gateway-process.ts
+++ b/packages/gateway/src/process/gateway-process.ts
@@ -216,9 +216,11 @@
         forwarder.endRunning(scope);
       },
     });
-    // Requests may have been read since the last poll.
+    // Requests may have been read since the last poll, and in the turn that writes the last responses.
     forwarder.endRunning('all');
     await nextLoopTurn();
+    forwarder.endRunning('all');
+    await afterWrites();
     callerServer.logUnfinished();
     log.write('stop', {
       took: Math.round(elapsed(startedAt, timers.now())),
@@ -591,6 +593,13 @@
   };
 }
 
+/** Resolves once the responses of this turn are handed to the system, before anything else is read. */
+function afterWrites(): Promise<void> {
+  return new Promise(resolve => {
+    process.nextTick(resolve);
+  });
+}
+
 function nextLoopTurn(): Promise<void> {
   return new Promise(resolve => {
     setImmediate(resolve);
