--- a/packages/settings/src/gateway-schema.ts
+++ b/packages/settings/src/gateway-schema.ts
@@ -6,10 +6,23 @@
 import { milliseconds, seconds } from '@sesamegrade/core/types/units';
 
 const MAX_PORT = 65_535;
-const text = z.string().trim().min(1);
+const NO_VALUE = 'expected a value';
+const DEFAULT_COLD_OVERAGE = 1.5;
+const text = z.string().trim().min(1, NO_VALUE);
 const positive = z.coerce.number().positive();
 const nonNegative = z.coerce.number().min(0);
 
+/** Takes an empty value as not set: a template renders one where the platform has no value. */
+const unlessEmpty = <Schema extends z.ZodType>(schema: Schema) =>
+  z.preprocess(value => (value === '' ? undefined : value), schema);
+
+/** Rejects an empty value, which coercion to a number would take as 0. */
+const required = <Schema extends z.ZodType>(schema: Schema) =>
+  z
+    .unknown()
+    .refine(value => value !== '', { error: NO_VALUE, abort: true })
+    .pipe(schema);
+
 /** An address as `IP:PORT`; port 0 is allowed. */
 const address = text.transform((value, context): Address => {
   const parsed = parseAddress(value);
@@ -50,24 +63,20 @@
     .default('/readyz')
     .describe("path of the load balancer's readiness check"),
   peers: address.describe('address on which this router accepts other routers'),
-  first_start: z
-    .union([z.boolean(), z.stringbool()])
-    .default(false)
-    .describe(
-      "whether this is the fleet's first start, with empty engine caches",
-    ),
-  cpu_share: positive
-    .default(1)
-    .describe('share of the processor that the VM may use; 1 is all of it'),
-  cpu_speed: positive
-    .default(1)
-    .describe('processor speed relative to that of the smallest VMs'),
-  memory_mb: z
-    .union([z.literal('').transform(() => undefined), positive])
-    .optional()
-    .describe(
-      'memory of the VM in MiB, by which the memory of requests and responses is limited; 240 is assumed unless set',
-    ),
+  first_start: unlessEmpty(
+    z.union([z.boolean(), z.stringbool()]).default(false),
+  ).describe(
+    "whether this is the fleet's first start, with empty engine caches",
+  ),
+  cpu_share: unlessEmpty(positive.default(1)).describe(
+    'share of the processor that the VM may use; 1 is all of it',
+  ),
+  cpu_speed: unlessEmpty(positive.default(1)).describe(
+    'processor speed relative to that of the smallest VMs',
+  ),
+  memory_mb: unlessEmpty(positive.optional()).describe(
+    'memory of the VM in MiB, by which the memory of requests and responses is limited; 240 is assumed unless set',
+  ),
   metrics_port: z.coerce.number().int().min(0).max(MAX_PORT).default(9464),
 });
 
@@ -90,38 +99,34 @@
 });
 
 const bounds = z.strictObject({
-  departure_ms: durationMs
-    .prefault(2000)
-    .describe(
-      'time within which a leaving endpoint gets no more requests, in milliseconds',
-    ),
-  configuration_ms: durationMs
-    .prefault(2000)
-    .describe(
-      'time within which a new configuration is in force, in milliseconds',
-    ),
-  cold_overage: positive
-    .prefault(1.5)
-    .describe(
-      'requests a second at a cold endpoint, as a multiple of the rate of its service, beyond which it may crash',
-    ),
-  cold_slack: nonNegative
-    .prefault(5)
-    .describe('requests a second that are tolerated beyond that multiple'),
+  departure_ms: unlessEmpty(durationMs.prefault(2000)).describe(
+    'time within which a leaving endpoint gets no more requests, in milliseconds',
+  ),
+  configuration_ms: unlessEmpty(durationMs.prefault(2000)).describe(
+    'time within which a new configuration is in force, in milliseconds',
+  ),
+  cold_overage: unlessEmpty(positive.optional()).describe(
+    `requests a second at a cold endpoint, as a multiple of the rate of its service, beyond which it may crash; ${DEFAULT_COLD_OVERAGE} is assumed unless set`,
+  ),
+  cold_slack: unlessEmpty(nonNegative.prefault(5)).describe(
+    'requests a second that are tolerated beyond that multiple',
+  ),
 });
 
 const stop = z.strictObject({
-  grace_seconds: durationSeconds.describe(
+  grace_seconds: required(durationSeconds).describe(
     'time from SIGTERM to SIGKILL, in seconds',
   ),
 });
 
 const retries = z.strictObject({
-  ratio: nonNegative.describe('retries allowed per request, fleet-wide'),
-  window_seconds: durationSeconds.describe(
+  ratio: required(nonNegative).describe(
+    'retries allowed per request, fleet-wide',
+  ),
+  window_seconds: required(durationSeconds).describe(
     'length of the sliding window of the retry budget, in seconds',
   ),
-  slack: nonNegative.describe(
+  slack: required(nonNegative).describe(
     'retries allowed per window regardless of traffic',
   ),
 });
@@ -129,9 +134,9 @@
 const admission = z.strictObject({
   enabled: z
     .union([z.boolean(), z.stringbool()])
-    .default(false)
+    .optional()
     .describe(
-      'whether requests wait or are refused while all slots of a service are taken',
+      'whether requests wait or are refused while all slots of a service are taken; unless set, whether `cold_overage` in section `bounds` is set',
     ),
   max_wait_ms: durationMs
     .prefault(1000)
@@ -195,16 +200,31 @@
   level: z.enum(['error', 'warn', 'info']).default('info'),
 });
 
-export const gatewaySettingsSchema = z.strictObject({
-  router,
-  peers: peers.prefault({}),
-  store,
-  bounds: bounds.prefault({}),
-  stop,
-  retries,
-  admission: admission.prefault({}),
-  caller_limits: callerLimitsSchema.prefault({}),
-  log: log.prefault({}),
-});
+export const gatewaySettingsSchema = z
+  .strictObject({
+    router,
+    peers: peers.prefault({}),
+    store,
+    bounds: bounds.prefault({}),
+    stop,
+    retries,
+    admission: admission.prefault({}),
+    caller_limits: callerLimitsSchema.prefault({}),
+    log: log.prefault({}),
+  })
+  .transform(settings => ({
+    ...settings,
+    bounds: {
+      ...settings.bounds,
+      cold_overage: settings.bounds.cold_overage ?? DEFAULT_COLD_OVERAGE,
+    },
+    // Endpoints that are cold after a start leave too few slots for all requests at times.
+    admission: {
+      ...settings.admission,
+      enabled:
+        settings.admission.enabled ??
+        settings.bounds.cold_overage !== undefined,
+    },
+  }));
 
 export type GatewaySettings = z.output<typeof gatewaySettingsSchema>;
