Take no response with an invalid status for the endpoint's

What callers saw: an endpoint's 600 or 999, which the router passed on with its status, its id, its receipt and its body, on all kinds of routes, directly and through another router. Clients of HTTP need not be able to read such a status. What such a head said of its endpoint counted, too: one with `Server-Leaving` or a limit took the endpoint out of use.

Cause: the parser takes any three digits for a status, and no reader looked at the range. 000 to 099 it hands on like the head of an interim response and fails at their end only; an exchange that reads statements from heads (lists of cached parts, reports) had taken the statements by then.

Decision: RFC 9110, section 15, calls statuses outside of 100 to 599 invalid and tells a client to treat them as a server error. The router is the client here, and a 502 is what it says of a server it cannot understand. A 600 with the endpoint's receipt would be something that only some callers can read; a rewritten status would bear the receipt of another one.

Change: `EndpointConnection` ends an exchange with such a status as malformed, before anything of its head is read. It carries forwarded requests, reports and lists, direct and through tunnels alike.

--- a/packages/gateway/src/endpoints/attempt.ts
+++ b/packages/gateway/src/endpoints/attempt.ts
@@ -12,7 +12,7 @@
 import type { Instant, Milliseconds } from '@sesamegrade/core/types/units';
 import { TOO_MANY_BYTES } from '../http/bounded-socket';
 import type { ConnectionPool } from './connection-pool';
-import { JOINED_HEADS } from './endpoint-connection';
+import { INVALID_STATUS, JOINED_HEADS } from './endpoint-connection';
 import type {
   ExchangeResult,
   EndpointRequest,
@@ -351,6 +351,7 @@
   const isMalformed =
     cause === TOO_MANY_BYTES ||
     cause === JOINED_HEADS ||
+    cause === INVALID_STATUS ||
     cause.startsWith('HPE_') ||
     cause.startsWith('UND_ERR_RES') ||
     cause === 'UND_ERR_HEADERS_OVERFLOW';
--- a/packages/gateway/src/endpoints/endpoint-connection.ts
+++ b/packages/gateway/src/endpoints/endpoint-connection.ts
@@ -6,6 +6,7 @@
 
 import { formatAddress } from '@sesamegrade/core/types/address';
 import type { Address } from '@sesamegrade/core/types/endpoint';
+import { isHttpStatus } from '@sesamegrade/core/types/http-status';
 import type { RouterId } from '@sesamegrade/core/types/ids';
 import { elapsed, milliseconds } from '@sesamegrade/core/types/units';
 import type { Instant, Milliseconds } from '@sesamegrade/core/types/units';
@@ -38,6 +39,9 @@
 /** Error code of a response whose head consists of parts of two. */
 export const JOINED_HEADS = 'JOINED_HEADS';
 
+/** Error code of a response whose status is outside of those of HTTP. */
+export const INVALID_STATUS = 'INVALID_STATUS';
+
 /** Lowest HTTP status that is not one of an interim response. */
 const MIN_FINAL_STATUS = 200;
 
@@ -190,6 +194,10 @@
           listener.onSent();
         },
         onResponseStart: (controller, status, _headers, reason = '') => {
+          if (!isHttpStatus(status)) {
+            controller.abort(new InvalidStatusError());
+            return;
+          }
           const headers = decodeHeaders(controller.rawHeaders);
           if ([reason, ...headers].some(text => STATUS_LINE.test(text))) {
             controller.abort(new JoinedHeadsError());
@@ -326,6 +334,10 @@
   readonly code = JOINED_HEADS;
 }
 
+class InvalidStatusError extends Error {
+  readonly code = INVALID_STATUS;
+}
+
 class ConnectionClosedError extends Error {
   readonly code = 'CONNECTION_CLOSED';
 }
