--- a/packages/gateway/src/endpoints/attempt.ts
+++ b/packages/gateway/src/endpoints/attempt.ts
@@ -10,7 +10,7 @@
 } from '@sesamegrade/core/forwarding/attempt-result';
 import type { RequestId, RouterId } from '@sesamegrade/core/types/ids';
 import type { Instant, Milliseconds } from '@sesamegrade/core/types/units';
-import { TOO_MANY_BYTES } from '../http/bounded-socket';
+import { NO_HTTP_RESPONSE, TOO_MANY_BYTES } from '../http/bounded-socket';
 import type { ConnectionPool } from './connection-pool';
 import { INVALID_STATUS, JOINED_HEADS } from './endpoint-connection';
 import type {
@@ -350,6 +350,7 @@
   const cause = result.kind === 'broken' ? result.cause : '';
   const isMalformed =
     cause === TOO_MANY_BYTES ||
+    cause === NO_HTTP_RESPONSE ||
     cause === JOINED_HEADS ||
     cause === INVALID_STATUS ||
     cause.startsWith('HPE_') ||
--- a/packages/gateway/src/endpoints/endpoint-connection.ts
+++ b/packages/gateway/src/endpoints/endpoint-connection.ts
@@ -191,6 +191,7 @@
         onRequestStart: controller => {
           this.#controller = controller;
           isSent = true;
+          this.#socket?.expectResponse();
           listener.onSent();
         },
         onResponseStart: (controller, status, _headers, reason = '') => {
--- a/packages/gateway/src/http/bounded-socket.ts
+++ b/packages/gateway/src/http/bounded-socket.ts
@@ -9,6 +9,12 @@
 /** Error code of a connection that was closed because the server sent too many bytes. */
 export const TOO_MANY_BYTES = 'TOO_MANY_BYTES';
 
+/** Error code of a connection that was closed because the server sent no response of HTTP/1. */
+export const NO_HTTP_RESPONSE = 'NO_HTTP_RESPONSE';
+
+const RESPONSE_START = 'HTTP/1.';
+const CR = 0x0d;
+const LF = 0x0a;
 const NO_BYTES = Buffer.alloc(0);
 
 export interface BoundedSocketOptions {
@@ -25,6 +31,8 @@
 export class BoundedSocket extends Socket {
   readonly #maxBytes: number;
   #receivedBytes = 0;
+  /** What the next bytes have to be. */
+  #expectedStart = '';
 
   /** Connects at once; closes with an error if no connection is made in time. */
   constructor({ address, connectTimeout, maxBytes }: BoundedSocketOptions) {
@@ -47,6 +55,14 @@
     this.#receivedBytes = 0;
   }
 
+  /**
+   * Closes the connection unless the next bytes begin a response of HTTP/1; to be called before
+   * a request is sent. The parser also takes responses of other versions and of RTSP.
+   */
+  expectResponse(): void {
+    this.#expectedStart = RESPONSE_START;
+  }
+
   /**
    * Whether the peer reset the connection, to be asked at its end. Node.js reports a
    * reset that arrives together with the last bytes as a regular end; only a write,
@@ -63,9 +79,32 @@
       this.destroy(new TooManyBytesError());
       return false;
     }
+    if (chunk && !this.#startsAsExpected(chunk)) {
+      this.destroy(new NoHttpResponseError());
+      return false;
+    }
     return super.push(chunk);
   }
 
+  /** The parser skips empty lines before a response. */
+  #startsAsExpected(chunk: Buffer): boolean {
+    const isBegun = this.#expectedStart.length < RESPONSE_START.length;
+    const begin = isBegun
+      ? 0
+      : chunk.findIndex(byte => byte !== CR && byte !== LF);
+    if (begin < 0) {
+      return true;
+    }
+    const start = chunk.toString(
+      'latin1',
+      begin,
+      begin + this.#expectedStart.length,
+    );
+    const isExpected = this.#expectedStart.startsWith(start);
+    this.#expectedStart = this.#expectedStart.slice(start.length);
+    return isExpected;
+  }
+
   override _write(...parameters: Parameters<Socket['_write']>): void {
     this.resetCount();
     super._write(...parameters);
@@ -109,6 +148,10 @@
   readonly code = TOO_MANY_BYTES;
 }
 
+class NoHttpResponseError extends Error {
+  readonly code = NO_HTTP_RESPONSE;
+}
+
 class ConnectTimeoutError extends Error {
   readonly code = 'CONNECT_TIMEOUT';
 }
