Take no tunnel from a peer's answer with malformed names

What was seen: a 200 to CONNECT whose head held a field `X Y: v`, `X : v` or `: v` established a tunnel. No caller was shown to be harmed by it: what comes through the tunnel is read by undici, which refuses such names.

Cause: the answer to CONNECT is read by Node.js's own parser, which, other than the one of undici, takes a blank for a part of a name and reads a name that is empty. It refuses control bytes, DEL and bytes above 127.

Change: the client of tunnels checks the names by `validateHeaderName` of Node.js, and takes the answer for none if one is invalid. That is neither a refusal by the peer nor the end of the endpoint.

Ruled out: statuses 000, 001, 099, 100, 101, 199, 204, 299, 600, 999, which are a refusal that says nothing of the endpoint, or an error; bytes behind the head, which are handed on as they came.

--- a/packages/gateway/src/tunnels/tunnel-client.ts
+++ b/packages/gateway/src/tunnels/tunnel-client.ts
@@ -1,5 +1,5 @@
 /** Connects to an endpoint through another router, by HTTP CONNECT at the port for peers. */
-import { request } from 'node:http';
+import { request, validateHeaderName } from 'node:http';
 
 import type { RouterIdentity } from '@sesamegrade/core/membership/router-table';
 import { formatAddress } from '@sesamegrade/core/types/address';
@@ -66,7 +66,12 @@
     const timer = setTimeout(() => {
       finish(fail(new TunnelTimeoutError()));
     }, timeout);
-    connect.once('connect', ({ statusCode = 0 }, _socket, head: Buffer) => {
+    connect.once('connect', (answer, _socket, head: Buffer) => {
+      const { statusCode = 0, rawHeaders } = answer;
+      if (!hasValidNames(rawHeaders)) {
+        finish(fail(new MalformedAnswerError()));
+        return;
+      }
       if (statusCode !== STATUS_OK) {
         finish(fail(new TunnelRefusedError(statusCode)));
         return;
@@ -100,6 +105,24 @@
   }
 }
 
+class MalformedAnswerError extends Error {
+  readonly code = 'MALFORMED_ANSWER';
+}
+
 class TunnelTimeoutError extends Error {
   readonly code = 'TUNNEL_TIMEOUT';
 }
+
+/** Node.js refuses control bytes in a name, but reads one that is empty or has blanks. */
+function hasValidNames(rawHeaders: readonly string[]): boolean {
+  return rawHeaders.every((name, at) => at % 2 === 1 || isHeaderName(name));
+}
+
+function isHeaderName(name: string): boolean {
+  try {
+    validateHeaderName(name);
+    return true;
+  } catch {
+    return false;
+  }
+}
