Relay and believe no response with an invalid status at the own interface

What callers saw: a plain service's 600 or 999, relayed to the caller and recorded as the result of an order. With `X-Engine-Refused` such a response counted as a proof that the request did not run, so that it was sent again, and its load counted. Chats took 600 and 999 for a failure already, unless they named a refusal.

Cause: the class of fault that the platform's path had: the parser takes any three digits for a status, and nothing looked at the range.

Change: the attempt runner takes such a response as broken before it reads the load or a refusal. It does so there, not in the client, since a probe takes any response for a sign of life.

Ruled out: 000 to 199, statuses not of three digits, names and values with blanks and control bytes, which fail with the parser.

--- a/packages/router/src/endpoints/attempt-runner.ts
+++ b/packages/router/src/endpoints/attempt-runner.ts
@@ -3,6 +3,7 @@
 import type { BackgroundTasks } from '@sesamegrade/core/tasks/background-tasks';
 import type { TimerService } from '@sesamegrade/core/time/timer-service';
 import type { Address } from '@sesamegrade/core/types/endpoint';
+import { isHttpStatus } from '@sesamegrade/core/types/http-status';
 import type { AttemptId, EndpointId } from '@sesamegrade/core/types/ids';
 import { elapsed, milliseconds } from '@sesamegrade/core/types/units';
 import type { Instant, Milliseconds } from '@sesamegrade/core/types/units';
@@ -141,6 +142,11 @@
     const { directory, post } = this.#options;
     const request = exchange.request.id;
     const { statusCode, headers } = response;
+    if (!isHttpStatus(statusCode)) {
+      await response.body.dump();
+      this.#attemptFailed(task, 'reset', false);
+      return;
+    }
     const load = loadOf(headers);
     if (load) {
       directory.onReportedLoad(endpoint, load);
