Break responses whose connection ends while the request is written

Callers got a part of a response without length as a complete 200: the endpoint answered a long upload at once, sent a part of its body and reset the connection while the upload was still being written.

Cause: Node.js reports a reset that arrives with the last bytes as a regular end. The router then tries a write of no bytes, which fails after a reset. While a piece of the body is being written, that write waits behind it, so that the question was answered with "no reset". A router that carries the connection for another one asked in the same way, and passed the reset on as a regular close.

The end of a connection now ends a response only if the system had taken the whole request by then, both the pieces of the body and what the socket holds. Else the attempt is broken, as `unwritten-request` with the number of bytes in the log, and is retried, continued or refused as after a reset. A router that carries the connection waits for the write in progress, which fails after a reset, before it passes the end on. Responses with a length or chunks pass at any time, and those without once the upload has been read.

--- a/packages/core/src/forwarding/attempt-result.ts
+++ b/packages/core/src/forwarding/attempt-result.ts
@@ -15,7 +15,12 @@
    */
   | { readonly kind: 'unproven-end' }
   /** The connection was lost, or the response was not a valid response to this request. */
-  | { readonly kind: 'broken'; readonly breakage: AttemptFailure }
+  | {
+      readonly kind: 'broken';
+      readonly breakage: AttemptFailure;
+      /** Bytes of the request that were not written when the endpoint ended the connection. */
+      readonly unwrittenBytes?: number;
+    }
   /** The endpoint sent nothing for too long, and another one has taken the request over. */
   | { readonly kind: 'silent' }
   /** The endpoint before, which had been silent, went on; the attempt was cancelled. */
@@ -39,6 +44,8 @@
 
 export type AttemptFailure =
   | 'reset'
+  /** The connection ended while the request was being written, and nothing else marked the end of the response. */
+  | 'unwritten-request'
   /** The connection was closed as the endpoint, or a router between, ended or was not reached any more. */
   | 'process-end'
   /** The response belongs to another request. */
--- a/packages/core/src/poison/attempt-evidence.ts
+++ b/packages/core/src/poison/attempt-evidence.ts
@@ -15,6 +15,7 @@
 
 const BROKEN_OFF: ReadonlySet<AttemptFailure> = new Set<AttemptFailure>([
   'reset',
+  'unwritten-request',
   'process-end',
   'malformed',
   'partial-event',
--- a/packages/gateway/src/endpoints/attempt.ts
+++ b/packages/gateway/src/endpoints/attempt.ts
@@ -273,7 +273,9 @@
     }
     const head = this.#head;
     const rejection = head && rejectionOf(head);
-    if (result.kind === 'broken' || !head) {
+    const isCut =
+      result.kind === 'ended-early' && head?.framing === 'connection';
+    if (result.kind === 'broken' || isCut || !head) {
       if (!head && this.#idleTime !== undefined) {
         const { connectionPool, entry } = this.#options;
         connectionPool.recordIdleBreak(entry.service, this.#idleTime);
@@ -282,7 +284,7 @@
       this.#settle(
         rejection
           ? { kind: 'declined', decline: rejection }
-          : { kind: 'broken', breakage: failureReasonOf(result) },
+          : brokenResultOf(result),
       );
       return;
     }
@@ -346,6 +348,16 @@
     : 'invalid';
 }
 
+function brokenResultOf(result: ExchangeResult): AttemptResult {
+  return result.kind === 'ended-early'
+    ? {
+        kind: 'broken',
+        breakage: 'unwritten-request',
+        unwrittenBytes: result.unwrittenBytes,
+      }
+    : { kind: 'broken', breakage: failureReasonOf(result) };
+}
+
 function failureReasonOf(result: ExchangeResult): AttemptFailure {
   const cause = result.kind === 'broken' ? result.cause : '';
   const isMalformed =
--- a/packages/gateway/src/endpoints/endpoint-connection.ts
+++ b/packages/gateway/src/endpoints/endpoint-connection.ts
@@ -44,6 +44,11 @@
 /** Result of one request on the connection. */
 export type ExchangeResult =
   | { readonly kind: 'complete' }
+  /**
+   * The endpoint ended the connection before the request was written whole. The response is
+   * complete only if its framing says so: a reset looks like a regular end here.
+   */
+  | { readonly kind: 'ended-early'; readonly unwrittenBytes: number }
   /** No byte of the request was sent. */
   | { readonly kind: 'not-connected'; readonly cause: string }
   /** The connection broke after bytes of the request may have been sent. */
@@ -79,6 +84,10 @@
   #connected = false;
   #closed = false;
   #wasReset = false;
+  /** Body of the last request, if that is written piece by piece. */
+  #pieces: BodyPieces | undefined;
+  /** Bytes of the request that the system had not taken when the endpoint ended the connection. */
+  #unwrittenBytes = 0;
   #controller: Dispatcher.DispatchController | undefined;
   #idleSince: Instant | undefined;
   #keepAliveTimeout: Milliseconds = DEFAULT_KEEP_ALIVE_TIMEOUT;
@@ -172,16 +181,15 @@
     if (body?.hasPieces) {
       headers.push('content-length', String(body.length));
     }
+    this.#pieces = body?.hasPieces
+      ? new BodyPieces(body, () => listener.onBodyWritten?.())
+      : undefined;
     this.#client.dispatch(
       {
         method: request.method,
         path: request.target,
         headers,
-        body: body?.hasPieces
-          ? new BodyPieces(body, () =>
-              listener.onBodyWritten?.(),
-            ).asRequestBody()
-          : (body?.bytes ?? null),
+        body: this.#pieces?.asRequestBody() ?? body?.bytes ?? null,
       },
       {
         onRequestStart: controller => {
@@ -208,11 +216,7 @@
           }
         },
         onResponseEnd: () => {
-          listener.onEnd(
-            this.#wasReset
-              ? { kind: 'broken', cause: 'reset' }
-              : { kind: 'complete' },
-          );
+          listener.onEnd(this.#resultAtEnd());
         },
         onResponseError: (_controller, error) => {
           const cause = errorCode(error);
@@ -237,6 +241,16 @@
     this.#client.destroy().catch(() => undefined);
   }
 
+  #resultAtEnd(): ExchangeResult {
+    if (this.#wasReset) {
+      return { kind: 'broken', cause: 'reset' };
+    }
+    const unwrittenBytes = this.#unwrittenBytes;
+    return unwrittenBytes > 0
+      ? { kind: 'ended-early', unwrittenBytes }
+      : { kind: 'complete' };
+  }
+
   #open(
     address: Address,
     callback: (...result: [Error, null] | [null, BoundedSocket]) => void,
@@ -275,6 +289,8 @@
     // regular end of a response.
     socket.on('end', () => {
       this.#wasReset ||= socket.wasReset();
+      this.#unwrittenBytes =
+        socket.writableLength + (this.#pieces?.remainingBytes ?? 0);
       // Nothing is left to hold back, and undici cannot end a paused response.
       this.#controller?.resume();
     });
@@ -298,6 +314,11 @@
     this.#onWritten = onWritten;
   }
 
+  /** Bytes that were not handed to the socket. */
+  get remainingBytes(): number {
+    return Math.max(0, this.#body.length - this.#offset);
+  }
+
   [Symbol.iterator](): this {
     return this;
   }
--- a/packages/gateway/src/http/bounded-socket.ts
+++ b/packages/gateway/src/http/bounded-socket.ts
@@ -50,13 +50,21 @@
   /**
    * Whether the peer reset the connection, to be asked at its end. Node.js reports a
    * reset that arrives together with the last bytes as a regular end; only a write,
-   * here one of no bytes, still fails.
+   * here one of no bytes, still fails. While an earlier write is in progress this one
+   * waits, and the answer is false: `writableLength` tells, or `whenWritten`.
    */
   wasReset(): boolean {
     this.write(NO_BYTES);
     return this.errored !== null;
   }
 
+  /** Calls back once all that was written so far was taken by the system, or has failed. */
+  whenWritten(callback: (isWritten: boolean) => void): void {
+    this.write(NO_BYTES, error => {
+      callback(!error);
+    });
+  }
+
   override push(chunk: Buffer | null): boolean {
     this.#receivedBytes += chunk?.length ?? 0;
     if (this.#receivedBytes > this.#maxBytes) {
--- a/packages/gateway/src/tunnels/tunnel-server.ts
+++ b/packages/gateway/src/tunnels/tunnel-server.ts
@@ -206,11 +206,14 @@
     forward(endpoint, client);
     forward(client, endpoint);
     endpoint.on('end', () => {
-      if (endpoint.wasReset()) {
-        client.resetAndDestroy();
-      } else {
-        client.end();
-      }
+      // A reset that arrived with the last bytes fails the write in progress.
+      endpoint.whenWritten(isWritten => {
+        if (isWritten) {
+          client.end();
+        } else {
+          client.resetAndDestroy();
+        }
+      });
     });
     // Routers do not close one direction only.
     client.on('end', () => {
