Reset responses without a length before the server is closed at the exit

A caller could take a part of a response for the whole: the exit of a router closed the connection of a response that was ended and not sent, and only the end of the connection marked its end.

Cause: Server.close of Node.js closes connections whose response was ended. The resets come first now.

--- a/packages/gateway/src/callers/gateway-caller-server.ts
+++ b/packages/gateway/src/callers/gateway-caller-server.ts
@@ -177,11 +177,17 @@
     }
   }
 
-  close(): void {
-    this.#server.close();
+  /** Resets the connections whose end would pass for the end of a response that is not sent yet. */
+  resetUnframed(): void {
     for (const exchange of this.#exchanges) {
       exchange.resetUnframed();
     }
+  }
+
+  close(): void {
+    // Node.js closes connections whose response was ended, also if it is not sent yet.
+    this.resetUnframed();
+    this.#server.close();
     this.#server.closeAllConnections();
   }
 
