Reset unframed responses before the earliest kill of a stop

A response whose end is that of its connection, ended and not sent yet, kept a router up that was held up before its signal until after the earliest time of its kill, which would have passed for the end. It follows the earlier bound now as before.

--- a/packages/gateway/src/process/gateway-process.ts
+++ b/packages/gateway/src/process/gateway-process.ts
@@ -215,6 +215,9 @@
       endRunning: scope => {
         forwarder.endRunning(scope);
       },
+      resetUnframed: () => {
+        callerServer.resetUnframed();
+      },
     });
     // Requests may have been read since the last poll, and in the turn that writes the last responses.
     forwarder.endRunning('all');
--- a/packages/gateway/src/process/shutdown-pauses.test.ts
+++ b/packages/gateway/src/process/shutdown-pauses.test.ts
@@ -57,6 +57,7 @@
         endRunning: () => {
           events.push('answers');
         },
+        resetUnframed: () => undefined,
       })
       .then(() => {
         events.push('exits');
--- a/packages/gateway/src/process/shutdown-sequence.test.ts
+++ b/packages/gateway/src/process/shutdown-sequence.test.ts
@@ -19,6 +19,8 @@
   endedAt: number | undefined;
   /** When responses that had begun were broken off. */
   brokenOffAt: number | undefined;
+  /** When responses were reset that only the end of their connections marks. */
+  resetAt: number | undefined;
 }
 
 const STREAM = { kind: 'stream', pauseLimit: undefined } as const;
@@ -40,6 +42,7 @@
     closedIdleAt: undefined,
     endedAt: undefined,
     brokenOffAt: undefined,
+    resetAt: undefined,
   };
   const sequence = new ShutdownSequence(() => grace(timers.now()));
   sequence.start(addTime(timers.now(), milliseconds(0 - heldUp)), timers.now());
@@ -55,6 +58,9 @@
           observed.brokenOffAt ??= timers.now();
         }
       },
+      resetUnframed: () => {
+        observed.resetAt ??= timers.now();
+      },
     })
     .then(() => {
       observed.stoppedAt = timers.now();
@@ -215,6 +221,19 @@
     expect(endedAt).to.be.within(5900, 6400);
   });
 
+  // Guards against a kill that passes for the end of a response.
+  it('resets unframed responses before the earliest kill', async () => {
+    for (const heldUp of [0, 700, 1500]) {
+      const { resetAt } = await shutDown(
+        () => 1,
+        () => GRACE,
+        milliseconds(50),
+        milliseconds(heldUp),
+      );
+      expect(resetAt).to.be.within(7400 - heldUp, 7700 - heldUp);
+    }
+  });
+
   // Guards against margins that take more of a short grace period than its last sixth.
   it('breaks nothing off before the last sixth of the grace period', async () => {
     for (const grace of [1, 2, 3, 4, 6, 30]) {
--- a/packages/gateway/src/process/shutdown-sequence.ts
+++ b/packages/gateway/src/process/shutdown-sequence.ts
@@ -52,6 +52,11 @@
   readonly closeIdle: () => void;
   /** Ends requests that still run; called in every poll once the time for it has come. */
   readonly endRunning: (scope: EndScope) => void;
+  /**
+   * Breaks off the responses whose end is only that of their connection, which the kill of the
+   * process would pass for; called in every poll from shortly before the earliest kill on.
+   */
+  readonly resetUnframed: () => void;
 }
 
 export class ShutdownSequence {
@@ -145,12 +150,12 @@
    */
   waitUntilDrained(
     timers: TimerService,
-    { running, closeIdle, endRunning }: DrainedWork,
+    { running, closeIdle, endRunning, resetUnframed }: DrainedWork,
   ): Promise<void> {
     const begin = timers.now();
     this.start(begin);
     // The balancer sees that the router is not ready once the signal is handled.
-    const handledAt = this.#signal?.latest ?? begin;
+    const { earliest = begin, latest: handledAt = begin } = this.#signal ?? {};
     let quietSince = begin;
     let wasQuiet = false;
     let hasAnswered = false;
@@ -184,6 +189,9 @@
           hasAnswered = true;
           endRunning('unanswered');
         }
+        if (elapsed(earliest, now) >= this.#timeToExit) {
+          resetUnframed();
+        }
         // After a late poll, requests that arrived before it are read before the next one.
         wasQuiet = isQuiet;
       });
