Test the end of a connection while a body that is written at once is unwritten

A request of up to 64 KiB is handed to the socket in one piece, which may wait there as well. Writes that never end stand for full buffers.

--- a/packages/gateway/src/endpoints/endpoint-connection.test.ts
+++ b/packages/gateway/src/endpoints/endpoint-connection.test.ts
@@ -1,12 +1,15 @@
-import type { Socket } from 'node:net';
+import { createServer } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 import { setTimeout as pause } from 'node:timers/promises';
 
 import { expect } from 'chai';
 
 import { instant, milliseconds } from '@sesamegrade/core/types/units';
 import { ScriptedServer } from '@sesamegrade/stand-ins/deployment/scripted-server';
+import { RequestBody } from '../callers/request-body';
 import { EndpointConnection } from './endpoint-connection';
 import { DirectDialer } from './endpoint-dialer';
+import type { DialCallback, Dialing, DialRequest } from './endpoint-dialer';
 import type { ExchangeResult } from './endpoint-connection';
 
 const UNFRAMED_HEAD = 'HTTP/1.1 200 OK\r\n\r\n';
@@ -127,3 +130,64 @@
     await server.stop();
   });
 });
+
+/** Connects by sockets whose writes never end. */
+class StuckDialer extends DirectDialer {
+  override dial(request: DialRequest, callback: DialCallback): Dialing {
+    return super.dial(request, result => {
+      if (result.ok) {
+        result.value.socket._write = () => undefined;
+        result.value.socket._writev = () => undefined;
+      }
+      callback(result);
+    });
+  }
+}
+
+describe('EndpointConnection that ends while its request is written', () => {
+  const account = {
+    onReleasable: () => undefined,
+    onNeeded: () => undefined,
+    onReleased: () => undefined,
+  };
+
+  for (const length of [1000, 200_000]) {
+    // Guards against an end that counts as regular while the write that would fail is in progress, also of a body written at once.
+    it(`tells so for a body of ${length} bytes`, async () => {
+      const server = createServer(socket => {
+        socket.on('error', () => undefined);
+        socket.end(`${UNFRAMED_HEAD}part`);
+      });
+      await new Promise<void>(resolve => {
+        server.listen(0, '127.0.0.1', resolve);
+      });
+      const { port } = server.address() as AddressInfo;
+      const connection = new EndpointConnection(
+        { host: '127.0.0.1', port },
+        milliseconds(1000),
+        new StuckDialer(),
+        () => undefined,
+      );
+      const result = await new Promise<ExchangeResult>(resolve => {
+        connection.send(
+          {
+            method: 'POST',
+            target: '/',
+            headers: [],
+            body: new RequestBody(Buffer.alloc(length), account),
+          },
+          {
+            onSent: () => undefined,
+            onHead: () => undefined,
+            onData: () => true,
+            onEnd: resolve,
+          },
+        );
+      });
+      connection.destroy();
+      server.close();
+      expect(result.kind).to.equal('ended-early');
+      expect(result).to.have.property('unwrittenBytes').that.is.least(length);
+    });
+  }
+});
