Let the model of the planned stop follow its two bounds

The stop ends requests that have no begun response first, and the others shortly before the kill; the made-up forwarder of the model does the same.

--- a/packages/gateway/src/process/testing/stopping-router.ts
+++ b/packages/gateway/src/process/testing/stopping-router.ts
@@ -8,6 +8,7 @@
 import { GatewayProcess } from '../gateway-process';
 import type { GatewayProcessOptions } from '../gateway-process';
 import { ShutdownSequence } from '../shutdown-sequence';
+import type { EndScope } from '../shutdown-sequence';
 
 /** All times are in ms on the clock of the model. */
 export interface PlannedRequest {
@@ -310,9 +311,12 @@
           return running();
         },
         endedByStop: {},
-        endRunning: () => {
+        endRunning: (scope: EndScope) => {
           for (const request of this.#running) {
-            request.answer(this.#timers.now());
+            // Only streams have begun: their break shows, as they are sent in chunks.
+            if (scope === 'all' || !request.hasStarted) {
+              request.answer(this.#timers.now());
+            }
           }
         },
       },
