Let the soak's check of answers say which requests a stop may give up, and no more

The invariant "answered" let pass what the users' rule counts. Compared one by one: - the last 0.8 s of a grace period below 4.8 s: only its last sixth, from the signal on, excuses, and only requests that were sent within 3 s of the signal. So streams that were broken off at 3.2 s of 4 s were never found. - streams that no endpoint would have ended 0.3 s before the limits were let off, whenever they broke off. Now one that breaks off before its limits has to have an endpoint that worked on it in the last sixth; what the router gave up itself counts until then only. The earlier condition stays beside it. - a break by any endpoint: only that by the one that ran last. - a caller that read nothing: only of a response that its connection could not hold. - requests that no endpoint ran were not looked at: their connection has to end within 0.2 s of their last byte, which the caller now notes, or with an answer. Kept, as stricter than the rule or without a word in it: a request without any answer counts also after its limit; a hold-up excuses only if the last responses were due in it; endpoints that are reached through others only are cut off from the router.

--- a/packages/stand-ins/src/deployment/http-caller.ts
+++ b/packages/stand-ins/src/deployment/http-caller.ts
@@ -27,6 +27,8 @@
   readonly method?: string;
   readonly headers: Readonly<Record<string, string>>;
   readonly body?: string;
+  /** Called once the last byte was given to an open connection. */
+  readonly onSent?: () => void;
   /** Receives the response before its body is read, for example to pause it. */
   readonly onResponse?: (response: IncomingMessage) => void;
   /** Keeps connections open for further requests; its callers see no reset after an unframed body. */
@@ -87,6 +89,9 @@
       });
       call.onResponse?.(response);
     });
+    outgoing.on('finish', () => {
+      call.onSent?.();
+    });
     outgoing.end(call.body);
   });
 }
--- a/packages/stand-ins/src/deployment/router-process.ts
+++ b/packages/stand-ins/src/deployment/router-process.ts
@@ -22,11 +22,16 @@
 }
 
 /**
- * What happened to a process: a signal, the end of its grace period, its exit, or that it got no
- * processor time for a while.
+ * What happened to a process: a signal, the end of its grace period, its exit, before that that it
+ * was not loaded yet, so that SIGTERM ended it at once, or that it got no processor time for a while.
  */
 export type ProcessEvent =
-  NodeJS.Signals | 'grace-over' | 'exit' | 'hold-up' | 'hold-up-over';
+  | NodeJS.Signals
+  | 'grace-over'
+  | 'exit'
+  | 'unloaded'
+  | 'hold-up'
+  | 'hold-up-over';
 
 export interface RouterProcessOptions {
   readonly name: string;
@@ -226,7 +231,10 @@
       };
       timers.push(setTimeout(kill, this.#graceSeconds * 1000));
     }
-    await exit;
+    const [, exitSignal] = (await exit) as [unknown, NodeJS.Signals | null];
+    if (exitSignal === 'SIGTERM') {
+      this.#options.onEvent?.('unloaded');
+    }
     timers.forEach(timer => {
       clearTimeout(timer);
     });
--- a/packages/stand-ins/src/soak/planned-stop-record.test.ts
+++ b/packages/stand-ins/src/soak/planned-stop-record.test.ts
@@ -58,6 +58,47 @@
     expect(play({ expiresAt: 4490 })).to.deep.equal(['answered']);
   });
 
+  // Guards against stops that end streams before the last sixth of their grace period, here from 4333 ms on.
+  it('excuses a stream that broke off by a limit, or by work in the last sixth on what was sent early', () => {
+    const stream = { ending: 'broke-off', isStream: true } as const;
+    const found = ['answered'];
+    expect(play({ ...stream, to: 4330 })).to.deep.equal(found);
+    expect(play({ ...stream, to: 4340 })).to.deep.equal([]);
+    expect(play({ ...stream, from: 4001 })).to.deep.equal(found);
+    expect(play({ ...stream, from: 4000 })).to.deep.equal([]);
+    expect(play({ ...stream, to: 3000, expiresAt: 3001 })).to.deep.equal(found);
+    expect(play({ ...stream, to: 3000, expiresAt: 3000 })).to.deep.equal([]);
+    expect(play({ ...stream, to: 3000, routeEndsAt: 3000 })).to.deep.equal([]);
+    const afterStop = { from: 4600, to: 5600, expiresAt: 9000 };
+    expect(play({ ...stream, ...afterStop })).to.deep.equal(found);
+    const abandonedAt = (at: number) =>
+      play(stream, [], record => {
+        record.recordAbandoned('a', 'e', at);
+      });
+    expect(abandonedAt(4300)).to.deep.equal(found);
+    expect(abandonedAt(4340)).to.deep.equal([]);
+  });
+
+  // Guards against requests that wait in the router until it closes their connection.
+  it('finds a request that was not passed on if its connection ended late without an answer', () => {
+    const left = { request: 'b', sentAt: 4200, to: 4450 } as const;
+    const found = ['answered'];
+    expect(play(left)).to.deep.equal(found);
+    expect(play({ ...left, to: 4400 })).to.deep.equal([]);
+    expect(play({ ...left, sentAt: undefined })).to.deep.equal([]);
+    expect(play({ ...left, ending: 503 })).to.deep.equal([]);
+    const heldUp = (from: number, to: number) =>
+      play(left, [
+        ['hold-up', from],
+        ['hold-up-over', to],
+      ]);
+    expect(heldUp(4100, 4210)).to.deep.equal([]);
+    expect(heldUp(3000, 3100)).to.deep.equal(found);
+    expect(play(left, [['unloaded', 4490]])).to.deep.equal([]);
+    expect(play(left, [['unloaded', 900]])).to.deep.equal(found);
+    expect(play({}, [['unloaded', 4490]])).to.deep.equal(found);
+  });
+
   // Guards against streams that a router cuts although their endpoints end them in time.
   it('finds a stream that broke off although an endpoint ends it in time', () => {
     const ending = 'broke-off';
@@ -97,7 +138,7 @@
   });
 
   // Guards against excuses without a trace.
-  it('excuses a cut only by a break of the endpoint, a kill, a freeze or a reader that paused', () => {
+  it('excuses a cut only by a break of the last endpoint, a kill, a freeze or a reader that paused', () => {
     const brokeAt = (at: number) => (record: PlannedStopRecord) => {
       record.recordBreak('a', 'e', at);
     };
@@ -112,7 +153,16 @@
       ]);
     expect(frozen(2000, 3000)).to.deep.equal([]);
     expect(frozen(500, 900)).to.have.length(1);
-    expect(play({ pausedUntil: 4600 })).to.deep.equal([]);
-    expect(play({ pausedUntil: 4400 })).to.have.length(1);
+    expect(play({ pausedUntil: 4600 })).to.have.length(1);
+    const long = (record: PlannedStopRecord) => {
+      record.recordLong('a');
+    };
+    expect(play({ pausedUntil: 4600 }, [], long)).to.deep.equal([]);
+    expect(play({ pausedUntil: 4400 }, [], long)).to.have.length(1);
+    const brokeFirst = (record: PlannedStopRecord) => {
+      record.recordBreak('a', 'e', 2000);
+      record.recordRun('a', 'f', 2010);
+    };
+    expect(play({}, [], brokeFirst)).to.have.length(1);
   });
 });
--- a/packages/stand-ins/src/soak/planned-stop-record.ts
+++ b/packages/stand-ins/src/soak/planned-stop-record.ts
@@ -16,6 +16,8 @@
   readonly isStream: boolean;
   /** Milliseconds since the start of the soak. */
   readonly from: number;
+  /** When its last byte was sent; undefined if no connection came about. */
+  readonly sentAt?: number;
   readonly to: number;
   /** When the time that the caller stated is over. */
   readonly expiresAt: number;
@@ -24,6 +26,8 @@
   /** Until when the caller read nothing, if it read late. */
   readonly pausedUntil?: number;
   readonly ending: CallEnding;
+  /** Status of the response, also if it was not whole. */
+  readonly status?: number;
 }
 
 interface RouterEvent {
@@ -57,6 +61,10 @@
 
 /** Share of the grace period at whose end an endpoint may still be at work on what is cut. */
 const LAST_SHARE = 1 / 6;
+/** Time from the signal within which a request was sent that may be cut for that. */
+const EARLY_MS = 3000;
+/** Time after the last byte of a request within which its connection may end if it was not passed on. */
+const UNANSWERED_MS = 200;
 /** Time in which a router that is about to exit writes its last responses. */
 const EXIT_MS = 800;
 /** Time for the end of a response on its way through a router. */
@@ -71,6 +79,8 @@
   readonly #options: PlannedStopRecordOptions;
   readonly #runs = new Map<string, EndpointRun[]>();
   readonly #breaks = new Map<string, EndpointEvent[]>();
+  readonly #abandoned = new Map<string, EndpointEvent[]>();
+  readonly #long = new Set<string>();
   readonly #silences: EndpointSilence[] = [];
 
   constructor(options: PlannedStopRecordOptions) {
@@ -106,6 +116,17 @@
     this.#breaks.set(request, [...breaks, { endpoint, at }]);
   }
 
+  /** Records that a router closed the connection of a request before its response was whole. */
+  recordAbandoned(request: string, endpoint: string, at: number): void {
+    const abandoned = this.#abandoned.get(request) ?? [];
+    this.#abandoned.set(request, [...abandoned, { endpoint, at }]);
+  }
+
+  /** Records that a response is longer than what a connection holds that nobody reads. */
+  recordLong(request: string): void {
+    this.#long.add(request);
+  }
+
   /** Number of calls at routers that were stopping, by what the callers got. */
   counts(): Record<string, number> {
     const counts: Record<string, number> = {};
@@ -116,24 +137,23 @@
   }
 
   violations(): SoakViolation[] {
-    return this.#calls
-      .filter(({ request }) => this.#runs.has(request))
-      .flatMap((call): SoakViolation[] => {
-        const { ending, request, isStream, to, expiresAt } = call;
-        const stop = this.#stopDuring(call);
-        const detail = this.#describe(call, stop);
-        // A plain response that has started can only break off when its time is over.
-        const isLost =
-          ending === 'cut' ||
-          (ending === 'broke-off' &&
-            (isStream ? this.#endsInTime(call, stop) : to < expiresAt));
-        if (isLost && !this.#isExcused(call, stop)) {
-          return [{ promise: 'answered', request, detail }];
-        }
-        return typeof ending === 'number' && NOT_RUN_STATUSES.has(ending)
-          ? [{ promise: 'not-run', request, detail }]
-          : [];
-      });
+    return this.#calls.flatMap((call): SoakViolation[] => {
+      const { ending, request } = call;
+      const stop = this.#stopDuring(call);
+      const detail = this.#describe(call, stop);
+      const hasRun = this.#runs.has(request);
+      const isLost = hasRun
+        ? this.#isCutShort(call, stop)
+        : this.#isLeftUnanswered(call, stop);
+      if (isLost && !this.#isExcused(call, stop)) {
+        return [{ promise: 'answered', request, detail }];
+      }
+      return hasRun &&
+        typeof ending === 'number' &&
+        NOT_RUN_STATUSES.has(ending)
+        ? [{ promise: 'not-run', request, detail }]
+        : [];
+    });
   }
 
   /** The first signal of the stop that lasted while a call ran. */
@@ -146,19 +166,98 @@
     );
   }
 
-  /** Whether an endpoint sends the end of a stream before the caller's limit and the end of the stop. */
+  /**
+   * Whether a request that was passed on ended without a complete answer, though it had time left.
+   * Only a stream whose endpoint works to the last part of the grace period may be cut for that; a
+   * router that reaches its endpoint through others only has lost the way to it.
+   */
+  #isCutShort(call: StopCall, stop: RouterEvent | undefined): boolean {
+    const { ending, isStream, to, expiresAt, routeEndsAt = Infinity } = call;
+    if (ending !== 'broke-off') {
+      return ending === 'cut';
+    }
+    // A plain response is passed on whole.
+    if (!isStream) {
+      return to < expiresAt;
+    }
+    if (to >= Math.min(expiresAt, routeEndsAt)) {
+      return false;
+    }
+    return (
+      this.#endsInTime(call, stop) ||
+      !(this.#isDetoured(call) || this.#isAtWorkAtEnd(call, stop))
+    );
+  }
+
+  /** Whether an endpoint sends the end of a stream before the caller's limit and the last part of the grace period. */
   #endsInTime(call: StopCall, stop: RouterEvent | undefined): boolean {
     const { request, router, expiresAt, routeEndsAt = Infinity } = call;
-    const { graceMs, isDetoured } = this.#options;
-    const lastMs = Math.max(EXIT_MS, graceMs * LAST_SHARE);
-    const stopEnd = stop ? stop.at + graceMs - lastMs : Infinity;
-    const dueBy = Math.min(expiresAt, routeEndsAt, stopEnd) - PASSING_MS;
+    const lastFrom = stop ? this.#lastPartOf(stop) : Infinity;
+    const dueBy = Math.min(expiresAt, routeEndsAt, lastFrom) - PASSING_MS;
     const broken = (this.#breaks.get(request) ?? []).map(each => each.endpoint);
     return (this.#runs.get(request) ?? []).some(
       run =>
         this.#endOf(run) <= dueBy &&
         !broken.includes(run.endpoint) &&
-        !isDetoured(router, run.endpoint),
+        !this.#options.isDetoured(router, run.endpoint),
+    );
+  }
+
+  /** Whether the connection of a request that was not passed on ended late without an answer. */
+  #isLeftUnanswered(call: StopCall, stop: RouterEvent | undefined): boolean {
+    const { ending, router, sentAt, to } = call;
+    if (ending !== 'cut' || !stop || sentAt === undefined) {
+      return false;
+    }
+    // A process that is not loaded yet, or does not run, reads nothing.
+    const exitAt = this.#nextAfter(stop, 'exit');
+    const isUnread = this.#eventsOf(router).some(
+      ({ event, at }) =>
+        (event === 'unloaded' && at >= stop.at && at <= exitAt) ||
+        (event === 'hold-up' &&
+          at <= to &&
+          this.#nextAfter({ router, at }, 'hold-up-over') >= sentAt),
+    );
+    return to >= stop.at && to - sentAt > UNANSWERED_MS && !isUnread;
+  }
+
+  #isDetoured({ request, router }: StopCall): boolean {
+    const last = this.#lastRunOf(request);
+    return (
+      last !== undefined && this.#options.isDetoured(router, last.endpoint)
+    );
+  }
+
+  /** Whether an endpoint worked in the last part of the grace period on a request that was sent early in the stop. */
+  #isAtWorkAtEnd(
+    { request, from, to }: StopCall,
+    stop: RouterEvent | undefined,
+  ): boolean {
+    if (!stop || from > stop.at + EARLY_MS) {
+      return false;
+    }
+    const lastFrom = this.#lastPartOf(stop);
+    return (this.#runs.get(request) ?? []).some(
+      run => Math.min(this.#workedUntil(request, run), to) >= lastFrom,
+    );
+  }
+
+  /** When the part of the grace period begins at which an endpoint may still be at work on what is cut. */
+  #lastPartOf({ at }: RouterEvent): number {
+    return at + this.#options.graceMs * (1 - LAST_SHARE);
+  }
+
+  /** When an endpoint has sent its whole response, or the router has given it up. */
+  #workedUntil(request: string, run: EndpointRun): number {
+    return (this.#abandoned.get(request) ?? [])
+      .filter(({ endpoint, at }) => endpoint === run.endpoint && at >= run.at)
+      .reduce((end, { at }) => Math.min(end, at), this.#endOf(run));
+  }
+
+  #lastRunOf(request: string): EndpointRun | undefined {
+    return (this.#runs.get(request) ?? []).reduce<EndpointRun | undefined>(
+      (last, run) => (last && last.at > run.at ? last : run),
+      undefined,
     );
   }
 
@@ -173,13 +272,19 @@
       .reduce((end, { to }) => Math.max(end, to), endsAt);
   }
 
-  /** Whether the endpoint broke off, or the router was frozen or killed, or the caller did not read. */
+  /**
+   * Whether the endpoint that ran last broke off, or the router was frozen or killed, or the caller
+   * did not read a long response.
+   */
   #isExcused(call: StopCall, stop: RouterEvent | undefined): boolean {
     const { request, router, from, to, pausedUntil } = call;
     const until = to + SIMULTANEOUS_MS;
     const begin = Math.min(from, stop?.at ?? from);
     const wasPaused =
-      stop && pausedUntil && pausedUntil >= this.#nextAfter(stop, 'exit');
+      stop &&
+      this.#long.has(request) &&
+      pausedUntil &&
+      pausedUntil >= this.#nextAfter(stop, 'exit');
     const wasDisturbed = this.#eventsOf(router).some(
       ({ event, at }) =>
         at <= until &&
@@ -187,8 +292,9 @@
           (event === 'SIGSTOP' &&
             this.#nextAfter({ router, at }, 'SIGCONT') >= begin)),
     );
+    const last = this.#lastRunOf(request);
     const hasBroken = (this.#breaks.get(request) ?? []).some(
-      ({ at }) => at <= until,
+      ({ endpoint, at }) => endpoint === last?.endpoint && at <= until,
     );
     return (
       hasBroken ||
@@ -227,7 +333,7 @@
 
   /** Times are relative to the stop, or to the call if there was none. */
   #describe(call: StopCall, stop: RouterEvent | undefined): string {
-    const { router, path, from, to, ending } = call;
+    const { router, path, from, to, ending, status } = call;
     const begin = stop?.at ?? from;
     const end = stop ? this.#nextAfter(stop, 'exit') : to + SIMULTANEOUS_MS;
     const since = (at: number) => `${Math.round(at - begin)} ms`;
@@ -240,9 +346,10 @@
       `${router} ${path} sent ${since(from)}`,
       ...runs.map(
         run =>
-          `ran at ${run.endpoint} ${since(run.at)} to ${since(this.#endOf(run))}`,
+          `ran at ${run.endpoint} ${since(run.at)} to ${since(this.#workedUntil(call.request, run))}`,
       ),
       ...breaks.map(({ endpoint, at }) => `${endpoint} broke ${since(at)}`),
+      ...(ending === 'broke-off' ? [`status ${status ?? 'unknown'}`] : []),
       `${ending} ${since(to)}`,
       ...events,
     ].join(', ');
--- a/packages/stand-ins/src/soak/planned-stop-scenario.ts
+++ b/packages/stand-ins/src/soak/planned-stop-scenario.ts
@@ -142,6 +142,7 @@
     const signal = AbortSignal.timeout(deadlineMs + LEAVING_MS);
     const from = now();
     let pausedUntil: number | undefined;
+    let sentAt: number | undefined;
     checker.recordRequest(request, kind === 'order' || kind === 'summary');
     const response = await callOverHttp({
       url: `http://${router.callerAddress}`,
@@ -154,6 +155,9 @@
       },
       agent,
       signal,
+      onSent: () => {
+        sentAt = now();
+      },
       onResponse: received => {
         if (pauseMs > 0) {
           pausedUntil = now() + pauseMs;
@@ -168,8 +172,10 @@
     const times = { from, to: now(), expiresAt, routeEndsAt };
     record.recordCall({
       ...{ request, router: router.name, path, isStream, ...times },
+      sentAt,
       pausedUntil,
       ending: signal.aborted ? 'left' : endingOf(response),
+      ...(response && { status: response.status }),
     });
     if (response) {
       this.#check(request, response, isStream);
--- a/packages/stand-ins/src/soak/slow-endpoints.ts
+++ b/packages/stand-ins/src/soak/slow-endpoints.ts
@@ -31,6 +31,8 @@
 /** Share of the responses that are too long for the buffers of a connection that nobody reads. */
 const LONG_SHARE = 0.05;
 const LONG_BYTES = 3_000_000;
+/** Time for which the end of a response may be on its way, and is lost if its endpoint crashes. */
+const DELIVERY_MS = 1000;
 
 export interface SlowEndpointsOptions {
   readonly random: Random;
@@ -186,16 +188,22 @@
         // The other end did neither close nor reset the connection.
         if (!socket.readableEnded && !socket.errored) {
           record.recordBreak(id, endpoint, now());
+        } else {
+          record.recordAbandoned(id, endpoint, now());
         }
       };
       socket.once('close', onClose);
+      const removeListener = () => {
+        setTimeout(() => socket.off('close', onClose), DELIVERY_MS);
+      };
       if (kind === 'slow-order' || kind === 'slow-lookup') {
         record.recordRun(id, endpoint, at, at + workMs);
         const isLong = random.fraction() < LONG_SHARE;
+        if (isLong) {
+          record.recordLong(id);
+        }
         setTimeout(() => {
-          socket.write(answer(request, isLong), () => {
-            socket.off('close', onClose);
-          });
+          socket.write(answer(request, isLong), removeListener);
         }, workMs);
         return;
       }
@@ -207,10 +215,7 @@
         events.length - Number(request.headers.get('last-event-id') ?? 0);
       record.recordRun(id, endpoint, at, at + (rest + 1) * intervalMs);
       sendPacedStream(request, socket, events, intervalMs);
-      setTimeout(
-        () => socket.write('', () => socket.off('close', onClose)),
-        workMs + intervalMs,
-      );
+      setTimeout(() => socket.write('', removeListener), workMs + intervalMs);
     };
   }
 }
