Hold routers up before SIGTERM in the soak

Hold-ups at a stop began with its signal, so that the router was never held up before it, as one is that has just started. The stop counted from the begin of a hold-up, and broke streams off by as much too early.

Three of ten stops have the router held up for 0.3 to 2 s, and get the signal 0.3 s before the end of that to 20 ms after it.

--- a/packages/stand-ins/src/soak/planned-stop-scenario.ts
+++ b/packages/stand-ins/src/soak/planned-stop-scenario.ts
@@ -31,6 +31,8 @@
 /** Shares of the stops whose process is held up as the signal comes, and within the stop, and for how long. */
 const HOLD_UP_SHARE = 0.3;
 const HOLD_UP_MS = { min: 300, max: 2000 };
+/** Time before the end of a hold-up, or after it if below 0, at which the signal comes. */
+const SIGNAL_LEAD_MS = { min: -20, max: 300 };
 const STATUS_OK = 200;
 
 export interface PlannedStopScenarioOptions {
@@ -114,6 +116,13 @@
         await pause(afterMs);
         await router.holdUp(durationMs);
       });
+    if (random.fraction() < HOLD_UP_SHARE) {
+      const { min, max } = HOLD_UP_MS;
+      const durationMs = random.integer(min, max);
+      holdUps.push(router.holdUp(durationMs));
+      const leadMs = random.integer(SIGNAL_LEAD_MS.min, SIGNAL_LEAD_MS.max);
+      await pause(durationMs - leadMs);
+    }
     await router.restart('SIGTERM', laterSignals);
     onEnd();
     await Promise.all(holdUps);
