Let the soak tell its own lag from that of routers and endpoints

The endpoints and the callers of the soak share its process.

The record takes the time at which an endpoint really sent its end; one that was given up later than its planned end, and had not sent it, counts as at work until then. Times in which the soak did not run, 10 ms or more, do not count as time without an answer.

--- a/packages/stand-ins/src/deployment/broken-stream.ts
+++ b/packages/stand-ins/src/deployment/broken-stream.ts
@@ -109,6 +109,7 @@
   socket: Socket,
   events: readonly string[],
   intervalMs: number,
+  onEnd: () => void = () => undefined,
 ): void {
   let next = Number(request.headers.get('last-event-id') ?? 0);
   socket.write(streamHead(request));
@@ -116,6 +117,9 @@
     const text = events[next];
     if (socket.destroyed || text === undefined) {
       clearInterval(timer);
+      if (!socket.destroyed) {
+        onEnd();
+      }
       socket.write(LAST_CHUNK);
       return;
     }
--- a/packages/stand-ins/src/soak/planned-stop-record.test.ts
+++ b/packages/stand-ins/src/soak/planned-stop-record.test.ts
@@ -77,6 +77,22 @@
       });
     expect(abandonedAt(4300)).to.deep.equal(found);
     expect(abandonedAt(4340)).to.deep.equal([]);
+    const lateEndpoint = (prepare: (record: PlannedStopRecord) => void) =>
+      play({ ...stream, request: 'c' }, [], record => {
+        record.recordRun('c', 'e', 1100, 3800);
+        prepare(record);
+      });
+    const abandon = (record: PlannedStopRecord) => {
+      record.recordAbandoned('c', 'e', 4400);
+    };
+    const end = (at: number) => (record: PlannedStopRecord) => {
+      record.recordEnd('c', 'e', at);
+      abandon(record);
+    };
+    expect(lateEndpoint(() => undefined)).to.deep.equal(found);
+    expect(lateEndpoint(abandon)).to.deep.equal([]);
+    expect(lateEndpoint(end(3900))).to.deep.equal(found);
+    expect(lateEndpoint(end(4350))).to.deep.equal([]);
   });
 
   // Guards against requests that wait in the router until it closes their connection.
@@ -94,6 +110,13 @@
       ]);
     expect(heldUp(4100, 4210)).to.deep.equal([]);
     expect(heldUp(3000, 3100)).to.deep.equal(found);
+    const paused = (from: number, to: number) =>
+      play(left, [], record => {
+        record.recordPause(from, to);
+      });
+    expect(paused(4300, 4360)).to.deep.equal([]);
+    expect(paused(4300, 4340)).to.deep.equal(found);
+    expect(paused(4000, 4240)).to.deep.equal(found);
     expect(play(left, [['unloaded', 4490]])).to.deep.equal([]);
     expect(play(left, [['unloaded', 900]])).to.deep.equal(found);
     expect(play({}, [['unloaded', 4490]])).to.deep.equal(found);
--- a/packages/stand-ins/src/soak/planned-stop-record.ts
+++ b/packages/stand-ins/src/soak/planned-stop-record.ts
@@ -42,7 +42,7 @@
 }
 
 interface EndpointRun extends EndpointEvent {
-  /** When the endpoint has sent the end of its response, unless it falls silent. */
+  /** When the endpoint is to send the end of its response, unless it falls silent. */
   readonly endsAt: number;
 }
 
@@ -52,6 +52,11 @@
   readonly to: number;
 }
 
+interface Pause {
+  readonly from: number;
+  readonly to: number;
+}
+
 export interface PlannedStopRecordOptions {
   /** Time from SIGTERM to SIGKILL. */
   readonly graceMs: number;
@@ -80,7 +85,9 @@
   readonly #runs = new Map<string, EndpointRun[]>();
   readonly #breaks = new Map<string, EndpointEvent[]>();
   readonly #abandoned = new Map<string, EndpointEvent[]>();
+  readonly #ends = new Map<string, EndpointEvent[]>();
   readonly #long = new Set<string>();
+  readonly #pauses: Pause[] = [];
   readonly #silences: EndpointSilence[] = [];
 
   constructor(options: PlannedStopRecordOptions) {
@@ -122,6 +129,17 @@
     this.#abandoned.set(request, [...abandoned, { endpoint, at }]);
   }
 
+  /** Records that an endpoint really sent the end of its response. */
+  recordEnd(request: string, endpoint: string, at: number): void {
+    const ends = this.#ends.get(request) ?? [];
+    this.#ends.set(request, [...ends, { endpoint, at }]);
+  }
+
+  /** Records a time in which the soak itself did not run, and saw nothing end. */
+  recordPause(from: number, to: number): void {
+    this.#pauses.push({ from, to });
+  }
+
   /** Records that a response is longer than what a connection holds that nobody reads. */
   recordLong(request: string): void {
     this.#long.add(request);
@@ -197,7 +215,7 @@
     const broken = (this.#breaks.get(request) ?? []).map(each => each.endpoint);
     return (this.#runs.get(request) ?? []).some(
       run =>
-        this.#endOf(run) <= dueBy &&
+        this.#endOf(request, run) <= dueBy &&
         !broken.includes(run.endpoint) &&
         !this.#options.isDetoured(router, run.endpoint),
     );
@@ -218,7 +236,13 @@
           at <= to &&
           this.#nextAfter({ router, at }, 'hold-up-over') >= sentAt),
     );
-    return to >= stop.at && to - sentAt > UNANSWERED_MS && !isUnread;
+    const paused = this.#pauses.reduce(
+      (sum, pause) =>
+        sum +
+        Math.max(0, Math.min(pause.to, to) - Math.max(pause.from, sentAt)),
+      0,
+    );
+    return to >= stop.at && to - sentAt - paused > UNANSWERED_MS && !isUnread;
   }
 
   #isDetoured({ request, router }: StopCall): boolean {
@@ -249,9 +273,8 @@
 
   /** When an endpoint has sent its whole response, or the router has given it up. */
   #workedUntil(request: string, run: EndpointRun): number {
-    return (this.#abandoned.get(request) ?? [])
-      .filter(({ endpoint, at }) => endpoint === run.endpoint && at >= run.at)
-      .reduce((end, { at }) => Math.min(end, at), this.#endOf(run));
+    const abandoned = this.#firstSince(run, this.#abandoned.get(request));
+    return Math.min(this.#endOf(request, run), abandoned ?? Infinity);
   }
 
   #lastRunOf(request: string): EndpointRun | undefined {
@@ -261,7 +284,10 @@
     );
   }
 
-  #endOf({ endpoint, at, endsAt }: EndpointRun): number {
+  /** When an endpoint has sent its whole response, or would have. */
+  #endOf(request: string, run: EndpointRun): number {
+    const { endpoint, at } = run;
+    const endsAt = this.#sentEndAt(request, run);
     return this.#silences
       .filter(
         silence =>
@@ -272,6 +298,23 @@
       .reduce((end, { to }) => Math.max(end, to), endsAt);
   }
 
+  /** When it sent the end; as planned if that was not seen, unless it was late as it was given up. */
+  #sentEndAt(request: string, run: EndpointRun): number {
+    const sent = this.#firstSince(run, this.#ends.get(request));
+    const abandoned = this.#firstSince(run, this.#abandoned.get(request));
+    const isLate = abandoned !== undefined && abandoned > run.endsAt;
+    return sent ?? (isLate ? Infinity : run.endsAt);
+  }
+
+  #firstSince(
+    run: EndpointRun,
+    events: readonly EndpointEvent[] = [],
+  ): number | undefined {
+    return events.find(
+      ({ endpoint, at }) => endpoint === run.endpoint && at >= run.at,
+    )?.at;
+  }
+
   /**
    * Whether the endpoint that ran last broke off, or the router was frozen or killed, or the caller
    * did not read a long response.
--- a/packages/stand-ins/src/soak/planned-stop-scenario.ts
+++ b/packages/stand-ins/src/soak/planned-stop-scenario.ts
@@ -33,6 +33,7 @@
 const HOLD_UP_MS = { min: 300, max: 2000 };
 /** Time before the end of a hold-up, or after it if below 0, at which the signal comes. */
 const SIGNAL_LEAD_MS = { min: -20, max: 300 };
+const WATCH_PERIOD_MS = 10;
 const STATUS_OK = 200;
 
 export interface PlannedStopScenarioOptions {
@@ -82,7 +83,22 @@
         this.#useConnection(router, until),
       ),
     );
+    const timer = this.#watchPauses();
     await Promise.all([this.#stopRouters(until), ...callers]);
+    clearInterval(timer);
+  }
+
+  /** Records when this process did not run in time itself. */
+  #watchPauses(): NodeJS.Timeout {
+    const { record, now } = this.#options;
+    let due = now() + WATCH_PERIOD_MS;
+    return setInterval(() => {
+      const at = now();
+      if (at - due >= WATCH_PERIOD_MS) {
+        record.recordPause(due, at);
+      }
+      due = at + WATCH_PERIOD_MS;
+    }, WATCH_PERIOD_MS);
   }
 
   async #stopRouters(until: number): Promise<void> {
--- a/packages/stand-ins/src/soak/slow-endpoints.ts
+++ b/packages/stand-ins/src/soak/slow-endpoints.ts
@@ -193,7 +193,8 @@
         }
       };
       socket.once('close', onClose);
-      const removeListener = () => {
+      const onEnd = () => {
+        record.recordEnd(id, endpoint, now());
         setTimeout(() => socket.off('close', onClose), DELIVERY_MS);
       };
       if (kind === 'slow-order' || kind === 'slow-lookup') {
@@ -203,7 +204,10 @@
           record.recordLong(id);
         }
         setTimeout(() => {
-          socket.write(answer(request, isLong), removeListener);
+          if (!socket.destroyed) {
+            onEnd();
+          }
+          socket.write(answer(request, isLong));
         }, workMs);
         return;
       }
@@ -214,8 +218,7 @@
       const rest =
         events.length - Number(request.headers.get('last-event-id') ?? 0);
       record.recordRun(id, endpoint, at, at + (rest + 1) * intervalMs);
-      sendPacedStream(request, socket, events, intervalMs);
-      setTimeout(() => socket.write('', removeListener), workMs + intervalMs);
+      sendPacedStream(request, socket, events, intervalMs, onEnd);
     };
   }
 }
