--- a/packages/stand-ins/src/soak/planned-stop-scenario.ts
+++ b/packages/stand-ins/src/soak/planned-stop-scenario.ts
@@ -31,6 +31,9 @@
 /** Shares of the stops whose process is held up as the signal comes, and within the stop, and for how long. */
 const HOLD_UP_SHARE = 0.3;
 const HOLD_UP_MS = { min: 300, max: 2000 };
+/** Time before the end of a hold-up, or after it if below 0, at which the signal comes. */
+const SIGNAL_LEAD_MS = { min: -20, max: 300 };
+const WATCH_PERIOD_MS = 10;
 const STATUS_OK = 200;
 
 export interface PlannedStopScenarioOptions {
@@ -80,7 +83,22 @@
         this.#useConnection(router, until),
       ),
     );
+    const timer = this.#watchPauses();
     await Promise.all([this.#stopRouters(until), ...callers]);
+    clearInterval(timer);
+  }
+
+  /** Records when this process did not run in time itself. */
+  #watchPauses(): NodeJS.Timeout {
+    const { record, now } = this.#options;
+    let due = now() + WATCH_PERIOD_MS;
+    return setInterval(() => {
+      const at = now();
+      if (at - due >= WATCH_PERIOD_MS) {
+        record.recordPause(due, at);
+      }
+      due = at + WATCH_PERIOD_MS;
+    }, WATCH_PERIOD_MS);
   }
 
   async #stopRouters(until: number): Promise<void> {
@@ -114,6 +132,13 @@
         await pause(afterMs);
         await router.holdUp(durationMs);
       });
+    if (random.fraction() < HOLD_UP_SHARE) {
+      const { min, max } = HOLD_UP_MS;
+      const durationMs = random.integer(min, max);
+      holdUps.push(router.holdUp(durationMs));
+      const leadMs = random.integer(SIGNAL_LEAD_MS.min, SIGNAL_LEAD_MS.max);
+      await pause(durationMs - leadMs);
+    }
     await router.restart('SIGTERM', laterSignals);
     onEnd();
     await Promise.all(holdUps);
@@ -142,6 +167,7 @@
     const signal = AbortSignal.timeout(deadlineMs + LEAVING_MS);
     const from = now();
     let pausedUntil: number | undefined;
+    let sentAt: number | undefined;
     checker.recordRequest(request, kind === 'order' || kind === 'summary');
     const response = await callOverHttp({
       url: `http://${router.callerAddress}`,
@@ -154,6 +180,9 @@
       },
       agent,
       signal,
+      onSent: () => {
+        sentAt = now();
+      },
       onResponse: received => {
         if (pauseMs > 0) {
           pausedUntil = now() + pauseMs;
@@ -168,8 +197,10 @@
     const times = { from, to: now(), expiresAt, routeEndsAt };
     record.recordCall({
       ...{ request, router: router.name, path, isStream, ...times },
+      sentAt,
       pausedUntil,
       ending: signal.aborted ? 'left' : endingOf(response),
+      ...(response && { status: response.status }),
     });
     if (response) {
       this.#check(request, response, isStream);
