--- a/packages/gateway/src/process/testing/stopping-router.ts
+++ b/packages/gateway/src/process/testing/stopping-router.ts
@@ -303,6 +303,7 @@
         openExchangeCount: 0,
         startDraining: () => undefined,
         closeIdleConnections: () => undefined,
+        resetUnframed: () => undefined,
         logUnfinished: () => undefined,
         close: () => undefined,
       },
