Show a request that crashes servers again and again as idle channels are taken for open

Servers drop idle channels without notice, as those of the grown sites may. A request that crashes each server that begins to run it comes every 2.5 s, is never refused, and reaches servers 12 times later than contactMs after the third crash, where three are allowed (BUDGET).

With servers that drop no channels it is refused after the third crash.

--- a/review/lib-3/deployment.mjs
+++ b/review/lib-3/deployment.mjs
@@ -17,14 +17,30 @@
 const LAST_PORT = 31_000;
 const READY_TIMEOUT_MS = 20_000;
 
-/** The bounds of the site `sellada-gw`. */
-const BOUNDS = {
-  drainMs: 2000,
-  graceS: 8,
-  configApplyMs: 2000,
-  retryRatio: 0.2,
-  retryWindowS: 10,
-  retrySlack: 126,
+/** What the sheets of the sites say of a machine and its bounds. */
+const SITES = {
+  'sellada-gw': {
+    limits: { cpuShare: 0.459, cores: 1, memoryMb: 272 },
+    bounds: {
+      drainMs: 2000,
+      graceS: 8,
+      configApplyMs: 2000,
+      retryRatio: 0.2,
+      retryWindowS: 10,
+      retrySlack: 126,
+    },
+  },
+  'sellada-gw-grown': {
+    limits: { cpuShare: 0.459, cores: 1, memoryMb: 272 },
+    bounds: {
+      drainMs: 3000,
+      graceS: 8,
+      configApplyMs: 3000,
+      retryRatio: 0.2,
+      retryWindowS: 10,
+      retrySlack: 291,
+    },
+  },
 };
 
 const children = new Set();
@@ -89,9 +105,11 @@
   #nodes = [];
   #ports;
   #storeAddress;
+  #site;
 
-  constructor(storeAddress) {
+  constructor(storeAddress, site) {
     this.#storeAddress = storeAddress;
+    this.#site = SITES[site];
   }
 
   /** A loopback address that is used by no other machine of this run. */
@@ -139,12 +157,12 @@
         control: address(this.#ports.control),
       },
       bootstrap: node.starts === 0,
-      limits: { cpuShare: 0.459, cores: 1, memoryMb: 272 },
+      limits: this.#site.limits,
       seeds: this.#nodes
         .slice(0, 3)
         .map(other => `${other.host}:${this.#ports.control}`),
       platform: { address: this.#storeAddress },
-      bounds: BOUNDS,
+      bounds: this.#site.bounds,
     };
     const template = readFileSync(deployValue(text, 'template'), 'utf8');
     const file = join(this.#folder, `${name}.ini`);
--- a/review/lib-3/server.mjs
+++ b/review/lib-3/server.mjs
@@ -16,6 +16,8 @@
 const KEEP_ALIVE_S = 30;
 const PIECE_BYTES = 50_000;
 const PIECE_MS = 10;
+/** Time for which a request runs that crashes its server. */
+const CRASH_MS = 20;
 
 const say = text => process.stdout.write(`${text}\n`);
 
@@ -116,6 +118,11 @@
   }
   say(`run ${id}`);
   const script = request['x-script'] ?? 'plain 1 0';
+  if (script === 'crash') {
+    await pause(CRASH_MS);
+    process.kill(process.pid, 'SIGKILL');
+    return;
+  }
   if (script.startsWith('long')) {
     await answerLong(socket, Number(script.split(' ')[1]), id);
     return;
--- a/review/lib-3/site.mjs
+++ b/review/lib-3/site.mjs
@@ -1,4 +1,4 @@
-/** A small deployment of the site `sellada-gw`: the store with its rows, servers and routers. */
+/** A small deployment of a site: the store with its rows, servers and routers. */
 import { once } from 'node:events';
 import { createInterface } from 'node:readline';
 
@@ -141,6 +141,17 @@
     });
   }
 
+  /** Resolves when the process has ended. */
+  async waitForEnd() {
+    if (this.process.exitCode === null && this.process.signalCode === null) {
+      await once(this.process, 'exit');
+    }
+  }
+
+  unregister() {
+    this.#site.store.remove('servers', this.instance);
+  }
+
   async kill() {
     const ended = once(this.process, 'exit');
     this.process.kill('SIGKILL');
@@ -150,9 +161,12 @@
 }
 
 /** Starts a store with a manifest, servers and routers. */
-export async function startSite(record, { routes, servers, routers }) {
+export async function startSite(
+  record,
+  { name = 'sellada-gw', routes, servers, routers },
+) {
   const store = await new RowStoreServer().start();
-  const deployment = new Deployment(store.address);
+  const deployment = new Deployment(store.address, name);
   const site = { record, store, deployment, servers: [], nodes: [] };
   store.write('op', 'config', manifestOf(7, routes));
   for (const { service, count } of servers) {
